Fix package borders, message types and the store's protocol

Cause: the work is to be split along package borders, which needs the types that cross them first. Ruled out: one package (decisions could not be kept free of input and output by the compiler); prost messages in the kernel (a second set of types and a conversion each way; postcard of the kernel's own types inside one tonic frame needs neither). Change: workspace of six packages; kernel events, effects and messages; links' and store's .proto with committed generated code; configuration model.

--- /dev/null
+++ b/endivestile/src/main.rs
@@ -0,0 +1,2 @@
+//! Stub.
+fn main() {}
--- /dev/null
+++ b/endivestile_config/src/lib.rs
@@ -0,0 +1,3 @@
+//! Settings, inventory and rules of endivestile.
+
+pub mod model;
--- /dev/null
+++ b/endivestile_kernel/src/event.rs
@@ -0,0 +1,259 @@
+//! What enters and leaves the kernel.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use endivestile_config::model::{Config, Name};
+
+use crate::{
+    Answer, Ask, AttemptId, End, Frame, Order, Peer, Registration, Submission, SubmissionId,
+};
+
+/// Number of an open call of a caller, never used twice by one process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// State of a host or back end in the platform's list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum PlatformState {
+    /// In use.
+    Live,
+    /// Leaving: no new work.
+    Leaving,
+    /// Gone for good: the platform has stopped or replaced the machine.
+    Gone,
+}
+
+/// How a call to the platform's store ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Stored {
+    /// The value and its revision; 0 and empty when the key is absent.
+    Value {
+        /// Revision of the last change of the key.
+        revision: u64,
+        /// Value.
+        value: Bytes,
+    },
+    /// The swap took effect; the key's new revision.
+    Swapped(u64),
+    /// The swap found another revision and changed nothing.
+    Raced,
+    /// No answer, or an error: a swap may have taken effect.
+    Lost,
+}
+
+/// A call to the platform's store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreOp {
+    /// Reads a key.
+    Get {
+        /// Key.
+        key: Name,
+    },
+    /// Writes a key if its last change has this revision, 0 for an absent key.
+    Swap {
+        /// Key.
+        key: Name,
+        /// Revision expected.
+        revision: u64,
+        /// New value.
+        value: Bytes,
+    },
+}
+
+/// Everything that the edges tell the kernel.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// A caller submits.
+    Call {
+        /// The open call.
+        call: CallId,
+        /// What to run.
+        submission: Submission,
+    },
+    /// A caller asks for the answer to an id, or cancels it.
+    Ask {
+        /// The open call.
+        call: CallId,
+        /// The id.
+        id: SubmissionId,
+        /// What is asked.
+        ask: Ask,
+    },
+    /// A frame arrived.
+    Frame(Frame),
+    /// The link to a peer broke or could not be made.
+    LinkDown(Peer),
+    /// A call to a back end ended.
+    End {
+        /// The call.
+        attempt: AttemptId,
+        /// How it ended.
+        end: End,
+    },
+    /// A call to the store ended.
+    Stored {
+        /// Number of the call.
+        token: u64,
+        /// How it ended.
+        stored: Stored,
+    },
+    /// Another value of a shard record.
+    Record {
+        /// Shard.
+        shard: u32,
+        /// Revision of the key.
+        revision: u64,
+        /// Value; empty when absent.
+        value: Bytes,
+    },
+    /// A host registered, or its registration ended.
+    Host {
+        /// Name of the host.
+        host: Name,
+        /// The registration, none when its lease ended.
+        registration: Option<Registration>,
+    },
+    /// The platform's list changed for a host or back end.
+    Platform {
+        /// Name of the host or back end.
+        name: Name,
+        /// State; none when the platform does not list it any more.
+        state: Option<PlatformState>,
+    },
+    /// An operator planned a stop of a host or back end, or took it back.
+    Stop {
+        /// Name of the host or back end.
+        name: Name,
+        /// Whether it is to stop.
+        stop: bool,
+    },
+    /// The watch on the store came up or broke.
+    Store(bool),
+    /// A checked configuration was read, with its canonical text.
+    Config {
+        /// The configuration.
+        config: Arc<Config>,
+        /// Its canonical text, to hand to peers.
+        text: Bytes,
+    },
+    /// The process was told to stop gracefully.
+    Shutdown,
+    /// A deadline of the kernel passed.
+    Tick,
+}
+
+/// Everything that the kernel tells the edges.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    /// Answer a caller.
+    Answer {
+        /// The open call.
+        call: CallId,
+        /// The answer.
+        answer: Arc<Answer>,
+    },
+    /// Send a frame, at most once, to `to` at `address`.
+    Send {
+        /// Address of the peer's links.
+        address: Name,
+        /// The frame.
+        frame: Frame,
+    },
+    /// Call a back end.
+    Start {
+        /// Number of the call.
+        attempt: AttemptId,
+        /// Address of the back end, `IP:port`.
+        address: Name,
+        /// Path to call; empty for a worker.
+        path: Name,
+        /// The order.
+        order: Order,
+    },
+    /// Stop a call to a back end whose answer nobody wants any more.
+    Abort(AttemptId),
+    /// Call the store.
+    Store {
+        /// Number of the call.
+        token: u64,
+        /// The call.
+        op: StoreOp,
+    },
+    /// Check and offer a configuration that a peer passed on.
+    Offer(Bytes),
+    /// Register anew in the store, as leaving or not.
+    Register {
+        /// Whether the host is leaving.
+        leaving: bool,
+    },
+    /// Write a log line.
+    Log(Note),
+    /// Count an event for the metrics.
+    Count(Metric, u64),
+    /// Everything is drained: the process may end.
+    Drained,
+}
+
+/// A log line: what happened, at which step, with which peer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Note {
+    /// Severity.
+    pub level: Level,
+    /// Event, one word with underscores.
+    pub event: &'static str,
+    /// Submission id, empty when none is concerned.
+    pub id: Option<Name>,
+    /// Further keys and values.
+    pub pairs: Vec<(&'static str, String)>,
+}
+
+/// Severity of a log line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Level {
+    /// Something an operator has to look at.
+    Error,
+    /// Something unusual that the system handles.
+    Warn,
+    /// A change of state.
+    Info,
+    /// One submission's course.
+    Debug,
+}
+
+/// What the kernel counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Metric {
+    /// Submissions accepted.
+    Accepted,
+    /// Submissions refused as not run.
+    RefusedNotRun,
+    /// Submissions refused as unknown.
+    RefusedUnknown,
+    /// Answers complete.
+    Complete,
+    /// Answers failed.
+    Failed,
+    /// Task starts.
+    Starts,
+    /// Retries of idempotent requests.
+    Retries,
+    /// Submissions forwarded to a home.
+    Forwards,
+    /// Tasks handed to another host's placer.
+    Handoffs,
+    /// Witness records sent.
+    Records,
+    /// Frames sent.
+    Frames,
+    /// Frames that carried no message.
+    IdleFrames,
+    /// Frames sent again.
+    Resent,
+    /// Calls to the store.
+    StoreCalls,
+    /// Shards taken over.
+    Takeovers,
+    /// Back ends taken out.
+    Ejections,
+}
--- /dev/null
+++ b/endivestile_wire/src/lib.rs
@@ -0,0 +1,17 @@
+//! Messages on the wire: links between entry hosts, calls to the platform's
+//! store, and the bodies that callers exchange with an entry host.
+
+pub mod call;
+pub mod key;
+
+/// Generated from `proto/peer.proto`.
+#[allow(missing_docs, clippy::all, clippy::unwrap_used, unreachable_pub)]
+#[rustfmt::skip]
+#[path = "generated/peer.rs"]
+pub mod peer;
+
+/// Generated from `proto/store.proto`.
+#[allow(missing_docs, clippy::all, clippy::unwrap_used, unreachable_pub)]
+#[rustfmt::skip]
+#[path = "generated/store.rs"]
+pub mod store;
