Parse, check and compare settings, inventory and rules

Cause: the daemon and the operators' tool need one reading of settings, inventory and rules, with errors that name file, line, section, key and what is accepted, and one canonical text for the store.

Ruled out: serde on top of the INI library (no line numbers, no nearest names); a table of closures per key. Each structure lists its keys once, and reading, canonical form and difference go by that list. The library glues a line without '=' to the next key, so a scan refuses such lines first and gives the line numbers that the library doesn't keep.

A shutdown limit below the longest deadline is refused: it would cut off calls.

--- /dev/null
+++ b/endivestile_config/src/check.rs
@@ -0,0 +1,170 @@
+//! Checks of a whole configuration, before it is written and before it is adopted.
+
+use std::collections::HashMap;
+
+use crate::document::MAX_BYTES;
+use crate::error::{ConfigError, Place};
+use crate::model::{Config, Name};
+use crate::raw::nearest;
+
+/// Placement policies that a host knows.
+pub const POLICIES: [&str; 5] =
+    ["earliest", "random", "round-robin", "least-outstanding", "two-choices"];
+
+/// Checks what no single section shows.
+///
+/// # Errors
+///
+/// All faults found: unknown zones and backend servers, addresses that stand
+/// twice, zeros where none may be, an unknown policy, no host, no member, or a
+/// canonical form over [`MAX_BYTES`].
+pub fn check(config: &Config) -> Result<(), Vec<ConfigError>> {
+    let mut found = Found { config, errors: Vec::new() };
+    found.places();
+    found.services();
+    found.addresses();
+    found.numbers();
+    found.whole();
+    if found.errors.is_empty() { Ok(()) } else { Err(found.errors) }
+}
+
+/// Checks that a configuration may follow the one in force.
+///
+/// # Errors
+///
+/// A revision that doesn't grow, or another number of shards or another
+/// resubmission window than before: hosts that still run with the old value
+/// would send the same id to another home, or forget it too early.
+pub fn check_change(old: &Config, new: &Config) -> Result<(), Vec<ConfigError>> {
+    let mut errors = Vec::new();
+    if new.revision <= old.revision {
+        errors.push(ConfigError::Revision { old: old.revision, new: new.revision });
+    }
+    if old.revision > 0 {
+        let (was, is) = (&old.rules, &new.rules);
+        fixed(&mut errors, "shards", u64::from(was.shards), u64::from(is.shards));
+        fixed(&mut errors, "window-s", was.window_s, is.window_s);
+    }
+    if errors.is_empty() { Ok(()) } else { Err(errors) }
+}
+
+fn fixed(errors: &mut Vec<ConfigError>, key: &str, old: u64, new: u64) {
+    if old != new {
+        let place = Place::key("rules", key);
+        errors.push(ConfigError::Fixed { place, old: old.to_string(), new: new.to_string() });
+    }
+}
+
+/// The faults found so far.
+struct Found<'a> {
+    /// The configuration.
+    config: &'a Config,
+    /// Its faults.
+    errors: Vec<ConfigError>,
+}
+
+impl Found<'_> {
+    fn places(&mut self) {
+        let config = self.config;
+        config.hosts.iter().for_each(|(name, host)| self.zone("host", name, &host.zone));
+        config
+            .servers
+            .iter()
+            .for_each(|(name, item)| self.zone("backend-server", name, &item.zone));
+        config.workers.iter().for_each(|(name, item)| self.zone("worker", name, &item.zone));
+    }
+
+    fn zone(&mut self, kind: &str, name: &str, zone: &str) {
+        if !self.config.zones.contains_key(zone) {
+            let near = nearest(zone, self.config.zones.keys().map(AsRef::as_ref));
+            let place = Place::key(&format!("{kind} {name}"), "zone");
+            self.errors.push(ConfigError::Reference { place, value: zone.to_owned(), near });
+        }
+    }
+
+    fn services(&mut self) {
+        let config = self.config;
+        for (name, service) in &config.services {
+            let place = Place::key(&format!("service {name}"), "backend-servers");
+            if service.servers.is_empty() {
+                self.errors.push(ConfigError::Missing { place: place.clone() });
+            }
+            for server in service.servers.iter().filter(|s| !config.servers.contains_key(*s)) {
+                let near = nearest(server, config.servers.keys().map(AsRef::as_ref));
+                let value = server.to_string();
+                self.errors.push(ConfigError::Reference { place: place.clone(), value, near });
+            }
+        }
+    }
+
+    fn addresses(&mut self) {
+        let config = self.config;
+        let hosts = config.hosts.iter().map(|(name, item)| ("host", name, &item.address));
+        let servers =
+            config.servers.iter().map(|(name, item)| ("backend-server", name, &item.address));
+        let workers = config.workers.iter().map(|(name, item)| ("worker", name, &item.address));
+        let mut owners: HashMap<&Name, String> = HashMap::new();
+        for (kind, name, address) in hosts.chain(servers).chain(workers) {
+            let section = format!("{kind} {name}");
+            let place = Place::key(&section, "address");
+            if let Some(other) = owners.insert(address, section) {
+                let value = address.to_string();
+                self.errors.push(ConfigError::Clash { place, value, other });
+            }
+        }
+    }
+
+    /// Refuses zeros. The parser refuses them too, but a configuration may
+    /// have come another way than through it.
+    fn numbers(&mut self) {
+        let config = self.config;
+        for (name, host) in &config.hosts {
+            self.positive(&format!("host {name}"), "weight", host.weight);
+        }
+        for (name, server) in &config.servers {
+            let section = format!("backend-server {name}");
+            self.positive(&section, "slots", server.slots);
+            self.positive(&section, "connections", server.connections);
+        }
+        for (name, worker) in &config.workers {
+            let section = format!("worker {name}");
+            self.positive(&section, "cpu-milli", worker.cpu_milli);
+            self.positive(&section, "memory-mb", worker.memory_mb);
+        }
+        for (name, member) in &config.members {
+            let section = format!("member {name}");
+            self.positive(&section, "limit", member.limit);
+            self.positive(&section, "weight", member.weight);
+        }
+        self.positive("rules", "shards", config.rules.shards);
+        self.positive("rules", "queue-limit", config.rules.queue_limit);
+    }
+
+    fn positive(&mut self, section: &str, key: &str, number: u32) {
+        if number == 0 {
+            let place = Place::key(section, key);
+            let accepted = "whole numbers from 1".to_owned();
+            self.errors.push(ConfigError::Value { place, value: "0".to_owned(), accepted });
+        }
+    }
+
+    fn whole(&mut self) {
+        let config = self.config;
+        if config.hosts.is_empty() {
+            self.errors.push(ConfigError::Missing { place: Place::key("host NAME", "") });
+        }
+        if config.members.is_empty() {
+            self.errors.push(ConfigError::Missing { place: Place::key("member NAME", "") });
+        }
+        if !POLICIES.contains(&config.rules.policy.as_ref()) {
+            let place = Place::key("rules", "policy");
+            let (value, accepted) = (config.rules.policy.to_string(), POLICIES.join(", "));
+            self.errors.push(ConfigError::Value { place, value, accepted });
+        }
+        let bytes = config.canonical().len();
+        if bytes > MAX_BYTES {
+            let place = Place { origin: Name::from("canonical form"), ..Place::default() };
+            self.errors.push(ConfigError::Size { place, bytes, limit: MAX_BYTES });
+        }
+    }
+}
--- /dev/null
+++ b/endivestile_config/src/diff.rs
@@ -0,0 +1,70 @@
+//! Differences between two configurations.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::keys::Keys;
+use crate::model::{Config, Name};
+
+/// One key that differs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Section, as `kind` or `kind name`.
+    pub section: String,
+    /// Key.
+    pub key: String,
+    /// Value before; none when the section is new.
+    pub old: Option<String>,
+    /// Value after; none when the section is gone.
+    pub new: Option<String>,
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { section, key, old, new } = self;
+        match (old, new) {
+            (Some(old), Some(new)) => write!(out, "~ [{section}] {key} = {old} -> {new}"),
+            (None, Some(new)) => write!(out, "+ [{section}] {key} = {new}"),
+            (Some(old), None) => write!(out, "- [{section}] {key} = {old}"),
+            (None, None) => write!(out, "  [{section}] {key}"),
+        }
+    }
+}
+
+/// Returns every key that differs; the revision is left out.
+pub fn diff(old: &Config, new: &Config) -> Vec<Change> {
+    let mut changes = Vec::new();
+    compare(&mut changes, "rules", Some(&old.rules), Some(&new.rules));
+    compare_all(&mut changes, "availability-zone", &old.zones, &new.zones);
+    compare_all(&mut changes, "host", &old.hosts, &new.hosts);
+    compare_all(&mut changes, "backend-server", &old.servers, &new.servers);
+    compare_all(&mut changes, "worker", &old.workers, &new.workers);
+    compare_all(&mut changes, "service", &old.services, &new.services);
+    compare_all(&mut changes, "member", &old.members, &new.members);
+    changes
+}
+
+fn compare_all<T: Keys>(
+    changes: &mut Vec<Change>,
+    kind: &str,
+    old: &BTreeMap<Name, T>,
+    new: &BTreeMap<Name, T>,
+) {
+    let names: BTreeSet<&Name> = old.keys().chain(new.keys()).collect();
+    for name in names {
+        compare(changes, &format!("{kind} {name}"), old.get(name), new.get(name));
+    }
+}
+
+fn compare<T: Keys>(changes: &mut Vec<Change>, section: &str, old: Option<&T>, new: Option<&T>) {
+    for key in T::KEYS {
+        let was = old.map(|value| value.get(key));
+        let is = new.map(|value| value.get(key));
+        if was != is {
+            let (section, key) = (section.to_owned(), (*key).to_owned());
+            changes.push(Change { section, key, old: was, new: is });
+        }
+    }
+}
--- /dev/null
+++ b/endivestile_config/src/document.rs
@@ -0,0 +1,133 @@
+//! INI texts as sections of raw values, with line numbers.
+
+use ini::{Ini, ParseOption, Properties};
+
+use crate::error::{ConfigError, Place};
+use crate::model::Name;
+use crate::raw::{Raw, shorten};
+
+/// Largest text that is accepted, in bytes: the store's largest value, less a
+/// margin for the store's own framing.
+pub const MAX_BYTES: usize = 1_000_000;
+
+/// One section of a text.
+#[derive(Debug, Clone)]
+pub(crate) struct Section {
+    /// Where its header stands; the section as written.
+    pub(crate) place: Place,
+    /// First word of the header.
+    pub(crate) kind: String,
+    /// Rest of the header.
+    pub(crate) name: String,
+    /// Its values in the order of the text.
+    pub(crate) values: Vec<Raw>,
+}
+
+/// Line numbers of a section, which the library doesn't keep.
+#[derive(Debug, Default)]
+struct Lines {
+    /// Line of the header.
+    header: usize,
+    /// Lines of the keys.
+    keys: Vec<usize>,
+}
+
+/// Splits a text into its sections.
+pub(crate) fn read(text: &str, origin: &str) -> Result<Vec<Section>, ConfigError> {
+    let origin = Name::from(origin);
+    if text.len() > MAX_BYTES {
+        let place = Place { origin, ..Place::default() };
+        return Err(ConfigError::Size { place, bytes: text.len(), limit: MAX_BYTES });
+    }
+    let lines = scan(text, &origin)?;
+    let ini = load(text, &origin)?;
+    let found: Vec<(&str, &Properties)> =
+        ini.iter().filter_map(|(name, keys)| Some((name?, keys))).collect();
+    if found.len() != lines.len() {
+        return Err(syntax(&origin, 0, "sections are not well formed"));
+    }
+    lines
+        .iter()
+        .zip(found)
+        .map(|(lines, (title, keys))| section(lines, title, keys, &origin))
+        .collect()
+}
+
+fn load(text: &str, origin: &Name) -> Result<Ini, ConfigError> {
+    let option =
+        ParseOption { enabled_quote: false, enabled_escape: false, ..ParseOption::default() };
+    Ini::load_from_str_opt(text, option).map_err(|error| syntax(origin, error.line + 1, &error.msg))
+}
+
+fn section(
+    lines: &Lines,
+    title: &str,
+    keys: &Properties,
+    origin: &Name,
+) -> Result<Section, ConfigError> {
+    let (kind, name) = title.split_once(char::is_whitespace).unwrap_or((title, ""));
+    let place = Place {
+        origin: origin.clone(),
+        line: lines.header,
+        section: shorten(title),
+        key: String::new(),
+    };
+    let entries: Vec<(&str, &str)> = keys.iter().collect();
+    if entries.len() != lines.keys.len() {
+        return Err(syntax(origin, lines.header, "keys are not well formed"));
+    }
+    let values = entries
+        .iter()
+        .zip(&lines.keys)
+        .map(|((key, text), line)| Raw {
+            place: Place { line: *line, key: shorten(key.trim()), ..place.clone() },
+            text: text.trim().to_owned(),
+        })
+        .collect();
+    Ok(Section { place, kind: kind.to_owned(), name: name.trim().to_owned(), values })
+}
+
+/// Notes the lines of headers and keys, and refuses every line that is
+/// neither. The library would take such a line for the start of the next key.
+fn scan(text: &str, origin: &Name) -> Result<Vec<Lines>, ConfigError> {
+    let mut sections: Vec<Lines> = Vec::new();
+    for (index, line) in text.lines().enumerate() {
+        let number = index + 1;
+        let line = line.trim();
+        if line.is_empty() || line.starts_with(['#', ';']) {
+            continue;
+        }
+        if line.chars().any(|c| c.is_control() && c != '\t') {
+            return Err(syntax(origin, number, "control character"));
+        }
+        if line.ends_with('\\') {
+            return Err(syntax(origin, number, "a value ends with its line"));
+        }
+        if line.starts_with('[') {
+            header(line, origin, number)?;
+            sections.push(Lines { header: number, keys: Vec::new() });
+            continue;
+        }
+        let Some(section) = sections.last_mut() else {
+            return Err(syntax(origin, number, "the first line must be a [section]"));
+        };
+        if !line.contains('=') || line.starts_with(['=', ':']) {
+            return Err(syntax(origin, number, "neither [section] nor key = value"));
+        }
+        section.keys.push(number);
+    }
+    Ok(sections)
+}
+
+fn header(line: &str, origin: &Name, number: usize) -> Result<(), ConfigError> {
+    let inner = line.strip_prefix('[').and_then(|rest| rest.strip_suffix(']'));
+    match inner {
+        Some(inner) if !inner.contains(['[', ']', '\\']) && !inner.trim().is_empty() => Ok(()),
+        _ => Err(syntax(origin, number, "a section must be written [kind] or [kind name]")),
+    }
+}
+
+fn syntax(origin: &Name, line: usize, reason: &str) -> ConfigError {
+    let place = Place { origin: origin.clone(), line, ..Place::default() };
+    ConfigError::Syntax { place, reason: reason.to_owned() }
+}
--- a/endivestile_config/src/lib.rs
+++ b/endivestile_config/src/lib.rs
@@ -1,3 +1,23 @@
-//! Settings, inventory and rules of endivestile.
+//! Settings, inventory and rules of endivestile: parse, check, canonical form.
 
 pub mod model;
+
+mod check;
+mod diff;
+mod document;
+mod error;
+mod keys;
+mod model_keys;
+mod parse;
+mod raw;
+mod settings;
+
+pub use check::{POLICIES, check, check_change};
+pub use diff::{Change, diff};
+pub use document::MAX_BYTES;
+pub use error::{ConfigError, Place};
+pub use parse::{File, locate, parse, parse_files};
+pub use settings::{
+    BackendSettings, CallSettings, HostSettings, LogSettings, MetricSettings, Settings,
+    StopSettings, StoreSettings,
+};
--- a/endivestile_config/src/model.rs
+++ b/endivestile_config/src/model.rs
@@ -63,7 +63,7 @@
 }
 
 /// One worker.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Worker {
     /// Availability zone.
     pub zone: Name,
@@ -142,3 +142,22 @@
         }
     }
 }
+
+impl Default for Host {
+    fn default() -> Self {
+        Self { zone: Name::from(""), address: Name::from(""), weight: 1 }
+    }
+}
+
+impl Default for Server {
+    fn default() -> Self {
+        let empty = Name::from("");
+        Self { zone: empty.clone(), rack: empty.clone(), address: empty, slots: 1, connections: 64 }
+    }
+}
+
+impl Default for Member {
+    fn default() -> Self {
+        Self { limit: 10_000, weight: 1 }
+    }
+}
--- /dev/null
+++ b/endivestile_config/src/settings/call.rs
@@ -0,0 +1,58 @@
+//! Section `[calls]` of the settings.
+
+use crate::error::ConfigError;
+use crate::keys::{Keys, unknown_key};
+use crate::raw::Raw;
+
+/// Longest deadline that a setting accepts, in milliseconds: a day.
+const DAY_MS: u64 = 86_400_000;
+
+/// How callers are served.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallSettings {
+    /// Threads that read requests.
+    pub threads: usize,
+    /// Largest body, in bytes.
+    pub body_limit: usize,
+    /// Deadline of a call that names none, in milliseconds from its arrival.
+    pub default_deadline_ms: u64,
+    /// Latest deadline that a call may name, in milliseconds from its arrival.
+    pub max_deadline_ms: u64,
+}
+
+impl Default for CallSettings {
+    fn default() -> Self {
+        Self {
+            threads: 4,
+            body_limit: 4 << 20,
+            default_deadline_ms: 30_000,
+            max_deadline_ms: 600_000,
+        }
+    }
+}
+
+impl Keys for CallSettings {
+    const KEYS: &'static [&'static str] =
+        &["threads", "body-limit", "default-deadline-ms", "max-deadline-ms"];
+    const REQUIRED: &'static [&'static str] = &[];
+
+    fn set(&mut self, raw: &Raw) -> Result<(), ConfigError> {
+        match raw.place.key.as_str() {
+            "threads" => self.threads = raw.number(1..=1_024)?,
+            "body-limit" => self.body_limit = raw.number(1_024..=(64 << 20))?,
+            "default-deadline-ms" => self.default_deadline_ms = raw.number(1..=DAY_MS)?,
+            "max-deadline-ms" => self.max_deadline_ms = raw.number(1..=DAY_MS)?,
+            _ => return Err(unknown_key::<Self>(raw)),
+        }
+        Ok(())
+    }
+
+    fn get(&self, key: &str) -> String {
+        match key {
+            "threads" => self.threads.to_string(),
+            "body-limit" => self.body_limit.to_string(),
+            "default-deadline-ms" => self.default_deadline_ms.to_string(),
+            _ => self.max_deadline_ms.to_string(),
+        }
+    }
+}
--- /dev/null
+++ b/endivestile_config/src/settings/log.rs
@@ -0,0 +1,48 @@
+//! Section `[log]` of the settings.
+
+use std::path::PathBuf;
+
+use crate::error::ConfigError;
+use crate::keys::{Keys, unknown_key};
+use crate::model::Name;
+use crate::raw::Raw;
+use crate::settings::optional;
+
+/// Levels of the log.
+const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
+
+/// What is logged and where.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogSettings {
+    /// Least severe level that is written: `error`, `warn`, `info`, `debug` or `trace`.
+    pub level: Name,
+    /// File that events are appended to; none means standard error.
+    pub file: Option<PathBuf>,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self { level: Name::from("info"), file: None }
+    }
+}
+
+impl Keys for LogSettings {
+    const KEYS: &'static [&'static str] = &["level", "file"];
+    const REQUIRED: &'static [&'static str] = &[];
+
+    fn set(&mut self, raw: &Raw) -> Result<(), ConfigError> {
+        match raw.place.key.as_str() {
+            "level" => self.level = raw.word(&LEVELS)?,
+            "file" => self.file = (!raw.text.is_empty()).then(|| PathBuf::from(&raw.text)),
+            _ => return Err(unknown_key::<Self>(raw)),
+        }
+        Ok(())
+    }
+
+    fn get(&self, key: &str) -> String {
+        match key {
+            "level" => self.level.to_string(),
+            _ => optional(self.file.as_ref().map(|file| file.display())),
+        }
+    }
+}
--- /dev/null
+++ b/endivestile_config/src/settings/mod.rs
@@ -0,0 +1,193 @@
+//! Settings of one entry host's daemon.
+
+mod backend;
+mod call;
+mod host;
+mod log;
+mod metric;
+mod stop;
+mod store;
+
+use std::net::SocketAddr;
+
+use crate::document::read;
+use crate::error::{ConfigError, Place};
+use crate::keys::{fill, set_key, write};
+use crate::model::Name;
+use crate::raw::{Raw, nearest, shorten};
+
+pub use backend::BackendSettings;
+pub use call::CallSettings;
+pub use host::HostSettings;
+pub use log::LogSettings;
+pub use metric::MetricSettings;
+pub use stop::StopSettings;
+pub use store::StoreSettings;
+
+/// Sections of the settings.
+const SECTIONS: [&str; 7] = ["backends", "calls", "host", "log", "metrics", "stop", "store"];
+/// How errors name an override of the command line.
+const OVERRIDE: &str = "command line";
+
+/// All settings.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Settings {
+    /// Section `host`.
+    pub host: HostSettings,
+    /// Section `store`.
+    pub store: StoreSettings,
+    /// Section `calls`.
+    pub calls: CallSettings,
+    /// Section `backends`.
+    pub backends: BackendSettings,
+    /// Section `log`.
+    pub log: LogSettings,
+    /// Section `metrics`.
+    pub metrics: MetricSettings,
+    /// Section `stop`.
+    pub stop: StopSettings,
+}
+
+impl Settings {
+    /// Parses settings; `origin` names the text in errors.
+    ///
+    /// # Errors
+    ///
+    /// The first fault of the text, or a setting that must be given and isn't.
+    pub fn parse(text: &str, origin: &str) -> Result<Self, ConfigError> {
+        Self::load(text, origin, &[])
+    }
+
+    /// Parses settings, then lets overrides of the form `section.key=value` win.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::parse`]; a setting that is missing in the text may be given
+    /// by an override.
+    pub fn load(text: &str, origin: &str, overrides: &[String]) -> Result<Self, ConfigError> {
+        let mut settings = Self::default();
+        let mut seen: Vec<(String, usize)> = Vec::new();
+        for section in read(text, origin)? {
+            if let Some((_, first)) = seen.iter().find(|(kind, _)| *kind == section.kind) {
+                return Err(ConfigError::Twice { place: section.place, first: *first });
+            }
+            if !section.name.is_empty() {
+                return Err(unknown(&section.place, &section.kind));
+            }
+            seen.push((section.kind.clone(), section.place.line));
+            match section.kind.as_str() {
+                "host" => fill(&mut settings.host, &section)?,
+                "store" => fill(&mut settings.store, &section)?,
+                "calls" => fill(&mut settings.calls, &section)?,
+                "backends" => fill(&mut settings.backends, &section)?,
+                "log" => fill(&mut settings.log, &section)?,
+                "metrics" => fill(&mut settings.metrics, &section)?,
+                "stop" => fill(&mut settings.stop, &section)?,
+                kind => return Err(unknown(&section.place, kind)),
+            }
+        }
+        for assignment in overrides {
+            settings.set(assignment)?;
+        }
+        settings.check(origin)?;
+        Ok(settings)
+    }
+
+    /// Sets one setting from `section.key=value`.
+    ///
+    /// # Errors
+    ///
+    /// An unknown section or key, or a value that is not accepted.
+    pub fn set(&mut self, assignment: &str) -> Result<(), ConfigError> {
+        let (section, key, text) = split(assignment)?;
+        let place = Place { origin: Name::from(OVERRIDE), ..Place::key(section, key) };
+        let raw = Raw { place, text: text.to_owned() };
+        match section {
+            "host" => set_key(&mut self.host, &raw),
+            "store" => set_key(&mut self.store, &raw),
+            "calls" => set_key(&mut self.calls, &raw),
+            "backends" => set_key(&mut self.backends, &raw),
+            "log" => set_key(&mut self.log, &raw),
+            "metrics" => set_key(&mut self.metrics, &raw),
+            "stop" => set_key(&mut self.stop, &raw),
+            kind => Err(unknown(&raw.place, kind)),
+        }
+    }
+
+    /// Checks what must be given and what must fit together.
+    fn check(&self, origin: &str) -> Result<(), ConfigError> {
+        let place = |section: &str, key: &str| Place {
+            origin: Name::from(origin),
+            ..Place::key(section, key)
+        };
+        let missing = [
+            ("host", "name", self.host.name.is_empty()),
+            ("host", "zone", self.host.zone.is_empty()),
+            ("store", "addresses", self.store.addresses.is_empty()),
+            ("host", "advertise", self.host.advertised().ip().is_unspecified()),
+        ];
+        if let Some((section, key, _)) = missing.iter().find(|(_, _, missing)| *missing) {
+            return Err(ConfigError::Missing { place: place(section, key) });
+        }
+        if self.calls.default_deadline_ms > self.calls.max_deadline_ms {
+            return Err(ConfigError::Value {
+                place: place("calls", "default-deadline-ms"),
+                value: self.calls.default_deadline_ms.to_string(),
+                accepted: format!("up to max-deadline-ms, {}", self.calls.max_deadline_ms),
+            });
+        }
+        self.check_stop(place("stop", "limit-s"))
+    }
+
+    /// Refuses a shutdown that ends before the longest call: it would cut off
+    /// requests, and their callers would see a closed connection.
+    fn check_stop(&self, place: Place) -> Result<(), ConfigError> {
+        let least = self.calls.max_deadline_ms.div_ceil(1_000);
+        if self.stop.limit_s >= least {
+            return Ok(());
+        }
+        let value = self.stop.limit_s.to_string();
+        let accepted = format!("from {least}, the seconds of [calls] max-deadline-ms");
+        Err(ConfigError::Value { place, value, accepted })
+    }
+
+    /// Returns all settings as a text that [`Self::parse`] reads.
+    pub fn canonical(&self) -> String {
+        let mut out = String::new();
+        write(&mut out, "host", &self.host);
+        write(&mut out, "store", &self.store);
+        write(&mut out, "calls", &self.calls);
+        write(&mut out, "backends", &self.backends);
+        write(&mut out, "log", &self.log);
+        write(&mut out, "metrics", &self.metrics);
+        write(&mut out, "stop", &self.stop);
+        out
+    }
+}
+
+fn split(assignment: &str) -> Result<(&str, &str, &str), ConfigError> {
+    let parts = assignment.split_once('=').and_then(|(path, value)| {
+        let (section, key) = path.trim().split_once('.')?;
+        Some((section, key, value.trim()))
+    });
+    parts.ok_or_else(|| ConfigError::Value {
+        place: Place { origin: Name::from(OVERRIDE), ..Place::default() },
+        value: shorten(assignment),
+        accepted: "section.key=value".to_owned(),
+    })
+}
+
+fn unknown(place: &Place, kind: &str) -> ConfigError {
+    let near = nearest(kind, SECTIONS).unwrap_or_default();
+    ConfigError::Section { place: Place { key: String::new(), ..place.clone() }, near }
+}
+
+/// Reads an address or nothing.
+pub(crate) fn socket_or_none(raw: &Raw) -> Result<Option<SocketAddr>, ConfigError> {
+    if raw.text.is_empty() { Ok(None) } else { raw.socket().map(Some) }
+}
+
+/// Writes a value, or nothing for none.
+pub(crate) fn optional(value: Option<impl ToString>) -> String {
+    value.map(|value| value.to_string()).unwrap_or_default()
+}
--- /dev/null
+++ b/endivestile_config/src/settings/store.rs
@@ -0,0 +1,55 @@
+//! Section `[store]` of the settings.
+
+use std::net::SocketAddr;
+
+use crate::error::ConfigError;
+use crate::keys::{Keys, unknown_key};
+use crate::raw::Raw;
+
+/// How the platform's store is called.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoreSettings {
+    /// Addresses, tried in turn.
+    pub addresses: Vec<SocketAddr>,
+    /// Time for one call, in milliseconds.
+    pub timeout_ms: u64,
+    /// Time to live of the host's lease, in seconds.
+    pub lease_s: u64,
+    /// Longest wait between two attempts while the store is down, in milliseconds.
+    pub backoff_ms: u64,
+}
+
+impl Default for StoreSettings {
+    fn default() -> Self {
+        Self { addresses: Vec::new(), timeout_ms: 2_000, lease_s: 10, backoff_ms: 5_000 }
+    }
+}
+
+impl Keys for StoreSettings {
+    const KEYS: &'static [&'static str] = &["addresses", "timeout-ms", "lease-s", "backoff-ms"];
+    const REQUIRED: &'static [&'static str] = &[];
+
+    fn set(&mut self, raw: &Raw) -> Result<(), ConfigError> {
+        match raw.place.key.as_str() {
+            "addresses" => {
+                self.addresses = raw.list()?.iter().map(Raw::socket).collect::<Result<_, _>>()?;
+            }
+            "timeout-ms" => self.timeout_ms = raw.number(10..=60_000)?,
+            "lease-s" => self.lease_s = raw.number(2..=600)?,
+            "backoff-ms" => self.backoff_ms = raw.number(10..=600_000)?,
+            _ => return Err(unknown_key::<Self>(raw)),
+        }
+        Ok(())
+    }
+
+    fn get(&self, key: &str) -> String {
+        match key {
+            "addresses" => {
+                self.addresses.iter().map(SocketAddr::to_string).collect::<Vec<_>>().join(", ")
+            }
+            "timeout-ms" => self.timeout_ms.to_string(),
+            "lease-s" => self.lease_s.to_string(),
+            _ => self.backoff_ms.to_string(),
+        }
+    }
+}
--- /dev/null
+++ b/endivestile_config/tests/settings.rs
@@ -0,0 +1,65 @@
+//! Settings of the daemon.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panic")]
+
+use endivestile_config::{ConfigError, Settings};
+use test_case::test_case;
+
+const LEAST: &str = "[host]\nname = a\nzone = east\npeers = 127.0.0.1:0\n\
+                     [store]\naddresses = 127.0.0.1:2379, 127.0.0.2:2379\n";
+
+#[test]
+fn parse_least_has_defaults() {
+    let settings = Settings::parse(LEAST, "a.ini").unwrap();
+    assert_eq!(settings.host.name.as_ref(), "a");
+    assert_eq!(settings.host.advertised().to_string(), "127.0.0.1:0");
+    assert_eq!(settings.store.addresses.len(), 2);
+    assert_eq!(settings.calls.default_deadline_ms, 30_000);
+    assert_eq!(settings.log.file, None);
+}
+
+#[test]
+fn canonical_parses_to_itself() {
+    let overrides = ["log.file=/tmp/a b.log".to_owned(), "metrics.statsd=127.0.0.1:8125".into()];
+    let settings = Settings::load(LEAST, "a.ini", &overrides).unwrap();
+    assert_eq!(Settings::parse(&settings.canonical(), "canonical").unwrap(), settings);
+}
+
+#[test]
+fn load_override_wins() {
+    let overrides = ["host.zone = west".to_owned(), "backends.idle-ms=7".to_owned()];
+    let settings = Settings::load(LEAST, "a.ini", &overrides).unwrap();
+    assert_eq!(settings.host.zone.as_ref(), "west");
+    assert_eq!(settings.backends.idle_ms, 7);
+}
+
+#[test_case("host.nmae=b", "command line: [host] nmae: unknown key, the nearest is name"; "unknown key")]
+#[test_case("hosts.name=b", "command line: [hosts]: unknown section, the nearest is [host]"; "unknown section")]
+#[test_case("name", "command line: \"name\" is not accepted, only section.key=value"; "no assignment")]
+#[test_case("store.lease-s=1", "command line: [store] lease-s: \"1\" is not accepted, only whole numbers from 2 to 600"; "out of range")]
+#[test_case("log.level=loud", "command line: [log] level: \"loud\" is not accepted, only error, warn, info, debug, trace"; "unknown word")]
+fn set_refused(assignment: &str, message: &str) {
+    let error = Settings::default().set(assignment).unwrap_err();
+    assert_eq!(error.to_string(), message);
+}
+
+#[test_case("[host]\nname = a\n", "a.ini: [host] zone: missing"; "required key")]
+#[test_case("[host]\nname = a\nzone = z\n[store]\naddresses = 127.0.0.1:1\n", "a.ini: [host] advertise: missing"; "nothing to dial")]
+#[test_case("[host]\nname = a\nname = b\n", "a.ini:3: [host] name: stands twice, first in line 2"; "key twice")]
+#[test_case("[log]\n\n[log]\n", "a.ini:3: [log]: stands twice, first in line 1"; "section twice")]
+#[test_case("[host a]\n", "a.ini:1: [host a]: unknown section, the nearest is [host]"; "section with a name")]
+fn parse_refused(text: &str, message: &str) {
+    assert_eq!(Settings::parse(text, "a.ini").unwrap_err().to_string(), message);
+}
+
+/// An operator shortens the shutdown below the longest call. Each planned stop
+/// would then cut off the calls that take longer, and their callers would see
+/// a closed connection in place of an answer.
+#[test]
+fn parse_stop_before_longest_call() {
+    let text = format!("{LEAST}[stop]\nlimit-s = 599\n");
+    let error = Settings::parse(&text, "a.ini").unwrap_err();
+    assert!(matches!(error, ConfigError::Value { .. }), "{error}");
+    let shorter = ["calls.max-deadline-ms=599000".to_owned()];
+    assert!(Settings::load(&text, "a.ini", &shorter).is_ok());
+}
