Add the store's stand-in

Cause: every package that talks to the platform's store needs one in its tests. Ruled out: a ready-made etcd (not served, and it loses no answers on demand).

--- /dev/null
+++ b/endivestile_testkit/src/store/fault.rs
@@ -0,0 +1,87 @@
+//! Faults of the store and counts of its calls.
+
+/// Faults in force.
+#[derive(Debug, Default)]
+pub(crate) struct Faults {
+    /// Whether every call is refused.
+    pub(crate) down: bool,
+    /// Whether calls hang until the store is up again.
+    pub(crate) hang: bool,
+    /// Delay of every call, in milliseconds.
+    pub(crate) slow_ms: u64,
+    /// Writes that still lose their answers after they took effect.
+    pub(crate) lose: u32,
+    /// Calls that are still refused without effect.
+    pub(crate) refuse: u32,
+}
+
+/// What becomes of one call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fate {
+    /// It is served.
+    Serve,
+    /// It waits until the store is up again.
+    Hang,
+    /// It is refused without effect.
+    Refuse,
+}
+
+impl Faults {
+    /// Decides on one call that arrives now.
+    pub(crate) fn fate(&mut self) -> Fate {
+        if self.hang {
+            return Fate::Hang;
+        }
+        if self.down {
+            return Fate::Refuse;
+        }
+        if take(&mut self.refuse) { Fate::Refuse } else { Fate::Serve }
+    }
+
+    /// Tells whether the answer to a write that took effect is lost.
+    pub(crate) fn loses(&mut self) -> bool {
+        take(&mut self.lose)
+    }
+}
+
+/// Takes one from a count, unless it is used up.
+fn take(count: &mut u32) -> bool {
+    let some = *count > 0;
+    *count = count.saturating_sub(1);
+    some
+}
+
+/// Calls that reached the store, by kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Counts {
+    /// Reads of a key or range.
+    pub range: u64,
+    /// Plain writes.
+    pub put: u64,
+    /// Deletes.
+    pub delete: u64,
+    /// Transactions.
+    pub txn: u64,
+    /// Watches created.
+    pub watch: u64,
+    /// Watches that wait now.
+    pub waiting: u64,
+    /// Leases granted or revoked.
+    pub lease: u64,
+    /// Keep-alives of leases.
+    pub keepalive: u64,
+    /// Events sent to watches.
+    pub events: u64,
+}
+
+impl Counts {
+    /// Returns the calls of all kinds; a waiting watch counts as one.
+    pub fn total(&self) -> u64 {
+        self.range + self.put + self.delete + self.txn + self.watch + self.lease + self.keepalive
+    }
+
+    /// Returns the calls that write.
+    pub fn writes(&self) -> u64 {
+        self.put + self.delete + self.txn + self.lease + self.keepalive
+    }
+}
--- /dev/null
+++ b/endivestile_testkit/src/store/stand_in.rs
@@ -0,0 +1,189 @@
+//! The stand-in as tests hold it.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use endivestile_wire::key;
+use endivestile_wire::store::kv_server::KvServer;
+use endivestile_wire::store::lease_server::LeaseServer;
+use endivestile_wire::store::watch_server::WatchServer;
+use tokio::runtime::Builder;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
+
+use super::Shared;
+use super::fault::Counts;
+use super::service::StoreService;
+use crate::lock::lock;
+
+/// How often lapsed leases are looked for, in milliseconds.
+const TICK_MS: u64 = 50;
+/// Longest message, above the platform's limit of a megabyte a value.
+const MAX_MESSAGE: usize = 8 << 20;
+
+/// A key-value store in memory that speaks an etcd v3 subset on 127.0.0.1.
+///
+/// Dropping it closes its port and all connections.
+#[derive(Debug)]
+pub struct StoreStandIn {
+    /// Address that it listens on.
+    address: SocketAddr,
+    /// State shared with the service.
+    shared: Arc<Shared>,
+    /// Thread of the service, taken when it ends.
+    thread: Option<JoinHandle<()>>,
+}
+
+impl StoreStandIn {
+    /// Starts an empty store on an ephemeral port.
+    ///
+    /// # Errors
+    /// Those of the listener and the thread.
+    pub fn start() -> io::Result<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared::default());
+        let service = StoreService { shared: Arc::clone(&shared) };
+        let thread = thread::Builder::new().name("store".into()).spawn(move || {
+            // A stand-in that can't serve shows at its callers as a store that is down.
+            if let Err(err) = serve(listener, service) {
+                eprintln!("event=store_stand_in_failed error={err:?}");
+            }
+        })?;
+        Ok(Self { address, shared, thread: Some(thread) })
+    }
+
+    /// Returns the address that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Refuses every call and cuts the watches, until [`Self::up`].
+    pub fn down(&self) {
+        lock(&self.shared.faults).down = true;
+        lock(&self.shared.tree).cut();
+    }
+
+    /// Lets every call hang without an answer, watches stay silent, until [`Self::up`].
+    pub fn hang(&self) {
+        lock(&self.shared.faults).hang = true;
+    }
+
+    /// Ends [`Self::down`] and [`Self::hang`]; every lease starts anew.
+    pub fn up(&self) {
+        lock(&self.shared.tree).keep_all();
+        let mut faults = lock(&self.shared.faults);
+        faults.down = false;
+        faults.hang = false;
+        self.shared.up.notify_waiters();
+    }
+
+    /// Delays every call by `ms` milliseconds, 0 to end that.
+    pub fn slow(&self, ms: u64) {
+        lock(&self.shared.faults).slow_ms = ms;
+    }
+
+    /// Lets the next `count` writes take effect and lose their answers.
+    pub fn lose_answers(&self, count: u32) {
+        lock(&self.shared.faults).lose = count;
+    }
+
+    /// Refuses the next `count` calls without effect.
+    pub fn refuse(&self, count: u32) {
+        lock(&self.shared.faults).refuse = count;
+    }
+
+    /// Returns the calls counted so far and the watches that wait now.
+    pub fn counts(&self) -> Counts {
+        let waiting = lock(&self.shared.tree).waiting() as u64;
+        Counts { waiting, ..*lock(&self.shared.counts) }
+    }
+
+    /// Writes a key past the faults; returns its revision.
+    pub fn put(&self, key: &str, value: impl Into<Vec<u8>>) -> i64 {
+        let mut tree = lock(&self.shared.tree);
+        tree.put(key.as_bytes().to_vec(), value.into(), 0);
+        tree.commit();
+        tree.revision()
+    }
+
+    /// Deletes a key past the faults.
+    pub fn delete(&self, key: &str) {
+        let mut tree = lock(&self.shared.tree);
+        tree.delete(key.as_bytes(), &[]);
+        tree.commit();
+    }
+
+    /// Reads a key past the faults.
+    pub fn get(&self, key: &str) -> Option<Vec<u8>> {
+        lock(&self.shared.tree).get(key.as_bytes()).map(|kv| kv.value.clone())
+    }
+
+    /// Returns the keys and values under `prefix`, past the faults.
+    pub fn list(&self, prefix: &str) -> Vec<(String, Vec<u8>)> {
+        let found = lock(&self.shared.tree).range(prefix.as_bytes(), &key::range_end(prefix));
+        found
+            .into_iter()
+            .map(|kv| (String::from_utf8_lossy(&kv.key).into_owned(), kv.value))
+            .collect()
+    }
+
+    /// Sets `live`, `leaving` or `gone` in the platform's list of hosts.
+    pub fn platform(&self, name: &str, state: &str) {
+        self.put(&format!("{}{name}", key::PLATFORM), state);
+    }
+}
+
+impl Drop for StoreStandIn {
+    fn drop(&mut self) {
+        self.shared.end.notify_one();
+        if let Some(thread) = self.thread.take() {
+            // A panic of the service has already been printed.
+            let _ = thread.join();
+        }
+    }
+}
+
+fn serve(listener: TcpListener, service: StoreService) -> Result<(), Box<dyn std::error::Error>> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async move {
+        let shared = Arc::clone(&service.shared);
+        let incoming = TcpListenerStream::new(tokio::net::TcpListener::from_std(listener)?);
+        let serving = Server::builder()
+            .tcp_nodelay(true)
+            .add_service(
+                KvServer::new(service.clone())
+                    .max_decoding_message_size(MAX_MESSAGE)
+                    .max_encoding_message_size(MAX_MESSAGE),
+            )
+            .add_service(WatchServer::new(service.clone()).max_encoding_message_size(MAX_MESSAGE))
+            .add_service(LeaseServer::new(service))
+            .serve_with_incoming(incoming);
+        // The end cuts open calls and watches, as the end of a real store would.
+        tokio::select! {
+            result = serving => result?,
+            () = expire(&shared) => {}
+            () = shared.end.notified() => {}
+        }
+        Ok(())
+    })
+}
+
+/// Ends lapsed leases; none lapses while the store is down.
+async fn expire(shared: &Shared) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(TICK_MS)).await;
+        let stopped = {
+            let faults = lock(&shared.faults);
+            faults.down || faults.hang
+        };
+        if !stopped {
+            let sent = lock(&shared.tree).expire(Instant::now());
+            lock(&shared.counts).events += sent;
+        }
+    }
+}
--- /dev/null
+++ b/endivestile_testkit/src/store/tree.rs
@@ -0,0 +1,184 @@
+//! Keys, revisions, leases and watchers in memory.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use endivestile_wire::store::event::EventType;
+use endivestile_wire::store::{Event, KeyValue};
+
+use super::watcher::{Watcher, covers};
+
+/// One lease.
+#[derive(Debug)]
+struct Lease {
+    /// Seconds for which a keep-alive holds.
+    ttl_s: i64,
+    /// When the lease lapses.
+    lapses: Instant,
+}
+
+impl Lease {
+    fn new(ttl_s: i64) -> Self {
+        let mut lease = Self { ttl_s, lapses: Instant::now() };
+        lease.renew();
+        lease
+    }
+
+    fn renew(&mut self) {
+        self.lapses = Instant::now() + Duration::from_secs(self.ttl_s.max(1) as u64);
+    }
+}
+
+/// Keys, revisions, leases and watchers.
+#[derive(Debug, Default)]
+pub(crate) struct Tree {
+    revision: i64,
+    keys: BTreeMap<Vec<u8>, KeyValue>,
+    leases: HashMap<i64, Lease>,
+    last_lease: i64,
+    history: Vec<Event>,
+    pending: Vec<Event>,
+    watchers: Vec<Watcher>,
+}
+
+impl Tree {
+    /// Returns the revision of the last change, an open one included.
+    pub(crate) fn revision(&self) -> i64 {
+        self.revision + i64::from(!self.pending.is_empty())
+    }
+
+    /// Returns a key.
+    pub(crate) fn get(&self, key: &[u8]) -> Option<&KeyValue> {
+        self.keys.get(key)
+    }
+
+    /// Returns the keys of a range in their order.
+    pub(crate) fn range(&self, key: &[u8], end: &[u8]) -> Vec<KeyValue> {
+        let found = self.keys.range(key.to_vec()..);
+        found.take_while(|(probe, _)| covers(key, end, probe)).map(|(_, kv)| kv.clone()).collect()
+    }
+
+    /// Closes the open revision and tells the watchers; returns the events sent.
+    pub(crate) fn commit(&mut self) -> u64 {
+        self.revision = self.revision();
+        let events = std::mem::take(&mut self.pending);
+        let revision = self.revision;
+        let mut sent = 0;
+        self.watchers.retain(|watcher| {
+            let count = watcher.notify(revision, &events);
+            sent += count.unwrap_or(0) as u64;
+            count.is_some()
+        });
+        self.history.extend(events);
+        sent
+    }
+
+    /// Writes a key within the open revision; false when its lease is not known.
+    pub(crate) fn put(&mut self, key: Vec<u8>, value: Vec<u8>, lease: i64) -> bool {
+        if lease != 0 && !self.leases.contains_key(&lease) {
+            return false;
+        }
+        let revision = self.revision + 1;
+        let old = self.keys.get(&key);
+        let kv = KeyValue {
+            key: key.clone(),
+            create_revision: old.map_or(revision, |kv| kv.create_revision),
+            mod_revision: revision,
+            version: old.map_or(0, |kv| kv.version) + 1,
+            value,
+            lease,
+        };
+        self.pending.push(event(EventType::Put, kv.clone()));
+        self.keys.insert(key, kv);
+        true
+    }
+
+    /// Deletes a range within the open revision; returns how many keys.
+    pub(crate) fn delete(&mut self, key: &[u8], end: &[u8]) -> usize {
+        let found = self.range(key, end);
+        for kv in &found {
+            self.keys.remove(&kv.key);
+            let mod_revision = self.revision + 1;
+            let gone = KeyValue { key: kv.key.clone(), mod_revision, ..Default::default() };
+            self.pending.push(event(EventType::Delete, gone));
+        }
+        found.len()
+    }
+
+    /// Grants a lease; 0 lets the store choose its number.
+    pub(crate) fn grant(&mut self, ttl_s: i64, id: i64) -> i64 {
+        self.last_lease += 1;
+        let id = if id == 0 { self.last_lease } else { id };
+        self.leases.insert(id, Lease::new(ttl_s));
+        id
+    }
+
+    /// Renews a lease; returns its seconds, 0 when it is not known.
+    pub(crate) fn keep(&mut self, id: i64) -> i64 {
+        let Some(lease) = self.leases.get_mut(&id) else { return 0 };
+        lease.renew();
+        lease.ttl_s
+    }
+
+    /// Renews all leases, as etcd does after a change of leader: no lease
+    /// lapses because the store was down.
+    pub(crate) fn keep_all(&mut self) {
+        self.leases.values_mut().for_each(Lease::renew);
+    }
+
+    /// Ends a lease and deletes its keys; returns the events sent.
+    pub(crate) fn revoke(&mut self, id: i64) -> u64 {
+        if self.leases.remove(&id).is_none() {
+            return 0;
+        }
+        let held = self.keys.values().filter(|kv| kv.lease == id);
+        let keys: Vec<Vec<u8>> = held.map(|kv| kv.key.clone()).collect();
+        for key in keys {
+            self.delete(&key, &[]);
+        }
+        self.commit()
+    }
+
+    /// Ends the leases that lapsed; returns the events sent.
+    pub(crate) fn expire(&mut self, now: Instant) -> u64 {
+        let lapsed = self.leases.iter().filter(|(_, lease)| lease.lapses <= now);
+        let ids: Vec<i64> = lapsed.map(|(id, _)| *id).collect();
+        ids.into_iter().map(|id| self.revoke(id)).sum()
+    }
+
+    /// Adds a watch and sends it the events since `start`, unless 0.
+    pub(crate) fn watch(&mut self, watcher: Watcher, start: i64) {
+        let past = self.history.iter();
+        let missed: Vec<Event> = past.filter(|event| is_since(event, start)).cloned().collect();
+        if start > 0 && !missed.is_empty() {
+            watcher.notify(self.revision, &missed);
+        }
+        self.watchers.push(watcher);
+    }
+
+    /// Removes one watch of a stream, or all of them.
+    pub(crate) fn unwatch(&mut self, stream: u64, id: Option<i64>) {
+        self.watchers.retain(|w| w.stream != stream || id.is_some_and(|id| w.id != id));
+    }
+
+    /// Returns the number of watches that wait.
+    pub(crate) fn waiting(&self) -> usize {
+        self.watchers.iter().filter(|watcher| !watcher.sender.is_closed()).count()
+    }
+
+    /// Cuts all watch streams with an error.
+    pub(crate) fn cut(&mut self) {
+        for watcher in self.watchers.drain(..) {
+            // A stream that its caller already closed needs no error.
+            let _ = watcher.sender.send(Err(tonic::Status::unavailable("store is down")));
+        }
+    }
+}
+
+fn event(kind: EventType, kv: KeyValue) -> Event {
+    Event { r#type: kind.into(), kv: Some(kv), prev_kv: None }
+}
+
+fn is_since(event: &Event, start: i64) -> bool {
+    event.kv.as_ref().is_some_and(|kv| kv.mod_revision >= start)
+}
--- /dev/null
+++ b/endivestile_testkit/tests/store.rs
@@ -0,0 +1,146 @@
+//! The store's stand-in, called over its own protocol.
+
+use std::time::Duration;
+
+use endivestile_testkit::StoreStandIn;
+use endivestile_wire::store::compare::{CompareResult, CompareTarget, TargetUnion};
+use endivestile_wire::store::kv_client::KvClient;
+use endivestile_wire::store::lease_client::LeaseClient;
+use endivestile_wire::store::request_op::Request as Op;
+use endivestile_wire::store::watch_client::WatchClient;
+use endivestile_wire::store::watch_request::RequestUnion;
+use endivestile_wire::store::{
+    Compare, LeaseGrantRequest, PutRequest, RequestOp, TxnRequest, WatchCreateRequest, WatchRequest,
+};
+use tokio::runtime::Builder;
+use tokio::time::timeout;
+use tonic::transport::Channel;
+
+const LONG_MS: u64 = 10_000;
+
+fn run<F: Future<Output = ()>>(test: impl FnOnce(StoreStandIn, Channel) -> F) {
+    let store = StoreStandIn::start().expect("store");
+    let address = format!("http://{}", store.address());
+    let runtime = Builder::new_current_thread().enable_all().build().expect("runtime");
+    runtime.block_on(async {
+        let channel = Channel::from_shared(address).expect("address").connect_lazy();
+        timeout(Duration::from_millis(LONG_MS), test(store, channel)).await.expect("in time");
+    });
+}
+
+fn put(key: &str, value: &str) -> PutRequest {
+    PutRequest { key: key.into(), value: value.into(), lease: 0 }
+}
+
+fn swap(key: &str, revision: i64, value: &str) -> TxnRequest {
+    let compare = Compare {
+        result: CompareResult::Equal.into(),
+        target: CompareTarget::Mod.into(),
+        key: key.into(),
+        target_union: Some(TargetUnion::ModRevision(revision)),
+    };
+    let op = RequestOp { request: Some(Op::RequestPut(put(key, value))) };
+    TxnRequest { compare: vec![compare], success: vec![op], failure: vec![] }
+}
+
+fn watch(key: &str, start_revision: i64) -> WatchRequest {
+    let range_end = endivestile_wire::key::range_end(key);
+    let create =
+        WatchCreateRequest { key: key.into(), range_end, start_revision, ..Default::default() };
+    WatchRequest { request_union: Some(RequestUnion::CreateRequest(create)) }
+}
+
+#[test]
+fn txn_swap() {
+    run(|store, channel| async move {
+        let mut kv = KvClient::new(channel);
+        let first = kv.txn(swap("a", 0, "1")).await.expect("swap").into_inner();
+        assert!(first.succeeded);
+        let raced = kv.txn(swap("a", 0, "2")).await.expect("swap").into_inner();
+        assert!(!raced.succeeded);
+        assert_eq!(store.get("a"), Some(b"1".to_vec()));
+        assert_eq!(raced.header.expect("header").revision, 1);
+        assert_eq!(store.counts().txn, 2);
+    });
+}
+
+#[test]
+fn txn_answer_lost() {
+    // The store carries the write out and the connection breaks before the answer is back. The
+    // writer sees an error although the value is in force.
+    run(|store, channel| async move {
+        let mut kv = KvClient::new(channel);
+        store.lose_answers(1);
+        assert!(kv.txn(swap("a", 0, "1")).await.is_err());
+        assert_eq!(store.get("a"), Some(b"1".to_vec()));
+        assert!(kv.txn(swap("a", 1, "2")).await.expect("swap").into_inner().succeeded);
+    });
+}
+
+#[test]
+fn watch_since_revision_and_prefix() {
+    run(|store, channel| async move {
+        store.put("a/1", "old");
+        let from = store.put("a/2", "kept");
+        let requests = tokio_stream::iter([watch("a/", from), watch("b/", 0)]);
+        let requests = tokio_stream::StreamExt::chain(requests, tokio_stream::pending());
+        let answer = WatchClient::new(channel).watch(requests).await.expect("watch");
+        let mut events = answer.into_inner();
+        let mut seen = vec![];
+        let mut created = 0;
+        while seen.len() < 3 {
+            let response = events.message().await.expect("stream").expect("open");
+            created += usize::from(response.created);
+            for event in response.events {
+                seen.push((response.watch_id, event.kv.expect("kv").key));
+            }
+            if created == 2 && seen.len() == 1 {
+                store.put("b/1", "new");
+                store.delete("a/1");
+            }
+        }
+        assert_eq!(seen, [(0, b"a/2".to_vec()), (1, b"b/1".to_vec()), (0, b"a/1".to_vec())]);
+        assert_eq!(store.counts().waiting, 2);
+        // The store goes down: the open watch breaks, so that the watcher notices.
+        store.down();
+        assert!(events.message().await.is_err());
+        assert_eq!(store.counts().waiting, 0);
+    });
+}
+
+#[test]
+fn lease_lapses() {
+    run(|store, channel| async move {
+        let mut leases = LeaseClient::new(channel.clone());
+        let grant = LeaseGrantRequest { ttl: 1, id: 0 };
+        let id = leases.lease_grant(grant).await.expect("grant").into_inner().id;
+        let mut kv = KvClient::new(channel);
+        kv.put(PutRequest { lease: id, ..put("host", "e1") }).await.expect("put");
+        assert!(store.get("host").is_some());
+        while store.get("host").is_some() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        // Its holder learns from the next write that the lease is gone.
+        assert!(kv.put(PutRequest { lease: id, ..put("host", "e1") }).await.is_err());
+    });
+}
+
+#[test]
+fn put_refused_then_up() {
+    // The platform's service is down for a while. A writer gets an error at once, nothing is
+    // written, and after the outage the same write works.
+    run(|store, channel| async move {
+        let mut kv = KvClient::new(channel);
+        store.down();
+        assert!(kv.put(put("a", "1")).await.is_err());
+        assert_eq!(store.get("a"), None);
+        store.up();
+        kv.put(put("a", "1")).await.expect("put");
+        store.hang();
+        let hung = timeout(Duration::from_millis(100), kv.put(put("a", "2"))).await;
+        assert!(hung.is_err());
+        store.up();
+        kv.put(put("a", "3")).await.expect("put");
+        assert_eq!(store.get("a"), Some(b"3".to_vec()));
+    });
+}
