Add stand-ins for backend servers and workers

Cause: promises are proved by counting starts at machines that fail on demand. Ruled out: tiny_http as their server. It hides the socket, so a machine that closes in the middle of an answer, cuts idle connections or closes its port while tasks run can't be built on it; and it keeps one thread per connection. Change: one tokio thread serves all ports of a stand-in, with slots, a limit of connections, speeds, ten faults, a log of starts by task key and work key, and for workers leases, stop, throttle, checkpoint and usage with a lag.

--- a/endivestile_testkit/src/lib.rs
+++ b/endivestile_testkit/src/lib.rs
@@ -3,6 +3,8 @@
 //! Tests, the quickstart and the experiments use them; no product binary does.
 
 mod lock;
+mod machine;
 mod store;
 
+pub use machine::{BackendStandIn, Fault, Spec, Start, WorkerStandIn, echo};
 pub use store::{Counts, StoreStandIn};
--- /dev/null
+++ b/endivestile_testkit/src/machine/mod.rs
@@ -0,0 +1,20 @@
+//! Stand-ins for the machines that run tasks: backend servers and workers.
+//!
+//! One thread serves the ports of all machines of a stand-in. It speaks HTTP
+//! over plain sockets, since a library's server hides the socket that a fault
+//! has to close in the middle of an answer.
+
+mod backend;
+mod fault;
+mod http;
+mod park;
+mod run;
+mod start;
+mod state;
+mod worker;
+
+pub use backend::BackendStandIn;
+pub use fault::Fault;
+pub use start::{Start, echo};
+pub use state::Spec;
+pub use worker::WorkerStandIn;
--- /dev/null
+++ b/endivestile_testkit/tests/machine.rs
@@ -0,0 +1,151 @@
+//! The stand-ins for backend servers and workers, called over HTTP.
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use endivestile_testkit::{BackendStandIn, Fault, Spec, WorkerStandIn, echo};
+use test_case::test_case;
+use ureq::Agent;
+
+const WORK: &str = r#"{"key":"k1","ms":5}"#;
+
+fn agent() -> Agent {
+    Agent::config_builder().http_status_as_error(false).build().new_agent()
+}
+
+fn server() -> BackendStandIn {
+    BackendStandIn::start(vec![Spec::new("s1").slots(2)]).expect("start")
+}
+
+/// Returns status, `Not-Run` header and body.
+fn post(agent: &Agent, url: &str, work: &str) -> Result<(u16, String, String), ureq::Error> {
+    let call = agent.post(url).header("Task-Key", "t1").header("Lease-Ms", "60000");
+    let mut answer = call.send(work)?;
+    let header = answer.headers().get("Not-Run").and_then(|value| value.to_str().ok());
+    let reason = header.unwrap_or_default().to_owned();
+    Ok((answer.status().as_u16(), reason, answer.body_mut().read_to_string()?))
+}
+
+fn wait(what: impl Fn() -> bool) {
+    let end = Instant::now() + Duration::from_secs(10);
+    while !what() {
+        assert!(Instant::now() < end, "not in time");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+#[test]
+fn post_many_at_once() {
+    let specs = (0..10).map(|n| Spec::new(format!("s{n}")).slots(40)).collect();
+    let servers = BackendStandIn::start(specs).expect("start");
+    thread::scope(|scope| {
+        for n in 0..400 {
+            let address = servers.address(&format!("s{}", n % 10));
+            scope.spawn(move || {
+                let work = format!(r#"{{"key":"k{n}","ms":100}}"#);
+                let (status, _, body) =
+                    post(&agent(), &format!("http://{address}/"), &work).expect("answer");
+                assert_eq!((status, body), (200, echo(&work)));
+            });
+        }
+    });
+    assert_eq!(servers.starts().len(), 400);
+    assert!(servers.doubled().is_empty());
+    assert_eq!(servers.running(), 0);
+}
+
+#[test_case(Fault::None, Some((200, "")), 1; "none")]
+#[test_case(Fault::Refuse, None, 0; "refuse")]
+#[test_case(Fault::Close, None, 1; "close")]
+#[test_case(Fault::Half, None, 1; "half")]
+#[test_case(Fault::Late(5), Some((200, "")), 1; "late")]
+#[test_case(Fault::Status(500), Some((500, "")), 1; "status")]
+#[test_case(Fault::Busy, Some((503, "busy")), 0; "busy")]
+#[test_case(Fault::Leaving, Some((503, "leaving")), 0; "leaving")]
+#[test_case(Fault::Straggle(100), Some((200, "")), 1; "straggle")]
+fn post_fault(fault: Fault, expected: Option<(u16, &str)>, starts: usize) {
+    // A backend server fails in one of its ways. Its caller sees an answer, an error status or a
+    // broken connection, and the count of starts says whether the task ran.
+    let servers = server();
+    servers.set_fault("s1", fault);
+    let url = format!("http://{}/order", servers.address("s1"));
+    if fault == Fault::Refuse {
+        let address = servers.address("s1");
+        wait(|| std::net::TcpStream::connect(address).is_err());
+    }
+    let answer = post(&agent(), &url, WORK).ok();
+    let seen = answer.as_ref().map(|(status, reason, _)| (*status, reason.as_str()));
+    assert_eq!(seen, expected);
+    assert_eq!(servers.count("k1"), starts);
+    servers.set_fault("s1", Fault::None);
+    wait(|| post(&agent(), &url, WORK).is_ok_and(|(status, ..)| status == 200));
+}
+
+#[test]
+fn post_all_slots_taken() {
+    // More tasks arrive than the server has slots. It says so and does not start the next one.
+    let servers = server();
+    let url = format!("http://{}/", servers.address("s1"));
+    thread::scope(|scope| {
+        for n in 0..2 {
+            let url = &url;
+            scope.spawn(move || post(&agent(), url, &format!(r#"{{"key":"long{n}","ms":1000}}"#)));
+        }
+        wait(|| servers.running() == 2);
+        let (status, reason, _) = post(&agent(), &url, WORK).expect("answer");
+        assert_eq!((status, reason.as_str()), (503, "busy"));
+    });
+    assert_eq!((servers.peak("s1"), servers.denied(), servers.count("k1")), (2, 1, 0));
+}
+
+#[test]
+fn post_connection_cut() {
+    // The connection breaks while the task runs. The caller gets no answer, and the task runs on.
+    let servers = server();
+    let url = format!("http://{}/", servers.address("s1"));
+    thread::scope(|scope| {
+        let call = scope.spawn(|| post(&agent(), &url, r#"{"key":"k2","ms":200}"#));
+        wait(|| servers.running() == 1);
+        servers.cut("s1");
+        assert!(call.join().expect("thread").is_err());
+    });
+    assert_eq!((servers.running(), servers.count("k2")), (1, 1));
+    wait(|| servers.running() == 0);
+}
+
+#[test]
+fn run_lease_ends() {
+    // The holder of a lease does not renew it. The worker stops the task and says so.
+    let workers = WorkerStandIn::start(vec![Spec::new("w1")]).expect("start");
+    let url = format!("http://{}/v1/run", workers.address("w1"));
+    let call = agent().post(url).header("Task-Key", "t1").header("Lease-Ms", "50");
+    let answer = call.send(r#"{"key":"k","ms":60000}"#).expect("answer");
+    assert_eq!(answer.status().as_u16(), 410);
+    assert_eq!(workers.running(), 0);
+}
+
+#[test]
+fn run_stop_and_usage() {
+    let workers = WorkerStandIn::start(vec![Spec::new("w1")]).expect("start");
+    let base = format!("http://{}/v1", workers.address("w1"));
+    thread::scope(|scope| {
+        let call = scope.spawn(|| {
+            post(&agent(), &format!("{base}/run"), r#"{"key":"k","ms":60000}"#).expect("answer").0
+        });
+        wait(|| workers.running() == 1);
+        let usage = || {
+            let mut answer = agent().get(format!("{base}/usage")).call().expect("usage");
+            answer.body_mut().read_to_string().expect("body")
+        };
+        // The report lags, so the task shows only later.
+        assert!(usage().contains(r#""running":0"#));
+        wait(|| usage().contains(r#""running":1"#));
+        let task = format!("{base}/tasks/t1");
+        assert_eq!(post(&agent(), &format!("{task}/throttle"), "50").expect("answer").0, 200);
+        let (_, _, body) = post(&agent(), &format!("{task}/checkpoint"), "").expect("answer");
+        assert!(body.contains("done_percent"));
+        assert_eq!(agent().delete(&task).call().expect("answer").status().as_u16(), 200);
+        assert_eq!(call.join().expect("thread"), 410);
+        assert_eq!(agent().delete(&task).call().expect("answer").status().as_u16(), 404);
+    });
+}
