Add the daemon's edges around the kernel

Cause: the entry host had no process; callers, back ends, peers and the store could not be reached.

Change: threads of the edges post typed inputs to one channel; one thread runs a stakker loop with the kernel inside the actor Engine. Callers by tiny_http, back ends by ureq in a pool that grows with the work, peers and the store by tonic on one tokio thread, configurations checked on a thread of their own, log lines and metrics off the engine's thread. Until the kernel lands a stub stands in for it.

Ruled out: reading an error number of the system as "refused" (an established connection can break with the same number) - only a connector that returned no connection counts as unreachable; the library's resolver (a thread per call); answers without length or chunks (half of one looks whole); dropping a request with a huge Content-Length (the library allocates the rest in one piece).

--- /dev/null
+++ b/endivestile/src/edges.rs
@@ -0,0 +1,50 @@
+//! Hands the kernel's effects to the edges.
+
+use endivestile_kernel::Effect;
+
+use crate::backend::{Backends, Run};
+use crate::configs::Checker;
+use crate::counters::Counters;
+use crate::http::Voice;
+use crate::logs::Notes;
+use crate::peers::Links;
+use crate::store::Store;
+
+/// The ways out of the engine.
+#[derive(Debug)]
+pub(crate) struct Edges {
+    /// Calls to back ends.
+    pub(crate) backends: Backends,
+    /// Links to peers.
+    pub(crate) links: Links,
+    /// Calls to the platform's store.
+    pub(crate) store: Store,
+    /// Checks of configurations.
+    pub(crate) checker: Checker,
+    /// Replies to callers.
+    pub(crate) voice: Voice,
+    /// The log.
+    pub(crate) notes: Notes,
+    /// Counts.
+    pub(crate) counters: Counters,
+}
+
+impl Edges {
+    /// Carries out an effect; those that concern the engine itself come back.
+    pub(crate) fn carry(&self, effect: Effect) -> Option<Effect> {
+        match effect {
+            Effect::Send { address, frame } => self.links.send(address, frame),
+            Effect::Start { attempt, address, path, order } => {
+                self.backends.run(Run { attempt, address, path, order });
+            }
+            Effect::Abort(attempt) => self.backends.abort(attempt),
+            Effect::Store { token, op } => self.store.call(token, op),
+            Effect::Offer(text) => self.checker.offer("peer", text),
+            Effect::Register { leaving } => self.store.register(leaving),
+            Effect::Log(note) => self.notes.note(note),
+            Effect::Count(metric, count) => self.counters.metric(metric, count),
+            Effect::Answer { .. } | Effect::Drained => return Some(effect),
+        }
+        None
+    }
+}
--- /dev/null
+++ b/endivestile/src/error.rs
@@ -0,0 +1,67 @@
+//! Errors that end the daemon, and its exit codes.
+
+use std::io;
+use std::path::PathBuf;
+
+use endivestile_config::ConfigError;
+use quick_error::quick_error;
+
+quick_error! {
+    /// Why the daemon could not run.
+    // The macro takes no doc comments on fields.
+    #[allow(missing_docs)]
+    #[derive(Debug)]
+    pub enum RunError {
+        /// The settings file could not be read.
+        Read { path: PathBuf, source: io::Error } {
+            display("step=read-settings file={}: {source}", path.display())
+            source(source)
+        }
+        /// The settings are refused.
+        Settings(source: Box<ConfigError>) {
+            display("step=check-settings {source}")
+            source(source)
+            from(e: ConfigError) -> (Box::new(e))
+        }
+        /// The log could not be opened.
+        Log(reason: String) {
+            display("step=open-log: {reason}")
+        }
+        /// A socket could not be had.
+        Bind { step: &'static str, address: String, reason: String } {
+            display("step={step} address={address}: {reason}")
+        }
+        /// A thread or the runtime could not be started.
+        Thread { step: &'static str, source: io::Error } {
+            display("step={step}: {source}")
+            source(source)
+        }
+        /// The loop's actor could not be started.
+        Engine {
+            display("step=start-engine: the engine did not start")
+        }
+    }
+}
+
+impl RunError {
+    /// Returns the exit code that fits the error.
+    pub fn exit(&self) -> Exit {
+        match self {
+            Self::Read { .. } | Self::Settings(_) => Exit::Refused,
+            _ => Exit::Failed,
+        }
+    }
+}
+
+/// How the daemon ended, as its exit code.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Exit {
+    /// Drained, or the settings are in order.
+    Drained = 0,
+    /// A socket, thread or the log could not be had.
+    Failed = 1,
+    /// Settings or command line refused.
+    Refused = 2,
+    /// Stopped by a second signal or the stop limit, with work left.
+    Left = 3,
+}
--- /dev/null
+++ b/endivestile/src/http/check.rs
@@ -0,0 +1,81 @@
+//! Checks of a submission against the adopted configuration.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use endivestile_config::model::{Config, Name, Worker};
+use endivestile_kernel::{MAX_TASKS, Need, Target, Task};
+use endivestile_wire::call::{JobBody, MEMBER_HEADER, NeedBody, TaskBody};
+
+use super::invalid::Invalid;
+
+/// Checks names and needs; without a configuration the kernel refuses the
+/// submission itself, so everything passes here.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Checks<'a>(pub(crate) Option<&'a Config>);
+
+impl Checks<'_> {
+    /// Returns the member's shared name.
+    pub(crate) fn member(self, name: &str) -> Result<Name, Invalid> {
+        let Some(config) = self.0 else { return Ok(Name::from(name)) };
+        let found = config.members.get_key_value(name).map(|(name, _)| Name::clone(name));
+        found.ok_or_else(|| Invalid::field(MEMBER_HEADER, format!("unknown member {name:?}")))
+    }
+
+    /// Returns the service's shared name.
+    pub(crate) fn service(self, name: &str, field: &str) -> Result<Name, Invalid> {
+        let Some(config) = self.0 else { return Ok(Name::from(name)) };
+        let found = config.services.get_key_value(name).map(|(name, _)| Name::clone(name));
+        found.ok_or_else(|| Invalid::field(field, format!("unknown service {name:?}")))
+    }
+
+    /// Returns the tasks of a job.
+    pub(crate) fn job(self, body: JobBody) -> Result<Vec<Arc<Task>>, Invalid> {
+        let count = body.tasks.len();
+        if count == 0 || count > MAX_TASKS {
+            let reason = format!("{count} tasks, accepted: 1 to {MAX_TASKS}");
+            return Err(Invalid::field("tasks", reason));
+        }
+        body.tasks.into_iter().enumerate().map(|(at, task)| self.task(at, task)).collect()
+    }
+
+    /// Returns one task of a job.
+    fn task(self, at: usize, body: TaskBody) -> Result<Arc<Task>, Invalid> {
+        let target = match (&body.service, body.need) {
+            (Some(name), None) => {
+                Target::Service(self.service(name, &format!("tasks[{at}].service"))?)
+            }
+            (None, Some(need)) => Target::Need(self.need(need, &format!("tasks[{at}].need"))?),
+            _ => {
+                let field = format!("tasks[{at}]");
+                return Err(Invalid::field(field, "accepted: either a service or a need"));
+            }
+        };
+        let work = Bytes::from(body.work.into_bytes());
+        Ok(Arc::new(Task { target, work, declared: body.declared_ms.unwrap_or(0) }))
+    }
+
+    /// Returns a need that at least one worker can meet when it is empty.
+    fn need(self, body: NeedBody, field: &str) -> Result<Need, Invalid> {
+        let need = Need {
+            cpu_milli: body.cpu_milli,
+            memory_mb: body.memory_mb,
+            accelerators: body.accelerators,
+        };
+        if need.cpu_milli == 0 && need.memory_mb == 0 && need.accelerators == 0 {
+            // A need of nothing would fit a worker any number of times.
+            return Err(Invalid::field(field, "nothing is needed"));
+        }
+        let Some(config) = self.0 else { return Ok(need) };
+        if config.workers.values().any(|worker| meets(worker, &need)) {
+            return Ok(need);
+        }
+        Err(Invalid::field(field, "more than any worker has"))
+    }
+}
+
+fn meets(worker: &Worker, need: &Need) -> bool {
+    worker.cpu_milli >= need.cpu_milli
+        && worker.memory_mb >= need.memory_mb
+        && worker.accelerators >= need.accelerators
+}
--- /dev/null
+++ b/endivestile/src/http/head.rs
@@ -0,0 +1,103 @@
+//! Headers of a submission.
+
+use endivestile_config::CallSettings;
+use endivestile_kernel::{Form, SubmissionId};
+use endivestile_wire::call::{DEADLINE_HEADER, ID_HEADER, MEMBER_HEADER};
+use tiny_http::Request;
+
+use super::invalid::Invalid;
+use crate::clock::since_epoch;
+
+/// Header that asks for minted ids with the answer.
+pub(crate) const WANT_HEADER: &str = "Want-Ids";
+/// Header that marks a request as idempotent.
+pub(crate) const IDEMPOTENT_HEADER: &str = "Idempotent";
+/// Most ids that an answer carries.
+const MAX_WANTED: usize = 16;
+/// Seconds by which a caller's clock may be ahead of this host's.
+///
+/// An id dated far ahead would be remembered until then: a caller with a wrong
+/// clock would fill the hosts' memory. So it is refused at once, by name.
+const AHEAD_S: u64 = 60;
+
+/// Headers of a submission, checked as far as they can be alone.
+#[derive(Debug, Clone)]
+pub(crate) struct Head {
+    /// The id, if one was given.
+    pub(crate) id: Option<SubmissionId>,
+    /// The member.
+    pub(crate) member: String,
+    /// Time left until the deadline, in milliseconds.
+    pub(crate) left_ms: u64,
+    /// Whether the tasks may be started again.
+    pub(crate) idempotent: bool,
+}
+
+impl Head {
+    /// Reads the headers.
+    pub(crate) fn parse(request: &Request, settings: &CallSettings) -> Result<Self, Invalid> {
+        let member = header(request, MEMBER_HEADER)?;
+        let member = member.ok_or_else(|| Invalid::field(MEMBER_HEADER, "missing"))?;
+        let head = Self {
+            id: id(request)?,
+            member: member.to_owned(),
+            left_ms: left(request, settings)?,
+            idempotent: idempotent(request)?,
+        };
+        if head.id.is_none() && !head.idempotent {
+            // Without an id a resubmission could not be told from a new
+            // submission, and a caller that lost its answer would start the
+            // task a second time.
+            return Err(Invalid::field(ID_HEADER, "missing, and the call is not idempotent"));
+        }
+        Ok(head)
+    }
+}
+
+/// Returns how many minted ids the caller wants with its answer.
+pub(crate) fn wanted(request: &Request) -> Result<usize, Invalid> {
+    let Some(text) = header(request, WANT_HEADER)? else { return Ok(0) };
+    let count = text.parse().ok().filter(|count| *count <= MAX_WANTED);
+    count.ok_or_else(|| Invalid::field(WANT_HEADER, format!("accepted: 0 to {MAX_WANTED}")))
+}
+
+/// Returns a header's value; two of the same name would leave open which one counts.
+fn header<'a>(request: &'a Request, name: &'static str) -> Result<Option<&'a str>, Invalid> {
+    let mut found =
+        request.headers().iter().filter(|h| h.field.as_str().as_str().eq_ignore_ascii_case(name));
+    let value = found.next().map(|h| h.value.as_str().trim());
+    if found.next().is_some() {
+        return Err(Invalid::field(name, "given twice"));
+    }
+    Ok(value)
+}
+
+fn id(request: &Request) -> Result<Option<SubmissionId>, Invalid> {
+    let Some(text) = header(request, ID_HEADER)? else { return Ok(None) };
+    let id = SubmissionId::parse(text).map_err(|e| Invalid::field(ID_HEADER, e.to_string()))?;
+    if let Form::Dated(secs) = id.form() {
+        let latest = since_epoch().as_secs() + AHEAD_S;
+        if *secs > latest {
+            let reason = format!("dated {} s ahead of this host", secs - latest + AHEAD_S);
+            return Err(Invalid::field(ID_HEADER, reason));
+        }
+    }
+    Ok(Some(id))
+}
+
+fn left(request: &Request, settings: &CallSettings) -> Result<u64, Invalid> {
+    let Some(text) = header(request, DEADLINE_HEADER)? else {
+        return Ok(settings.default_deadline_ms);
+    };
+    let latest = settings.max_deadline_ms;
+    let left = text.parse().ok().filter(|left| (1..=latest).contains(left));
+    left.ok_or_else(|| Invalid::field(DEADLINE_HEADER, format!("accepted: 1 to {latest} ms")))
+}
+
+fn idempotent(request: &Request) -> Result<bool, Invalid> {
+    match header(request, IDEMPOTENT_HEADER)? {
+        None | Some("false") => Ok(false),
+        Some("true") => Ok(true),
+        Some(_) => Err(Invalid::field(IDEMPOTENT_HEADER, "accepted: true, false")),
+    }
+}
--- /dev/null
+++ b/endivestile/src/http/invalid.rs
@@ -0,0 +1,36 @@
+//! Refusals of bad input.
+
+/// What is wrong with a call; nothing of it was accepted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Invalid {
+    /// HTTP status, 400 to 499.
+    pub(crate) status: u16,
+    /// The field at fault.
+    pub(crate) field: String,
+    /// What is wrong with it, and what is accepted.
+    pub(crate) reason: String,
+}
+
+impl Invalid {
+    /// Refuses the value of a field.
+    pub(crate) fn field(field: impl Into<String>, reason: impl Into<String>) -> Self {
+        Self { status: 400, field: field.into(), reason: reason.into() }
+    }
+
+    /// Refuses a body that is longer than `limit` bytes.
+    pub(crate) fn oversize(limit: usize) -> Self {
+        let reason = format!("longer than {limit} bytes");
+        Self { status: 413, ..Self::field("body", reason) }
+    }
+
+    /// Refuses a path that leads nowhere.
+    pub(crate) fn path(path: &str) -> Self {
+        let reason = format!("{path} does not exist");
+        Self { status: 404, ..Self::field("path", reason) }
+    }
+
+    /// Refuses a method that the path does not have.
+    pub(crate) fn method(accepted: &str) -> Self {
+        Self { status: 405, ..Self::field("method", format!("accepted: {accepted}")) }
+    }
+}
--- /dev/null
+++ b/endivestile/src/http/route.rs
@@ -0,0 +1,90 @@
+//! Methods and paths of the callers' interface.
+
+use endivestile_kernel::{Ask, SubmissionId};
+use tiny_http::Method;
+
+use super::invalid::Invalid;
+
+/// Most ids minted by one call.
+const MAX_MINTED: usize = 1_000;
+
+/// What a method and path ask for.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum Route {
+    /// `POST /v1/jobs`.
+    Job,
+    /// `POST /v1/requests/<service>`.
+    Request(String),
+    /// `GET` or `DELETE /v1/submissions/<id>`.
+    Submission(SubmissionId, Ask),
+    /// `POST /v1/ids?count=N`.
+    Ids(usize),
+    /// `GET /health`.
+    Health,
+    /// `GET /ready`.
+    Ready,
+    /// `GET /status`.
+    Status,
+}
+
+impl Route {
+    /// Reads a method and a URL.
+    pub(crate) fn parse(method: &Method, url: &str) -> Result<Self, Invalid> {
+        let (path, query) = url.split_once('?').unwrap_or((url, ""));
+        if let Some(service) = path.strip_prefix("/v1/requests/") {
+            only(method, &Method::Post)?;
+            return Ok(Self::Request(decode(service)));
+        }
+        if let Some(id) = path.strip_prefix("/v1/submissions/") {
+            return Self::submission(method, &decode(id));
+        }
+        match path {
+            "/v1/jobs" => only(method, &Method::Post).map(|()| Self::Job),
+            "/v1/ids" => only(method, &Method::Post).and_then(|()| Self::ids(query)),
+            "/health" => only(method, &Method::Get).map(|()| Self::Health),
+            "/ready" => only(method, &Method::Get).map(|()| Self::Ready),
+            "/status" => only(method, &Method::Get).map(|()| Self::Status),
+            _ => Err(Invalid::path(path)),
+        }
+    }
+
+    /// Reads a call about a submission.
+    fn submission(method: &Method, id: &str) -> Result<Self, Invalid> {
+        let ask = match method {
+            Method::Get => Ask::Fetch,
+            Method::Delete => Ask::Cancel,
+            _ => return Err(Invalid::method("GET, DELETE")),
+        };
+        let id = SubmissionId::parse(id).map_err(|e| Invalid::field("id", e.to_string()))?;
+        Ok(Self::Submission(id, ask))
+    }
+
+    /// Reads the query of a call for ids.
+    fn ids(query: &str) -> Result<Self, Invalid> {
+        let bad = || Invalid::field("count", format!("accepted: count=1 to {MAX_MINTED}"));
+        let count = query.strip_prefix("count=").ok_or_else(bad)?;
+        let count = count.parse().ok().filter(|count| (1..=MAX_MINTED).contains(count));
+        count.map(Self::Ids).ok_or_else(bad)
+    }
+}
+
+fn only(method: &Method, accepted: &Method) -> Result<(), Invalid> {
+    if method == accepted { Ok(()) } else { Err(Invalid::method(accepted.as_str())) }
+}
+
+/// Undoes percent encoding; what is not encoded rightly stays as it is.
+fn decode(text: &str) -> String {
+    let mut out = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let Some((&byte, tail)) = rest.split_first() {
+        let code = tail.get(..2).filter(|_| byte == b'%').and_then(hex);
+        out.push(code.unwrap_or(byte));
+        rest = if code.is_some() { &tail[2..] } else { tail };
+    }
+    String::from_utf8_lossy(&out).into_owned()
+}
+
+fn hex(digits: &[u8]) -> Option<u8> {
+    let text = std::str::from_utf8(digits).ok()?;
+    u8::from_str_radix(text, 16).ok()
+}
--- a/endivestile/src/lib.rs
+++ b/endivestile/src/lib.rs
@@ -1,1 +1,30 @@
-//! Stub.
+//! The entry host's daemon: edges around the kernel.
+//!
+//! Threads of the edges post typed inputs to one channel; a single thread runs
+//! a `stakker` loop with the kernel inside the actor `Engine` and hands the
+//! kernel's effects back to the edges.
+
+mod args;
+mod backend;
+mod clock;
+mod configs;
+mod counters;
+mod edges;
+mod engine;
+mod error;
+mod http;
+mod inbox;
+mod logs;
+mod metrics;
+mod net;
+mod peers;
+mod pool;
+mod run;
+mod signals;
+mod status;
+mod store;
+mod stub;
+
+pub use args::Args;
+pub use error::{Exit, RunError};
+pub use run::{run, run_from};
--- /dev/null
+++ b/endivestile/src/net.rs
@@ -0,0 +1,31 @@
+//! The thread that carries links and calls to the store.
+
+use std::thread;
+
+use tokio::runtime::{Builder, Handle};
+
+use crate::error::RunError;
+
+/// One runtime on one thread; nothing on it may block.
+#[derive(Debug, Clone)]
+pub(crate) struct Net {
+    /// The runtime.
+    handle: Handle,
+}
+
+impl Net {
+    /// Starts the thread.
+    pub(crate) fn start() -> Result<Self, RunError> {
+        let failed = |source| RunError::Thread { step: "start-net", source };
+        let runtime = Builder::new_current_thread().enable_all().build().map_err(failed)?;
+        let handle = runtime.handle().clone();
+        let thread = thread::Builder::new().name("net".to_owned());
+        thread.spawn(move || runtime.block_on(std::future::pending::<()>())).map_err(failed)?;
+        Ok(Self { handle })
+    }
+
+    /// Returns the way to start tasks on the thread.
+    pub(crate) fn handle(&self) -> &Handle {
+        &self.handle
+    }
+}
--- /dev/null
+++ b/endivestile/src/peers/links.rs
@@ -0,0 +1,122 @@
+//! Links to peers, dialled on demand.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use endivestile_config::model::Name;
+use endivestile_kernel::{Frame, Peer};
+use endivestile_wire::peer as wire;
+use tokio::runtime::Handle;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+use super::VERSION;
+use super::out::carry;
+use super::queue::{Entry, queue};
+use crate::counters::{Counters, Tally};
+use crate::inbox::Inbox;
+
+/// Pause before a broken link is dialled again, in milliseconds; frames that
+/// come earlier are dropped, and the kernel sends them again.
+const REDIAL_MS: u64 = 200;
+
+/// Sends frames.
+#[derive(Debug)]
+pub(crate) struct Links {
+    /// Frames on their way to the router.
+    frames: UnboundedSender<(Name, Frame)>,
+}
+
+impl Links {
+    /// Starts the router on the runtime.
+    pub(crate) fn start(handle: &Handle, inbox: Inbox, counters: Counters) -> Self {
+        let (frames, queue) = unbounded_channel();
+        let router = Router { links: HashMap::new(), inbox, counters };
+        handle.spawn(router.run(queue));
+        Self { frames }
+    }
+
+    /// Sends a frame, at most once.
+    pub(crate) fn send(&self, address: Name, frame: Frame) {
+        let _ = self.frames.send((address, frame));
+    }
+}
+
+/// One link.
+#[derive(Debug)]
+struct Link {
+    /// Its queue.
+    entry: Entry,
+    /// The incarnation it was dialled for.
+    peer: Peer,
+    /// When it may be dialled again after it ended.
+    redial: Instant,
+}
+
+/// Sorts frames into the links' queues; it never waits for a link.
+#[derive(Debug)]
+struct Router {
+    /// Links by address.
+    links: HashMap<Name, Link>,
+    /// The engine.
+    inbox: Inbox,
+    /// Counts.
+    counters: Counters,
+}
+
+impl Router {
+    /// Routes frames until the engine ends.
+    async fn run(mut self, mut queue: UnboundedReceiver<(Name, Frame)>) {
+        while let Some((address, frame)) = queue.recv().await {
+            self.route(address, &frame);
+        }
+    }
+
+    /// Queues a frame, and dials its peer if there is no link.
+    fn route(&mut self, address: Name, frame: &Frame) {
+        let body = match postcard::to_stdvec(frame) {
+            Ok(body) => body,
+            Err(e) => {
+                log::error!("event=frame_unsent step=encode peer={} error={e}", frame.to);
+                return;
+            }
+        };
+        let bytes = body.len() as u64;
+        let frame_out = wire::Frame { version: VERSION, body };
+        let sent = self.link(address, &frame.to).is_some_and(|link| link.entry.push(frame_out));
+        if sent {
+            self.counters.tally(Tally::FrameBytes, bytes);
+        } else {
+            self.counters.tally(Tally::FramesDropped, 1);
+        }
+    }
+
+    /// Returns the link to an address, none while it may not be dialled.
+    fn link(&mut self, address: Name, peer: &Peer) -> Option<&Link> {
+        let now = Instant::now();
+        let held = self.links.get(&address);
+        // A link that was dialled for an earlier incarnation ends with that
+        // process; frames for the next one must not wait until it is noticed.
+        let usable = held.is_some_and(|link| !link.entry.is_closed() && link.peer == *peer);
+        if !usable {
+            if held.is_some_and(|link| link.peer == *peer && now < link.redial) {
+                return None;
+            }
+            let link = self.dial(Name::clone(&address), peer, now);
+            self.links.insert(Name::clone(&address), link);
+        }
+        self.links.get(&address)
+    }
+
+    /// Starts a link.
+    fn dial(&self, address: Name, peer: &Peer, now: Instant) -> Link {
+        let (entry, frames) = queue();
+        tokio::spawn(carry(
+            address,
+            peer.clone(),
+            frames,
+            self.inbox.clone(),
+            self.counters.clone(),
+        ));
+        Link { entry, peer: peer.clone(), redial: now + Duration::from_millis(REDIAL_MS) }
+    }
+}
--- /dev/null
+++ b/endivestile/src/peers/out.rs
@@ -0,0 +1,64 @@
+//! Carries one link from dialling to its end.
+
+use std::time::Duration;
+
+use endivestile_config::model::Name;
+use endivestile_kernel::{Event, Peer};
+use endivestile_wire::peer::peers_client::PeersClient;
+use tonic::transport::{Channel, Endpoint};
+
+use super::queue::Frames;
+use super::{MAX_FRAME, PROBE_ANSWER_MS, PROBE_MS};
+use crate::counters::{Counters, Tally};
+use crate::inbox::Inbox;
+
+/// Longest time for a connection, in milliseconds.
+const DIAL_MS: u64 = 1_000;
+
+/// Dials a peer, sends its frames, and tells the engine when the link ends.
+pub(crate) async fn carry(
+    address: Name,
+    peer: Peer,
+    frames: Frames,
+    inbox: Inbox,
+    counters: Counters,
+) {
+    let reason = match dial(&address).await {
+        Ok(channel) => send(channel, frames).await,
+        Err(e) => format!("step=dial-peer error={:?}", describe(&e)),
+    };
+    log::info!("event=link_down peer={peer} address={address} {reason}");
+    counters.tally(Tally::LinksDown, 1);
+    inbox.event(Event::LinkDown(peer));
+}
+
+async fn dial(address: &str) -> Result<Channel, tonic::transport::Error> {
+    let endpoint = Endpoint::from_shared(format!("http://{address}"))?
+        .tcp_nodelay(true)
+        .connect_timeout(Duration::from_millis(DIAL_MS))
+        .http2_keep_alive_interval(Duration::from_millis(PROBE_MS))
+        .keep_alive_timeout(Duration::from_millis(PROBE_ANSWER_MS))
+        .keep_alive_while_idle(true);
+    endpoint.connect().await
+}
+
+/// Sends frames until either side ends the link; returns why it ended.
+async fn send(channel: Channel, frames: Frames) -> String {
+    let client = PeersClient::new(channel).max_encoding_message_size(MAX_FRAME);
+    let mut client = client;
+    match client.link(frames).await {
+        Ok(_) => "step=send-frames error=closed".to_owned(),
+        Err(status) => format!("step=send-frames error={:?}", status.message()),
+    }
+}
+
+/// Returns an error with its causes, since the library's own text names none.
+fn describe(e: &tonic::transport::Error) -> String {
+    let mut text = e.to_string();
+    let mut cause = std::error::Error::source(e);
+    while let Some(inner) = cause {
+        text = format!("{text}: {inner}");
+        cause = inner.source();
+    }
+    text
+}
--- /dev/null
+++ b/endivestile/src/peers/serve.rs
@@ -0,0 +1,87 @@
+//! Takes frames from peers.
+
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+use endivestile_kernel::{Event, Frame};
+use endivestile_wire::peer as wire;
+use endivestile_wire::peer::peers_server::{Peers, PeersServer};
+use tokio::runtime::Handle;
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+use tonic::{Request, Response, Status, Streaming};
+
+use super::{MAX_FRAME, PROBE_ANSWER_MS, PROBE_MS, VERSION};
+use crate::error::RunError;
+use crate::inbox::Inbox;
+
+/// Opens the peers' socket.
+pub(crate) fn bind(address: SocketAddr) -> Result<TcpListener, RunError> {
+    TcpListener::bind(address).map_err(|e| failed(address, &e))
+}
+
+/// Serves peers on the runtime.
+pub(crate) fn serve(handle: &Handle, listener: TcpListener, inbox: Inbox) -> Result<(), RunError> {
+    let address = listener.local_addr().unwrap_or_else(|_| SocketAddr::from(([0, 0, 0, 0], 0)));
+    let _context = handle.enter();
+    listener.set_nonblocking(true).map_err(|e| failed(address, &e))?;
+    let listener = tokio::net::TcpListener::from_std(listener).map_err(|e| failed(address, &e))?;
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    let service = PeersServer::new(Receiver { inbox }).max_decoding_message_size(MAX_FRAME);
+    let server = Server::builder()
+        .http2_keepalive_interval(Some(Duration::from_millis(PROBE_MS)))
+        .http2_keepalive_timeout(Some(Duration::from_millis(PROBE_ANSWER_MS)))
+        .add_service(service)
+        .serve_with_incoming(incoming);
+    handle.spawn(async move {
+        if let Err(e) = server.await {
+            log::error!("event=peers_closed step=serve-peers error={:?}", e.to_string());
+        }
+    });
+    Ok(())
+}
+
+fn failed(address: SocketAddr, e: &std::io::Error) -> RunError {
+    RunError::Bind { step: "listen-peers", address: address.to_string(), reason: e.to_string() }
+}
+
+/// Hands frames of all peers to the engine.
+#[derive(Debug)]
+struct Receiver {
+    /// The engine.
+    inbox: Inbox,
+}
+
+#[tonic::async_trait]
+impl Peers for Receiver {
+    async fn link(
+        &self,
+        request: Request<Streaming<wire::Frame>>,
+    ) -> Result<Response<wire::LinkEnd>, Status> {
+        let from = request.remote_addr().map(|a| a.to_string()).unwrap_or_default();
+        let mut frames = request.into_inner();
+        while let Some(frame) = frames.message().await? {
+            match decode(&frame) {
+                Ok(frame) => self.inbox.event(Event::Frame(frame)),
+                Err(status) => {
+                    log::error!(
+                        "event=frame_refused step=decode peer={from} error={:?}",
+                        status.message()
+                    );
+                    return Err(status);
+                }
+            }
+        }
+        Ok(Response::new(wire::LinkEnd {}))
+    }
+}
+
+/// Decodes a frame of a version that is known; another one would be read as
+/// something it is not.
+fn decode(frame: &wire::Frame) -> Result<Frame, Status> {
+    if frame.version != VERSION {
+        let text = format!("version {}, known: {VERSION}", frame.version);
+        return Err(Status::failed_precondition(text));
+    }
+    postcard::from_bytes(&frame.body).map_err(|e| Status::invalid_argument(e.to_string()))
+}
--- /dev/null
+++ b/endivestile/src/run.rs
@@ -0,0 +1,172 @@
+//! Puts the daemon together and runs its loop.
+
+use std::cell::Cell;
+use std::ffi::OsString;
+use std::fs;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use crate::stub::Setup;
+use clap::Parser;
+use endivestile_config::Settings;
+use endivestile_config::model::Name;
+use endivestile_kernel::Peer;
+use stakker::{Actor, Stakker, actor, call, ret_nop};
+
+use crate::args::Args;
+use crate::backend::Backends;
+use crate::clock::{Clock, since_epoch};
+use crate::configs::{Adopted, Checker};
+use crate::counters::Counters;
+use crate::edges::Edges;
+use crate::engine::{Engine, Parts};
+use crate::error::{Exit, RunError};
+use crate::http::{self, Desk, Say};
+use crate::inbox::{Inbox, Inlet};
+use crate::logs::{self, Notes};
+use crate::net::Net;
+use crate::peers::{self, Links};
+use crate::store::{self, Store};
+use crate::{metrics, signals};
+
+/// Inputs handled before their effects are carried out.
+const BATCH: usize = 1_024;
+/// Longest wait for an input, in seconds.
+const WAIT_S: u64 = 60;
+
+/// Runs the daemon with the arguments of a command line.
+pub fn run_from(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let args = match Args::try_parse_from(args) {
+        Ok(args) => args,
+        Err(e) => {
+            let _ = e.print();
+            let code = if e.use_stderr() { Exit::Refused } else { Exit::Drained };
+            return ExitCode::from(code as u8);
+        }
+    };
+    let exit = run(&args).unwrap_or_else(|e| {
+        eprintln!("endivestile: {e}");
+        e.exit()
+    });
+    ExitCode::from(exit as u8)
+}
+
+/// Runs the daemon until it is stopped.
+///
+/// # Errors
+///
+/// Settings that are refused, or a socket or thread that cannot be had.
+pub fn run(args: &Args) -> Result<Exit, RunError> {
+    let settings = load(args)?;
+    if args.check {
+        println!("settings are in order");
+        return Ok(Exit::Drained);
+    }
+    let _log = logs::open(&settings.log)?;
+    serve(&settings)
+}
+
+fn load(args: &Args) -> Result<Settings, RunError> {
+    let Some(path) = &args.config else {
+        return Ok(Settings::load("", "command line", &args.overrides)?);
+    };
+    let read = |source| RunError::Read { path: path.clone(), source };
+    let text = fs::read_to_string(path).map_err(read)?;
+    Ok(Settings::load(&text, &path.display().to_string(), &args.overrides)?)
+}
+
+/// Starts all edges, then the loop.
+fn serve(settings: &Settings) -> Result<Exit, RunError> {
+    let clock = Clock::new();
+    let counters = Counters::default();
+    let adopted = Adopted::default();
+    let (inbox, inlet) = Inbox::new();
+    let net = Net::start()?;
+    let callers = http::bind(net.handle(), settings.host.http)?;
+    let peers = peers::bind(settings.host.peers)?;
+    let address = advertised(settings, &peers)?;
+    let me = Peer::new(settings.host.name.clone(), since_epoch().as_micros() as u64);
+    let checker = Checker::start(inbox.clone())?;
+    let voice = Say::pool();
+    let desk = Desk {
+        inbox: inbox.clone(),
+        clock,
+        settings: settings.calls.clone(),
+        adopted: adopted.clone(),
+        voice: voice.clone(),
+        counters: counters.clone(),
+    };
+    log::info!(
+        "event=listening host={} birth={:x} zone={} http={} peers={address}",
+        me.host,
+        me.birth,
+        settings.host.zone,
+        callers.local_addr().map(|a| a.to_string()).unwrap_or_default(),
+    );
+    peers::serve(net.handle(), peers, inbox.clone())?;
+    let desk_store = store::Desk {
+        me: me.clone(),
+        zone: settings.host.zone.clone(),
+        address: address.clone(),
+        settings: settings.store.clone(),
+        inbox: inbox.clone(),
+        checker: checker.clone(),
+        counters: counters.clone(),
+    };
+    let store = Store::start(net.handle(), desk_store)?;
+    let links = Links::start(net.handle(), inbox.clone(), counters.clone());
+    let backends = Backends::start(&settings.backends, clock, &me, inbox.clone(), counters.clone());
+    metrics::start(&settings.metrics, &settings.host, counters.clone(), inbox.clone())?;
+    signals::watch(inbox.clone())?;
+    http::serve(callers, &desk)?;
+    let notes = Notes::start(counters.clone())?;
+    let edges = Edges { backends, links, store: store.clone(), checker, voice, notes, counters };
+    let wall_s = since_epoch().as_secs();
+    let seed = me.birth;
+    let setup = Setup { me, zone: settings.host.zone.clone(), address, wall_s, seed };
+    let exit = Rc::new(Cell::new(Exit::Failed));
+    let limit_s = settings.stop.limit_s;
+    let parts = Parts { setup, edges, clock, adopted, limit_s, exit: Rc::clone(&exit) };
+    turn(&inlet, parts);
+    store.leave();
+    Ok(exit.get())
+}
+
+/// Returns the address that peers dial; port 0 stands for the one that was bound.
+fn advertised(settings: &Settings, bound: &std::net::TcpListener) -> Result<Name, RunError> {
+    let mut address = settings.host.advertised();
+    if address.port() == 0 {
+        let local = bound.local_addr().map_err(|e| RunError::Bind {
+            step: "listen-peers",
+            address: address.to_string(),
+            reason: e.to_string(),
+        })?;
+        address.set_port(local.port());
+    }
+    Ok(Name::from(address.to_string()))
+}
+
+/// Runs the loop until the engine ends it.
+fn turn(inlet: &Inlet, parts: Parts) {
+    let mut stakker = Stakker::new(Instant::now());
+    let engine = actor!(&mut stakker, Engine::init(parts), ret_nop!());
+    call!([engine], settle());
+    stakker.run(Instant::now(), false);
+    while stakker.not_shutdown() {
+        let wait = stakker.next_wait_max(Instant::now(), Duration::from_secs(WAIT_S), false);
+        drain(inlet, &engine, wait);
+        stakker.run(Instant::now(), false);
+    }
+}
+
+/// Queues all waiting inputs for the engine, so that their frames share batches.
+fn drain(inlet: &Inlet, engine: &Actor<Engine>, wait: Duration) {
+    let Some(first) = inlet.wait(wait) else { return };
+    call!([engine], take(first));
+    for _ in 1..BATCH {
+        let Some(input) = inlet.next() else { break };
+        call!([engine], take(input));
+    }
+    call!([engine], settle());
+}
--- /dev/null
+++ b/endivestile/src/store/error.rs
@@ -0,0 +1,28 @@
+//! Errors of calls to the store.
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// Why a call to the store gave nothing.
+    // The macro takes neither doc comments on fields nor `pub(crate)`.
+    #[allow(missing_docs, unreachable_pub)]
+    #[derive(Debug)]
+    pub enum StoreError {
+        /// The call failed.
+        Status { step: &'static str, peer: String, reason: String } {
+            display("step={step} peer={peer} error={reason:?}")
+        }
+        /// No answer came in time.
+        Timeout { step: &'static str, peer: String } {
+            display("step={step} peer={peer} error=timeout")
+        }
+        /// The store ended the watch.
+        Closed { step: &'static str } {
+            display("step={step} error=closed")
+        }
+        /// A later incarnation of this host is registered.
+        Superseded { birth: u64 } {
+            display("step=register error=superseded birth={birth:x}")
+        }
+    }
+}
--- /dev/null
+++ b/endivestile/src/store/ops.rs
@@ -0,0 +1,101 @@
+//! The kernel's calls to the store.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use endivestile_kernel::{Event, StoreOp, Stored};
+use endivestile_wire::store::compare::{CompareResult, CompareTarget, TargetUnion};
+use endivestile_wire::store::request_op::Request;
+use endivestile_wire::store::{Compare, PutRequest, RangeRequest, RequestOp, TxnRequest};
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use super::access::Access;
+use super::error::StoreError;
+use crate::inbox::Inbox;
+
+/// Calls open at once; the store carries several hundred writes a second for all hosts.
+const OPEN: usize = 16;
+
+/// A call of the kernel.
+#[derive(Debug)]
+pub(crate) struct Ask {
+    /// Number of the call.
+    pub(crate) token: u64,
+    /// The call.
+    pub(crate) op: StoreOp,
+}
+
+/// Makes the kernel's calls until the engine ends.
+pub(crate) async fn serve(access: Access, inbox: Inbox, mut asks: UnboundedReceiver<Ask>) {
+    let open = Arc::new(Semaphore::new(OPEN));
+    while let Some(ask) = asks.recv().await {
+        let Ok(permit) = Arc::clone(&open).acquire_owned().await else { return };
+        let (access, inbox) = (access.clone(), inbox.clone());
+        tokio::spawn(async move {
+            let stored = perform(&access, ask.op).await.unwrap_or_else(|e| {
+                log::warn!("event=store_call_failed {e}");
+                Stored::Lost
+            });
+            inbox.event(Event::Stored { token: ask.token, stored });
+            drop(permit);
+        });
+    }
+}
+
+async fn perform(access: &Access, op: StoreOp) -> Result<Stored, StoreError> {
+    match op {
+        StoreOp::Get { key } => get(access, &key).await,
+        StoreOp::Swap { key, revision, value } => {
+            let put = PutRequest { key: key.as_bytes().to_vec(), value: value.to_vec(), lease: 0 };
+            swap(access, "swap", revision as i64, put).await
+        }
+    }
+}
+
+/// Reads a key.
+pub(crate) async fn get(access: &Access, key: &str) -> Result<Stored, StoreError> {
+    let request = RangeRequest { key: key.as_bytes().to_vec(), ..RangeRequest::default() };
+    let mut client = access.keys();
+    let answer = access.call("get", None, client.range(request)).await?.into_inner();
+    let stored = answer.kvs.into_iter().next().map_or(
+        Stored::Value { revision: 0, value: Bytes::new() },
+        |kv| Stored::Value { revision: kv.mod_revision as u64, value: Bytes::from(kv.value) },
+    );
+    Ok(stored)
+}
+
+/// Writes a key if its last change has the revision, 0 for an absent key.
+pub(crate) async fn swap(
+    access: &Access,
+    step: &'static str,
+    revision: i64,
+    put: PutRequest,
+) -> Result<Stored, StoreError> {
+    let request = TxnRequest {
+        compare: vec![unchanged(&put.key, revision)],
+        success: vec![RequestOp { request: Some(Request::RequestPut(put)) }],
+        failure: Vec::new(),
+    };
+    let mut client = access.keys();
+    let answer = access.call(step, None, client.txn(request)).await?.into_inner();
+    if !answer.succeeded {
+        return Ok(Stored::Raced);
+    }
+    let revision = answer.header.map_or(0, |header| header.revision);
+    Ok(Stored::Swapped(revision as u64))
+}
+
+fn unchanged(key: &[u8], revision: i64) -> Compare {
+    let (target, union) = if revision == 0 {
+        (CompareTarget::Create, TargetUnion::CreateRevision(0))
+    } else {
+        (CompareTarget::Mod, TargetUnion::ModRevision(revision))
+    };
+    Compare {
+        result: CompareResult::Equal.into(),
+        target: target.into(),
+        key: key.to_vec(),
+        target_union: Some(union),
+    }
+}
--- /dev/null
+++ b/endivestile/src/store/watch.rs
@@ -0,0 +1,155 @@
+//! Watches the store: the system's own keys and the platform's list.
+
+use endivestile_kernel::Event as Input;
+use endivestile_wire::key;
+use endivestile_wire::store::event::EventType;
+use endivestile_wire::store::watch_request::RequestUnion;
+use endivestile_wire::store::{
+    KeyValue, RangeRequest, WatchCreateRequest, WatchRequest, WatchResponse,
+};
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::Streaming;
+
+use super::Desk;
+use super::access::Access;
+use super::backoff::Backoff;
+use super::error::StoreError;
+use super::feed::Feed;
+use crate::counters::Tally;
+
+/// First keys of the watched ranges, and prefixes that end them. The audit
+/// trail sorts before the configuration and is left out: no host needs it.
+const RANGES: [(&str, &str); 2] = [(key::CONFIG, key::STOPS), (key::PLATFORM, key::PLATFORM)];
+
+/// Reads and watches until the process ends.
+pub(crate) async fn run(access: Access, desk: Desk) {
+    let mut feed = Feed::new(desk.inbox.clone(), desk.checker.clone());
+    let mut backoff = Backoff::new(desk.settings.backoff_ms);
+    let mut session = Session { access, desk, up: false };
+    loop {
+        let Err(e) = session.run(&mut feed, &mut backoff).await;
+        if session.up {
+            session.up = false;
+            session.desk.inbox.event(Input::Store(false));
+        }
+        log::warn!("event=store_down {e}");
+        backoff.wait().await;
+    }
+}
+
+/// Nothing: a session ends by an error only.
+enum Never {}
+
+/// One span in which the watch stands.
+struct Session {
+    /// The store.
+    access: Access,
+    /// What all tasks share.
+    desk: Desk,
+    /// Whether the kernel was told that the watch stands.
+    up: bool,
+}
+
+impl Session {
+    /// Reads the whole state, then follows its changes from there.
+    async fn run(&mut self, feed: &mut Feed, backoff: &mut Backoff) -> Result<Never, StoreError> {
+        let (values, revision) = self.load().await?;
+        feed.load(values);
+        let (requests, queue) = mpsc::channel(RANGES.len());
+        for (first, last) in RANGES {
+            let _ = requests.try_send(create(first, last, revision + 1));
+        }
+        let mut client = self.access.watches();
+        let open = client.watch(ReceiverStream::new(queue));
+        let tally = Some(Tally::WatchCalls);
+        let mut answers = self.access.call("watch", tally, open).await?.into_inner();
+        let mut created = 0;
+        while created < RANGES.len() {
+            let answer = self.access.call("watch", None, answers.message()).await?;
+            created += usize::from(apply(feed, answer)?);
+        }
+        self.up = true;
+        backoff.reset();
+        log::info!("event=store_up revision={revision}");
+        self.desk.inbox.event(Input::Store(true));
+        self.follow(feed, &mut answers).await
+    }
+
+    /// Follows changes. A store that stands still sends nothing, just as one
+    /// without changes; the refreshes of the lease tell them apart.
+    async fn follow(
+        &self,
+        feed: &mut Feed,
+        answers: &mut Streaming<WatchResponse>,
+    ) -> Result<Never, StoreError> {
+        let closed = |status: tonic::Status| StoreError::Status {
+            step: "watch",
+            peer: "store".to_owned(),
+            reason: status.message().to_owned(),
+        };
+        loop {
+            tokio::select! {
+                answer = answers.message() => {
+                    apply(feed, answer.map_err(closed)?)?;
+                }
+                () = self.access.doubt.notified() => {
+                    return Err(StoreError::Closed { step: "refresh" });
+                }
+            }
+        }
+    }
+
+    /// Reads all watched keys, with the revision from which changes are to be
+    /// followed: the earlier one, so that nothing between two reads is missed.
+    async fn load(&self) -> Result<(Vec<KeyValue>, i64), StoreError> {
+        let mut values = Vec::new();
+        let mut revision = i64::MAX;
+        for (first, last) in RANGES {
+            let mut client = self.access.keys();
+            let read = client.range(range(first, last));
+            let tally = Some(Tally::WatchCalls);
+            let answer = self.access.call("load", tally, read).await?.into_inner();
+            revision = revision.min(answer.header.map_or(0, |header| header.revision));
+            values.extend(answer.kvs);
+        }
+        Ok((values, revision))
+    }
+}
+
+fn range(first: &str, last: &str) -> RangeRequest {
+    RangeRequest {
+        key: first.as_bytes().to_vec(),
+        range_end: key::range_end(last),
+        ..RangeRequest::default()
+    }
+}
+
+fn create(first: &str, last: &str, revision: i64) -> WatchRequest {
+    let create = WatchCreateRequest {
+        key: first.as_bytes().to_vec(),
+        range_end: key::range_end(last),
+        start_revision: revision,
+        progress_notify: false,
+    };
+    WatchRequest { request_union: Some(RequestUnion::CreateRequest(create)) }
+}
+
+/// Tells of the changes in an answer; returns whether it created a watch.
+fn apply(feed: &mut Feed, answer: Option<WatchResponse>) -> Result<bool, StoreError> {
+    let answer = answer.ok_or(StoreError::Closed { step: "watch" })?;
+    if answer.canceled {
+        // Changes were compacted away, or the store gave the watch up: only a
+        // new reading of the whole state tells what happened.
+        return Err(StoreError::Closed { step: "watch" });
+    }
+    for event in answer.events {
+        let kind = event.r#type();
+        let Some(value) = event.kv else { continue };
+        match kind {
+            EventType::Put => feed.put(value),
+            EventType::Delete => feed.delete(&value.key),
+        }
+    }
+    Ok(answer.created)
+}
