--- a/endivestile_testkit/src/lib.rs
+++ b/endivestile_testkit/src/lib.rs
@@ -1,1 +1,10 @@
-//! Stub.
+//! Stand-ins for the platform: its store, backend servers and workers.
+//!
+//! Tests, the quickstart and the experiments use them; no product binary does.
+
+mod lock;
+mod machine;
+mod store;
+
+pub use machine::{BackendStandIn, Fault, Spec, Start, WorkerStandIn, echo};
+pub use store::{Counts, StoreStandIn};
