--- /dev/null
+++ b/endivestile/tests/common/mod.rs
@@ -0,0 +1,242 @@
+//! Starts the daemon as a process between stand-ins, and calls it.
+// Each test file uses its own part of this.
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use endivestile_testkit::{BackendStandIn, Spec, StoreStandIn};
+use serde_json::Value;
+use ureq::Agent;
+
+/// How long a condition may take to become true on a busy machine.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Waits until `condition` holds.
+pub fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(Instant::now() < end, "waited in vain for {what}");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// A store, one backend server `s1` of the service `orders`, and one daemon.
+pub struct Rig {
+    pub store: StoreStandIn,
+    pub backends: BackendStandIn,
+    pub daemon: Daemon,
+}
+
+impl Rig {
+    /// Starts everything and waits until the daemon is ready.
+    pub fn start(overrides: &[&str]) -> Self {
+        let store = StoreStandIn::start().expect("store");
+        let backends = BackendStandIn::start(vec![Spec::new("s1")]).expect("back ends");
+        store.put("endivestile/config", config(1, &backends));
+        let daemon = Daemon::start(&store, "e1", overrides);
+        daemon.wait_ready();
+        Self { store, backends, daemon }
+    }
+}
+
+/// Returns a configuration with the given revision.
+pub fn config(revision: u64, backends: &BackendStandIn) -> String {
+    format!(
+        "[configuration]\nrevision={revision}\n\
+         [availability-zone a]\nregion=r\n\
+         [host e1]\nzone=a\naddress=127.0.0.1:1\nweight=1\n\
+         [backend-server s1]\nzone=a\nrack=1\naddress={}\nslots=8\nconnections=64\n\
+         [worker w1]\nzone=a\nrack=1\naddress=127.0.0.1:2\ncpu-milli=4000\nmemory-mb=8000\naccelerators=1\n\
+         [service orders]\nservers=s1\npath=/order\n\
+         [member m1]\nlimit=1000\nweight=1\n",
+        backends.address("s1")
+    )
+}
+
+/// The daemon as a process.
+pub struct Daemon {
+    child: Child,
+    lines: Arc<Mutex<Vec<String>>>,
+    pub http: String,
+    pub peers: String,
+    agent: Agent,
+}
+
+impl Daemon {
+    /// Starts the daemon on ephemeral ports, which its first log line names.
+    pub fn start(store: &StoreStandIn, host: &str, overrides: &[&str]) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_endivestile"));
+        let address = store.address();
+        for set in [
+            format!("host.name={host}"),
+            "host.zone=a".to_owned(),
+            "host.http=127.0.0.1:0".to_owned(),
+            "host.peers=127.0.0.1:0".to_owned(),
+            format!("store.addresses={address}"),
+            "store.backoff-ms=200".to_owned(),
+            "store.timeout-ms=500".to_owned(),
+        ] {
+            command.args(["--set", &set]);
+        }
+        for set in overrides {
+            command.args(["--set", set]);
+        }
+        let mut child = command.stderr(Stdio::piped()).spawn().expect("daemon");
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let (output, kept) = (child.stderr.take().expect("stderr"), Arc::clone(&lines));
+        thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                kept.lock().expect("lines").push(line);
+            }
+        });
+        let agent = Agent::config_builder().http_status_as_error(false).build().new_agent();
+        let (http, peers) = (String::new(), String::new());
+        let mut daemon = Self { child, lines, http, peers, agent };
+        let line = daemon.wait_line("event=listening");
+        daemon.http = word(&line, "http=");
+        daemon.peers = word(&line, "peers=");
+        daemon
+    }
+
+    /// Waits for a log line and returns it.
+    pub fn wait_line(&self, part: &str) -> String {
+        let mut found = None;
+        wait_for(part, || {
+            found = self.lines().into_iter().find(|line| line.contains(part));
+            found.is_some()
+        });
+        found.unwrap_or_default()
+    }
+
+    /// Returns the log so far.
+    pub fn lines(&self) -> Vec<String> {
+        self.lines.lock().expect("lines").clone()
+    }
+
+    /// Waits until new work is taken.
+    pub fn wait_ready(&self) {
+        wait_for("ready", || self.get("/ready").status == 200);
+    }
+
+    /// Calls with the method GET.
+    pub fn get(&self, path: &str) -> Got {
+        Got::new(self.agent.get(self.url(path)).call())
+    }
+
+    /// Calls with the method DELETE.
+    pub fn delete(&self, path: &str) -> Got {
+        Got::new(self.agent.delete(self.url(path)).call())
+    }
+
+    /// Calls with the method POST.
+    pub fn post(&self, path: &str, headers: &[(&str, &str)], body: &str) -> Got {
+        let mut call = self.agent.post(self.url(path));
+        for (name, value) in headers {
+            call = call.header(*name, *value);
+        }
+        Got::new(call.send(body))
+    }
+
+    /// Submits a non-idempotent request to `orders` under a fresh id.
+    pub fn order(&self, key: &str, work: &str) -> Got {
+        let id = dated(key);
+        self.post("/v1/requests/orders", &[("Member", "m1"), ("Idempotency-Key", &id)], work)
+    }
+
+    /// Sends bytes as they are, and returns what came back until the connection ended.
+    pub fn raw(&self, bytes: &[u8]) -> String {
+        let mut stream = TcpStream::connect(&self.http).expect("connect");
+        stream.set_read_timeout(Some(Duration::from_secs(5))).expect("timeout");
+        stream.write_all(bytes).expect("write");
+        let mut text = Vec::new();
+        let mut part = [0; 4096];
+        while !text.windows(4).any(|w| w == b"\r\n\r\n") {
+            match stream.read(&mut part) {
+                Ok(0) | Err(_) => break,
+                Ok(len) => text.extend_from_slice(&part[..len]),
+            }
+        }
+        String::from_utf8_lossy(&text).into_owned()
+    }
+
+    /// Sends a signal, such as `TERM`.
+    pub fn signal(&self, name: &str) {
+        let command = format!("kill -{name} {}", self.child.id());
+        let status = Command::new("sh").args(["-c", &command]).status().expect("kill");
+        assert!(status.success());
+    }
+
+    /// Waits until the process has ended, and returns its exit code.
+    pub fn wait_exit(&mut self) -> Option<i32> {
+        let mut code = None;
+        wait_for("the end of the daemon", || {
+            code = self.child.try_wait().expect("wait").map(|status| status.code());
+            code.is_some()
+        });
+        code.flatten()
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.http)
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if thread::panicking() {
+            eprintln!("log of the daemon:\n{}", self.lines().join("\n"));
+        }
+    }
+}
+
+/// What a caller got.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Got {
+    /// HTTP status, 0 when the connection ended without one.
+    pub status: u16,
+    /// Header `Retry-After`.
+    pub retry: Option<String>,
+    /// Header `Minted-Ids`.
+    pub minted: Vec<String>,
+    /// Body.
+    pub body: String,
+}
+
+impl Got {
+    fn new(result: Result<ureq::http::Response<ureq::Body>, ureq::Error>) -> Self {
+        let Ok(mut response) = result else {
+            return Self { status: 0, retry: None, minted: Vec::new(), body: String::new() };
+        };
+        let header = |name: &str| {
+            let value = response.headers().get(name).and_then(|value| value.to_str().ok());
+            value.map(str::to_owned)
+        };
+        let (retry, minted) = (header("Retry-After"), header("Minted-Ids").unwrap_or_default());
+        let minted = minted.split(',').filter(|id| !id.is_empty()).map(str::to_owned).collect();
+        let body = response.body_mut().read_to_string().unwrap_or_default();
+        Self { status: response.status().as_u16(), retry, minted, body }
+    }
+
+    /// Returns a field of the JSON body.
+    pub fn field(&self, name: &str) -> Value {
+        let body: Value = serde_json::from_str(&self.body).unwrap_or_default();
+        body[name].clone()
+    }
+}
+
+/// Returns an id dated now.
+pub fn dated(key: &str) -> String {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("clock");
+    format!("{}:{key}", now.as_secs())
+}
+
+fn word(line: &str, key: &str) -> String {
+    line.split(' ').find_map(|pair| pair.strip_prefix(key)).expect("pair").to_owned()
+}
