--- /dev/null
+++ b/endivestile_kernel/benches/place.rs
@@ -0,0 +1,2 @@
+//! Cost of a placement decision.
+fn main() {}
--- a/endivestile_kernel/src/lib.rs
+++ b/endivestile_kernel/src/lib.rs
@@ -7,6 +7,7 @@
 mod msg;
 mod order;
 mod peer;
+mod place;
 mod submission;
 mod time;
 mod view;
@@ -17,6 +18,9 @@
 pub use msg::{Ask, Frame, Known, Msg, Registration};
 pub use order::{AttemptId, End, Figure, Order, Outcome, TaskKey};
 pub use peer::Peer;
+pub use place::{
+    Choice, Condition, PlaceEffect, Placer, PlacerSetup, PolicyPlugin, ServerStatus, policy_names,
+};
 pub use submission::{MAX_TASKS, Need, Submission, Target, Task};
 pub use time::Time;
 pub use view::{HostState, HostView, View};
--- /dev/null
+++ b/endivestile_kernel/src/place/fit.rs
@@ -0,0 +1,63 @@
+//! Search of the first worker with enough room.
+
+use super::room::Room;
+
+/// Maximum tree over the free room of workers, in the order of preference.
+#[derive(Debug, Default)]
+pub(crate) struct FitTree {
+    width: usize,
+    nodes: Vec<Room>,
+}
+
+impl FitTree {
+    /// Makes a tree of `len` leaves without room.
+    pub(crate) fn new(len: usize) -> Self {
+        let width = len.next_power_of_two().max(1);
+        Self { width, nodes: vec![Room::default(); 2 * width] }
+    }
+
+    /// Sets the room of a leaf.
+    pub(crate) fn set(&mut self, at: usize, room: Room) {
+        let mut node = self.width + at;
+        if self.nodes[node] == room {
+            return;
+        }
+        self.nodes[node] = room;
+        while node > 1 {
+            node /= 2;
+            self.nodes[node] = self.nodes[2 * node].max(&self.nodes[2 * node + 1]);
+        }
+    }
+
+    /// Returns the room of a leaf.
+    pub(crate) fn room(&self, at: usize) -> Room {
+        self.nodes[self.width + at]
+    }
+
+    /// Returns the first leaf from `from` on that holds `want`.
+    pub(crate) fn find(&self, want: &Room, from: usize) -> Option<usize> {
+        if from >= self.width {
+            return None;
+        }
+        self.descend(1, self.width, 0, (want, from))
+    }
+
+    fn descend(
+        &self,
+        node: usize,
+        span: usize,
+        start: usize,
+        query: (&Room, usize),
+    ) -> Option<usize> {
+        let (want, from) = query;
+        if start + span <= from || !self.nodes[node].holds(want) {
+            return None;
+        }
+        if span == 1 {
+            return Some(start);
+        }
+        let half = span / 2;
+        self.descend(2 * node, half, start, query)
+            .or_else(|| self.descend(2 * node + 1, half, start + half, query))
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/place/held.rs
@@ -0,0 +1,108 @@
+//! Tasks that a placer holds, waiting or running.
+
+use super::line::Rank;
+use super::room::Room;
+use crate::{AttemptId, Order, Peer, Time};
+
+/// One call to a back end.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Run {
+    /// Number of the call.
+    pub(crate) attempt: AttemptId,
+    /// Slot of the back end.
+    pub(crate) backend: u32,
+    /// When it started.
+    pub(crate) started: Time,
+    /// Microseconds charged to its member.
+    pub(crate) cost: u64,
+    /// Whether the home still waits for the answer.
+    pub(crate) wanted: bool,
+}
+
+/// One task.
+#[derive(Debug)]
+pub(crate) struct Held {
+    /// The home.
+    pub(crate) home: Peer,
+    /// The order.
+    pub(crate) order: Order,
+    /// Pool.
+    pub(crate) pool: u32,
+    /// Number of its member.
+    pub(crate) member: u32,
+    /// Number of the order at this placer.
+    pub(crate) seq: u64,
+    /// When it came into the queue.
+    pub(crate) queued: Time,
+    /// When it is given up unless it has started.
+    pub(crate) drop_at: Time,
+    /// Calls that did not start it.
+    pub(crate) tries: u8,
+    /// Smaller tasks that were started before it because it did not fit.
+    pub(crate) overtaken: u8,
+    /// Whether it is tried although it is believed too long for its deadline.
+    pub(crate) trial: bool,
+    /// Worker kept free for it.
+    pub(crate) kept: Option<u32>,
+    /// The call, while it runs.
+    pub(crate) run: Option<Run>,
+}
+
+impl Held {
+    /// Returns its place among the tasks of its member.
+    pub(crate) const fn rank(&self) -> Rank {
+        Rank { arrived: self.order.arrived, left: self.order.left, seq: self.seq }
+    }
+
+    /// Returns what it takes of a back end.
+    pub(crate) fn want(&self) -> Room {
+        Room::wanted(&self.order.task.target)
+    }
+}
+
+/// Table of tasks with stable slots.
+#[derive(Debug, Default)]
+pub(crate) struct HeldTable {
+    slots: Vec<Option<Held>>,
+    vacant: Vec<u32>,
+}
+
+impl HeldTable {
+    /// Adds a task and returns its slot.
+    pub(crate) fn insert(&mut self, held: Held) -> u32 {
+        if let Some(slot) = self.vacant.pop() {
+            self.slots[slot as usize] = Some(held);
+            return slot;
+        }
+        self.slots.push(Some(held));
+        (self.slots.len() - 1) as u32
+    }
+
+    /// Returns a task.
+    pub(crate) fn get(&self, slot: u32) -> Option<&Held> {
+        self.slots.get(slot as usize)?.as_ref()
+    }
+
+    /// Returns a task to change it.
+    pub(crate) fn get_mut(&mut self, slot: u32) -> Option<&mut Held> {
+        self.slots.get_mut(slot as usize)?.as_mut()
+    }
+
+    /// Removes a task.
+    pub(crate) fn remove(&mut self, slot: u32) -> Option<Held> {
+        let held = self.slots.get_mut(slot as usize)?.take()?;
+        self.vacant.push(slot);
+        Some(held)
+    }
+
+    /// Returns all tasks with their slots.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (u32, &Held)> {
+        let slots = self.slots.iter().enumerate();
+        slots.filter_map(|(slot, held)| Some((slot as u32, held.as_ref()?)))
+    }
+
+    /// Returns whether there is no task.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.slots.len() == self.vacant.len()
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/place/mod.rs
@@ -0,0 +1,36 @@
+//! Placement: which back end runs a task, and when.
+//!
+//! One placer owns the slots of the back ends in its host's share. A task stays
+//! in the placer's queue until a slot is free and worth taking.
+
+mod backend;
+mod bands;
+mod baselines;
+mod choice;
+mod dispatch;
+mod effect;
+mod ending;
+mod fit;
+mod health;
+mod held;
+mod line;
+mod members;
+mod placer;
+mod policy;
+mod pool;
+mod queue;
+mod rack;
+mod report;
+mod room;
+mod seat;
+mod share;
+mod sharing;
+mod speed;
+mod status;
+mod timer;
+
+pub use choice::Choice;
+pub use effect::{PlaceEffect, PlacerSetup};
+pub use placer::Placer;
+pub use policy::{PolicyPlugin, policy_names};
+pub use status::{Condition, ServerStatus};
--- /dev/null
+++ b/endivestile_kernel/src/place/placer.rs
@@ -0,0 +1,299 @@
+//! The owner of the slots of a host's share of back ends.
+
+use std::collections::{BTreeSet, HashMap, HashSet};
+
+use endivestile_config::model::{Config, Name};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::backend::Backend;
+use super::effect::{PlaceEffect, PlacerSetup};
+use super::held::{Held, HeldTable};
+use super::members::Members;
+use super::policy::{Choose, policy};
+use super::pool::{Kind, Pool};
+use super::rack::Rack;
+use super::room::Room;
+use super::share;
+use super::timer::Timer;
+use crate::{AttemptId, Cause, Order, Outcome, Peer, Target, TaskKey, Time, View};
+
+/// Slot of the pool of tasks without accelerators.
+pub(crate) const PLAIN: u32 = 0;
+
+/// Slot of the pool of tasks with accelerators.
+pub(crate) const ACCELERATED: u32 = 1;
+
+/// Time between two tries of a task believed too long for its deadline, in milliseconds.
+const TRIAL_MS: u64 = 1_000;
+
+/// Owner of the slots of the back ends in this host's share.
+///
+/// A pure state machine: time comes in with each call, and what is to be done
+/// goes out as effects.
+#[derive(Debug)]
+pub struct Placer {
+    pub(crate) me: Peer,
+    pub(crate) rng: SmallRng,
+    pub(crate) choose: Choose,
+    pub(crate) config: Config,
+    pub(crate) stopping: bool,
+    pub(crate) members: Members,
+    pub(crate) backends: Vec<Backend>,
+    pub(crate) vacant: Vec<u32>,
+    pub(crate) by_name: HashMap<Name, u32>,
+    pub(crate) leaving: HashSet<Name>,
+    pub(crate) racks: Vec<Rack>,
+    pub(crate) pools: Vec<Pool>,
+    pub(crate) services: HashMap<Name, u32>,
+    pub(crate) held: HeldTable,
+    pub(crate) index: HashMap<(Peer, TaskKey), u32>,
+    pub(crate) attempts: HashMap<AttemptId, u32>,
+    pub(crate) next_attempt: u64,
+    pub(crate) next_seq: u64,
+    pub(crate) waiting: u32,
+    pub(crate) timers: BTreeSet<(Time, Timer)>,
+    pub(crate) revisit: Option<Time>,
+}
+
+impl Placer {
+    /// Makes a placer without back ends.
+    pub fn new(setup: PlacerSetup) -> Self {
+        Self {
+            me: setup.me,
+            rng: SmallRng::seed_from_u64(setup.seed),
+            choose: policy(""),
+            config: Config::default(),
+            stopping: false,
+            members: Members::default(),
+            backends: Vec::new(),
+            vacant: Vec::new(),
+            by_name: HashMap::new(),
+            leaving: HashSet::new(),
+            racks: Vec::new(),
+            pools: vec![Pool::new(Kind::Plain), Pool::new(Kind::Accelerated)],
+            services: HashMap::new(),
+            held: HeldTable::default(),
+            index: HashMap::new(),
+            attempts: HashMap::new(),
+            next_attempt: 0,
+            next_seq: 0,
+            waiting: 0,
+            timers: BTreeSet::new(),
+            revisit: None,
+        }
+    }
+
+    /// Takes over an accepted configuration; learnt speeds and running tasks of
+    /// back ends that stay are kept.
+    pub fn configure(
+        &mut self,
+        now: Time,
+        config: &Config,
+        view: &View,
+        out: &mut Vec<PlaceEffect>,
+    ) {
+        self.config = config.clone();
+        self.choose = policy(&config.rules.policy);
+        self.members.configure(&config.members, view, &self.me);
+        let specs = share::share(config, view, &self.me);
+        self.rebuild(now, &specs, out);
+    }
+
+    /// Takes over another view of the hosts.
+    ///
+    /// Waiting tasks that no back end of the new share can run end as not run,
+    /// so that their homes place them anew.
+    pub fn view_changed(&mut self, now: Time, view: &View, out: &mut Vec<PlaceEffect>) {
+        self.members.configure(&self.config.members, view, &self.me);
+        let specs = share::share(&self.config, view, &self.me);
+        if !self.same_share(&specs) {
+            self.rebuild(now, &specs, out);
+        }
+    }
+
+    /// Takes in that a back end is leaving, or that it is not any more.
+    pub fn leaving(&mut self, now: Time, name: &str, leaving: bool, out: &mut Vec<PlaceEffect>) {
+        if leaving {
+            self.leaving.insert(Name::from(name));
+        } else {
+            self.leaving.remove(name);
+        }
+        let Some(&id) = self.by_name.get(name) else { return };
+        self.backends[id as usize].leaving = leaving;
+        self.changed(now, id, out);
+    }
+
+    /// Takes in an order of a home: it is started, queued or refused at once.
+    pub fn order(&mut self, now: Time, home: &Peer, order: Order, out: &mut Vec<PlaceEffect>) {
+        let name = (home.clone(), order.key);
+        if self.index.contains_key(&name) {
+            return;
+        }
+        let member = self.members.id(&order.member);
+        let pool = self.admit(now, member, &order, out);
+        let (pool, trial) = match pool {
+            Ok(admitted) => admitted,
+            Err(cause) => {
+                let outcome = Outcome::NotRun(cause);
+                out.push(PlaceEffect::Ended { home: home.clone(), key: order.key, outcome });
+                return;
+            }
+        };
+        self.pools[pool as usize].hint(order.task.declared);
+        let held = Held {
+            home: home.clone(),
+            order,
+            pool,
+            member,
+            seq: self.next_seq,
+            queued: now,
+            drop_at: Time::NEVER,
+            tries: 0,
+            overtaken: 0,
+            trial,
+            kept: None,
+            run: None,
+        };
+        self.next_seq += 1;
+        let slot = self.held.insert(held);
+        self.index.insert(name, slot);
+        self.members.hold(member);
+        self.enqueue(now, slot);
+        self.arm_revisit(now);
+        self.dispatch(now, pool, out);
+    }
+
+    /// Decides whether an order may come into the queue: its pool, and whether
+    /// it is a trial against the learnt run time.
+    fn admit(
+        &mut self,
+        now: Time,
+        member: u32,
+        order: &Order,
+        out: &mut Vec<PlaceEffect>,
+    ) -> Result<(u32, bool), Cause> {
+        if self.stopping {
+            return Err(Cause::Stopping);
+        }
+        let id = self.pool_of(&order.task.target).ok_or(Cause::NoBackend)?;
+        let want = Room::wanted(&order.task.target);
+        if !self.pools[id as usize].could_run(&want) {
+            return Err(Cause::NoBackend);
+        }
+        let state = self.members.get(member);
+        if state.held >= state.part {
+            return Err(Cause::Limit);
+        }
+        let weight = state.weight;
+        let trial = self.feasible(now, id, (member, weight), order.deadline)?;
+        if self.waiting >= self.config.rules.queue_limit {
+            self.evict(id, (member, weight), out)?;
+        }
+        Ok((id, trial))
+    }
+
+    /// Refuses what can't be finished by its deadline.
+    ///
+    /// A belief that every task is too long would refuse all of them and so
+    /// never be corrected; one a second is tried all the same.
+    fn feasible(
+        &mut self,
+        now: Time,
+        id: u32,
+        member: (u32, u32),
+        deadline: Time,
+    ) -> Result<bool, Cause> {
+        if deadline <= now {
+            return Err(Cause::Deadline);
+        }
+        let pool = &mut self.pools[id as usize];
+        if !pool.judged() {
+            return Ok(false);
+        }
+        if now.after_us(pool.fastest_us()) > deadline {
+            if now < pool.trial_at {
+                return Err(Cause::Deadline);
+            }
+            pool.trial_at = now.after_ms(TRIAL_MS);
+            return Ok(true);
+        }
+        let wait = pool.member_wait_us(member.0, member.1);
+        if pool.queue.waiting() > 0 && now.after_us((wait + pool.average_us()) as u64) > deadline {
+            return Err(Cause::Deadline);
+        }
+        Ok(false)
+    }
+
+    /// Makes place in a full queue at the cost of the member that fills it.
+    fn evict(
+        &mut self,
+        pool: u32,
+        member: (u32, u32),
+        out: &mut Vec<PlaceEffect>,
+    ) -> Result<(), Cause> {
+        let queue = &self.pools[pool as usize].queue;
+        let slot = queue.newest_of_longest(member.0, member.1).ok_or(Cause::Full)?;
+        self.unqueue(slot);
+        self.settle(slot, Outcome::NotRun(Cause::Full), out);
+        Ok(())
+    }
+
+    /// Drops a task: a waiting one is forgotten, a running one is stopped and
+    /// its slot is free when its call ends.
+    pub fn drop_task(&mut self, now: Time, home: &Peer, key: TaskKey, out: &mut Vec<PlaceEffect>) {
+        let Some(slot) = self.index.remove(&(home.clone(), key)) else { return };
+        let Some(held) = self.held.get_mut(slot) else { return };
+        if let Some(run) = held.run.as_mut() {
+            run.wanted = false;
+            out.push(PlaceEffect::Abort(run.attempt));
+            return;
+        }
+        let pool = held.pool;
+        self.unqueue(slot);
+        self.forget(slot);
+        self.dispatch_behind(now, pool, out);
+    }
+
+    /// Forgets the waiting tasks of a home that is gone; running ones go on.
+    pub fn home_gone(&mut self, now: Time, home: &Peer, out: &mut Vec<PlaceEffect>) {
+        let of_home = self.held.iter().filter(|(_, held)| held.home == *home);
+        let (running, waiting): (Vec<_>, Vec<_>) =
+            of_home.map(|(slot, held)| (slot, held.run.is_some())).partition(|(_, runs)| *runs);
+        for (slot, _) in running {
+            if let Some(held) = self.held.get_mut(slot) {
+                self.index.remove(&(held.home.clone(), held.order.key));
+                held.run = held.run.map(|run| super::held::Run { wanted: false, ..run });
+            }
+        }
+        for (slot, _) in waiting {
+            self.unqueue(slot);
+            self.forget(slot);
+        }
+        self.dispatch_all(now, out);
+    }
+
+    /// Starts the planned stop: no new orders, what is held is finished.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Returns whether nothing waits or runs.
+    pub fn idle(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    /// Returns whether any back end of the whole inventory could ever run a task.
+    pub fn can_ever(config: &Config, target: &Target) -> bool {
+        share::can_ever(config, target)
+    }
+
+    /// Returns the pool for a target.
+    pub(crate) fn pool_of(&self, target: &Target) -> Option<u32> {
+        match target {
+            Target::Service(name) => self.services.get(name).copied(),
+            Target::Need(need) if need.accelerators == 0 => Some(PLAIN),
+            Target::Need(_) => Some(ACCELERATED),
+        }
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/place/policy.rs
@@ -0,0 +1,47 @@
+//! Placement policies, which register themselves by name.
+
+use rand::rngs::SmallRng;
+
+use super::choice::Choice;
+
+/// Name of the policy in use when the rules name none that exists.
+const DEFAULT_POLICY: &str = "earliest";
+
+/// Chooses a back end with room, or none to leave the task in the queue.
+pub(crate) type Choose = fn(&Choice<'_>, &mut SmallRng) -> Option<usize>;
+
+/// A placement policy; `inventory::submit!` registers it.
+#[derive(Debug)]
+pub struct PolicyPlugin {
+    /// Name in the rules.
+    pub name: &'static str,
+    /// Chooses a back end with room, or none to leave the task in the queue.
+    pub choose: fn(&Choice<'_>, &mut SmallRng) -> Option<usize>,
+}
+
+inventory::collect!(PolicyPlugin);
+
+inventory::submit! {
+    PolicyPlugin { name: DEFAULT_POLICY, choose: earliest }
+}
+
+/// Takes the fastest back end with room, unless waiting for a faster one ends sooner.
+fn earliest(choice: &Choice<'_>, _: &mut SmallRng) -> Option<usize> {
+    let at = choice.fastest()?;
+    choice.worthwhile(at).then_some(at)
+}
+
+/// Returns the names of all policies, sorted.
+pub fn policy_names() -> Vec<&'static str> {
+    let mut names: Vec<_> = inventory::iter::<PolicyPlugin>().map(|plugin| plugin.name).collect();
+    names.sort_unstable();
+    names
+}
+
+/// Returns the policy of this name, or the default one.
+pub(crate) fn policy(name: &str) -> Choose {
+    let find = |name: &str| {
+        inventory::iter::<PolicyPlugin>().find(|plugin| plugin.name == name).map(|p| p.choose)
+    };
+    find(name).or_else(|| find(DEFAULT_POLICY)).unwrap_or(earliest)
+}
--- /dev/null
+++ b/endivestile_kernel/src/place/pool.rs
@@ -0,0 +1,283 @@
+//! Back ends and waiting tasks of one service, or of one class of need.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use endivestile_config::model::Name;
+
+use super::bands::Bands;
+use super::fit::FitTree;
+use super::queue::FairQueue;
+use super::room::Room;
+use super::seat::{Key, Seat};
+use super::speed::Speed;
+use crate::{Need, Time};
+
+/// Run time believed before any task has ended, in microseconds.
+const DEFAULT_US: f64 = 200_000.0;
+
+/// Weight of a new sample in the ratio of mean to typical run time.
+const SCALE_WEIGHT: f64 = 1.0 / 64.0;
+
+/// Samples from which on deadlines are judged by learnt run times.
+const JUDGE_SAMPLES: u32 = 8;
+
+/// What a pool runs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// One service.
+    Service(Name),
+    /// Tasks without accelerators, on any worker.
+    Plain,
+    /// Tasks with accelerators.
+    Accelerated,
+}
+
+/// Back ends and waiting tasks of one service, or of one class of need.
+#[derive(Debug)]
+pub(crate) struct Pool {
+    /// What it runs.
+    pub(crate) kind: Kind,
+    /// Path to call, empty for workers.
+    pub(crate) path: Name,
+    /// Back ends; workers in the order of preference.
+    pub(crate) seats: Vec<Seat>,
+    /// Back ends before the seats were replaced, for their speeds.
+    pub(crate) former: Vec<Seat>,
+    /// Free backend servers, best first.
+    pub(crate) free: BTreeSet<Key>,
+    /// Free room of the workers.
+    pub(crate) tree: FitTree,
+    /// Whole room of the usable workers.
+    pub(crate) ever: FitTree,
+    /// Usable capacity by speed.
+    pub(crate) bands: Bands,
+    /// Waiting tasks.
+    pub(crate) queue: FairQueue,
+    /// Waiting tasks by need.
+    pub(crate) needs: BTreeMap<Need, u32>,
+    /// Capacity that the waiting tasks want.
+    pub(crate) wanted: u64,
+    /// Run time of all back ends together.
+    pub(crate) common: Speed,
+    /// Mean run time over typical run time.
+    pub(crate) scale: f64,
+    /// Typical capacity of one task.
+    pub(crate) typical: f64,
+    /// Where round robin goes on.
+    pub(crate) cursor: usize,
+    /// Job whose task was started last, and on which rack.
+    pub(crate) last: Option<(u64, u32)>,
+    /// When a task may next be tried although it is believed too long for its deadline.
+    pub(crate) trial_at: Time,
+    /// Usable seats whose last answer was a failure.
+    pub(crate) sour: u32,
+    /// Usable seats.
+    pub(crate) usable: u32,
+}
+
+impl Pool {
+    /// Makes a pool without back ends.
+    pub(crate) fn new(kind: Kind) -> Self {
+        Self {
+            kind,
+            path: Name::from(""),
+            seats: Vec::new(),
+            former: Vec::new(),
+            free: BTreeSet::new(),
+            tree: FitTree::new(0),
+            ever: FitTree::new(0),
+            bands: Bands::new(),
+            queue: FairQueue::default(),
+            needs: BTreeMap::new(),
+            wanted: 0,
+            common: Speed { ln: DEFAULT_US.ln(), ..Speed::default() },
+            scale: 1.0,
+            typical: 1.0,
+            cursor: 0,
+            last: None,
+            trial_at: Time::ZERO,
+            sour: 0,
+            usable: 0,
+        }
+    }
+
+    /// Returns whether its back ends are workers.
+    pub(crate) fn on_workers(&self) -> bool {
+        !matches!(self.kind, Kind::Service(_))
+    }
+
+    /// Returns the part of a room by which this pool counts capacity.
+    pub(crate) const fn units(&self, room: &Room) -> u32 {
+        match self.kind {
+            Kind::Service(_) | Kind::Plain => room.cpu,
+            Kind::Accelerated => room.accelerators,
+        }
+    }
+
+    /// Replaces the seats; their capacity is counted at the next refresh.
+    pub(crate) fn reseat(&mut self, seats: Vec<Seat>) {
+        self.free.clear();
+        self.bands = Bands::new();
+        let leaves = if self.on_workers() { seats.len() } else { 0 };
+        self.tree = FitTree::new(leaves);
+        self.ever = FitTree::new(leaves);
+        self.former = std::mem::replace(&mut self.seats, seats);
+        self.sour = 0;
+        self.usable = 0;
+        self.last = None;
+    }
+
+    /// Returns the logarithm of a seat's typical run time: learnt, or that of all.
+    pub(crate) fn ln(&self, at: usize) -> f64 {
+        let speed = &self.seats[at].speed;
+        let learnt = if speed.known() { speed.ln } else { self.common.ln };
+        self.seats[at].stalled.map_or(learnt, |stalled| learnt.max(stalled))
+    }
+
+    /// Returns a seat's typical run time in microseconds.
+    pub(crate) fn typical_us(&self, at: usize) -> f64 {
+        self.ln(at).exp()
+    }
+
+    /// Returns a seat's mean run time in microseconds.
+    pub(crate) fn mean_us(&self, at: usize) -> f64 {
+        self.typical_us(at) * self.scale
+    }
+
+    /// Takes in the run time of a task.
+    pub(crate) fn learn(&mut self, now: Time, at: usize, micros: u64) {
+        let seat = &mut self.seats[at];
+        seat.speed.learn(now, micros);
+        seat.stalled = None;
+        let ratio = micros as f64 / seat.speed.ln.exp();
+        self.scale += (ratio.min(20.0) - self.scale) * SCALE_WEIGHT;
+        self.common.learn(now, micros);
+    }
+
+    /// Takes a declared run time as a hint while nothing is learnt.
+    pub(crate) fn hint(&mut self, declared_ms: u32) {
+        if !self.common.known() && declared_ms > 0 {
+            self.common.ln = (f64::from(declared_ms) * 1_000.0).ln();
+        }
+    }
+
+    /// Counts the capacity and the free slots of a seat anew.
+    pub(crate) fn refresh(&mut self, at: usize, state: &SeatState) {
+        let ln = self.ln(at);
+        let band = Bands::band(ln);
+        let units = if state.usable { self.units(&state.total) } else { 0 };
+        let sour = state.usable && state.sour;
+        let seat = &mut self.seats[at];
+        if (seat.band, seat.units) != (band, units) {
+            self.bands.sub(seat.band, seat.units);
+            self.bands.add(band, units);
+            (seat.band, seat.units) = (band, units);
+        }
+        self.usable = self.usable + u32::from(state.usable) - u32::from(seat.usable);
+        self.sour = self.sour + u32::from(sour) - u32::from(seat.sour);
+        (seat.usable, seat.sour) = (state.usable, sour);
+        seat.running = state.running;
+        if matches!(self.kind, Kind::Service(_)) {
+            let key = (state.free.cpu > 0).then(|| Key::new(ln, state.running, at));
+            self.rekey(at, key);
+        } else {
+            self.tree.set(at, state.free);
+            self.ever.set(at, if state.usable { state.total } else { Room::default() });
+        }
+    }
+
+    fn rekey(&mut self, at: usize, key: Option<Key>) {
+        let seat = &mut self.seats[at];
+        if seat.key == key {
+            return;
+        }
+        if let Some(old) = seat.key {
+            self.free.remove(&old);
+        }
+        if let Some(new) = key {
+            self.free.insert(new);
+        }
+        seat.key = key;
+    }
+
+    /// Returns the time that a task which arrives now waits, in microseconds;
+    /// none when no back end is usable.
+    pub(crate) fn wait_us(&self, part: f64) -> Option<f64> {
+        let (units, rate) = self.bands.total();
+        if units == 0.0 {
+            return None;
+        }
+        let waiting = self.wanted as f64;
+        Some((waiting + self.typical) * self.scale / rate / part.clamp(0.001, 1.0))
+    }
+
+    /// Returns whether enough was learnt to judge deadlines by it.
+    pub(crate) const fn judged(&self) -> bool {
+        self.common.samples >= JUDGE_SAMPLES
+    }
+
+    /// Returns the shortest typical run time, 0 while too little is known.
+    pub(crate) fn fastest_us(&self) -> u64 {
+        if !self.judged() {
+            return 0;
+        }
+        self.bands.fastest_us().unwrap_or(0.0) as u64
+    }
+
+    /// Returns whether a usable back end could run a task.
+    pub(crate) fn could_run(&self, want: &Room) -> bool {
+        if self.on_workers() {
+            return self.ever.find(want, 0).is_some();
+        }
+        self.bands.total().0 > 0.0
+    }
+
+    /// Returns the best seat with room for `want`.
+    pub(crate) fn first_free(&self, want: &Room) -> Option<usize> {
+        if self.on_workers() {
+            let least = Room { cpu: want.cpu.max(1), ..*want };
+            return self.tree.find(&least, 0);
+        }
+        self.free.first().map(|key| key.at())
+    }
+
+    /// Returns the time that a task of a member which arrives now waits, in
+    /// microseconds: behind its own tasks at its part, or behind all at most.
+    pub(crate) fn member_wait_us(&self, member: u32, weight: u32) -> f64 {
+        let (units, rate) = self.bands.total();
+        if units == 0.0 {
+            return 0.0;
+        }
+        let own = (self.queue.waiting_of(member) + 1) as f64 * self.typical;
+        let own = own / self.queue.part(member, weight);
+        own.min(self.wanted as f64 + self.typical) * self.scale / rate
+    }
+
+    /// Returns the time until a task that arrives now is finished, in microseconds.
+    pub(crate) fn finish_us(&self, want: &Room) -> u64 {
+        let wait = self.wait_us(1.0).unwrap_or(0.0) + self.average_us();
+        let Some(at) = self.first_free(want) else { return wait as u64 };
+        (self.mean_us(at) as u64).min(wait as u64)
+    }
+
+    /// Returns the mean run time over all slots, in microseconds.
+    pub(crate) fn average_us(&self) -> f64 {
+        let (units, rate) = self.bands.total();
+        if rate == 0.0 { DEFAULT_US } else { units / rate * self.scale }
+    }
+}
+
+/// What a refresh of a seat has to know of its back end.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SeatState {
+    /// Whether new tasks may go there.
+    pub(crate) usable: bool,
+    /// Whether its last answer was a failure.
+    pub(crate) sour: bool,
+    /// Capacity.
+    pub(crate) total: Room,
+    /// Capacity free for this pool.
+    pub(crate) free: Room,
+    /// Tasks running.
+    pub(crate) running: u32,
+}
--- /dev/null
+++ b/endivestile_kernel/src/place/rack.rs
@@ -0,0 +1,31 @@
+//! Racks, which fail as a whole.
+
+use crate::Time;
+
+/// Back ends of a rack that go out within the window before the rest is doubted.
+const DOUBT_OUTS: usize = 3;
+
+/// Window for that, in milliseconds.
+const WINDOW_MS: u64 = 2_000;
+
+/// One rack.
+///
+/// A switch or a power feed takes all its back ends at once. Each of them would
+/// take a slotful of tasks with it before its own failures show; once several
+/// are out, the others get one task at a time until they answer.
+#[derive(Debug, Default)]
+pub(crate) struct Rack {
+    /// Slots of its back ends.
+    pub(crate) backends: Vec<u32>,
+    /// When back ends went out lately.
+    outs: Vec<Time>,
+}
+
+impl Rack {
+    /// Takes in that a back end went out; returns whether the others are in doubt.
+    pub(crate) fn went_out(&mut self, now: Time) -> bool {
+        self.outs.retain(|out| out.after_ms(WINDOW_MS) > now);
+        self.outs.push(now);
+        self.outs.len() == DOUBT_OUTS
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/place/report.rs
@@ -0,0 +1,88 @@
+//! What a placer tells of its share.
+
+use super::placer::Placer;
+use super::pool::{Kind, Pool};
+use super::room::Room;
+use super::status::ServerStatus;
+use crate::{Figure, Need, Target, Task, Time};
+
+impl Placer {
+    /// Returns when a task would be finished if it were ordered now; none when
+    /// no usable back end of this share could run it.
+    pub fn expected(&self, now: Time, task: &Task) -> Option<Time> {
+        let pool = &self.pools[self.pool_of(&task.target)? as usize];
+        let want = Room::wanted(&task.target);
+        if !pool.could_run(&want) {
+            return None;
+        }
+        Some(now.after_us(pool.finish_us(&want)))
+    }
+
+    /// Returns the load of the share: one figure per service and class of need.
+    pub fn figures(&self, _now: Time) -> Vec<Figure> {
+        let pools = self.pools.iter().filter(|pool| pool.usable > 0);
+        pools.map(|pool| self.figure(pool)).collect()
+    }
+
+    fn figure(&self, pool: &Pool) -> Figure {
+        let free =
+            |seat: &super::seat::Seat| pool.units(&self.backends[seat.backend as usize].free());
+        let (units, _) = pool.bands.total();
+        let free: u32 = pool.seats.iter().map(free).sum();
+        let typical = pool.typical.max(1.0);
+        let first = pool.first_free(&Room::default());
+        let service = first.map_or_else(
+            || pool.bands.fastest_us().unwrap_or(0.0) * pool.scale,
+            |at| pool.mean_us(at),
+        );
+        let wait = if free > 0 && pool.queue.waiting() == 0 {
+            0.0
+        } else {
+            pool.wait_us(1.0).unwrap_or(0.0)
+        };
+        Figure {
+            target: target(pool),
+            slots: (f64::from(units as u32) / typical) as u32,
+            free: (f64::from(free) / typical) as u32,
+            waiting: pool.queue.waiting(),
+            service_us: service as u32,
+            wait_us: wait as u32,
+        }
+    }
+
+    /// Returns how the back ends of the share stand.
+    pub fn status(&self, _now: Time) -> Vec<ServerStatus> {
+        let listed = self.backends.iter().filter(|backend| backend.listed);
+        let mut all: Vec<ServerStatus> = listed
+            .map(|backend| {
+                let pools = backend.seats.iter().map(|(pool, at)| {
+                    let pool = &self.pools[*pool as usize];
+                    (pool.queue.waiting(), pool.seats[*at as usize].speed)
+                });
+                let (waiting, speeds): (Vec<u32>, Vec<_>) = pools.unzip();
+                let known = speeds.iter().find(|speed| speed.known());
+                ServerStatus {
+                    name: backend.name.clone(),
+                    slots: backend.total.cpu,
+                    free: backend.free().cpu,
+                    waiting: waiting.iter().sum(),
+                    speed_us: known.map_or(0, |speed| speed.ln.exp() as u64),
+                    health: backend.condition(),
+                }
+            })
+            .collect();
+        all.sort_by(|a, b| a.name.cmp(&b.name));
+        all
+    }
+}
+
+/// Names what a pool runs, with the most demanding need that waits.
+fn target(pool: &Pool) -> Target {
+    let most = pool.needs.keys().next_back().copied();
+    let need = |accelerators| Need { cpu_milli: 0, memory_mb: 0, accelerators };
+    match &pool.kind {
+        Kind::Service(name) => Target::Service(name.clone()),
+        Kind::Plain => Target::Need(most.unwrap_or_else(|| need(0))),
+        Kind::Accelerated => Target::Need(most.unwrap_or_else(|| need(1))),
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/place/room.rs
@@ -0,0 +1,80 @@
+//! Capacity of a back end.
+
+use crate::{Need, Target};
+
+/// Slots of a backend server, or what a worker has to spare.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) struct Room {
+    /// Slots, or thousandths of a core.
+    pub(crate) cpu: u32,
+    /// Memory in MiB.
+    pub(crate) memory: u32,
+    /// Accelerators.
+    pub(crate) accelerators: u32,
+}
+
+impl Room {
+    /// Capacity of a backend server.
+    pub(crate) const fn slots(count: u32) -> Self {
+        Self { cpu: count, memory: 0, accelerators: 0 }
+    }
+
+    /// Returns what a task takes of its back end, never nothing at all.
+    pub(crate) fn wanted(target: &Target) -> Self {
+        match target {
+            Target::Service(_) => Self::slots(1),
+            Target::Need(need) => Self::from(*need),
+        }
+    }
+
+    /// Returns whether `want` fits.
+    pub(crate) const fn holds(&self, want: &Self) -> bool {
+        self.cpu >= want.cpu && self.memory >= want.memory && self.accelerators >= want.accelerators
+    }
+
+    /// Returns the sum with `other`.
+    pub(crate) const fn plus(&self, other: &Self) -> Self {
+        Self {
+            cpu: self.cpu.saturating_add(other.cpu),
+            memory: self.memory.saturating_add(other.memory),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// Returns what is left without `other`, never below zero.
+    pub(crate) const fn minus(&self, other: &Self) -> Self {
+        Self {
+            cpu: self.cpu.saturating_sub(other.cpu),
+            memory: self.memory.saturating_sub(other.memory),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
+    /// Returns how much of `want` fits, in thousandths.
+    pub(crate) fn share(&self, want: &Self) -> u64 {
+        let part =
+            |have: u32, need: u32| u64::from(have.min(need)) * 1_000 / u64::from(need.max(1));
+        let rest = |have: u32, need: u32| if need == 0 { 1_000 } else { part(have, need) };
+        let cpu = part(self.cpu, want.cpu);
+        cpu.min(rest(self.memory, want.memory)).min(rest(self.accelerators, want.accelerators))
+    }
+
+    /// Returns the larger of each part.
+    pub(crate) fn max(&self, other: &Self) -> Self {
+        Self {
+            cpu: self.cpu.max(other.cpu),
+            memory: self.memory.max(other.memory),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+}
+
+impl From<Need> for Room {
+    fn from(need: Need) -> Self {
+        Self {
+            cpu: need.cpu_milli.max(1),
+            memory: need.memory_mb,
+            accelerators: u32::from(need.accelerators),
+        }
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/place/seat.rs
@@ -0,0 +1,72 @@
+//! A back end's place in one pool.
+
+use super::speed::Speed;
+
+/// Steps of the preference key per doubling of the run time: run times within
+/// 4% count as equal, and the back end with fewer tasks goes first.
+const KEYS_PER_OCTAVE: f64 = 16.0;
+
+/// One back end in one pool.
+#[derive(Debug)]
+pub(crate) struct Seat {
+    /// Slot of the back end.
+    pub(crate) backend: u32,
+    /// Rack, to spread a job's tasks.
+    pub(crate) rack: u32,
+    /// Run times learnt.
+    pub(crate) speed: Speed,
+    /// Believed run time while tasks are overdue, as a natural logarithm.
+    pub(crate) stalled: Option<f64>,
+    /// Band in which its capacity is counted.
+    pub(crate) band: usize,
+    /// Capacity counted in the band, 0 while not usable.
+    pub(crate) units: u32,
+    /// Whether new tasks may go there.
+    pub(crate) usable: bool,
+    /// Whether it is usable and its last answer was a failure.
+    pub(crate) sour: bool,
+    /// Tasks running on the back end.
+    pub(crate) running: u32,
+    /// Key among the free seats, none when it has no free slot.
+    pub(crate) key: Option<Key>,
+}
+
+impl Seat {
+    /// Makes a seat without capacity.
+    pub(crate) fn new(backend: u32, rack: u32, speed: Speed) -> Self {
+        Self {
+            backend,
+            rack,
+            speed,
+            stalled: None,
+            band: 0,
+            units: 0,
+            usable: false,
+            sour: false,
+            running: 0,
+            key: None,
+        }
+    }
+}
+
+/// Order among the free seats of a pool: faster first, then fewer tasks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Key(u64);
+
+impl Key {
+    /// Makes the key of seat `at` from the logarithm of its run time and its tasks.
+    pub(crate) fn new(ln: f64, running: u32, at: usize) -> Self {
+        let step = (ln * std::f64::consts::LOG2_E * KEYS_PER_OCTAVE).max(0.0) as u64;
+        Self(step.min(0xffff) << 48 | u64::from(running.min(0xffff)) << 32 | at as u64)
+    }
+
+    /// Returns the seat.
+    pub(crate) const fn at(self) -> usize {
+        (self.0 & 0xffff_ffff) as usize
+    }
+
+    /// Returns the step of the run time.
+    pub(crate) const fn step(self) -> u64 {
+        self.0 >> 48
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/place/share.rs
@@ -0,0 +1,71 @@
+//! The back ends whose slots this host counts.
+
+use endivestile_config::model::{Config, Name};
+
+use super::room::Room;
+use crate::{Peer, Target, View};
+
+/// One back end of the inventory.
+#[derive(Debug)]
+pub(crate) struct Spec {
+    /// Name.
+    pub(crate) name: Name,
+    /// Address, `IP:port`.
+    pub(crate) address: Name,
+    /// Rack, empty when not known.
+    pub(crate) rack: Name,
+    /// Capacity.
+    pub(crate) total: Room,
+    /// Whether it is a worker.
+    pub(crate) worker: bool,
+}
+
+/// Returns the back ends for which `view` names this host as placer.
+pub(crate) fn share(config: &Config, view: &View, me: &Peer) -> Vec<Spec> {
+    let mine = |zone: &str, name: &str| {
+        view.placer(zone, name).is_some_and(|host| host.peer.host == me.host)
+    };
+    let servers = config.servers.iter().filter(|(name, server)| mine(&server.zone, name));
+    let workers = config.workers.iter().filter(|(name, worker)| mine(&worker.zone, name));
+    let servers = servers.map(|(name, server)| Spec {
+        name: name.clone(),
+        address: server.address.clone(),
+        rack: server.rack.clone(),
+        total: Room::slots(server.slots.min(server.connections)),
+        worker: false,
+    });
+    let workers = workers.map(|(name, worker)| Spec {
+        name: name.clone(),
+        address: worker.address.clone(),
+        rack: worker.rack.clone(),
+        total: worker_room(worker),
+        worker: true,
+    });
+    servers.chain(workers).collect()
+}
+
+/// Returns whether any back end of the whole inventory could ever run a task.
+pub(crate) fn can_ever(config: &Config, target: &Target) -> bool {
+    match target {
+        Target::Service(name) => {
+            let servers = config.services.get(name).map(|service| &service.servers);
+            let mut servers = servers.into_iter().flatten();
+            servers.any(|server| {
+                let server = config.servers.get(server);
+                server.is_some_and(|server| server.slots.min(server.connections) > 0)
+            })
+        }
+        Target::Need(need) => {
+            let want = Room::from(*need);
+            config.workers.values().any(|worker| worker_room(worker).holds(&want))
+        }
+    }
+}
+
+fn worker_room(worker: &endivestile_config::model::Worker) -> Room {
+    Room {
+        cpu: worker.cpu_milli,
+        memory: worker.memory_mb,
+        accelerators: u32::from(worker.accelerators),
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/place/sharing.rs
@@ -0,0 +1,326 @@
+//! Changes of the share and of its back ends.
+
+use std::collections::HashMap;
+
+use endivestile_config::model::Name;
+
+use super::backend::Backend;
+use super::effect::PlaceEffect;
+use super::ending::note;
+use super::placer::{ACCELERATED, PLAIN, Placer};
+use super::pool::{Kind, Pool, SeatState};
+use super::rack::Rack;
+use super::room::Room;
+use super::seat::Seat;
+use super::share::Spec;
+use super::speed::Speed;
+use super::timer::Timer;
+use crate::{Cause, Outcome, Time};
+
+/// Time between two looks at speeds that were not confirmed, in milliseconds.
+const REVISIT_MS: u64 = 5_000;
+
+/// Time after which a speed that was not confirmed drifts to that of all, in milliseconds.
+const STALE_MS: u64 = 20_000;
+
+/// Part of the way that it drifts at each look.
+const DRIFT: f64 = 0.25;
+
+impl Placer {
+    /// Returns whether the share holds the same back ends as before.
+    pub(crate) fn same_share(&self, specs: &[Spec]) -> bool {
+        let listed = self.backends.iter().filter(|backend| backend.listed).count();
+        listed == specs.len()
+            && specs.iter().all(|spec| {
+                let id = self.by_name.get(&spec.name);
+                id.is_some_and(|id| self.backends[*id as usize].listed)
+            })
+    }
+
+    /// Takes over another share.
+    pub(crate) fn rebuild(&mut self, now: Time, specs: &[Spec], out: &mut Vec<PlaceEffect>) {
+        for backend in &mut self.backends {
+            backend.listed = false;
+        }
+        for spec in specs {
+            self.list(spec);
+        }
+        self.number_racks();
+        self.seat_all();
+        self.retire();
+        for id in 0..self.backends.len() as u32 {
+            self.refresh(id);
+        }
+        for pool in 0..self.pools.len() as u32 {
+            self.bounce(pool, out);
+        }
+        self.dispatch_all(now, out);
+    }
+
+    fn list(&mut self, spec: &Spec) {
+        if let Some(&id) = self.by_name.get(&spec.name) {
+            self.backends[id as usize].update(spec);
+            return;
+        }
+        let mut backend = Backend::new(spec);
+        backend.leaving = self.leaving.contains(&spec.name);
+        let id = self.vacant.pop().unwrap_or(self.backends.len() as u32);
+        if id as usize == self.backends.len() {
+            self.backends.push(backend);
+        } else {
+            self.backends[id as usize] = backend;
+        }
+        self.by_name.insert(spec.name.clone(), id);
+    }
+
+    /// Forgets back ends that have left the share and run nothing any more.
+    fn retire(&mut self) {
+        for (id, backend) in self.backends.iter_mut().enumerate() {
+            if backend.listed || !backend.running.is_empty() {
+                continue;
+            }
+            if self.by_name.get(&backend.name) == Some(&(id as u32)) {
+                self.by_name.remove(&backend.name);
+                self.vacant.push(id as u32);
+            }
+        }
+    }
+
+    fn number_racks(&mut self) {
+        let mut numbers: HashMap<Name, u32> = HashMap::new();
+        self.racks.clear();
+        for (id, backend) in self.backends.iter_mut().enumerate().filter(|(_, b)| b.listed) {
+            let next = numbers.len() as u32;
+            backend.rack_id = *numbers.entry(backend.rack.clone()).or_insert(next);
+            if backend.rack_id == next {
+                self.racks.push(Rack::default());
+            }
+            self.racks[backend.rack_id as usize].backends.push(id as u32);
+        }
+    }
+
+    /// Gives every listed back end its seats.
+    fn seat_all(&mut self) {
+        for backend in &mut self.backends {
+            backend.seats.clear();
+        }
+        for pool in 0..self.pools.len() as u32 {
+            if !self.pools[pool as usize].on_workers() {
+                self.reseat(pool, &[]);
+            }
+        }
+        self.seat_services();
+        self.seat_workers(PLAIN);
+        self.seat_workers(ACCELERATED);
+        // Slots of back ends are used anew: no speed may outlive its back end.
+        for pool in &mut self.pools {
+            pool.former.clear();
+        }
+    }
+
+    fn seat_services(&mut self) {
+        let services = std::mem::take(&mut self.config.services);
+        for (name, service) in &services {
+            let pool = self.service_pool(name);
+            self.pools[pool as usize].path = service.path.clone();
+            let ids = service.servers.iter().filter_map(|server| self.by_name.get(server));
+            let listed = |id: &u32| {
+                let backend = &self.backends[*id as usize];
+                backend.listed && !backend.worker
+            };
+            let ids: Vec<u32> = ids.copied().filter(listed).collect();
+            self.reseat(pool, &ids);
+        }
+        self.config.services = services;
+    }
+
+    fn service_pool(&mut self, name: &Name) -> u32 {
+        if let Some(&pool) = self.services.get(name) {
+            return pool;
+        }
+        let pool = self.pools.len() as u32;
+        self.pools.push(Pool::new(Kind::Service(name.clone())));
+        self.services.insert(name.clone(), pool);
+        pool
+    }
+
+    /// Seats the workers of a class: fewer accelerators first, then the faster.
+    fn seat_workers(&mut self, pool: u32) {
+        let least = u32::from(pool == ACCELERATED);
+        let listed = self.backends.iter().enumerate().filter(|(_, backend)| {
+            backend.listed && backend.worker && backend.total.accelerators >= least
+        });
+        let mut ids: Vec<u32> = listed.map(|(id, _)| id as u32).collect();
+        let speeds = self.speeds(pool);
+        let common = self.pools[pool as usize].common.ln;
+        let ln = |id: &u32| speeds.get(id).filter(|s| s.known()).map_or(common, |s| s.ln);
+        ids.sort_by(|a, b| {
+            let accelerators = |id: &u32| self.backends[*id as usize].total.accelerators;
+            accelerators(a).cmp(&accelerators(b)).then(ln(a).total_cmp(&ln(b)))
+        });
+        self.reseat(pool, &ids);
+    }
+
+    fn speeds(&self, pool: u32) -> HashMap<u32, Speed> {
+        let seats = &self.pools[pool as usize].seats;
+        let all = self.pools[pool as usize].former.iter().chain(seats);
+        all.map(|seat| (seat.backend, seat.speed)).collect()
+    }
+
+    fn reseat(&mut self, pool: u32, ids: &[u32]) {
+        let speeds = self.speeds(pool);
+        let seats = ids.iter().map(|id| {
+            let speed = speeds.get(id).copied().unwrap_or_default();
+            Seat::new(*id, self.backends[*id as usize].rack_id, speed)
+        });
+        let seats: Vec<Seat> = seats.collect();
+        for (at, id) in ids.iter().enumerate() {
+            let own = &mut self.backends[*id as usize].seats;
+            own.retain(|(other, _)| *other != pool);
+            own.push((pool, at as u32));
+        }
+        self.pools[pool as usize].reseat(seats);
+    }
+
+    /// Counts the room of a back end anew in all its pools.
+    pub(crate) fn refresh(&mut self, id: u32) {
+        let backend = &self.backends[id as usize];
+        let mut state = SeatState {
+            usable: backend.usable(),
+            sour: backend.health.sour(),
+            total: backend.total,
+            free: Room::default(),
+            running: backend.running.len() as u32,
+        };
+        for &(pool, at) in &backend.seats {
+            state.free = match pool {
+                _ if backend.kept.is_some() => Room::default(),
+                PLAIN => backend.free_plain(),
+                _ => backend.free(),
+            };
+            self.pools[pool as usize].refresh(at as usize, &state);
+        }
+    }
+
+    /// Takes in that a back end became usable or stopped being so.
+    pub(crate) fn changed(&mut self, now: Time, id: u32, out: &mut Vec<PlaceEffect>) {
+        let backend = &mut self.backends[id as usize];
+        let kept = if backend.usable() { None } else { backend.kept.take() };
+        if let Some(held) = kept.and_then(|slot| self.held.get_mut(slot)) {
+            held.kept = None;
+        }
+        self.refresh(id);
+        for step in 0..self.backends[id as usize].seats.len() {
+            let (pool, _) = self.backends[id as usize].seats[step];
+            self.bounce(pool, out);
+        }
+        self.dispatch_served(now, id, out);
+    }
+
+    /// Ends the waiting tasks of a pool that no usable back end can run, so
+    /// that their homes place them elsewhere.
+    fn bounce(&mut self, id: u32, out: &mut Vec<PlaceEffect>) {
+        let pool = &self.pools[id as usize];
+        if pool.queue.waiting() == 0 {
+            return;
+        }
+        let all = pool.usable == 0;
+        let lost: Vec<Room> = pool.needs.keys().map(|need| Room::from(*need)).collect();
+        let lost: Vec<Room> = lost.into_iter().filter(|want| !pool.could_run(want)).collect();
+        if !all && lost.is_empty() {
+            return;
+        }
+        let stranded: Vec<u32> = pool
+            .queue
+            .heads(usize::MAX, usize::MAX)
+            .filter(|slot| {
+                let want = self.held.get(*slot).map(super::held::Held::want);
+                all || want.is_some_and(|want| lost.contains(&want))
+            })
+            .collect();
+        for slot in stranded {
+            self.unqueue(slot);
+            self.settle(slot, Outcome::NotRun(Cause::NoBackend), out);
+        }
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Time, out: &mut Vec<PlaceEffect>) {
+        while let Some(&(due, timer)) = self.timers.first() {
+            if due > now {
+                return;
+            }
+            self.timers.pop_first();
+            self.fire(now, due, timer, out);
+        }
+    }
+
+    /// Returns when something is due.
+    pub fn deadline(&self) -> Option<Time> {
+        self.timers.first().map(|(due, _)| *due).filter(|due| *due != Time::NEVER)
+    }
+
+    fn fire(&mut self, now: Time, due: Time, timer: Timer, out: &mut Vec<PlaceEffect>) {
+        match timer {
+            Timer::Drop(slot) => self.give_up(now, slot, out),
+            Timer::Patience(pool) => self.dispatch(now, pool, out),
+            Timer::Probe(id) => {
+                let backend = &mut self.backends[id as usize];
+                if backend.health.until() != Some(due) {
+                    return;
+                }
+                backend.health.probe();
+                let line = note("back_end_probed", &backend.name, String::from("time out over"));
+                out.push(PlaceEffect::Log(line));
+                self.changed(now, id, out);
+            }
+            Timer::Unhold(id) => {
+                let backend = &mut self.backends[id as usize];
+                if backend.hold_until() != Some(due) {
+                    return;
+                }
+                backend.unhold();
+                self.refresh(id);
+                self.dispatch_served(now, id, out);
+            }
+            Timer::Revisit => self.look_after(now, out),
+        }
+    }
+
+    /// Arms the next look at stale speeds.
+    pub(crate) fn arm_revisit(&mut self, now: Time) {
+        if self.revisit.is_none() {
+            let due = now.after_ms(REVISIT_MS);
+            self.revisit = Some(due);
+            self.timers.insert((due, Timer::Revisit));
+        }
+    }
+
+    /// Lets speeds drift to that of all when they were not confirmed for long,
+    /// and sorts the workers anew.
+    ///
+    /// A back end that was slow once gets no tasks while others are free, and
+    /// so could never show that it is fast again.
+    fn look_after(&mut self, now: Time, out: &mut Vec<PlaceEffect>) {
+        self.revisit = None;
+        for pool in &mut self.pools {
+            let common = pool.common.ln;
+            for seat in &mut pool.seats {
+                let speed = &mut seat.speed;
+                if speed.known() && speed.last.after_ms(STALE_MS) <= now && speed.ln > common {
+                    speed.ln += (common - speed.ln) * DRIFT;
+                }
+                seat.stalled = None;
+            }
+        }
+        self.seat_workers(PLAIN);
+        self.seat_workers(ACCELERATED);
+        for id in 0..self.backends.len() as u32 {
+            self.refresh(id);
+        }
+        self.dispatch_all(now, out);
+        if !self.idle() {
+            self.arm_revisit(now);
+        }
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/tests/place_fake/mod.rs
@@ -0,0 +1,317 @@
+//! A tiny fake of back ends, in virtual time.
+
+#![allow(dead_code, missing_docs, unreachable_pub)]
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use endivestile_config::model::{Config, Member, Name, Server, Service, Worker};
+use endivestile_kernel::{
+    AttemptId, End, HostState, HostView, Need, Note, Order, Outcome, Peer, PlaceEffect, Placer,
+    PlacerSetup, Target, Task, TaskKey, Time, View,
+};
+
+/// How a fake back end treats a task.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Mode {
+    /// Runs it: its size times the factor.
+    Works(f64),
+    /// Fails it after a millisecond.
+    Fails,
+    /// Refuses connections.
+    Down,
+    /// Says that it is full.
+    Busy,
+    /// Says that it is leaving.
+    Leaving,
+    /// Takes it and loses the answer after a millisecond.
+    Loses,
+    /// Takes it and never answers.
+    Hangs,
+}
+
+/// One start as the fakes saw it.
+#[derive(Debug, Clone)]
+pub struct Start {
+    pub at: Time,
+    pub attempt: AttemptId,
+    pub server: Name,
+    pub key: TaskKey,
+    pub member: Name,
+}
+
+pub struct Fake {
+    pub placer: Placer,
+    pub config: Config,
+    pub view: View,
+    pub now: Time,
+    pub modes: HashMap<Name, Mode>,
+    pub starts: Vec<Start>,
+    pub ended: Vec<(Time, TaskKey, Outcome)>,
+    pub notes: Vec<(Time, Note)>,
+    pub running: BTreeMap<AttemptId, (Name, u32)>,
+    pub most: HashMap<Name, usize>,
+    ends: BinaryHeap<Reverse<(Time, AttemptId)>>,
+    how: HashMap<AttemptId, End>,
+    pub aborted: Vec<AttemptId>,
+    out: Vec<PlaceEffect>,
+}
+
+pub fn home() -> Peer {
+    Peer::new("h0", 1)
+}
+
+pub fn view(hosts: &[(&str, u32)]) -> View {
+    let hosts = hosts.iter().map(|(name, weight)| {
+        let view = HostView {
+            peer: Peer::new(*name, 1),
+            zone: Name::from("z"),
+            address: Name::from("127.0.0.1:1"),
+            weight: *weight,
+            state: HostState::Live,
+        };
+        (Name::from(*name), view)
+    });
+    View { me: home(), zone: Name::from("z"), hosts: hosts.collect(), store: true }
+}
+
+/// A configuration of one service `s` over `servers` of `slots` slots, racks of four.
+pub fn servers(count: usize, slots: u32) -> Config {
+    let mut config = Config::default();
+    let mut names = Vec::new();
+    for at in 0..count {
+        let name = Name::from(format!("b{at:04}"));
+        let server = Server {
+            zone: Name::from("z"),
+            rack: Name::from(format!("r{}", at / 4)),
+            address: Name::from("127.0.0.1:2"),
+            slots,
+            connections: 64,
+        };
+        config.servers.insert(name.clone(), server);
+        names.push(name);
+    }
+    let service = Service { servers: names, path: Name::from("/run") };
+    config.services.insert(Name::from("s"), service);
+    for name in ["a", "b", "c"] {
+        config.members.insert(Name::from(name), Member { limit: 1_000_000, weight: 1 });
+    }
+    config.rules.queue_limit = 1_000_000;
+    config
+}
+
+pub fn add_worker(config: &mut Config, name: &str, cpu_milli: u32, accelerators: u16) {
+    let worker = Worker {
+        zone: Name::from("z"),
+        rack: Name::from("w"),
+        address: Name::from("127.0.0.1:3"),
+        cpu_milli,
+        memory_mb: 64_000,
+        accelerators,
+    };
+    config.workers.insert(Name::from(name), worker);
+}
+
+pub fn need(cpu_milli: u32, accelerators: u16) -> Target {
+    Target::Need(Need { cpu_milli, memory_mb: 100, accelerators })
+}
+
+pub fn service() -> Target {
+    Target::Service(Name::from("s"))
+}
+
+/// An order of one task whose true size is `size_us` on a back end of factor 1.
+pub fn order(now: Time, run: u64, member: &str, size_us: u64) -> Order {
+    Order {
+        key: TaskKey { run, index: 0, attempt: 0 },
+        member: Name::from(member),
+        deadline: now.after_ms(600_000),
+        arrived: now,
+        left: 1,
+        task: Arc::new(Task {
+            target: service(),
+            work: Bytes::copy_from_slice(&size_us.to_be_bytes()),
+            declared: 0,
+        }),
+    }
+}
+
+pub fn for_target(mut order: Order, target: Target) -> Order {
+    Arc::make_mut(&mut order.task).target = target;
+    order
+}
+
+impl Fake {
+    pub fn new(config: Config) -> Self {
+        Self::with_view(config, view(&[("h0", 1)]))
+    }
+
+    pub fn with_view(config: Config, view: View) -> Self {
+        let mut fake = Self {
+            placer: Placer::new(PlacerSetup { me: home(), seed: 7 }),
+            config,
+            view,
+            now: Time::ZERO,
+            modes: HashMap::new(),
+            starts: Vec::new(),
+            ended: Vec::new(),
+            notes: Vec::new(),
+            running: BTreeMap::new(),
+            most: HashMap::new(),
+            ends: BinaryHeap::new(),
+            how: HashMap::new(),
+            aborted: Vec::new(),
+            out: Vec::new(),
+        };
+        fake.configure();
+        fake
+    }
+
+    pub fn configure(&mut self) {
+        self.placer.configure(self.now, &self.config, &self.view, &mut self.out);
+        self.apply();
+    }
+
+    pub fn see(&mut self, view: View) {
+        self.view = view;
+        self.placer.view_changed(self.now, &self.view, &mut self.out);
+        self.apply();
+    }
+
+    pub fn leaving(&mut self, name: &str, leaving: bool) {
+        self.placer.leaving(self.now, name, leaving, &mut self.out);
+        self.apply();
+    }
+
+    pub fn order(&mut self, order: Order) {
+        self.placer.order(self.now, &home(), order, &mut self.out);
+        self.apply();
+    }
+
+    /// Orders `count` tasks of one size, numbered from `run`.
+    pub fn orders(&mut self, run: u64, count: u64, member: &str, size_us: u64) {
+        for step in 0..count {
+            self.order(order(self.now, run + step, member, size_us));
+        }
+    }
+
+    pub fn drop_task(&mut self, run: u64) {
+        let key = TaskKey { run, index: 0, attempt: 0 };
+        self.placer.drop_task(self.now, &home(), key, &mut self.out);
+        self.apply();
+    }
+
+    pub fn home_gone(&mut self) {
+        self.placer.home_gone(self.now, &home(), &mut self.out);
+        self.apply();
+    }
+
+    pub fn mode(&mut self, name: &str, mode: Mode) {
+        self.modes.insert(Name::from(name), mode);
+    }
+
+    /// Lets time pass until `until`, back ends and timers in their order.
+    pub fn run_until(&mut self, until: Time) {
+        loop {
+            let end = self.ends.peek().map(|Reverse((at, _))| *at);
+            let due = self.placer.deadline();
+            let next = end.into_iter().chain(due).min();
+            let Some(next) = next.filter(|next| *next <= until) else { break };
+            self.now = self.now.max(next);
+            if end == Some(next) {
+                self.finish();
+            } else {
+                self.placer.tick(self.now, &mut self.out);
+                self.apply();
+            }
+        }
+        self.now = self.now.max(until);
+    }
+
+    pub fn run_ms(&mut self, millis: u64) {
+        self.run_until(self.now.after_ms(millis));
+    }
+
+    pub fn outcome(&self, run: u64) -> Option<&Outcome> {
+        self.ended.iter().find(|(_, key, _)| key.run == run).map(|(_, _, outcome)| outcome)
+    }
+
+    pub fn outcomes(&self, wanted: &Outcome) -> usize {
+        self.ended.iter().filter(|(_, _, outcome)| outcome == wanted).count()
+    }
+
+    pub fn done(&self) -> usize {
+        self.ended.iter().filter(|(_, _, outcome)| matches!(outcome, Outcome::Done(_))).count()
+    }
+
+    pub fn started_on(&self, name: &str) -> usize {
+        self.starts.iter().filter(|start| start.server.as_ref() == name).count()
+    }
+
+    pub fn started(&self, run: u64) -> Option<&Start> {
+        self.starts.iter().find(|start| start.key.run == run)
+    }
+
+    fn finish(&mut self) {
+        let Some(Reverse((_, attempt))) = self.ends.pop() else { return };
+        self.running.remove(&attempt);
+        let Some(end) = self.how.remove(&attempt) else { return };
+        self.placer.end(self.now, attempt, end, &mut self.out);
+        self.apply();
+    }
+
+    fn apply(&mut self) {
+        for effect in std::mem::take(&mut self.out) {
+            match effect {
+                PlaceEffect::Start { attempt, server, order, .. } => {
+                    self.start(attempt, server, order);
+                }
+                PlaceEffect::Abort(attempt) => {
+                    self.aborted.push(attempt);
+                    self.how.insert(attempt, End::Lost);
+                    self.ends.push(Reverse((self.now.after_us(100), attempt)));
+                }
+                PlaceEffect::Ended { key, outcome, .. } => {
+                    self.ended.push((self.now, key, outcome));
+                }
+                PlaceEffect::Log(note) => self.notes.push((self.now, note)),
+                PlaceEffect::Count(..) => {}
+            }
+        }
+    }
+
+    fn start(&mut self, attempt: AttemptId, server: Name, order: Order) {
+        let size = order.task.work.as_ref().try_into().map_or(1_000, u64::from_be_bytes);
+        let mode = self.modes.get(&server).copied().unwrap_or(Mode::Works(1.0));
+        let (after, end) = match mode {
+            Mode::Works(factor) => (size as f64 * factor, End::Answered(Bytes::from_static(b"x"))),
+            Mode::Fails => (1_000.0, End::Rejected(500)),
+            Mode::Down => (100.0, End::Unreachable),
+            Mode::Busy => (300.0, End::Busy),
+            Mode::Leaving => (300.0, End::Leaving),
+            Mode::Loses => (1_000.0, End::Lost),
+            Mode::Hangs => (f64::MAX, End::Lost),
+        };
+        let cpu = match order.task.target {
+            Target::Need(need) => need.cpu_milli,
+            Target::Service(_) => 1,
+        };
+        self.running.insert(attempt, (server.clone(), cpu));
+        let now_there = self.running.values().filter(|(name, _)| *name == server).count();
+        let most = self.most.entry(server.clone()).or_default();
+        *most = now_there.max(*most);
+        self.starts.push(Start {
+            at: self.now,
+            attempt,
+            server,
+            key: order.key,
+            member: order.member,
+        });
+        if mode != Mode::Hangs {
+            self.how.insert(attempt, end);
+            self.ends.push(Reverse((self.now.after_us(after as u64), attempt)));
+        }
+    }
+}
