--- a/endivestile_kernel/src/place/backend.rs
+++ b/endivestile_kernel/src/place/backend.rs
@@ -135,12 +135,13 @@
         }
     }
 
-    /// Believes one more slot taken for a while: another placer had it.
+    /// Believes all its slots taken for a while: it is full, by tasks of
+    /// another placer.
     ///
-    /// Without that, the slot looks free and the task bounces between queue
-    /// and back end until the other placer's task ends.
+    /// Without that, the slots look free and a task bounces between queue and
+    /// back end until its tries are used up.
     pub(crate) fn refused(&mut self, now: Time) {
-        self.hold = (self.hold + 1).min(self.total.cpu);
+        self.hold = self.total.cpu.saturating_sub(self.used.cpu);
         let span = FIRST_HOLD_MS << self.refusals.min(HOLD_DOUBLINGS);
         self.refusals += 1;
         self.hold_until = Some(now.after_ms(span));
--- a/endivestile_kernel/src/place/dispatch.rs
+++ b/endivestile_kernel/src/place/dispatch.rs
@@ -278,6 +278,8 @@
         let cost = (pool.mean_us(at) * share) as u64;
         pool.queue.charge(held.member, cost);
         pool.cursor = at + 1;
+        pool.turn = pool.turn.wrapping_add(1);
+        pool.seats[at].turn = pool.turn;
         pool.last = Some((held.order.key.run, pool.seats[at].rack));
         held.run = Some(Run { attempt, backend: id, started: now, cost, wanted: true });
         let backend = &mut self.backends[id as usize];
--- a/endivestile_kernel/src/place/ending.rs
+++ b/endivestile_kernel/src/place/ending.rs
@@ -138,7 +138,7 @@
             return;
         }
         let Some(rack) = self.racks.get_mut(backend.rack_id as usize) else { return };
-        if !rack.went_out(now) {
+        if !rack.went_out(now, id) {
             return;
         }
         let name = backend.rack.clone();
--- a/endivestile_kernel/src/place/health.rs
+++ b/endivestile_kernel/src/place/health.rs
@@ -130,11 +130,24 @@
     pub(crate) fn probe(&mut self) {
         self.until = None;
         self.strain = 0;
+        self.good = 0;
         self.cap = 1;
     }
 
-    /// Lets one task at a time go there until an answer comes back.
+    /// Puts the probe off.
+    pub(crate) fn postpone(&mut self, until: Time) {
+        self.until = Some(until);
+    }
+
+    /// Lets one task at a time go there until an answer comes back; a failure
+    /// takes it out.
     pub(crate) fn doubt(&mut self) {
         self.cap = 1;
+        self.strikes = self.strikes.max(1);
+    }
+
+    /// Returns whether it has answered since its last time out.
+    pub(crate) const fn proven(&self) -> bool {
+        self.up() && self.good > 0
     }
 }
--- a/endivestile_kernel/src/place/pool.rs
+++ b/endivestile_kernel/src/place/pool.rs
@@ -63,6 +63,8 @@
     pub(crate) scale: f64,
     /// Typical capacity of one task.
     pub(crate) typical: f64,
+    /// Starts so far, wrapping.
+    pub(crate) turn: u32,
     /// Where round robin goes on.
     pub(crate) cursor: usize,
     /// Job whose task was started last, and on which rack.
@@ -93,6 +95,7 @@
             common: Speed { ln: DEFAULT_US.ln(), ..Speed::default() },
             scale: 1.0,
             typical: 1.0,
+            turn: 0,
             cursor: 0,
             last: None,
             trial_at: Time::ZERO,
@@ -178,7 +181,7 @@
         (seat.usable, seat.sour) = (state.usable, sour);
         seat.running = state.running;
         if matches!(self.kind, Kind::Service(_)) {
-            let key = (state.free.cpu > 0).then(|| Key::new(ln, state.running, at));
+            let key = (state.free.cpu > 0).then(|| Key::new(ln, state.running, seat.turn, at));
             self.rekey(at, key);
         } else {
             self.tree.set(at, state.free);
--- a/endivestile_kernel/src/place/seat.rs
+++ b/endivestile_kernel/src/place/seat.rs
@@ -27,6 +27,8 @@
     pub(crate) sour: bool,
     /// Tasks running on the back end.
     pub(crate) running: u32,
+    /// Number of the start in the pool that was its last.
+    pub(crate) turn: u32,
     /// Key among the free seats, none when it has no free slot.
     pub(crate) key: Option<Key>,
 }
@@ -44,29 +46,35 @@
             usable: false,
             sour: false,
             running: 0,
+            turn: 0,
             key: None,
         }
     }
 }
 
-/// Order among the free seats of a pool: faster first, then fewer tasks.
+/// Order among the free seats of a pool: faster first, then fewer tasks, then
+/// the one whose last task started longest ago.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Key(u64);
+pub(crate) struct Key {
+    order: u64,
+    at: u32,
+}
 
 impl Key {
-    /// Makes the key of seat `at` from the logarithm of its run time and its tasks.
-    pub(crate) fn new(ln: f64, running: u32, at: usize) -> Self {
+    /// Makes the key of seat `at` from the logarithm of its run time.
+    pub(crate) fn new(ln: f64, running: u32, turn: u32, at: usize) -> Self {
         let step = (ln * std::f64::consts::LOG2_E * KEYS_PER_OCTAVE).max(0.0) as u64;
-        Self(step.min(0xffff) << 48 | u64::from(running.min(0xffff)) << 32 | at as u64)
+        let order = step.min(0xffff) << 48 | u64::from(running.min(0xffff)) << 32;
+        Self { order: order | u64::from(turn), at: at as u32 }
     }
 
     /// Returns the seat.
     pub(crate) const fn at(self) -> usize {
-        (self.0 & 0xffff_ffff) as usize
+        self.at as usize
     }
 
     /// Returns the step of the run time.
     pub(crate) const fn step(self) -> u64 {
-        self.0 >> 48
+        self.order >> 48
     }
 }
--- a/endivestile_kernel/src/place/sharing.rs
+++ b/endivestile_kernel/src/place/sharing.rs
@@ -23,6 +23,9 @@
 /// Time after which a speed that was not confirmed drifts to that of all, in milliseconds.
 const STALE_MS: u64 = 20_000;
 
+/// Time after another back end's probe at which its result is looked at, in milliseconds.
+const PROBE_AFTER_MS: u64 = 50;
+
 /// Part of the way that it drifts at each look.
 const DRIFT: f64 = 0.25;
 
@@ -264,16 +267,7 @@
         match timer {
             Timer::Drop(slot) => self.give_up(now, slot, out),
             Timer::Patience(pool) => self.dispatch(now, pool, out),
-            Timer::Probe(id) => {
-                let backend = &mut self.backends[id as usize];
-                if backend.health.until() != Some(due) {
-                    return;
-                }
-                backend.health.probe();
-                let line = note("back_end_probed", &backend.name, String::from("time out over"));
-                out.push(PlaceEffect::Log(line));
-                self.changed(now, id, out);
-            }
+            Timer::Probe(id) => self.probe(now, due, id, out),
             Timer::Unhold(id) => {
                 let backend = &mut self.backends[id as usize];
                 if backend.hold_until() != Some(due) {
@@ -287,6 +281,37 @@
         }
     }
 
+    /// Lets a back end be probed by a task, unless another one of its rack is
+    /// probed for it.
+    fn probe(&mut self, now: Time, due: Time, id: u32, out: &mut Vec<PlaceEffect>) {
+        if self.backends[id as usize].health.until() != Some(due) {
+            return;
+        }
+        if let Some(until) = self.probed_for(now, id) {
+            self.backends[id as usize].health.postpone(until);
+            self.timers.insert((until, Timer::Probe(id)));
+            return;
+        }
+        let backend = &mut self.backends[id as usize];
+        backend.health.probe();
+        let line = note("back_end_probed", &backend.name, String::from("time out over"));
+        out.push(PlaceEffect::Log(line));
+        self.changed(now, id, out);
+    }
+
+    /// Returns when to look again at the back end that is probed for `id`.
+    fn probed_for(&mut self, now: Time, id: u32) -> Option<Time> {
+        let rack = self.racks.get_mut(self.backends[id as usize].rack_id as usize)?;
+        let prober = rack.prober.filter(|prober| *prober != id)?;
+        let backend = &self.backends[prober as usize];
+        if backend.leaving || !backend.listed || backend.health.proven() {
+            rack.prober = None;
+            return None;
+        }
+        let until = backend.health.until().filter(|until| *until > now);
+        Some(until.unwrap_or(now).after_ms(PROBE_AFTER_MS))
+    }
+
     /// Arms the next look at stale speeds.
     pub(crate) fn arm_revisit(&mut self, now: Time) {
         if self.revisit.is_none() {
