Decide by home, witness and epoch who may start a caller's id

Cause: memory alone has to keep "no task starts twice" while hosts die, pause and are cut off, and the store is down for long.

Ruled out: a lease by clocks (a paused holder wakes and starts), a store write for each submission (several ms, several hundred a second).

Also found by the balance scenario: a former home that got its successor's table before the record gave up the role silently, and neither sent its tickets back nor cleared the heir. It now gives up with the record alone; its fence stops it before.

--- /dev/null
+++ b/endivestile_kernel/src/shard/plan.rs
@@ -0,0 +1,162 @@
+//! What a shard needs of the platform's store next.
+
+use endivestile_config::model::WitnessZone;
+
+use crate::shard::core::Cx;
+use crate::shard::record::{ShardRecord, floor_at};
+use crate::shard::slot::Slot;
+use crate::{HostState, Peer};
+
+/// The next step towards the store.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Step {
+    /// None.
+    Rest,
+    /// Read the record.
+    Read,
+    /// Claim a shard that nobody owns, or whose table is lost.
+    Claim,
+    /// Take over as its witness.
+    TakeOver,
+    /// Write the record anew as its home, with this witness.
+    Renew(Option<Peer>),
+}
+
+impl Slot {
+    /// Returns the next step towards the store.
+    pub(crate) fn next_step(&self, cx: &Cx<'_>) -> Step {
+        if self.reread {
+            return Step::Read;
+        }
+        let Some(seen) = &self.seen else { return self.unowned_step(cx) };
+        let Some(record) = &seen.record else { return Step::Rest };
+        if seen.broken {
+            return Step::Rest;
+        }
+        if self.standing.synced > record.epoch {
+            return self.behind_step();
+        }
+        if self.standing.home == record.epoch {
+            return self.home_step(cx, record);
+        }
+        let gone = cx.view.state(&record.home);
+        if record.witness.as_ref() == Some(&cx.core.me) {
+            return self.witness_step(record, gone);
+        }
+        self.other_step(cx, record, gone)
+    }
+
+    fn unowned_step(&self, cx: &Cx<'_>) -> Step {
+        // A home sent its table, so that a record exists.
+        if self.standing.synced > 0 {
+            return self.behind_step();
+        }
+        let claims = cx.now >= cx.core.open && self.is_claimant(cx);
+        if claims { Step::Claim } else { Step::Rest }
+    }
+
+    /// The watch is behind the home that sent a table. It matters only if this
+    /// host was the home before, or if that home gives up.
+    fn behind_step(&self) -> Step {
+        let matters = self.standing.home != 0 || self.yielded == self.standing.synced;
+        if matters { Step::Read } else { Step::Rest }
+    }
+
+    fn home_step(&self, cx: &Cx<'_>, record: &ShardRecord) -> Step {
+        let fenced = self.standing.fence > self.standing.home;
+        if fenced && cx.now < self.renew_at {
+            return Step::Read;
+        }
+        let witness = self.wanted_witness(cx, record);
+        if fenced || witness != record.witness { Step::Renew(witness) } else { Step::Rest }
+    }
+
+    fn witness_step(&self, record: &ShardRecord, home: HostState) -> Step {
+        let yielded = self.yielded == record.epoch;
+        let silent = matches!(home, HostState::Suspect | HostState::Gone);
+        if self.standing.synced == record.epoch && (silent || yielded) {
+            return Step::TakeOver;
+        }
+        // The home died before its table arrived here: nobody has it.
+        if home == HostState::Gone { Step::Claim } else { Step::Rest }
+    }
+
+    fn other_step(&self, cx: &Cx<'_>, record: &ShardRecord, home: HostState) -> Step {
+        let witness = record.witness.as_ref().map_or(HostState::Gone, |peer| cx.view.state(peer));
+        // A pair that is only suspected may be serving on behind a cut.
+        let lost = home == HostState::Gone && witness == HostState::Gone;
+        if lost && self.is_claimant(cx) { Step::Claim } else { Step::Rest }
+    }
+
+    /// Returns whether this host is the one to claim the shard.
+    pub(crate) fn is_claimant(&self, cx: &Cx<'_>) -> bool {
+        let first = cx.view.ranked(&self.rank_key()).first().map(|host| &host.peer);
+        first == Some(&cx.core.me) && !cx.core.leaving
+    }
+
+    /// Returns the key by which hosts are ranked for the shard.
+    pub(crate) fn rank_key(&self) -> String {
+        format!("shard {}", self.shard)
+    }
+
+    /// Returns the witness that the home should have.
+    pub(crate) fn wanted_witness(&self, cx: &Cx<'_>, record: &ShardRecord) -> Option<Peer> {
+        if let Some(heir) = self.heir.as_ref().filter(|heir| is_live(cx, heir)) {
+            return Some(heir.clone());
+        }
+        let current = record.witness.clone();
+        if current.as_ref().is_some_and(|peer| is_live(cx, peer)) {
+            return current;
+        }
+        let leaving = current.filter(|peer| cx.view.state(peer) == HostState::Leaving);
+        self.choose_witness(cx).or(leaving)
+    }
+
+    /// Chooses a witness: in the preferred zone if it has a live host, else anywhere.
+    fn choose_witness(&self, cx: &Cx<'_>) -> Option<Peer> {
+        let ranked = cx.view.ranked(&self.rank_key());
+        let others = || ranked.iter().filter(|host| host.peer != cx.core.me);
+        let same = cx.core.witness == WitnessZone::Same;
+        let preferred = others().find(|host| (host.zone == cx.core.zone) == same);
+        preferred.or_else(|| others().next()).map(|host| host.peer.clone())
+    }
+
+    /// Claims the shard.
+    pub(crate) fn claim(&mut self, cx: &mut Cx<'_>) {
+        let old = self.record().map(|record| (record.epoch, record.floor));
+        let (epoch, floor) = match old {
+            Some((epoch, floor)) => (epoch, floor.max(floor_at(cx.core.wall_s(cx.now)))),
+            None => (0, 0),
+        };
+        let epoch = self.standing.claim(epoch);
+        let witness = self.choose_witness(cx);
+        self.write_as_home(cx, witness, epoch, floor);
+    }
+
+    /// Takes the shard over as its witness.
+    pub(crate) fn take_over(&mut self, cx: &mut Cx<'_>) {
+        let Some(record) = self.record() else { return };
+        let (epoch, floor) = (record.epoch, record.floor);
+        let Some(epoch) = self.standing.take_over(epoch) else { return };
+        let witness = self.choose_witness(cx);
+        self.write_as_home(cx, witness, epoch, floor);
+    }
+
+    /// Writes the record anew as its home.
+    pub(crate) fn renew(&mut self, cx: &mut Cx<'_>, witness: Option<Peer>) {
+        let Some(record) = self.record() else { return };
+        let (epoch, floor) = (record.epoch, record.floor);
+        let Some(epoch) = self.standing.renew(epoch) else { return };
+        self.write_as_home(cx, witness, epoch, floor);
+    }
+
+    fn write_as_home(&mut self, cx: &mut Cx<'_>, witness: Option<Peer>, epoch: u64, floor: u64) {
+        let write = cx.write_id();
+        let home = cx.core.me.clone();
+        self.write(cx, ShardRecord { home, witness, epoch, floor, write });
+    }
+}
+
+fn is_live(cx: &Cx<'_>, peer: &Peer) -> bool {
+    cx.view.state(peer) == HostState::Live
+}
--- /dev/null
+++ b/endivestile_kernel/tests/shards/main.rs
@@ -0,0 +1,4 @@
+//! Shards of several hosts over a fake store and fake links.
+
+mod scenarios;
+mod world;
--- /dev/null
+++ b/endivestile_kernel/tests/shards/world.rs
@@ -0,0 +1,484 @@
+//! A few hosts' shards over a fake store and fake links, in virtual time.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use bytes::Bytes;
+use endivestile_config::model::{Name, Rules};
+use endivestile_kernel::{
+    Admit, Class, HostState, HostView, Msg, Peer, ShardEffect, ShardRecord, ShardSetup, Shards,
+    StoreOp, Stored, SubmissionId, Time, View,
+};
+
+/// Seconds since 1970 at the start of a world.
+pub(crate) const WALL_S: u64 = 1_800_000_000;
+/// Silence after which a host is suspected.
+const SUSPECT_MS: u64 = 30;
+/// Time of a store call.
+const STORE_MS: u64 = 3;
+
+/// Whether a process runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Run {
+    Up,
+    Paused,
+    Dead,
+}
+
+/// What became of a ticket.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Fate {
+    Started,
+    NotRun,
+    Known,
+    Unknown,
+}
+
+struct Node {
+    peer: Peer,
+    born: u64,
+    shards: Shards,
+    run: Run,
+    leaving: bool,
+    view: View,
+    /// Last instant at which each other host was in reach.
+    heard: Vec<u64>,
+}
+
+/// A message on its way.
+struct Letter {
+    at: u64,
+    /// Incarnation of the sender.
+    birth: u64,
+    /// Sender's clock at sending.
+    sent: Time,
+    msg: Msg,
+}
+
+/// A watched record on its way to a host.
+struct Watched {
+    at: u64,
+    node: usize,
+    shard: u32,
+    revision: u64,
+    value: Bytes,
+}
+
+struct Call {
+    at: u64,
+    node: usize,
+    birth: u64,
+    token: u64,
+    op: StoreOp,
+}
+
+/// A start of an id.
+#[derive(Debug)]
+#[allow(dead_code, reason = "printed on failure")]
+pub(crate) struct Start {
+    pub(crate) id: SubmissionId,
+    pub(crate) node: usize,
+    pub(crate) at: u64,
+}
+
+struct Ask {
+    id: SubmissionId,
+    digest: Option<u64>,
+    since: u64,
+}
+
+pub(crate) struct World {
+    pub(crate) now: u64,
+    pub(crate) rules: Rules,
+    nodes: Vec<Node>,
+    zones: Vec<usize>,
+    links: BTreeMap<(usize, usize), VecDeque<Letter>>,
+    pub(crate) delay_ms: BTreeMap<(usize, usize), u64>,
+    pub(crate) cut: BTreeSet<(usize, usize)>,
+    pub(crate) store_up: bool,
+    /// Store answers to lose after the effect.
+    pub(crate) lose: u32,
+    values: BTreeMap<Name, (u64, Bytes)>,
+    revision: u64,
+    calls: Vec<Call>,
+    watch: Vec<Watched>,
+    asks: BTreeMap<u64, Ask>,
+    tickets: u64,
+    pub(crate) fates: BTreeMap<u64, Fate>,
+    pub(crate) starts: Vec<Start>,
+    pub(crate) store_calls: usize,
+    pub(crate) messages: usize,
+    /// Peers of which the platform says that they are gone.
+    gone: BTreeSet<Peer>,
+}
+
+impl World {
+    /// Makes hosts, one for each zone number given.
+    pub(crate) fn new(zones: &[usize], shards: u32) -> Self {
+        Self::with_window(zones, shards, 600)
+    }
+
+    pub(crate) fn with_window(zones: &[usize], shards: u32, window_s: u64) -> Self {
+        let mut world = Self {
+            now: 0,
+            rules: Rules { shards, window_s, ..Rules::default() },
+            nodes: Vec::new(),
+            zones: zones.to_vec(),
+            links: BTreeMap::new(),
+            delay_ms: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            store_up: true,
+            lose: 0,
+            values: BTreeMap::new(),
+            revision: 0,
+            calls: Vec::new(),
+            watch: Vec::new(),
+            asks: BTreeMap::new(),
+            tickets: 0,
+            fates: BTreeMap::new(),
+            starts: Vec::new(),
+            store_calls: 0,
+            messages: 0,
+            gone: BTreeSet::new(),
+        };
+        world.nodes = (0..zones.len()).map(|index| world.boot(index, 1)).collect();
+        world
+    }
+
+    fn boot(&self, index: usize, birth: u64) -> Node {
+        let peer = Peer::new(format!("host{index}"), birth);
+        let zone = Name::from(format!("zone{}", self.zones[index]));
+        let mut shards = Shards::new(ShardSetup {
+            me: peer.clone(),
+            zone: zone.clone(),
+            wall_s: WALL_S + self.now / 1_000,
+            seed: index as u64 * 1_000 + birth,
+        });
+        shards.configure(&self.rules);
+        let view = View { me: peer.clone(), zone, hosts: BTreeMap::new(), store: false };
+        let heard = vec![self.now; self.zones.len()];
+        Node { peer, born: self.now, shards, run: Run::Up, leaving: false, view, heard }
+    }
+
+    pub(crate) fn crash(&mut self, node: usize) {
+        self.nodes[node].run = Run::Dead;
+        self.links.retain(|&(_, to), _| to != node);
+    }
+
+    /// Starts a new incarnation of a host, whose registration all others see at once.
+    pub(crate) fn restart(&mut self, node: usize) {
+        self.crash(node);
+        self.links.retain(|&(from, _), _| from != node);
+        self.nodes[node] = self.boot(node, self.nodes[node].peer.birth + 1);
+        for shard in 0..self.rules.shards {
+            if let Some((revision, value)) = self.values.get(&ShardRecord::key(shard)).cloned() {
+                self.watch.push(Watched { at: self.now + 5, node, shard, revision, value });
+            }
+        }
+    }
+
+    pub(crate) fn record(&self, shard: u32) -> Option<ShardRecord> {
+        self.values.get(&ShardRecord::key(shard)).and_then(|(_, value)| ShardRecord::decode(value))
+    }
+
+    /// Returns the index of a record's home.
+    pub(crate) fn home(&self, shard: u32) -> usize {
+        let home = self.record(shard).expect("owned").home;
+        self.nodes.iter().position(|node| node.peer.host == home.host).expect("a host")
+    }
+
+    /// Returns the index of a record's witness.
+    pub(crate) fn witness(&self, shard: u32) -> usize {
+        let peer = self.record(shard).and_then(|record| record.witness).expect("witnessed");
+        self.nodes.iter().position(|node| node.peer.host == peer.host).expect("a host")
+    }
+
+    pub(crate) fn set_run(&mut self, node: usize, run: Run) {
+        self.nodes[node].run = run;
+    }
+
+    pub(crate) fn shards(&self, node: usize) -> &Shards {
+        &self.nodes[node].shards
+    }
+
+    /// Lets the platform say that a dead host's machine is gone.
+    pub(crate) fn declare_gone(&mut self, node: usize) {
+        self.gone.insert(self.nodes[node].peer.clone());
+    }
+
+    /// Cuts a pair of hosts both ways, or heals it.
+    pub(crate) fn set_cut(&mut self, a: usize, b: usize, cut: bool) {
+        for pair in [(a, b), (b, a)] {
+            if cut {
+                self.cut.insert(pair)
+            } else {
+                self.cut.remove(&pair)
+            };
+        }
+    }
+
+    pub(crate) fn leave(&mut self, node: usize) {
+        self.nodes[node].leaving = true;
+        self.event(node, |shards, now, view, out| shards.leave(now, view, out));
+    }
+
+    /// Submits at a host; follows forwards. Returns the ticket.
+    pub(crate) fn submit(&mut self, node: usize, id: &SubmissionId) -> u64 {
+        self.ask(node, id, Some(7))
+    }
+
+    /// Asks a host to confirm that an id did not run.
+    pub(crate) fn confirm(&mut self, node: usize, id: &SubmissionId) -> u64 {
+        self.ask(node, id, None)
+    }
+
+    pub(crate) fn withdraw(&mut self, node: usize, ticket: u64) {
+        self.nodes[node].shards.withdraw(ticket);
+    }
+
+    fn ask(&mut self, node: usize, id: &SubmissionId, digest: Option<u64>) -> u64 {
+        self.tickets += 1;
+        let since = self.now;
+        self.asks.insert(self.tickets, Ask { id: id.clone(), digest, since });
+        self.admit(node, self.tickets, 3);
+        self.tickets
+    }
+
+    fn admit(&mut self, node: usize, ticket: u64, hops: u32) {
+        if self.nodes[node].run != Run::Up {
+            return;
+        }
+        let (id, digest) = (self.asks[&ticket].id.clone(), self.asks[&ticket].digest);
+        let mut admit = Admit::Wait;
+        self.event(node, |shards, now, view, out| {
+            admit = match digest {
+                Some(digest) => shards.admit(now, view, &id, digest, ticket, out),
+                None => shards.confirm(now, view, &id, ticket, out),
+            };
+        });
+        match admit {
+            Admit::Wait => {}
+            Admit::Known(_) => self.end(ticket, Fate::Known),
+            Admit::Refused(class, _) => self.end(ticket, fate(class)),
+            Admit::Forward(peer) => self.forward(node, &peer, ticket, hops),
+        }
+    }
+
+    fn forward(&mut self, node: usize, peer: &Peer, ticket: u64, hops: u32) {
+        let to = self.nodes.iter().position(|other| other.peer == *peer);
+        match to.filter(|&to| hops > 0 && self.reaches(node, to)) {
+            Some(to) => self.admit(to, ticket, hops - 1),
+            None => self.end(ticket, Fate::Unknown),
+        }
+    }
+
+    fn end(&mut self, ticket: u64, fate: Fate) {
+        assert!(self.fates.insert(ticket, fate).is_none(), "ticket {ticket} answered twice");
+    }
+
+    fn granted(&mut self, node: usize, ticket: u64) {
+        let ask = &self.asks[&ticket];
+        if ask.digest.is_some() {
+            let id = ask.id.clone();
+            let twice = self.starts.iter().any(|start| start.id == id);
+            self.starts.push(Start { id, node, at: self.now });
+            assert!(!twice, "started twice: {:?}", self.starts);
+            return self.end(ticket, Fate::Started);
+        }
+        let ran = self.starts.iter().any(|start| start.id == ask.id && start.at < ask.since);
+        assert!(!ran, "not run was said of {}, which ran", ask.id);
+        self.end(ticket, Fate::NotRun);
+    }
+
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        self.nodes[to].run == Run::Up && !self.cut.contains(&(from, to))
+    }
+
+    fn event(
+        &mut self,
+        node: usize,
+        act: impl FnOnce(&mut Shards, Time, &View, &mut Vec<ShardEffect>),
+    ) {
+        let mut out = Vec::new();
+        let now = self.clock(node);
+        let host = &mut self.nodes[node];
+        act(&mut host.shards, now, &host.view, &mut out);
+        for effect in out {
+            self.apply(node, effect);
+        }
+    }
+
+    fn apply(&mut self, node: usize, effect: ShardEffect) {
+        match effect {
+            ShardEffect::Send { to, msg } => self.send(node, &to, msg),
+            ShardEffect::Store { token, op } => {
+                let birth = self.nodes[node].peer.birth;
+                self.store_calls += 1;
+                self.calls.push(Call { at: self.now + STORE_MS, node, birth, token, op });
+            }
+            ShardEffect::Granted { ticket } => self.granted(node, ticket),
+            ShardEffect::Refused { ticket, class, .. } => self.end(ticket, fate(class)),
+            ShardEffect::Moved { ticket } => self.admit(node, ticket, 3),
+            ShardEffect::Log(_) | ShardEffect::Count(..) => {}
+        }
+    }
+
+    fn send(&mut self, node: usize, to: &Peer, msg: Msg) {
+        self.messages += 1;
+        let Some(index) = self.nodes.iter().position(|other| other.peer == *to) else { return };
+        if self.nodes[index].run == Run::Dead {
+            return;
+        }
+        let at = self.now + self.delay_ms.get(&(node, index)).copied().unwrap_or(1);
+        let sent = self.clock(node);
+        let birth = self.nodes[node].peer.birth;
+        self.links.entry((node, index)).or_default().push_back(Letter { at, birth, sent, msg });
+    }
+
+    fn clock(&self, node: usize) -> Time {
+        Time::ZERO.after_ms(self.now - self.nodes[node].born)
+    }
+
+    /// Lets virtual time pass.
+    pub(crate) fn advance(&mut self, millis: u64) {
+        for _ in 0..millis {
+            self.now += 1;
+            self.serve_store();
+            self.deliver();
+            for node in 0..self.nodes.len() {
+                if self.nodes[node].run == Run::Up {
+                    self.look(node);
+                    self.tick(node);
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self, node: usize) {
+        let now = self.clock(node);
+        if self.nodes[node].shards.deadline().is_some_and(|due| due <= now) {
+            self.event(node, |shards, now, view, out| shards.tick(now, view, out));
+        }
+    }
+
+    fn deliver(&mut self) {
+        let pairs: Vec<(usize, usize)> = self.links.keys().copied().collect();
+        for (from, to) in pairs {
+            while self.reaches(from, to) {
+                let now = self.now;
+                let due = self.links.get_mut(&(from, to)).and_then(|link| {
+                    link.front().is_some_and(|front| front.at <= now).then(|| link.pop_front())
+                });
+                let Some(Letter { birth, sent, mut msg, .. }) = due.flatten() else { break };
+                msg.rebase(sent, self.clock(to));
+                let peer = Peer::new(self.nodes[from].peer.host.clone(), birth);
+                self.event(to, |shards, now, view, out| shards.message(now, view, &peer, msg, out));
+            }
+        }
+    }
+
+    fn serve_store(&mut self) {
+        let now = self.now;
+        let (due, rest): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.calls).into_iter().partition(|call| call.at <= now);
+        self.calls = rest;
+        for call in due {
+            let stored = if self.store_up { self.serve(call.op) } else { Stored::Lost };
+            let node = &self.nodes[call.node];
+            if node.run == Run::Up && node.peer.birth == call.birth {
+                self.event(call.node, |shards, now, view, out| {
+                    shards.stored(now, view, call.token, stored, out);
+                });
+            }
+        }
+        if !self.store_up {
+            return;
+        }
+        let (due, rest): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.watch).into_iter().partition(|watched| watched.at <= now);
+        self.watch = rest;
+        for watched in due {
+            self.watched(watched);
+        }
+    }
+
+    fn watched(&mut self, watched: Watched) {
+        if self.nodes[watched.node].run != Run::Up {
+            self.watch.push(watched);
+            return;
+        }
+        let Watched { node, shard, revision, value, .. } = watched;
+        self.event(node, |shards, now, view, out| {
+            shards.record(now, view, shard, revision, &value, out);
+        });
+    }
+
+    fn serve(&mut self, op: StoreOp) -> Stored {
+        let stored = match op {
+            StoreOp::Get { key } => {
+                let (revision, value) = self.values.get(&key).cloned().unwrap_or_default();
+                Stored::Value { revision, value }
+            }
+            StoreOp::Swap { key, revision, value } => self.swap(key, revision, value),
+        };
+        if self.lose > 0 {
+            self.lose -= 1;
+            return Stored::Lost;
+        }
+        stored
+    }
+
+    fn swap(&mut self, key: Name, revision: u64, value: Bytes) -> Stored {
+        if self.values.get(&key).map_or(0, |entry| entry.0) != revision {
+            return Stored::Raced;
+        }
+        self.revision += 1;
+        self.values.insert(key.clone(), (self.revision, value.clone()));
+        let shard = key.rsplit('/').next().and_then(|text| text.parse().ok()).expect("a shard");
+        for node in 0..self.nodes.len() {
+            let (at, revision) = (self.now + 5 + node as u64, self.revision);
+            self.watch.push(Watched { at, node, shard, revision, value: value.clone() });
+        }
+        Stored::Swapped(self.revision)
+    }
+
+    fn look(&mut self, node: usize) {
+        for other in 0..self.nodes.len() {
+            if self.reaches(other, node) && self.nodes[other].run == Run::Up {
+                self.nodes[node].heard[other] = self.now;
+            }
+        }
+        let hosts = (0..self.nodes.len()).map(|other| self.host_view(node, other)).collect();
+        let view = View { hosts, store: self.store_up, ..self.nodes[node].view.clone() };
+        if view != self.nodes[node].view {
+            self.nodes[node].view = view;
+            self.event(node, |shards, now, view, out| shards.view_changed(now, view, out));
+        }
+    }
+
+    fn host_view(&self, node: usize, other: usize) -> (Name, HostView) {
+        let peer = self.nodes[other].peer.clone();
+        let silent = self.now - self.nodes[node].heard[other] > SUSPECT_MS;
+        let state = match () {
+            () if self.gone.contains(&peer) => HostState::Gone,
+            () if silent => HostState::Suspect,
+            () if self.nodes[other].leaving => HostState::Leaving,
+            () => HostState::Live,
+        };
+        let zone = Name::from(format!("zone{}", self.zones[other]));
+        let address = Name::from("127.0.0.1:1");
+        (peer.host.clone(), HostView { peer, zone, address, weight: 1, state })
+    }
+}
+
+fn fate(class: Class) -> Fate {
+    match class {
+        Class::NotRun => Fate::NotRun,
+        Class::Unknown => Fate::Unknown,
+    }
+}
+
+/// Makes the id `number`, dated at `now_ms` of a world.
+pub(crate) fn id(now_ms: u64, number: usize) -> SubmissionId {
+    let secs = WALL_S + now_ms / 1_000;
+    SubmissionId::parse(&format!("{secs}:order-{number}")).expect("a dated id")
+}
