Kernel: run submissions over shards, placers and links; tell stories of it

Cause: the parts (shards, placer) decide alone; nothing yet carries a call from the front to its home, to a placer and back. Ruled out: unary calls per message type between hosts (each would need its own duplicate detection, docs/design/links.md); heartbeats between all pairs. Change: kernel with fronts, runs, links, membership, minted ids, retry budget, graceful shutdown; virtual-time world over fakes with a story language; 24 stories.

--- a/endivestile_kernel/src/answer.rs
+++ b/endivestile_kernel/src/answer.rs
@@ -101,3 +101,33 @@
     /// Nothing is known of the id, to a caller that only asked or cancelled.
     NotFound,
 }
+
+impl Answer {
+    /// Returns the status as callers and log lines show it.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Complete(_) => "complete",
+            Self::Failed(Failure::Cancelled) => "cancelled",
+            Self::Failed(_) => "failed",
+            Self::Refused(Refusal { class: Class::NotRun, .. }) => "not run",
+            Self::Refused(_) => "unknown",
+            Self::Conflict => "conflict",
+            Self::Running => "running",
+            Self::NotFound => "not found",
+        }
+    }
+
+    /// Returns the bytes of the results.
+    pub fn payload(&self) -> usize {
+        match self {
+            Self::Complete(results) => results.iter().map(Bytes::len).sum(),
+            _ => 0,
+        }
+    }
+
+    /// Returns whether the answer proves that no task ran, so that the same id
+    /// may be started by a later call.
+    pub fn is_not_run(&self) -> bool {
+        matches!(self, Self::Refused(Refusal { class: Class::NotRun, .. }))
+    }
+}
--- a/endivestile_kernel/src/lib.rs
+++ b/endivestile_kernel/src/lib.rs
@@ -2,12 +2,22 @@
 //! of its own. Every scenario can be repeated event by event.
 
 mod answer;
+mod budget;
+mod channel;
 mod event;
+mod hosts;
 mod id;
+mod kernel;
+mod mint;
 mod msg;
 mod order;
+mod passed;
 mod peer;
 mod place;
+mod routes;
+mod run;
+mod runs;
+mod shard;
 mod submission;
 mod time;
 mod view;
@@ -15,12 +25,17 @@
 pub use answer::{Answer, Cause, Class, Failure, Refusal};
 pub use event::{CallId, Effect, Event, Level, Metric, Note, PlatformState, StoreOp, Stored};
 pub use id::{Form, IdError, MAX_ID, SubmissionId};
+pub use kernel::{HostStatus, Kernel, Setup, Status};
 pub use msg::{Ask, Frame, Known, Msg, Registration};
 pub use order::{AttemptId, End, Figure, Order, Outcome, TaskKey};
 pub use peer::Peer;
 pub use place::{
     Choice, Condition, PlaceEffect, Placer, PlacerSetup, PolicyPlugin, ServerStatus, policy_names,
 };
+pub use shard::{
+    Admit, Backing, MARGIN_S, Role, Seat, ShardEffect, ShardRecord, ShardSetup, ShardStatus,
+    Shards, Standing, SyncVerdict, Verdict, too_early,
+};
 pub use submission::{MAX_TASKS, Need, Submission, Target, Task};
 pub use time::Time;
 pub use view::{HostState, HostView, View};
--- a/endivestile_kernel/src/msg.rs
+++ b/endivestile_kernel/src/msg.rs
@@ -39,6 +39,8 @@
         call: u64,
         /// What to run.
         submission: Arc<Submission>,
+        /// Hosts that have passed it on; bounded, so that two stale views end.
+        hops: u8,
     },
     /// Front to home: how does it stand, or stop it.
     Ask {
@@ -48,6 +50,8 @@
         id: SubmissionId,
         /// What is asked.
         ask: Ask,
+        /// Hosts that have passed it on.
+        hops: u8,
     },
     /// Home to front.
     Reply {
@@ -131,6 +135,20 @@
 }
 
 impl Msg {
+    /// Returns the bytes of work and results that the message carries.
+    pub fn payload(&self) -> usize {
+        match self {
+            Self::Submit { submission, .. } => {
+                submission.tasks.iter().map(|task| task.work.len()).sum()
+            }
+            Self::Place(order) => order.task.work.len(),
+            Self::Placed { outcome: Outcome::Done(result), .. } => result.len(),
+            Self::Reply { answer, .. } => answer.payload(),
+            Self::Config { text, .. } => text.len(),
+            _ => 0,
+        }
+    }
+
     /// Moves every deadline from a clock that reads `theirs` to one that reads `ours`.
     pub fn rebase(&mut self, theirs: Time, ours: Time) {
         match self {
--- a/endivestile_testkit/src/lib.rs
+++ b/endivestile_testkit/src/lib.rs
@@ -5,6 +5,8 @@
 mod lock;
 mod machine;
 mod store;
+mod world;
 
 pub use machine::{BackendStandIn, Fault, Spec, Start, WorkerStandIn, echo};
 pub use store::{Counts, StoreStandIn};
+pub use world::{CallLog, Mode, Started, Submit, WALL_S, World, tell};
--- /dev/null
+++ b/endivestile_testkit/tests/stories/fails_at_once.story
@@ -0,0 +1,112 @@
+# A backend server fails every task at once and so always looks free. It is
+# taken out after a few failures instead of swallowing the work; most callers
+# get their answer.
+story
+world zones=a hosts=1 servers=4 slots=2 ms=100
+server a-s1 fails
+submit c at=a1 times=100
+run 20s
+check
+starts
+----
+every promise kept
+c-0 started 2
+c-1 started 1
+c-10 started 1
+c-11 started 1
+c-12 started 1
+c-13 started 1
+c-14 started 1
+c-15 started 1
+c-16 started 1
+c-17 started 1
+c-18 started 1
+c-19 started 2
+c-2 started 1
+c-20 started 1
+c-21 started 1
+c-22 started 1
+c-23 started 1
+c-24 started 1
+c-25 started 1
+c-26 started 1
+c-27 started 1
+c-28 started 1
+c-29 started 1
+c-3 started 1
+c-30 started 1
+c-31 started 1
+c-32 started 1
+c-33 started 1
+c-34 started 1
+c-35 started 1
+c-36 started 1
+c-37 started 1
+c-38 started 1
+c-39 started 1
+c-4 started 2
+c-40 started 1
+c-41 started 1
+c-42 started 1
+c-43 started 1
+c-44 started 2
+c-45 started 1
+c-46 started 1
+c-47 started 1
+c-48 started 1
+c-49 started 1
+c-5 started 1
+c-50 started 1
+c-51 started 1
+c-52 started 1
+c-53 started 1
+c-54 started 1
+c-55 started 1
+c-56 started 1
+c-57 started 1
+c-58 started 1
+c-59 started 1
+c-6 started 1
+c-60 started 1
+c-61 started 1
+c-62 started 1
+c-63 started 1
+c-64 started 1
+c-65 started 1
+c-66 started 1
+c-67 started 1
+c-68 started 1
+c-69 started 1
+c-7 started 1
+c-70 started 1
+c-71 started 1
+c-72 started 1
+c-73 started 1
+c-74 started 1
+c-75 started 1
+c-76 started 1
+c-77 started 1
+c-78 started 1
+c-79 started 1
+c-8 started 2
+c-80 started 1
+c-81 started 1
+c-82 started 1
+c-83 started 1
+c-84 started 1
+c-85 started 1
+c-86 started 1
+c-87 started 1
+c-88 started 1
+c-89 started 1
+c-9 started 2
+c-90 started 1
+c-91 started 1
+c-92 started 1
+c-93 started 1
+c-94 started 2
+c-95 started 1
+c-96 started 1
+c-97 started 1
+c-98 started 1
+c-99 started 1
--- /dev/null
+++ b/endivestile_testkit/tests/stories/partial_cancel.story
@@ -0,0 +1,23 @@
+# A caller cancels a job while its tasks finish. It is told that the job is
+# cancelled, or gets the whole answer if that came first, never a part.
+story
+world zones=a,b hosts=2 servers=2 slots=1 ms=200
+submit c1 at=a1 id=k1 tasks=10
+submit c2 at=b1 id=k2
+run 210ms
+cancel x1 at=b2 id=k1
+cancel x2 at=a1 id=k2
+run 1s
+ask q1 at=a2 id=k1
+submit c3 at=b1 id=k1 tasks=10
+run 5s
+answers
+check
+----
+c1 cancelled
+c2 cancelled
+c3 cancelled
+q1 cancelled
+x1 cancelled
+x2 cancelled
+every promise kept
--- /dev/null
+++ b/endivestile_testkit/tests/stories/start_store_down.story
@@ -0,0 +1,35 @@
+# The platform's store is away for a minute, and a home dies during it. Shards
+# whose hosts all live go on; the dead home's shard cannot change hands, which
+# callers are told at once as unknown, not after their deadline.
+story
+world zones=a,b hosts=2 servers=2
+store down
+submit c1 at=a1 id=k1
+submit c2 at=b1 id=k2
+submit c3 at=a2 id=k3
+run 1s
+kill home k1
+run 3s
+submit c4 at=b1 id=k1
+submit c5 at=b2 id=k1
+run 1s
+answers
+store up
+run 8s
+submit c6 at=b2 id=k1
+run 4s
+answers
+check
+----
+c1 complete
+c2 complete
+c3 complete
+c4 unknown
+c5 unknown
+c1 complete
+c2 complete
+c3 complete
+c4 unknown
+c5 unknown
+c6 failed
+every promise kept
