Place returned tasks anew with patience; a busy server is no reason to refuse

Cause: story stop_under_load: 2 of 40 calls at a stopping host ended as not run. The placer that gives its share up returns its queue; peers learn of the stop one after the other, so the tasks were placed back and forth and used up four tries in milliseconds. Then the successor of the share was told 'busy' by servers that still ran the old holder's tasks and gave up after three tries. Ruled out: holding the queue at the stopping host until peers confirm (another message, and a dead peer would hold it). Change: a returned task waits 10 ms, doubling, at most 7 tries (0.6 s); 'busy' may be met 40 times, paced by the hold of the server. Stories print causes and times.

--- a/endivestile_kernel/src/kernel.rs
+++ b/endivestile_kernel/src/kernel.rs
@@ -7,7 +7,7 @@
 mod task;
 mod watch;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -22,7 +22,7 @@
 use crate::runs::Runs;
 use crate::{
     Effect, Event, Metric, Peer, PlaceEffect, Placer, PlacerSetup, Refusal, ShardEffect,
-    ShardSetup, Shards, SubmissionId, Time,
+    ShardSetup, Shards, SubmissionId, TaskKey, Time,
 };
 
 pub use status::{HostStatus, Status};
@@ -61,6 +61,7 @@
     placer: Placer,
     runs: Runs,
     passed: Passed,
+    replacing: BTreeSet<(Time, TaskKey)>,
     mint: Mint,
     budget: Budget,
     routes: Routes,
@@ -96,6 +97,7 @@
             placer: Placer::new(PlacerSetup { me: me.clone(), seed: setup.seed }),
             runs: Runs::default(),
             passed: Passed::default(),
+            replacing: BTreeSet::new(),
             mint: Mint::new(me),
             budget: Budget::new(),
             routes: Routes::default(),
@@ -133,6 +135,7 @@
             drain,
             self.runs.deadline(),
             self.passed.deadline(),
+            self.replacing.first().map(|&(due, _)| due),
             self.shards.deadline(),
             self.placer.deadline(),
             Some(self.survey_due),
@@ -190,6 +193,7 @@
     fn tick(&mut self, now: Time) {
         self.survey(now);
         self.passed_due(now);
+        self.replace_due(now);
         self.runs_due(now);
         let view = self.hosts.view();
         self.shards.tick(now, view, &mut self.shard_effects);
--- a/endivestile_kernel/src/kernel/task.rs
+++ b/endivestile_kernel/src/kernel/task.rs
@@ -11,8 +11,15 @@
     PlaceEffect, Submission, Target, Task, TaskKey, Time,
 };
 
-/// Tries of one task at most, handing over to another placer among them.
-const MAX_TRIES: u8 = 4;
+/// Starts of one repeatable task at most.
+const MAX_STARTS: u8 = 3;
+/// Tries of one task at most, also of those that were never started.
+const MAX_TRIES: u8 = 7;
+/// First wait before a task that a placer gave back is placed again, in
+/// milliseconds; doubles with every try.
+const REPLACE_MS: u64 = 10;
+/// Longest such wait, in milliseconds.
+const REPLACE_MAX_MS: u64 = 500;
 /// Silence of a placer after which its tasks count as lost, in milliseconds.
 pub(super) const LOST_MS: u64 = 5_000;
 /// Wait that a refusal suggests when the queue says nothing, in milliseconds.
@@ -63,7 +70,7 @@
         self.runs.postpone(number, deadline);
         for index in 0..count {
             self.budget.first();
-            self.place(now, number, index as u16);
+            self.place(now, TaskKey { run: number, index: index as u16, attempt: 0 });
         }
     }
 
@@ -82,13 +89,14 @@
         best.or_else(|| Routes::fallback(now, view, config, &task.target))
     }
 
-    fn place(&mut self, now: Time, number: u64, index: u16) {
+    fn place(&mut self, now: Time, key: TaskKey) {
+        let TaskKey { run: number, index, attempt } = key;
         let Some(run) = self.runs.get(number) else { return };
-        if !matches!(run.state, RunState::Running) {
+        let current = run.tasks.get(usize::from(index)).map(|task| task.attempt);
+        if !matches!(run.state, RunState::Running) || current != Some(attempt) {
             return;
         }
         let Some(task) = run.submission.tasks.get(usize::from(index)).cloned() else { return };
-        let key = TaskKey { run: number, index, attempt: run.tasks[usize::from(index)].attempt };
         let order = Order {
             key,
             member: run.submission.member.clone(),
@@ -154,32 +162,54 @@
             }
             Outcome::NotRun(cause) => self.not_run(now, key, cause),
             Outcome::Rejected { peer, status } => {
-                run.started = true;
+                run.starts += 1;
                 let failure = Failure::Rejected { task: key.index, peer, status };
                 self.ambiguous(now, key, failure, status >= SERVER_ERROR);
             }
             Outcome::Lost { peer } => {
-                run.started = true;
+                run.starts += 1;
                 self.ambiguous(now, key, Failure::Lost { task: key.index, peer }, true);
             }
         }
     }
 
     /// A task was not started: another share may still take it.
+    ///
+    /// While a host leaves, its peers learn of it one after the other, and for
+    /// some milliseconds each takes another one to have its share. A task that
+    /// is placed anew at once uses up its tries among them, and its caller sees
+    /// a request cut off by a planned stop; so it waits a little longer each time.
     fn not_run(&mut self, now: Time, key: TaskKey, cause: Cause) {
         let elsewhere = matches!(cause, Cause::NoBackend | Cause::Stopping);
-        if elsewhere && key.attempt + 1 < MAX_TRIES {
-            self.again(now, key);
-        } else {
+        if !elsewhere || key.attempt + 1 >= MAX_TRIES {
             self.unplaced(now, key, cause);
+            return;
+        }
+        let Some(run) = self.runs.get_mut(key.run) else { return };
+        let task = &mut run.tasks[usize::from(key.index)];
+        task.attempt += 1;
+        task.state = TaskState::Ready;
+        let wait_ms = (REPLACE_MS << key.attempt.min(6)).min(REPLACE_MAX_MS);
+        let next = TaskKey { attempt: key.attempt + 1, ..key };
+        self.replacing.insert((now.after_ms(wait_ms), next));
+    }
+
+    /// Places what waited to be placed again.
+    pub(super) fn replace_due(&mut self, now: Time) {
+        while let Some(&(due, key)) = self.replacing.first() {
+            if due > now {
+                return;
+            }
+            self.replacing.pop_first();
+            self.place(now, key);
         }
     }
 
     /// A task may have run: only what may be repeated is tried again.
     fn ambiguous(&mut self, now: Time, key: TaskKey, failure: Failure, repeat: bool) {
         let may_repeat = self.runs.get(key.run).is_some_and(Run::may_repeat);
-        let try_left = key.attempt + 1 < MAX_TRIES;
-        if repeat && may_repeat && try_left && self.budget.retry() {
+        let starts = self.runs.get(key.run).map_or(0, |run| run.starts);
+        if repeat && may_repeat && starts < MAX_STARTS && self.budget.retry() {
             self.count(Metric::Retries, 1);
             self.again(now, key);
         } else {
@@ -193,7 +223,7 @@
             task.attempt += 1;
             task.state = TaskState::Ready;
         }
-        self.place(now, key.run, key.index);
+        self.place(now, TaskKey { attempt: key.attempt + 1, ..key });
     }
 
     fn unplaced(&mut self, now: Time, key: TaskKey, cause: Cause) {
--- a/endivestile_kernel/src/place/ending.rs
+++ b/endivestile_kernel/src/place/ending.rs
@@ -10,6 +10,14 @@
 /// Calls that may end without a start before a task is given up.
 const MAX_TRIES: u8 = 3;
 
+/// Calls that may find a back end full before a task is given up.
+///
+/// While a share changes hands, the host that had it still fills its slots, and
+/// its successor is told "busy" for as long as those tasks run. Giving up after
+/// a few tries would refuse calls just because a host was stopped; the back end
+/// is held for a growing time after each, so many tries cost little.
+const MAX_BUSY: u8 = 40;
+
 /// First status that speaks against the back end and not against the task.
 const SERVER_ERROR: u16 = 500;
 
@@ -60,7 +68,8 @@
         pool.queue.refund(held.member, run.cost);
         let hopeless = !pool.could_run(&held.want());
         let cause = if hopeless { Cause::NoBackend } else { cause };
-        if hopeless || held.tries >= MAX_TRIES {
+        let most = if cause == Cause::Full { MAX_BUSY } else { MAX_TRIES };
+        if hopeless || held.tries >= most {
             self.settle(slot, Outcome::NotRun(cause), out);
             return;
         }
--- a/endivestile_kernel/src/run.rs
+++ b/endivestile_kernel/src/run.rs
@@ -73,8 +73,8 @@
     pub(crate) left: u16,
     /// Where it stands.
     pub(crate) state: RunState,
-    /// Whether a task may have run although none is under way.
-    pub(crate) started: bool,
+    /// Tasks that may have run and are not under way any more.
+    pub(crate) starts: u8,
 }
 
 impl Run {
@@ -92,7 +92,7 @@
             tasks,
             submission,
             state,
-            started: false,
+            starts: 0,
         }
     }
 
@@ -108,7 +108,7 @@
     /// Returns whether no task ran, is with a placer or may have run.
     pub(crate) fn untouched(&self) -> bool {
         let at_rest = |task: &RunTask| matches!(task.state, TaskState::Ready | TaskState::Void);
-        !self.started && self.tasks.iter().all(at_rest)
+        self.starts == 0 && self.tasks.iter().all(at_rest)
     }
 
     /// Returns whether the same tasks may be started again after an ambiguous
--- a/endivestile_testkit/src/world/call.rs
+++ b/endivestile_testkit/src/world/call.rs
@@ -53,8 +53,21 @@
 }
 
 impl CallLog {
-    /// Returns the answer as stories show it.
-    pub fn label(&self) -> &'static str {
+    /// Returns the answer as stories show it, with its cause.
+    pub fn label(&self) -> String {
+        match &self.answer {
+            Some(Answer::Refused(refusal)) => {
+                let tenths = self.ended.map_or(0, |ended| (ended - self.made) / 100_000);
+                let after = format!("{}.{} s", tenths / 10, tenths % 10);
+                format!("{} {:?} after {after}", self.status(), refusal.cause)
+            }
+            Some(Answer::Failed(failure)) => format!("{} {failure:?}", self.status()),
+            _ => self.status().to_owned(),
+        }
+    }
+
+    /// Returns the status of the answer, or why there is none.
+    pub fn status(&self) -> &'static str {
         match &self.answer {
             Some(answer) => answer.label(),
             None if self.broken => "broken",
--- a/endivestile_testkit/tests/stories/refusal_overload.story
+++ b/endivestile_testkit/tests/stories/refusal_overload.story
@@ -6,6 +6,10 @@
 run 100ms
 submit d at=a2 times=20 deadline=2s
 run 10s
+answers
 check
 ----
+c: 19 complete
+c: 481 not run Deadline after 0.0 s
+d: 20 not run Deadline after 0.0 s
 every promise kept
