--- a/endivestile_kernel/src/hosts.rs
+++ b/endivestile_kernel/src/hosts.rs
@@ -13,6 +13,28 @@
 /// Time for which a broken link counts against a host that is not watched, in milliseconds.
 const BROKEN_MS: u64 = 5_000;
 
+/// A host that a starting process may ask for the configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Seed {
+    /// Name of the host.
+    pub host: Name,
+    /// Address of its links, `IP:port`.
+    pub address: Name,
+}
+
+impl Seed {
+    /// Shows the host as one of which nothing but the address is known.
+    fn view(&self) -> HostView {
+        HostView {
+            peer: Peer::new(self.host.clone(), 0),
+            zone: Name::from(""),
+            address: self.address.clone(),
+            weight: 1,
+            state: HostState::Suspect,
+        }
+    }
+}
+
 /// What is known of one host, from every source.
 #[derive(Debug, Default)]
 struct Facts {
@@ -40,7 +62,7 @@
 
 impl Hosts {
     /// Starts with this host alone.
-    pub(crate) fn new(me: Peer, zone: Name, address: Name) -> Self {
+    pub(crate) fn new(me: Peer, zone: Name, address: Name, seeds: &[Seed]) -> Self {
         let own = Facts { birth: me.birth, registered: true, ..Facts::default() };
         let host = HostView {
             peer: me.clone(),
@@ -49,8 +71,12 @@
             weight: 1,
             state: HostState::Live,
         };
-        let facts = BTreeMap::from([(me.host.clone(), own)]);
-        let hosts = BTreeMap::from([(me.host.clone(), host)]);
+        let mut facts = BTreeMap::from([(me.host.clone(), own)]);
+        let mut hosts = BTreeMap::from([(me.host.clone(), host)]);
+        for seed in seeds.iter().filter(|seed| seed.host != me.host) {
+            facts.insert(seed.host.clone(), Facts::default());
+            hosts.insert(seed.host.clone(), seed.view());
+        }
         Self { view: View { me, zone, hosts, store: false }, facts }
     }
 
--- a/endivestile_kernel/src/kernel.rs
+++ b/endivestile_kernel/src/kernel.rs
@@ -15,7 +15,7 @@
 
 use crate::budget::Budget;
 use crate::channel::Channel;
-use crate::hosts::Hosts;
+use crate::hosts::{Hosts, Seed};
 use crate::mint::Mint;
 use crate::passed::Passed;
 use crate::routes::Routes;
@@ -43,6 +43,8 @@
     pub wall_s: u64,
     /// Seed of everything that is drawn at random.
     pub seed: u64,
+    /// Hosts to ask for the configuration while the store is away.
+    pub seeds: Vec<Seed>,
 }
 
 /// All decisions of one entry host.
@@ -88,7 +90,7 @@
             config: None,
             text: Bytes::new(),
             wanted: None,
-            hosts: Hosts::new(me.clone(), setup.zone.clone(), setup.address.clone()),
+            hosts: Hosts::new(me.clone(), setup.zone.clone(), setup.address.clone(), &setup.seeds),
             channels: BTreeMap::new(),
             watched: BTreeMap::new(),
             survey_due: Time::ZERO,
--- a/endivestile_kernel/src/kernel/link.rs
+++ b/endivestile_kernel/src/kernel/link.rs
@@ -15,7 +15,8 @@
 
 impl Kernel {
     pub(super) fn frame(&mut self, now: Time, mut frame: Frame) {
-        if frame.to != self.setup.me {
+        let hello = frame.to.birth == 0 && frame.msgs.is_empty();
+        if frame.to != self.setup.me && !(hello && frame.to.host == self.setup.me.host) {
             return;
         }
         let from = frame.from.clone();
@@ -25,6 +26,9 @@
         }
         self.want_config(now, &from, frame.revision);
         let channel = self.channel(&from);
+        if hello {
+            channel.beat(now);
+        }
         let msgs = channel.receive(now, frame);
         for msg in msgs {
             self.message(now, &from, msg);
@@ -76,6 +80,28 @@
         self.settle(now);
     }
 
+    /// Greets every host whose incarnation is not known yet.
+    ///
+    /// A host that restarts while the store is away learns neither the
+    /// configuration nor who its peers are, and they do not learn of its new
+    /// incarnation: it would refuse everything until the store is back. A frame
+    /// to incarnation 0 of an address from the settings makes both known.
+    pub(super) fn greet(&mut self, now: Time) {
+        if self.config.is_some() {
+            return;
+        }
+        let strangers = self.hosts.view().hosts.values().filter(|host| host.peer.birth == 0);
+        let strangers: Vec<_> =
+            strangers.map(|host| (host.peer.clone(), host.address.clone())).collect();
+        for (peer, address) in strangers {
+            let mut channel = Channel::new(peer);
+            channel.beat(now);
+            let Some(frame) = channel.frame(now, &self.setup.me) else { continue };
+            self.out.push(Effect::Send { address, frame });
+            self.count(Metric::Frames, 1);
+        }
+    }
+
     fn want_config(&mut self, now: Time, from: &Peer, revision: u64) {
         let own = self.config.as_ref().map_or(0, |config| config.revision);
         if revision <= own || self.wanted.is_some_and(|due| due > now) {
--- a/endivestile_kernel/src/kernel/watch.rs
+++ b/endivestile_kernel/src/kernel/watch.rs
@@ -19,6 +19,7 @@
             self.forgive(now);
         }
         self.survey_due = now.after_ms(BEAT_MS);
+        self.greet(now);
         self.choose_watched(now);
         for (peer, channel) in &self.channels {
             let watched = self.watched.get(peer).copied();
--- a/endivestile_kernel/src/lib.rs
+++ b/endivestile_kernel/src/lib.rs
@@ -24,6 +24,7 @@
 
 pub use answer::{Answer, Cause, Class, Failure, Refusal};
 pub use event::{CallId, Effect, Event, Level, Metric, Note, PlatformState, StoreOp, Stored};
+pub use hosts::Seed;
 pub use id::{Form, IdError, MAX_ID, SubmissionId};
 pub use kernel::{HostStatus, Kernel, Setup, Status};
 pub use msg::{Ask, Frame, Known, Msg, Registration};
--- a/endivestile_testkit/src/world/host.rs
+++ b/endivestile_testkit/src/world/host.rs
@@ -2,8 +2,8 @@
 
 use std::collections::VecDeque;
 
-use endivestile_config::model::Name;
-use endivestile_kernel::{Effect, Event, Kernel, Peer, Setup, Time};
+use endivestile_config::model::{Config, Name};
+use endivestile_kernel::{Effect, Event, Kernel, Peer, Seed, Setup, Time};
 
 use super::{Happening, WALL_S, World};
 
@@ -38,8 +38,9 @@
 }
 
 impl World {
-    /// Starts a new incarnation of a host.
+    /// Starts a new incarnation of a host; one that still runs is killed.
     pub fn start(&mut self, name: &str) {
+        self.kill(name);
         self.births += 1;
         let config = self.config();
         let Some(host) = config.hosts.get(name) else { return };
@@ -50,6 +51,7 @@
             address: host.address.clone(),
             wall_s: WALL_S + self.now / 1_000_000,
             seed: self.births,
+            seeds: seeds(&config),
         };
         let machine = Machine {
             birth: self.births,
@@ -169,7 +171,7 @@
 
     /// Ends a host that has drained.
     pub(super) fn ended(&mut self, name: &Name) {
-        let open = self.calls.values().any(|call| call.host == *name && call.answer.is_none());
+        let open = self.calls.values().any(|call| call.host == *name && call.status() == "open");
         if open {
             self.breaches.push(format!("promise 7: {name} stopped with a call open"));
         }
@@ -179,6 +181,12 @@
     }
 }
 
+/// Returns every host as one to ask.
+fn seeds(config: &Config) -> Vec<Seed> {
+    let hosts = config.hosts.iter();
+    hosts.map(|(name, it)| Seed { host: name.clone(), address: it.address.clone() }).collect()
+}
+
 /// Returns whether an effect needs its process to stay alive.
 pub(super) fn is_drained(effect: &Effect) -> bool {
     matches!(effect, Effect::Drained)
--- a/endivestile_testkit/src/world/story.rs
+++ b/endivestile_testkit/src/world/story.rs
@@ -67,6 +67,7 @@
             "answers" => self.answers(),
             "starts" => self.starts(),
             "check" => self.check(),
+            "settled" => self.settled(),
             "hosts" => self.hosts(),
             "calls" => self.store_calls(step)?,
             _ => self.fault(step)?,
@@ -223,6 +224,20 @@
         }
     }
 
+    /// Prints the calls that nobody has answered, on hosts that run.
+    fn settled(&mut self) {
+        let mut open = 0;
+        for (name, call) in &self.names {
+            if self.world.calls()[call].status() == "open" {
+                let _ = writeln!(self.out, "{name} has no answer");
+                open += 1;
+            }
+        }
+        if open == 0 {
+            self.out.push_str("every call answered\n");
+        }
+    }
+
     fn hosts(&mut self) {
         for (name, revision, state) in self.world.host_states() {
             let _ = writeln!(self.out, "{name} {state} revision {revision}");
