Add endivectl with guarded changes of the store

Cause: operators race each other, and the store can carry a write out and lose its answer.

Change: each change goes in one transaction with its audit entry, under compares on the key's last revision and on the head of the audit trail. The same transaction is sent again until it is answered; a failed compare reads back whether its own write id stands in the trail. apply refuses files that were made from another revision than the one in force, and tells what others changed since. The trail keeps 1,000 entries; the oldest goes in the same transaction. New key endivestile/audit-head: without it the next serial number would take a read of the whole trail.

Ruled out: the revision as the key of an entry (planned stops have none); a read after a lost answer without sending again (an answer 'absent' may come before the write).

Seen to fail first, by mutation: without the compare on the key apply_raced_past_the_trail and apply_race_has_one_winner fail; without the compare on the head, and with every failed compare taken for a race, stop_race_keeps_every_entry fails; without the read-back apply_answer_lost_is_recognised fails.

--- /dev/null
+++ b/endivestile_ctl/src/audit.rs
@@ -0,0 +1,118 @@
+//! Entries of the audit trail.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use endivestile_config::Change;
+use endivestile_wire::key;
+use serde::{Deserialize, Serialize};
+
+/// Entries that are kept; the oldest goes when a new one comes.
+pub(crate) const KEPT: u64 = 1_000;
+/// Changed keys that one entry lists.
+const LISTED: usize = 100;
+/// Longest value that an entry shows, in characters.
+const SHOWN: usize = 120;
+
+/// Head of the audit trail.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct Head {
+    /// Serial number that the next entry gets.
+    pub(crate) next: u64,
+}
+
+impl Default for Head {
+    fn default() -> Self {
+        Self { next: 1 }
+    }
+}
+
+/// What was done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub(crate) enum Action {
+    /// A configuration was accepted.
+    Apply,
+    /// A planned stop was started.
+    Stop,
+    /// A planned stop was taken back.
+    Resume,
+}
+
+impl Action {
+    /// Returns the word for people.
+    pub(crate) fn word(self) -> &'static str {
+        match self {
+            Self::Apply => "apply",
+            Self::Stop => "stop",
+            Self::Resume => "resume",
+        }
+    }
+}
+
+/// One accepted change.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Entry {
+    /// Serial number, without gaps.
+    pub(crate) serial: u64,
+    /// Random id by which the writer knows its own entry again.
+    pub(crate) write: String,
+    /// Operator.
+    pub(crate) who: String,
+    /// When, in seconds since 1970 on the operator's clock.
+    pub(crate) at_s: u64,
+    /// What was done.
+    pub(crate) action: Action,
+    /// Host, backend server or worker of a planned stop; empty otherwise.
+    pub(crate) target: String,
+    /// Revision of the configuration after the change; 0 for a planned stop.
+    pub(crate) revision: u64,
+    /// Operator's own words.
+    pub(crate) note: String,
+    /// Changed keys, at most [`LISTED`], long values cut.
+    pub(crate) changes: Vec<Change>,
+    /// Changed keys that are not listed.
+    pub(crate) omitted: usize,
+}
+
+impl Entry {
+    /// Makes the entry of a change that happens now.
+    pub(crate) fn new(action: Action, who: &str, note: &str) -> Self {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        Self {
+            serial: 0,
+            write: format!("{:032x}", rand::random::<u128>()),
+            who: who.to_owned(),
+            at_s: since.map(|since| since.as_secs()).unwrap_or_default(),
+            action,
+            target: String::new(),
+            revision: 0,
+            note: note.to_owned(),
+            changes: Vec::new(),
+            omitted: 0,
+        }
+    }
+
+    /// Lists changed keys as far as they fit.
+    pub(crate) fn list(&mut self, changes: &[Change]) {
+        let cut = |value: &Option<String>| value.as_deref().map(shorten);
+        self.changes = changes
+            .iter()
+            .take(LISTED)
+            .map(|change| Change { old: cut(&change.old), new: cut(&change.new), ..change.clone() })
+            .collect();
+        self.omitted = changes.len() - self.changes.len();
+    }
+}
+
+/// Returns the key of an entry.
+pub(crate) fn key(serial: u64) -> String {
+    format!("{}{serial:020}", key::AUDIT)
+}
+
+fn shorten(text: &str) -> String {
+    let mut cut: String = text.chars().take(SHOWN).collect();
+    if cut.len() < text.len() {
+        cut.push_str("...");
+    }
+    cut
+}
--- /dev/null
+++ b/endivestile_ctl/src/command/history.rs
@@ -0,0 +1,71 @@
+//! `history`: the audit trail.
+
+use endivestile_wire::key;
+
+use super::apply::list;
+use crate::audit::{self, Entry, Head};
+use crate::cli::HistoryArgs;
+use crate::context::Context;
+use crate::error::CtlError;
+use crate::exit::Exit;
+use crate::out;
+use crate::store::{Store, scan};
+
+/// Entries that one call reads.
+const PAGE: u64 = 100;
+
+/// Shows the audit trail, the latest entry first.
+pub(crate) fn run(context: &Context, args: &HistoryArgs) -> Result<Exit, CtlError> {
+    let mut trail = entries(&mut context.store()?, args.last)?;
+    trail.reverse();
+    if context.json {
+        out::json(&trail);
+        return Ok(Exit::Done);
+    }
+    trail.iter().for_each(|entry| out::say(&describe(entry)));
+    Ok(Exit::Done)
+}
+
+/// Reads the last entries, the oldest first.
+pub(crate) fn entries(store: &mut Store, last: u64) -> Result<Vec<Entry>, CtlError> {
+    let held = store.get("read-history", key::AUDIT_HEAD)?;
+    if held.mod_revision == 0 {
+        return Ok(Vec::new());
+    }
+    let head: Head = read(key::AUDIT_HEAD, &held.value)?;
+    let mut found: Vec<Entry> = Vec::new();
+    let mut from = head.next.saturating_sub(last).max(1);
+    while from < head.next {
+        let request = scan(key::AUDIT, &audit::key(from), PAGE as i64);
+        let page = store.read("read-history", &request)?;
+        for kv in &page.kvs {
+            found.push(read(&String::from_utf8_lossy(&kv.key), &kv.value)?);
+        }
+        if !page.more {
+            break;
+        }
+        from = found.last().map_or(head.next, |entry| entry.serial + 1);
+    }
+    Ok(found)
+}
+
+fn read<T: for<'a> serde::Deserialize<'a>>(key: &str, value: &[u8]) -> Result<T, CtlError> {
+    serde_json::from_slice(value).map_err(|error| CtlError::Held {
+        step: "read-history",
+        key: key.to_owned(),
+        reason: error.to_string(),
+    })
+}
+
+fn describe(entry: &Entry) -> String {
+    let (at, word) = (out::utc(entry.at_s), entry.action.word());
+    let what = match entry.target.as_str() {
+        "" => format!("revision={}", entry.revision),
+        target => format!("target={target}"),
+    };
+    let Entry { serial, who, write, note, .. } = entry;
+    let mut text =
+        format!("{serial} {at} who={who} action={word} {what} write={write} note={note:?}");
+    list(&mut text, &entry.changes, entry.omitted);
+    text
+}
--- /dev/null
+++ b/endivestile_ctl/src/command/status.rs
@@ -0,0 +1,85 @@
+//! `status`: the state of entry hosts, side by side.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde_json::{Map, Value};
+
+use crate::cli::StatusArgs;
+use crate::context::Context;
+use crate::error::CtlError;
+use crate::exit::Exit;
+use crate::http::Http;
+use crate::out;
+
+/// Row that tells why a host gave no state.
+const ERROR: &str = "error";
+/// Widest value of the table, in characters.
+const WIDTH: usize = 24;
+
+/// Shows the state of entry hosts: one column a host, one row a value.
+pub(crate) fn run(context: &Context, args: &StatusArgs) -> Result<Exit, CtlError> {
+    let http = Http::new();
+    let mut silent = false;
+    let mut pages: Vec<(SocketAddr, Value)> = Vec::new();
+    for host in &args.hosts {
+        let page = http.status(*host).unwrap_or_else(|silence| {
+            silent = true;
+            Value::Object(Map::from_iter([(ERROR.to_owned(), silence.reason.into())]))
+        });
+        pages.push((*host, page));
+    }
+    if context.json {
+        let hosts = pages.into_iter().map(|(host, page)| (host.to_string(), page));
+        out::json(&Value::Object(hosts.collect()));
+    } else {
+        out::say(&table(&pages));
+    }
+    Ok(if silent { Exit::Away } else { Exit::Done })
+}
+
+fn table(pages: &[(SocketAddr, Value)]) -> String {
+    let columns: Vec<BTreeMap<String, String>> = pages.iter().map(|(_, page)| flat(page)).collect();
+    let mut rows: Vec<&String> = columns.iter().flat_map(BTreeMap::keys).collect();
+    rows.sort();
+    rows.dedup();
+    let first = rows.iter().map(|row| row.len()).max().unwrap_or(0);
+    let mut text = format!("{:first$}", "host");
+    pages.iter().for_each(|(host, _)| text.push_str(&format!("  {:WIDTH$}", host.to_string())));
+    for row in rows {
+        text.push_str(&format!("\n{row:first$}"));
+        for column in &columns {
+            let value = column.get(row).map_or("-", String::as_str);
+            text.push_str(&format!("  {value:WIDTH$}"));
+        }
+    }
+    text
+}
+
+/// Returns the counters of a host's state.
+pub(crate) fn counters(page: &Value) -> BTreeMap<String, u64> {
+    let fields = page.get("counters").and_then(Value::as_object);
+    let counts = fields.into_iter().flatten();
+    counts.filter_map(|(name, count)| Some((name.clone(), count.as_u64()?))).collect()
+}
+
+/// Turns nested values into rows named by their path; a list counts its items.
+fn flat(page: &Value) -> BTreeMap<String, String> {
+    let mut rows = BTreeMap::new();
+    collect("", page, &mut rows);
+    rows
+}
+
+fn collect(path: &str, value: &Value, rows: &mut BTreeMap<String, String>) {
+    let text = match value {
+        Value::Object(fields) => {
+            let dot = if path.is_empty() { "" } else { "." };
+            let nested = fields.iter().map(|(name, value)| (format!("{path}{dot}{name}"), value));
+            return nested.for_each(|(path, value)| collect(&path, value, rows));
+        }
+        Value::Array(items) => format!("{} items", items.len()),
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    };
+    rows.insert(path.to_owned(), text);
+}
--- /dev/null
+++ b/endivestile_ctl/src/command/stop.rs
@@ -0,0 +1,97 @@
+//! `stop` and `resume`: planned stops.
+
+use endivestile_config::model::Config;
+use endivestile_wire::key;
+use serde::Serialize;
+
+use crate::audit::{Action, Entry};
+use crate::change::{Guarded, Outcome, commit};
+use crate::cli::StopArgs;
+use crate::context::{Context, in_force};
+use crate::error::CtlError;
+use crate::exit::Exit;
+use crate::out;
+
+/// Value of the key of a planned stop.
+#[derive(Debug, Serialize)]
+struct Planned<'a> {
+    /// Operator.
+    who: &'a str,
+    /// When it was started, in seconds since 1970.
+    at_s: u64,
+}
+
+/// What the command did.
+#[derive(Debug, Serialize)]
+struct Changed<'a> {
+    /// Host, backend server or worker.
+    name: &'a str,
+    /// Whether it is stopping now.
+    stopping: bool,
+    /// Serial number of the audit entry; 0 when nothing had to be changed.
+    serial: u64,
+}
+
+/// Starts a planned stop.
+pub(crate) fn stop(context: &Context, args: &StopArgs) -> Result<Exit, CtlError> {
+    set(context, args, true)
+}
+
+/// Takes a planned stop back.
+pub(crate) fn resume(context: &Context, args: &StopArgs) -> Result<Exit, CtlError> {
+    set(context, args, false)
+}
+
+fn set(context: &Context, args: &StopArgs, stopping: bool) -> Result<Exit, CtlError> {
+    let mut store = context.store()?;
+    let name = args.name.as_str();
+    let path = format!("{}{name}", key::STOPS);
+    let held = store.get("read-stop", &path)?;
+    let stopped = held.mod_revision > 0;
+    // A stop may be taken back after its machine has left the inventory.
+    if !stopped && !is_known(&in_force(&mut store)?.config, name) {
+        let reason = format!("no host, backend server or worker is named \"{name}\"");
+        return Err(CtlError::Usage(reason));
+    }
+    if stopped == stopping {
+        report(context, &Changed { name, stopping, serial: 0 });
+        return Ok(Exit::Done);
+    }
+    let action = if stopping { Action::Stop } else { Action::Resume };
+    let mut entry = Entry::new(action, &args.author.who, &args.author.note);
+    entry.target = name.to_owned();
+    let planned = Planned { who: &entry.who, at_s: entry.at_s };
+    let value = serde_json::to_vec(&planned).unwrap_or_default();
+    let change = Guarded {
+        step: action.word(),
+        key: path,
+        revision: held.mod_revision,
+        value: stopping.then_some(value),
+    };
+    match commit(&mut store, &change, &mut entry)? {
+        Outcome::Done(serial) => {
+            report(context, &Changed { name, stopping, serial });
+            Ok(Exit::Done)
+        }
+        Outcome::Raced => {
+            let reason = format!("somebody else changed the planned stop of {name} meanwhile");
+            Err(CtlError::Conflict(reason))
+        }
+    }
+}
+
+fn is_known(config: &Config, name: &str) -> bool {
+    config.hosts.contains_key(name)
+        || config.servers.contains_key(name)
+        || config.workers.contains_key(name)
+}
+
+fn report(context: &Context, changed: &Changed<'_>) {
+    if context.json {
+        return out::json(changed);
+    }
+    let Changed { name, stopping, serial } = changed;
+    let state = if *stopping { "stopping" } else { "in use" };
+    let hint = if *serial == 0 { ", nothing changed" } else { "" };
+    out::say(&format!("{name} {state}{hint}"));
+}
--- /dev/null
+++ b/endivestile_ctl/src/http.rs
@@ -0,0 +1,247 @@
+//! Calls to entry hosts.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use endivestile_wire::call::{AnswerBody, DEADLINE_HEADER, ID_HEADER, MEMBER_HEADER};
+use endivestile_wire::call::{JobBody, MINTED_HEADER};
+use serde::{Deserialize, Serialize};
+use ureq::http::Response;
+use ureq::{Agent, Body, Error, Timeout};
+
+/// Header that marks a request as idempotent.
+const IDEMPOTENT_HEADER: &str = "Idempotent";
+/// Header that asks for fresh ids with the answer.
+const WANT_HEADER: &str = "Want-Ids";
+/// Largest answer that is read, in bytes.
+const MAX_ANSWER: u64 = 256 << 20;
+/// Time that an answer may come after its deadline, in milliseconds.
+const GRACE_MS: u64 = 2_000;
+/// Time for a connection, in milliseconds.
+const CONNECT_MS: u64 = 2_000;
+
+/// What an answer says of a submission.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub(crate) enum Class {
+    /// All results are there.
+    Complete,
+    /// No result; tasks may have run.
+    Failed,
+    /// Cancelled; tasks may have run.
+    Cancelled,
+    /// Refused; no task ran.
+    #[serde(rename = "not run")]
+    NotRun,
+    /// Nobody in reach can tell whether tasks ran.
+    Unknown,
+    /// Still running.
+    Running,
+    /// The id belongs to another submission; nothing of this one ran.
+    Conflict,
+    /// Nothing is known of the id.
+    #[serde(rename = "not found")]
+    NotFound,
+    /// Not accepted as it stands; nothing ran.
+    Invalid,
+}
+
+impl Class {
+    /// Reads the class of an answer. A body that says nothing of a known class
+    /// counts as unknown: to take it for a refusal could make a caller start
+    /// its submission again elsewhere.
+    fn of(answer: Option<&AnswerBody>) -> Self {
+        let word = answer.map(|answer| answer.status.as_str()).unwrap_or_default();
+        serde_json::from_value(word.into()).unwrap_or(Self::Unknown)
+    }
+
+    /// Returns the word of the interface.
+    pub(crate) fn word(self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::Failed => "failed",
+            Self::Cancelled => "cancelled",
+            Self::NotRun => "not run",
+            Self::Unknown => "unknown",
+            Self::Running => "running",
+            Self::Conflict => "conflict",
+            Self::NotFound => "not found",
+            Self::Invalid => "invalid",
+        }
+    }
+}
+
+/// What is submitted.
+#[derive(Debug, Clone)]
+pub(crate) enum Work {
+    /// A request to a service, with its body.
+    Request {
+        /// The service.
+        service: String,
+        /// The body.
+        body: Vec<u8>,
+        /// Whether it may run more than once.
+        idempotent: bool,
+    },
+    /// A job.
+    Job(JobBody),
+}
+
+/// A submission on its way.
+#[derive(Debug)]
+pub(crate) struct Call<'a> {
+    /// Member on whose behalf it runs.
+    pub(crate) member: &'a str,
+    /// Id, if any.
+    pub(crate) id: Option<&'a str>,
+    /// Time until the deadline, in milliseconds.
+    pub(crate) deadline_ms: u64,
+    /// Fresh ids wanted with the answer.
+    pub(crate) ids: usize,
+    /// What is submitted.
+    pub(crate) work: &'a Work,
+}
+
+/// What came back.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    /// HTTP status.
+    pub(crate) status: u16,
+    /// What it says of the submission.
+    pub(crate) class: Class,
+    /// Body as it came.
+    pub(crate) body: Vec<u8>,
+    /// Fresh ids.
+    pub(crate) ids: Vec<String>,
+}
+
+/// Why nothing came back.
+#[derive(Debug)]
+pub(crate) struct Silence {
+    /// Whether the call may have arrived.
+    pub(crate) sent: bool,
+    /// What went wrong.
+    pub(crate) reason: String,
+}
+
+/// Fresh ids in the body of `POST /v1/ids`.
+#[derive(Debug, Deserialize)]
+struct Ids {
+    /// The ids.
+    ids: Vec<String>,
+}
+
+/// Client of entry hosts. Each thread has its own, for the connections.
+#[derive(Debug)]
+pub(crate) struct Http {
+    /// The library's client.
+    agent: Agent,
+}
+
+impl Http {
+    /// Makes a client without open connections.
+    pub(crate) fn new() -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_connect(Some(Duration::from_millis(CONNECT_MS)))
+            .no_delay(true)
+            .build();
+        Self { agent: config.new_agent() }
+    }
+
+    /// Submits and waits for the answer.
+    pub(crate) fn submit(&self, host: SocketAddr, call: &Call<'_>) -> Result<Reply, Silence> {
+        let (path, body) = match call.work {
+            Work::Request { service, body, .. } => {
+                (format!("/v1/requests/{service}"), body.clone())
+            }
+            Work::Job(job) => ("/v1/jobs".to_owned(), encode(job)?),
+        };
+        let mut request = self
+            .agent
+            .post(format!("http://{host}{path}"))
+            .config()
+            .timeout_global(Some(Duration::from_millis(call.deadline_ms + GRACE_MS)))
+            .build()
+            .header(MEMBER_HEADER, call.member)
+            .header(DEADLINE_HEADER, call.deadline_ms.to_string());
+        if let Some(id) = call.id {
+            request = request.header(ID_HEADER, id);
+        }
+        if call.ids > 0 {
+            request = request.header(WANT_HEADER, call.ids.to_string());
+        }
+        if let Work::Request { idempotent: true, .. } = call.work {
+            request = request.header(IDEMPOTENT_HEADER, "true");
+        }
+        let response = request.send(&body[..]).map_err(silence)?;
+        reply(response, matches!(call.work, Work::Request { .. }))
+    }
+
+    /// Asks for fresh ids.
+    pub(crate) fn mint(&self, host: SocketAddr, count: usize) -> Result<Vec<String>, Silence> {
+        let url = format!("http://{host}/v1/ids?count={count}");
+        let body = self.text(self.agent.post(url).send_empty().map_err(silence)?)?;
+        let ids: Ids = serde_json::from_slice(&body).map_err(|error| garbled(&error))?;
+        Ok(ids.ids)
+    }
+
+    /// Reads the state of a host.
+    pub(crate) fn status(&self, host: SocketAddr) -> Result<serde_json::Value, Silence> {
+        let request = self.agent.get(format!("http://{host}/status")).config();
+        let request = request.timeout_global(Some(Duration::from_millis(GRACE_MS))).build();
+        let body = self.text(request.call().map_err(silence)?)?;
+        serde_json::from_slice(&body).map_err(|error| garbled(&error))
+    }
+
+    fn text(&self, response: Response<Body>) -> Result<Vec<u8>, Silence> {
+        let status = response.status();
+        let body = read(response)?;
+        if status.is_success() {
+            return Ok(body);
+        }
+        let reason = format!("status {status}: {}", String::from_utf8_lossy(&body));
+        Err(Silence { sent: true, reason })
+    }
+}
+
+fn reply(response: Response<Body>, raw: bool) -> Result<Reply, Silence> {
+    let status = response.status().as_u16();
+    let header = response.headers().get(MINTED_HEADER).and_then(|value| value.to_str().ok());
+    let ids = header.map(|ids| ids.split(',').map(|id| id.trim().to_owned()).collect());
+    let body = read(response)?;
+    let class = if raw && status == 200 {
+        Class::Complete
+    } else {
+        Class::of(serde_json::from_slice(&body).ok().as_ref())
+    };
+    Ok(Reply { status, class, body, ids: ids.unwrap_or_default() })
+}
+
+fn read(response: Response<Body>) -> Result<Vec<u8>, Silence> {
+    let body = response.into_body();
+    body.into_with_config().limit(MAX_ANSWER).read_to_vec().map_err(silence)
+}
+
+fn encode(job: &JobBody) -> Result<Vec<u8>, Silence> {
+    let fail = |error: serde_json::Error| Silence { sent: false, reason: error.to_string() };
+    serde_json::to_vec(job).map_err(fail)
+}
+
+fn garbled(error: &serde_json::Error) -> Silence {
+    Silence { sent: true, reason: format!("garbled answer: {error}") }
+}
+
+/// Tells calls that never left from calls that may have arrived. To take the
+/// second for the first would make a caller submit again under a new id, and
+/// the work would be done twice.
+fn silence(error: Error) -> Silence {
+    let unsent = match &error {
+        Error::Io(cause) => cause.kind() == ErrorKind::ConnectionRefused,
+        Error::Timeout(Timeout::Connect | Timeout::Resolve) => true,
+        Error::ConnectionFailed | Error::HostNotFound | Error::BadUri(_) | Error::Http(_) => true,
+        _ => false,
+    };
+    Silence { sent: !unsent, reason: error.to_string() }
+}
--- /dev/null
+++ b/endivestile_ctl/src/lib.rs
@@ -0,0 +1,41 @@
+//! `endivectl` as a library: commands of operators and callers.
+
+mod audit;
+mod change;
+mod cli;
+mod command;
+mod context;
+mod error;
+mod exit;
+mod files;
+mod http;
+mod load;
+mod out;
+mod store;
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use clap::Parser;
+
+use cli::Cli;
+use exit::Exit;
+
+/// Runs the tool with the arguments of a process and returns its exit code.
+pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let cli = match Cli::try_parse_from(args) {
+        Ok(cli) => cli,
+        Err(error) => {
+            // Nothing is left to tell when standard error is closed.
+            let _ = error.print();
+            return ExitCode::from(error.exit_code() as u8);
+        }
+    };
+    match command::run(cli) {
+        Ok(exit) => ExitCode::from(exit),
+        Err(error) => {
+            out::complain(&error.to_string());
+            ExitCode::from(Exit::from(&error))
+        }
+    }
+}
--- /dev/null
+++ b/endivestile_ctl/src/load/plan.rs
@@ -0,0 +1,121 @@
+//! What is submitted and when, drawn from a seed.
+
+use std::net::SocketAddr;
+
+use endivestile_wire::call::{JobBody, NeedBody, TaskBody};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use super::LoadArgs;
+use crate::http::Work;
+
+/// Microseconds in a second.
+const SECOND_US: f64 = 1e6;
+
+/// One submission of the load.
+#[derive(Debug)]
+pub(super) struct Shot {
+    /// Serial number, from 0.
+    pub(super) serial: u64,
+    /// When it starts, in microseconds since the start of the load; 0 for at once.
+    pub(super) at_us: u64,
+    /// Entry host.
+    pub(super) host: SocketAddr,
+    /// Member.
+    pub(super) member: String,
+    /// What is submitted.
+    pub(super) work: Work,
+}
+
+impl Shot {
+    /// Returns the number of tasks.
+    pub(super) fn tasks(&self) -> u64 {
+        match &self.work {
+            Work::Request { .. } => 1,
+            Work::Job(job) => job.tasks.len() as u64,
+        }
+    }
+
+    /// Tells whether it can't be sent without an id.
+    pub(super) fn needs_id(&self) -> bool {
+        !matches!(self.work, Work::Request { idempotent: true, .. })
+    }
+}
+
+/// The source of the shots; the same seed gives the same shots.
+#[derive(Debug)]
+pub(super) struct Plan {
+    /// Arguments.
+    args: LoadArgs,
+    /// Generator.
+    rng: StdRng,
+    /// Serial number of the next shot.
+    serial: u64,
+    /// Start of the last shot, in microseconds.
+    at_us: f64,
+}
+
+impl Plan {
+    /// Makes the source for a seed.
+    pub(super) fn new(args: &LoadArgs) -> Self {
+        let rng = StdRng::seed_from_u64(args.seed);
+        Self { args: args.clone(), rng, serial: 0, at_us: 0.0 }
+    }
+
+    /// Draws the next shot.
+    pub(super) fn next(&mut self) -> Shot {
+        let serial = self.serial;
+        self.serial += 1;
+        if let Some(rate) = self.args.rate {
+            // Gaps of independent arrivals are exponential.
+            let unit: f64 = self.rng.random_range(f64::MIN_POSITIVE..1.0);
+            self.at_us -= unit.ln() * SECOND_US / rate as f64;
+        }
+        let host = self.args.hosts[(serial % self.args.hosts.len() as u64) as usize];
+        let member = pick(&mut self.rng, &self.args.members);
+        let work = self.work();
+        Shot { serial, at_us: self.at_us as u64, host, member, work }
+    }
+
+    fn work(&mut self) -> Work {
+        if self.percent(self.args.job_percent) {
+            let count = self.rng.random_range(1..=self.args.tasks);
+            return Work::Job(JobBody { tasks: (0..count).map(|_| self.task()).collect() });
+        }
+        let idempotent = self.percent(self.args.idempotent_percent);
+        let service = pick(&mut self.rng, &self.args.services);
+        let (body, _) = self.body();
+        Work::Request { service, body: body.into_bytes(), idempotent }
+    }
+
+    fn task(&mut self) -> TaskBody {
+        let (work, run_ms) = self.body();
+        let declared_ms = (run_ms > 0).then_some(run_ms);
+        if !self.args.needs_worker() {
+            let service = Some(pick(&mut self.rng, &self.args.services));
+            return TaskBody { service, need: None, declared_ms, work };
+        }
+        let LoadArgs { cpu_milli, memory_mb, .. } = self.args;
+        let need = Some(NeedBody { cpu_milli, memory_mb, accelerators: 0 });
+        TaskBody { service: None, need, declared_ms, work }
+    }
+
+    /// Draws a run time and puts it into the work.
+    fn body(&mut self) -> (String, u32) {
+        let most = self.args.max_run_ms.unwrap_or(self.args.run_ms);
+        let run_ms = self.rng.random_range(self.args.run_ms..=most);
+        (self.args.work.replace("{ms}", &run_ms.to_string()), run_ms)
+    }
+
+    fn percent(&mut self, percent: u8) -> bool {
+        self.rng.random_range(0..100) < percent
+    }
+}
+
+/// Draws one of several words; empty when there are none.
+fn pick(rng: &mut StdRng, words: &[String]) -> String {
+    match words {
+        [] => String::new(),
+        words => words[rng.random_range(0..words.len())].clone(),
+    }
+}
--- /dev/null
+++ b/endivestile_ctl/src/load/report.rs
@@ -0,0 +1,218 @@
+//! What came back, and the report on it.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{BufWriter, Write};
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use super::plan::Shot;
+use crate::error::CtlError;
+use crate::http::{Class, Work};
+
+/// Significant digits of the histograms.
+const DIGITS: u8 = 3;
+
+/// How a submission ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Ending {
+    /// With an answer.
+    Class(Class),
+    /// Sent, and no answer came.
+    Lost,
+    /// Not sent: the host could not be reached.
+    Refused,
+}
+
+impl Ending {
+    fn word(self) -> &'static str {
+        match self {
+            Self::Class(class) => class.word(),
+            Self::Lost => "lost",
+            Self::Refused => "unreachable",
+        }
+    }
+}
+
+/// One line of the trace.
+#[derive(Debug)]
+struct Line {
+    /// Serial number.
+    serial: u64,
+    /// When it was due, in microseconds since the start.
+    at_us: u64,
+    /// Time to the answer, in microseconds.
+    took_us: u64,
+    /// Tasks.
+    tasks: u64,
+    /// Whether it was a job.
+    job: bool,
+    /// Member.
+    member: String,
+    /// How it ended.
+    ending: Ending,
+}
+
+/// What came back to one caller, or to all.
+#[derive(Debug, Default)]
+pub(super) struct Tally {
+    /// Times to the answer by ending, in microseconds.
+    times: BTreeMap<Ending, Times>,
+    /// Tasks of complete submissions.
+    done: u64,
+    /// Tasks of all submissions.
+    tasks: u64,
+    /// The trace, if wanted.
+    lines: Vec<Line>,
+}
+
+/// Times to the answer, in microseconds.
+#[derive(Debug)]
+struct Times(Histogram<u64>);
+
+impl Default for Times {
+    fn default() -> Self {
+        // Three digits are within what the library accepts.
+        Self(Histogram::new(DIGITS).expect("histogram of three digits"))
+    }
+}
+
+impl Tally {
+    /// Records one submission.
+    pub(super) fn record(
+        &mut self,
+        shot: &Shot,
+        ending: Ending,
+        at_us: u64,
+        took_us: u64,
+        traced: bool,
+    ) {
+        // The histogram grows as needed, so no time is out of its range.
+        let _ = self.times.entry(ending).or_default().0.record(took_us);
+        let tasks = shot.tasks();
+        self.tasks += tasks;
+        if ending == Ending::Class(Class::Complete) {
+            self.done += tasks;
+        }
+        if traced {
+            let job = matches!(shot.work, Work::Job(_));
+            let (serial, member) = (shot.serial, shot.member.clone());
+            self.lines.push(Line { serial, at_us, took_us, tasks, job, member, ending });
+        }
+    }
+
+    /// Adds what came back to another caller.
+    pub(super) fn add(&mut self, other: Self) {
+        for (ending, times) in other.times {
+            // As above.
+            let _ = self.times.entry(ending).or_default().0.add(times.0);
+        }
+        self.done += other.done;
+        self.tasks += other.tasks;
+        self.lines.extend(other.lines);
+    }
+
+    /// Writes the trace as CSV.
+    pub(super) fn write(&self, file: &str) -> Result<(), CtlError> {
+        let fail = |cause| CtlError::File { step: "write", file: file.to_owned(), cause };
+        let mut out = BufWriter::new(File::create(file).map_err(fail)?);
+        writeln!(out, "serial,due_us,took_us,kind,tasks,member,class").map_err(fail)?;
+        for line in &self.lines {
+            let kind = if line.job { "job" } else { "request" };
+            let Line { serial, at_us, took_us, tasks, member, ending, .. } = line;
+            let class = ending.word();
+            writeln!(out, "{serial},{at_us},{took_us},{kind},{tasks},{member},{class}")
+                .map_err(fail)?;
+        }
+        out.flush().map_err(fail)
+    }
+}
+
+/// Times to the answers of one ending, in microseconds.
+#[derive(Debug, Serialize)]
+struct Row {
+    /// How they ended.
+    class: &'static str,
+    /// Submissions.
+    count: u64,
+    /// Median.
+    p50_us: u64,
+    /// 95th percentile.
+    p95_us: u64,
+    /// 99th percentile.
+    p99_us: u64,
+    /// Longest.
+    max_us: u64,
+}
+
+/// The report.
+#[derive(Debug, Serialize)]
+pub(super) struct Report {
+    /// Length of the load to its last answer, in seconds.
+    seconds: f64,
+    /// Submissions.
+    submissions: u64,
+    /// Tasks of all submissions.
+    tasks: u64,
+    /// Tasks of complete submissions a second.
+    goodput: f64,
+    /// Times by ending.
+    classes: Vec<Row>,
+    /// By how much the hosts' counters grew.
+    counters: BTreeMap<String, u64>,
+}
+
+impl Report {
+    /// Makes the report.
+    pub(super) fn new(tally: &Tally, seconds: f64, counters: BTreeMap<String, u64>) -> Self {
+        let classes: Vec<Row> =
+            tally.times.iter().map(|(ending, Times(times))| row(*ending, times)).collect();
+        Self {
+            seconds,
+            submissions: classes.iter().map(|row| row.count).sum(),
+            tasks: tally.tasks,
+            goodput: tally.done as f64 / seconds,
+            classes,
+            counters,
+        }
+    }
+
+    /// Tells whether any submission was answered.
+    pub(super) fn answered(&self) -> bool {
+        let silent = [Ending::Lost.word(), Ending::Refused.word()];
+        self.classes.iter().any(|row| !silent.contains(&row.class))
+    }
+
+    /// Returns the report for people.
+    pub(super) fn text(&self) -> String {
+        let Self { seconds, submissions, tasks, goodput, .. } = self;
+        let mut text = format!(
+            "{submissions} submissions, {tasks} tasks in {seconds:.1} s, \
+             {goodput:.0} tasks/s complete\n\
+             class             count     p50 us     p95 us     p99 us     max us"
+        );
+        for row in &self.classes {
+            let Row { class, count, p50_us, p95_us, p99_us, max_us } = row;
+            text.push_str(&format!(
+                "\n{class:12} {count:10} {p50_us:10} {p95_us:10} {p99_us:10} {max_us:10}"
+            ));
+        }
+        for (name, count) in self.counters.iter().filter(|(_, count)| **count > 0) {
+            let each = *count as f64 / (*tasks).max(1) as f64;
+            text.push_str(&format!("\n{name} {count}, {each:.3} per task"));
+        }
+        text
+    }
+}
+
+fn row(ending: Ending, times: &Histogram<u64>) -> Row {
+    Row {
+        class: ending.word(),
+        count: times.len(),
+        p50_us: times.value_at_quantile(0.5),
+        p95_us: times.value_at_quantile(0.95),
+        p99_us: times.value_at_quantile(0.99),
+        max_us: times.max(),
+    }
+}
--- /dev/null
+++ b/endivestile_ctl/tests/change.rs
@@ -0,0 +1,245 @@
+//! Changes of what the store holds: `apply`, `stop`, `resume`, `history`.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panic")]
+
+mod common;
+
+use std::thread;
+
+use common::{CONFIG, apply, with_store};
+use endivestile_testkit::StoreStandIn;
+use endivestile_wire::key;
+use serde_json::Value;
+
+fn history(store: &StoreStandIn) -> Vec<Value> {
+    let run = with_store(store, &["history", "--json"], "");
+    serde_json::from_str(&run.out).unwrap()
+}
+
+fn revision(store: &StoreStandIn) -> String {
+    with_store(store, &["show", "--revision"], "").out.trim().to_owned()
+}
+
+#[test]
+fn apply_first_and_next() {
+    let store = StoreStandIn::start().unwrap();
+    assert_eq!(apply(&store, CONFIG, 0, "ann").code, 0);
+    let next = CONFIG.replace("slots = 8", "slots = 9");
+    let run = apply(&store, &next, 1, "ben");
+    assert_eq!((run.code, run.out.as_str()), (0, "revision 2 in force, 1 keys changed\n"));
+    let trail = history(&store);
+    assert_eq!(trail[0]["who"], "ben");
+    assert_eq!(trail[0]["changes"][0]["new"], "9");
+    assert_eq!(trail[1]["revision"], 1);
+    // What is shown can be edited and applied, since it names its revision.
+    let shown = with_store(&store, &["show"], "").out;
+    let edited = shown.replace("limit = 100", "limit = 101");
+    assert_eq!(with_store(&store, &["apply", "-"], &edited).code, 0);
+    assert_eq!(revision(&store), "3");
+}
+
+#[test]
+fn apply_unchanged_writes_nothing() {
+    let store = StoreStandIn::start().unwrap();
+    apply(&store, CONFIG, 0, "ann");
+    let before = store.counts().txn;
+    assert_eq!(apply(&store, CONFIG, 1, "ann").code, 0);
+    assert_eq!(store.counts().txn, before);
+    assert_eq!(revision(&store), "1");
+}
+
+/// Two operators edit the same files. The second one applies what was made
+/// from a revision that is no longer in force, and would silently take back
+/// the change of the first.
+#[test]
+fn apply_stale_base() {
+    let store = StoreStandIn::start().unwrap();
+    apply(&store, CONFIG, 0, "ann");
+    apply(&store, &CONFIG.replace("slots = 8", "slots = 9"), 1, "ben");
+    let run = apply(&store, &CONFIG.replace("limit = 100", "limit = 5"), 1, "cat");
+    assert_eq!(run.code, 4, "{run:?}");
+    assert!(run.err.contains("revision 2 by ben"), "{run:?}");
+    assert!(run.err.contains("slots = 8 -> 9"), "{run:?}");
+    assert_eq!(revision(&store), "2");
+}
+
+/// Many operators apply at the same moment, from the same revision. All but
+/// one must be told of a conflict; a second success would mean that a change
+/// that was reported as accepted is not in force.
+#[test]
+fn apply_race_has_one_winner() {
+    let store = StoreStandIn::start().unwrap();
+    apply(&store, CONFIG, 0, "ann");
+    store.slow(30);
+    let codes: Vec<i32> = thread::scope(|scope| {
+        let operators: Vec<_> = (1..=6)
+            .map(|limit| {
+                let text = CONFIG.replace("limit = 100", &format!("limit = {limit}"));
+                let store = &store;
+                scope.spawn(move || apply(store, &text, 1, &format!("op{limit}")).code)
+            })
+            .collect();
+        operators.into_iter().map(|operator| operator.join().unwrap()).collect()
+    });
+    assert_eq!(codes.iter().filter(|code| **code == 0).count(), 1, "{codes:?}");
+    assert_eq!(codes.iter().filter(|code| **code == 4).count(), 5, "{codes:?}");
+    let winner = codes.iter().position(|code| *code == 0).unwrap() + 1;
+    let trail = history(&store);
+    assert_eq!(trail.len(), 2);
+    assert_eq!(trail[0]["who"], format!("op{winner}"));
+    let shown = with_store(&store, &["show"], "").out;
+    assert!(shown.contains(&format!("limit = {winner}\n")), "{shown}");
+}
+
+/// The store carries the change out and its answer is lost. An operator who
+/// is told of an error would apply again, and meet a conflict with himself.
+#[test]
+fn apply_answer_lost_is_recognised() {
+    let store = StoreStandIn::start().unwrap();
+    store.lose_answers(1);
+    let run = apply(&store, CONFIG, 0, "ann");
+    assert_eq!(run.code, 0, "{run:?}");
+    assert_eq!(revision(&store), "1");
+    assert_eq!(history(&store).len(), 1);
+}
+
+/// The store goes silent after it was sent the change. Nobody can tell whether
+/// it is in force; the operator must not read "failed".
+#[test]
+fn apply_answers_all_lost_is_unknown() {
+    let store = StoreStandIn::start().unwrap();
+    store.lose_answers(u32::MAX);
+    let run = with_store(&store, &["--timeout-ms", "600", "apply", "-"], CONFIG);
+    assert_eq!(run.code, 5, "{run:?}");
+    store.lose_answers(0);
+    let write = history(&store)[0]["write"].as_str().unwrap().to_owned();
+    assert!(run.err.contains(&write), "{run:?}");
+}
+
+/// The store refuses a moment and comes back; the operator notices nothing.
+#[test]
+fn apply_store_back_in_time() {
+    let store = StoreStandIn::start().unwrap();
+    store.refuse(3);
+    assert_eq!(apply(&store, CONFIG, 0, "ann").code, 0);
+    assert_eq!(history(&store).len(), 1);
+}
+
+#[test]
+fn apply_store_down() {
+    let store = StoreStandIn::start().unwrap();
+    store.down();
+    let run = with_store(&store, &["--timeout-ms", "300", "apply", "-"], CONFIG);
+    assert_eq!(run.code, 6, "{run:?}");
+    assert!(run.err.contains("step=read-config"), "{run:?}");
+    assert_eq!(store.get(key::CONFIG), None);
+}
+
+#[test]
+fn apply_second_address_answers() {
+    let store = StoreStandIn::start().unwrap();
+    let gone = StoreStandIn::start().unwrap().address();
+    let both = format!("{gone},{}", store.address());
+    let run = common::tool(&["--store", &both, "apply", "-"], CONFIG);
+    assert_eq!(run.code, 0, "{run:?}");
+}
+
+/// A number of shards that changes under running hosts would give one id two
+/// homes, and both would start it.
+#[test]
+fn apply_fixed_key_refused() {
+    let store = StoreStandIn::start().unwrap();
+    apply(&store, CONFIG, 0, "ann");
+    let run = apply(&store, &format!("{CONFIG}[rules]\nshards = 8\n"), 1, "ann");
+    assert_eq!(run.code, 3, "{run:?}");
+    assert!(run.err.contains("[rules] shards: fixed at 64"), "{run:?}");
+    assert_eq!(revision(&store), "1");
+}
+
+#[test]
+fn apply_drops_oldest_entry() {
+    let store = StoreStandIn::start().unwrap();
+    store.put(key::AUDIT_HEAD, r#"{"next":1001}"#);
+    let oldest = format!("{}{:020}", key::AUDIT, 1);
+    store.put(&oldest, "{}");
+    apply(&store, CONFIG, 0, "ann");
+    assert_eq!(store.get(&oldest), None);
+    assert_eq!(history(&store)[0]["serial"], 1001);
+}
+
+#[test]
+fn stop_and_resume() {
+    let store = StoreStandIn::start().unwrap();
+    apply(&store, CONFIG, 0, "ann");
+    assert_eq!(with_store(&store, &["stop", "s1", "--note", "new disk"], "").code, 0);
+    let path = format!("{}s1", key::STOPS);
+    assert!(store.get(&path).is_some());
+    let again = with_store(&store, &["stop", "s1"], "");
+    assert_eq!(again.out, "s1 stopping, nothing changed\n");
+    assert_eq!(with_store(&store, &["resume", "s1"], "").code, 0);
+    assert_eq!(store.get(&path), None);
+    let trail = history(&store);
+    let actions: Vec<&str> = trail.iter().map(|e| e["action"].as_str().unwrap()).collect();
+    assert_eq!(actions, ["resume", "stop", "apply"]);
+    assert_eq!(trail[1]["note"], "new disk");
+}
+
+#[test]
+fn stop_unknown_name() {
+    let store = StoreStandIn::start().unwrap();
+    apply(&store, CONFIG, 0, "ann");
+    let run = with_store(&store, &["stop", "s2"], "");
+    assert_eq!(run.code, 2, "{run:?}");
+    assert!(store.list(key::STOPS).is_empty());
+}
+
+/// Planned stops of different machines are started at the same moment. They
+/// share only the audit trail; none may fail for that, and none may be missing
+/// in it.
+#[test]
+fn stop_race_keeps_every_entry() {
+    let store = StoreStandIn::start().unwrap();
+    let mut text = CONFIG.to_owned();
+    for n in 2..=6 {
+        text +=
+            &format!("[backend-server s{n}]\nzone = east\naddress = 127.0.0.1:900{n}\nslots = 1\n");
+    }
+    apply(&store, &text, 0, "ann");
+    store.slow(20);
+    thread::scope(|scope| {
+        for n in 1..=6 {
+            let store = &store;
+            scope.spawn(move || {
+                let run = with_store(store, &["stop", &format!("s{n}")], "");
+                assert_eq!(run.code, 0, "{run:?}");
+            });
+        }
+    });
+    store.slow(0);
+    assert_eq!(store.list(key::STOPS).len(), 6);
+    let serials: Vec<u64> = history(&store).iter().map(|e| e["serial"].as_u64().unwrap()).collect();
+    assert_eq!(serials, [7, 6, 5, 4, 3, 2, 1]);
+}
+
+/// Another program writes the configuration between this tool's read and its
+/// write, without an audit entry. To write over it would take back a change
+/// that hosts may have adopted already.
+#[test]
+fn apply_raced_past_the_trail() {
+    let store = StoreStandIn::start().unwrap();
+    apply(&store, CONFIG, 0, "ann");
+    let other = store.get(key::CONFIG).unwrap();
+    let reads = store.counts().range;
+    store.slow(50);
+    let run = thread::scope(|scope| {
+        let tool =
+            scope.spawn(|| apply(&store, &CONFIG.replace("limit = 100", "limit = 7"), 1, "ben"));
+        while store.counts().range < reads + 2 {
+            thread::yield_now();
+        }
+        store.put(key::CONFIG, other);
+        tool.join().unwrap()
+    });
+    assert_eq!(run.code, 4, "{run:?}");
+    assert_eq!(revision(&store), "1");
+}
--- a/endivestile_wire/src/key.rs
+++ b/endivestile_wire/src/key.rs
@@ -12,6 +12,8 @@
 pub const STOPS: &str = "endivestile/stops/";
 /// Prefix of the audit trail, one key per accepted change.
 pub const AUDIT: &str = "endivestile/audit/";
+/// Head of the audit trail: the serial number that its next entry gets.
+pub const AUDIT_HEAD: &str = "endivestile/audit-head";
 /// Prefix of the platform's own list of live and leaving hosts.
 pub const PLATFORM: &str = "platform/hosts/";
 
