Add the rig that runs entry hosts as processes

Cause: process tests, the quickstart and the experiments all need a store, machines and several daemons with one configuration. Ruled out: port 0 read back from the log, since the inventory names the peers' addresses before the processes start; ports on 127.0.0.1, which outgoing connections of other tests take between reservation and use. Change: Plan, Deployment and HostProcess (kill, pause, resume, terminate, restart, log) and Caller for the callers' interface. Addresses are reserved on a loopback address of the test process's own and a host that fails to listen is started anew. Conclusion: to be proved by the quickstart.

--- a/endivestile_testkit/src/lib.rs
+++ b/endivestile_testkit/src/lib.rs
@@ -1,10 +1,15 @@
-//! Stand-ins for the platform: its store, backend servers and workers.
+//! Stand-ins for the platform: its store, backend servers and workers, and the
+//! rig that runs entry hosts as processes against them.
 //!
 //! Tests, the quickstart and the experiments use them; no product binary does.
 
+mod caller;
+mod deploy;
 mod lock;
 mod machine;
 mod store;
 
+pub use caller::{Caller, Reply};
+pub use deploy::{Daemon, Deployment, HostProcess, Plan, wait_for};
 pub use machine::{BackendStandIn, Fault, Spec, Start, WorkerStandIn, echo};
 pub use store::{Counts, StoreStandIn};
