Add distances and cuts between availability zones to the rig

Change: a relay before each host's links and before the store. It tells who dialled by the kernel's table of sockets, so it knows both zones. While a cut lasts, nothing passes and connections stay open. Machines delay and hold calls by the entry host that their Task-Key names. A timer thread takes the place of the runtime's timers, which round up to milliseconds.

--- a/endivestile_testkit/src/deploy/deployment.rs
+++ b/endivestile_testkit/src/deploy/deployment.rs
@@ -1,6 +1,8 @@
 //! A deployment: store, machines and entry hosts.
 
 use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::Arc;
 
 use endivestile_config::check;
 use endivestile_config::model::{Config, Name};
@@ -9,10 +11,13 @@
 use super::address::reserve;
 use super::plan::Plan;
 use super::process::{Daemon, HostProcess};
+use crate::net::{Relay, Zones};
 use crate::{BackendStandIn, StoreStandIn, WorkerStandIn};
 
 /// Times that a host is started until it listens.
 const STARTS: usize = 3;
+/// Name of the platform among the zones.
+const PLATFORM: &str = "platform";
 /// Seconds that a host has to become ready.
 const READY_S: u64 = 20;
 
@@ -29,6 +34,12 @@
     pub workers: WorkerStandIn,
     /// The configuration as last written.
     config: Config,
+    /// Zones, distances and cuts.
+    zones: Arc<Zones>,
+    /// Relays before the hosts' links, when the plan has distances.
+    relays: Vec<Relay>,
+    /// Address at which entry hosts reach the store.
+    platform: SocketAddr,
 }
 
 impl Deployment {
@@ -38,48 +49,92 @@
     /// Those of sockets and processes, and a host that does not become ready.
     pub fn start(plan: Plan, daemon: &Daemon) -> io::Result<Self> {
         let mut deployment = Self::prepare(&plan)?;
-        for (name, host) in &plan.hosts {
-            let peers = Name::clone(&deployment.config.hosts[name].address);
-            let process = deployment.spawn(name, &host.zone, &peers, daemon, &plan.settings)?;
+        for (name, _) in &plan.hosts {
+            let process = deployment.spawn(name, &plan, daemon)?;
             deployment.hosts.push(process);
         }
+        deployment.reconfigure(|_| {});
         for host in &mut deployment.hosts {
             ready(host)?;
         }
         Ok(deployment)
     }
 
-    /// Starts the stand-ins and writes the configuration, without entry hosts.
+    /// Starts the stand-ins and works out the configuration, without entry hosts.
     fn prepare(plan: &Plan) -> io::Result<Self> {
         let store = StoreStandIn::start()?;
         let servers = plan.servers.iter().map(|(spec, _)| spec.clone()).collect();
         let servers = BackendStandIn::start(servers)?;
         let workers = plan.workers.iter().map(|(spec, _)| spec.clone()).collect();
         let workers = WorkerStandIn::start(workers)?;
+        let zones = Arc::new(Zones::new(plan.distance_us.unwrap_or(0)));
+        for (spec, server) in &plan.servers {
+            servers.settle(&spec.name, &server.zone, &zones);
+        }
+        for (spec, worker) in &plan.workers {
+            workers.settle(&spec.name, &worker.zone, &zones);
+        }
         let config = configure(plan, &servers, &workers)?;
-        let mut deployment = Self { hosts: vec![], store, servers, workers, config };
-        deployment.reconfigure(|_| {});
+        let platform = store.address();
+        let (hosts, relays) = (vec![], vec![]);
+        let mut deployment =
+            Self { hosts, store, servers, workers, config, zones, relays, platform };
+        if plan.distance_us.is_some() {
+            deployment.platform = deployment.relay(deployment.store.address(), PLATFORM)?;
+        }
         Ok(deployment)
     }
 
-    fn spawn(
-        &self,
-        name: &str,
-        zone: &str,
-        peers: &str,
-        daemon: &Daemon,
-        extra: &[String],
-    ) -> io::Result<HostProcess> {
-        let http = reserve()?;
+    /// Starts a relay to an address in a zone and returns the address to dial.
+    fn relay(&mut self, target: SocketAddr, zone: &str) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let address = listener.local_addr()?;
+        self.relays.push(Relay::start(listener, target, zone, &self.zones)?);
+        Ok(address)
+    }
+
+    /// Starts an entry host, behind a relay when the plan has distances.
+    fn spawn(&mut self, name: &Name, plan: &Plan, daemon: &Daemon) -> io::Result<HostProcess> {
+        let zone = Name::clone(&self.config.hosts[name].zone);
+        let (http, peers) = (reserve()?, reserve()?);
+        self.zones.place(name, &zone);
+        let dialled = match plan.distance_us {
+            Some(_) => self.relay(peers, &zone)?,
+            None => peers,
+        };
         let mut settings = vec![
             format!("host.name={name}"),
             format!("host.zone={zone}"),
             format!("host.http={http}"),
             format!("host.peers={peers}"),
-            format!("store.addresses={}", self.store.address()),
+            format!("host.advertise={dialled}"),
+            format!("store.addresses={}", self.platform),
         ];
-        settings.extend_from_slice(extra);
-        HostProcess::start(name, http, daemon, settings)
+        settings.extend(plan.settings.iter().cloned());
+        if let Some(host) = self.config.hosts.get_mut(name) {
+            host.address = dialled.to_string().into();
+        }
+        HostProcess::start(name, http, daemon, settings, &self.zones)
+    }
+
+    /// Cuts an availability zone off from all others; the platform stays in reach.
+    ///
+    /// # Panics
+    /// As the other cuts, when the plan has no distances and so no network.
+    pub fn cut(&self, zone: &str) {
+        assert!(!self.relays.is_empty(), "no network, see Plan::distance_us");
+        self.zones.cut(zone);
+    }
+
+    /// Cuts an availability zone off from the platform's store.
+    pub fn cut_platform(&self, zone: &str) {
+        assert!(!self.relays.is_empty(), "no network, see Plan::distance_us");
+        self.zones.cut_pair(zone, PLATFORM);
+    }
+
+    /// Ends all cuts.
+    pub fn heal(&self) {
+        self.zones.heal();
     }
 
     /// Changes the configuration and writes it with the next revision, as an
@@ -114,6 +169,7 @@
     config.members = plan.members.iter().cloned().collect();
     for (name, host) in &plan.hosts {
         let mut host = host.clone();
+        // Distinct until the host is started and its address known.
         host.address = reserve()?.to_string().into();
         config.hosts.insert(Name::clone(name), host);
     }
--- a/endivestile_testkit/src/deploy/plan.rs
+++ b/endivestile_testkit/src/deploy/plan.rs
@@ -22,6 +22,7 @@
     pub(crate) members: Vec<(Name, Member)>,
     pub(crate) rules: Rules,
     pub(crate) settings: Vec<String>,
+    pub(crate) distance_us: Option<u64>,
 }
 
 impl Plan {
@@ -104,6 +105,14 @@
         self
     }
 
+    /// Puts a network between the zones that delays by `us` microseconds one way
+    /// and can be cut.
+    pub fn distance_us(mut self, us: u64) -> Self {
+        self.distance_us = Some(us);
+        self.rules.distance_us = us;
+        self
+    }
+
     fn add_zone(&mut self, zone: &str) {
         if !self.zones.iter().any(|name| name.as_ref() == zone) {
             self.zones.push(Name::from(zone));
--- a/endivestile_testkit/src/deploy/process.rs
+++ b/endivestile_testkit/src/deploy/process.rs
@@ -13,6 +13,7 @@
 use super::signal::Signal;
 use super::wait_for;
 use crate::lock::lock;
+use crate::net::Zones;
 
 /// How a daemon is started, before its own arguments.
 #[derive(Debug, Clone)]
@@ -53,6 +54,8 @@
     settings: Vec<String>,
     /// The process.
     child: Child,
+    /// Zones, which are told each new process.
+    zones: Arc<Zones>,
     /// What it logged, over all restarts.
     log: Arc<Mutex<Vec<String>>>,
 }
@@ -67,11 +70,13 @@
         http: SocketAddr,
         daemon: &Daemon,
         settings: Vec<String>,
+        zones: &Arc<Zones>,
     ) -> io::Result<Self> {
         let log = Arc::default();
         let child = follow(daemon.spawn(&settings)?, &log);
-        let name = name.to_owned();
-        Ok(Self { name, http, daemon: daemon.clone(), settings, child, log })
+        zones.runs(name, child.id());
+        let (name, zones) = (name.to_owned(), Arc::clone(zones));
+        Ok(Self { name, http, daemon: daemon.clone(), settings, child, zones, log })
     }
 
     /// Returns the name of the host.
@@ -162,6 +167,7 @@
     pub fn restart(&mut self) -> io::Result<()> {
         self.kill();
         self.child = follow(self.daemon.spawn(&self.settings)?, &self.log);
+        self.zones.runs(&self.name, self.child.id());
         Ok(())
     }
 }
--- a/endivestile_testkit/src/lib.rs
+++ b/endivestile_testkit/src/lib.rs
@@ -7,7 +7,9 @@
 mod deploy;
 mod lock;
 mod machine;
+mod net;
 mod store;
+mod timer;
 
 pub use caller::{Caller, Reply};
 pub use deploy::{Daemon, Deployment, HostProcess, Plan, wait_for};
--- a/endivestile_testkit/src/machine/backend.rs
+++ b/endivestile_testkit/src/machine/backend.rs
@@ -2,9 +2,11 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use super::park::Park;
 use super::{Fault, Spec, Start};
+use crate::net::Zones;
 
 /// Backend servers on ephemeral ports of 127.0.0.1.
 ///
@@ -39,6 +41,11 @@
         self.park.address(name)
     }
 
+    /// Tells a machine where it stands among the zones.
+    pub(crate) fn settle(&self, name: &str, zone: &str, zones: &Arc<Zones>) {
+        self.park.settle(name, zone, zones);
+    }
+
     /// Sets a server's fault.
     pub fn set_fault(&self, name: &str, fault: Fault) {
         self.park.set_fault(name, fault);
--- a/endivestile_testkit/src/machine/park.rs
+++ b/endivestile_testkit/src/machine/park.rs
@@ -14,6 +14,7 @@
 use super::state::{Machine, Spec};
 use super::{Fault, run};
 use crate::lock::lock;
+use crate::net::Zones;
 
 /// Machines by name, served by one thread.
 #[derive(Debug)]
@@ -68,6 +69,12 @@
         }
     }
 
+    /// Tells a machine where it stands among the zones.
+    pub(crate) fn settle(&self, name: &str, zone: &str, zones: &Arc<Zones>) {
+        // Told once, by the deployment that owns the zones.
+        let _ = self.machine(name).site.set((zone.to_owned(), Arc::clone(zones)));
+    }
+
     /// Sets a fault.
     pub(crate) fn set_fault(&self, name: &str, fault: Fault) {
         self.machine(name).set_fault(fault);
--- a/endivestile_testkit/src/machine/run.rs
+++ b/endivestile_testkit/src/machine/run.rs
@@ -15,6 +15,10 @@
 use super::state::{Deny, Machine};
 use super::worker;
 use crate::lock::lock;
+use crate::timer;
+
+/// Pause between two looks whether a cut has ended, in milliseconds.
+const CUT_LOOK_MS: u64 = 20;
 
 /// What a connection carries back.
 enum Carry {
@@ -106,8 +110,31 @@
     }
     let text = call.text();
     let key = call.header(TASK_HEADER).unwrap_or_default().to_owned();
+    let caller = key.split(':').next().unwrap_or_default();
+    pass(machine, caller).await;
+    let carry = work(machine, &call, &key, text, birth).await;
+    pass(machine, caller).await;
+    carry
+}
+
+/// Waits for what lies between an entry host and the machine: a cut, then the distance.
+async fn pass(machine: &Machine, caller: &str) {
+    while machine.is_cut_from(caller) {
+        timer::until(Instant::now() + Duration::from_millis(CUT_LOOK_MS)).await;
+    }
+    timer::until(Instant::now() + machine.away(caller)).await;
+}
+
+/// Runs the task of a call, or denies it, with the machine's fault.
+async fn work(
+    machine: &Arc<Machine>,
+    call: &Call,
+    key: &str,
+    text: String,
+    birth: Instant,
+) -> Carry {
     let lease_ms = call.header(LEASE_HEADER).and_then(|text| text.parse().ok());
-    let (number, fault) = match machine.start(birth, &key, &text, lease_ms) {
+    let (number, fault) = match machine.start(birth, key, &text, lease_ms) {
         Ok(started) => started,
         Err(deny) => return Carry::Whole(denial(deny)),
     };
@@ -123,7 +150,7 @@
         Fault::Status(status) => Carry::Whole(Reply::new(status, "failed")),
         Fault::Half => Carry::Half(reply),
         Fault::Late(ms) => {
-            tokio::time::sleep(Duration::from_millis(ms)).await;
+            timer::until(Instant::now() + Duration::from_millis(ms)).await;
             Carry::Whole(reply)
         }
         _ => Carry::Whole(reply),
@@ -138,7 +165,7 @@
             break;
         }
         tokio::select! {
-            () = tokio::time::sleep_until(next.into()) => {}
+            () = timer::until(next) => {}
             () = running.changed.notified() => {}
         }
     }
--- a/endivestile_testkit/src/machine/state.rs
+++ b/endivestile_testkit/src/machine/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 use rand::rngs::SmallRng;
@@ -12,6 +12,7 @@
 use super::fault::{Fault, STRAGGLE};
 use super::start::{Start, Work};
 use crate::lock::lock;
+use crate::net::Zones;
 
 /// A machine to stand in for.
 #[derive(Debug, Clone, PartialEq)]
@@ -89,6 +90,8 @@
     pub(crate) state: Mutex<State>,
     /// Description.
     pub(crate) spec: Spec,
+    /// Where it stands among the zones, once it is told.
+    pub(crate) site: OnceLock<(String, Arc<Zones>)>,
 }
 
 /// What changes of a machine.
@@ -122,7 +125,25 @@
             rng: SmallRng::seed_from_u64(seed),
         };
         let (port, _) = watch::channel((0, true));
-        Self { name: spec.name.as_str().into(), address, port, state: Mutex::new(state), spec }
+        Self {
+            name: spec.name.as_str().into(),
+            address,
+            port,
+            state: Mutex::new(state),
+            spec,
+            site: OnceLock::new(),
+        }
+    }
+
+    /// Returns the one-way distance from an entry host.
+    pub(crate) fn away(&self, host: &str) -> Duration {
+        let us = self.site.get().map_or(0, |(zone, zones)| zones.distance_us(host, zone));
+        Duration::from_micros(us)
+    }
+
+    /// Tells whether an entry host is cut off from the machine's zone.
+    pub(crate) fn is_cut_from(&self, host: &str) -> bool {
+        self.site.get().is_some_and(|(zone, zones)| zones.is_cut_from(host, zone))
     }
 
     /// Sets a fault; one that closes the port cuts the open connections too.
--- a/endivestile_testkit/src/machine/worker.rs
+++ b/endivestile_testkit/src/machine/worker.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use endivestile_wire::call::LEASE_HEADER;
@@ -11,6 +12,7 @@
 use super::park::Park;
 use super::state::{Machine, Running};
 use super::{Fault, Spec, Start};
+use crate::net::Zones;
 
 /// How old the usage is that a worker reports, in milliseconds.
 const USAGE_LAG_MS: u64 = 500;
@@ -51,6 +53,11 @@
         self.park.address(name)
     }
 
+    /// Tells a machine where it stands among the zones.
+    pub(crate) fn settle(&self, name: &str, zone: &str, zones: &Arc<Zones>) {
+        self.park.settle(name, zone, zones);
+    }
+
     /// Sets a worker's fault.
     pub fn set_fault(&self, name: &str, fault: Fault) {
         self.park.set_fault(name, fault);
