Test submit, load and status against a stand-in for an entry host

Cause: scripts go by the exit code; one that says 'not run' where tasks may have run would make them run twice.

Change: tests for each class of answer, for a refused connection and for a connection that closes without an answer; load's work is a template with a key of its own per task, which the stand-ins count.

--- a/endivestile_ctl/src/load/args.rs
+++ b/endivestile_ctl/src/load/args.rs
@@ -56,8 +56,9 @@
     /// Longest run time that is drawn for a task; else always the shortest.
     #[arg(long)]
     pub(crate) max_run_ms: Option<u32>,
-    /// Work of a task; {ms} stands for the run time drawn.
-    #[arg(long, default_value = "{ms}")]
+    /// Work of a task; {ms} stands for the run time drawn, {key} for a text
+    /// that no other task of the load has.
+    #[arg(long, default_value = r#"{"key":"{key}","ms":{ms}}"#)]
     pub(crate) work: String,
     /// Time until the deadline, in milliseconds.
     #[arg(long, default_value_t = 10_000,
--- a/endivestile_ctl/src/load/plan.rs
+++ b/endivestile_ctl/src/load/plan.rs
@@ -65,7 +65,6 @@
     /// Draws the next shot.
     pub(super) fn next(&mut self) -> Shot {
         let serial = self.serial;
-        self.serial += 1;
         if let Some(rate) = self.args.rate {
             // Gaps of independent arrivals are exponential.
             let unit: f64 = self.rng.random_range(f64::MIN_POSITIVE..1.0);
@@ -74,22 +73,23 @@
         let host = self.args.hosts[(serial % self.args.hosts.len() as u64) as usize];
         let member = pick(&mut self.rng, &self.args.members);
         let work = self.work();
+        self.serial += 1;
         Shot { serial, at_us: self.at_us as u64, host, member, work }
     }
 
     fn work(&mut self) -> Work {
         if self.percent(self.args.job_percent) {
             let count = self.rng.random_range(1..=self.args.tasks);
-            return Work::Job(JobBody { tasks: (0..count).map(|_| self.task()).collect() });
+            return Work::Job(JobBody { tasks: (0..count).map(|task| self.task(task)).collect() });
         }
         let idempotent = self.percent(self.args.idempotent_percent);
         let service = pick(&mut self.rng, &self.args.services);
-        let (body, _) = self.body();
+        let (body, _) = self.body(0);
         Work::Request { service, body: body.into_bytes(), idempotent }
     }
 
-    fn task(&mut self) -> TaskBody {
-        let (work, run_ms) = self.body();
+    fn task(&mut self, index: u64) -> TaskBody {
+        let (work, run_ms) = self.body(index);
         let declared_ms = (run_ms > 0).then_some(run_ms);
         if !self.args.needs_worker() {
             let service = Some(pick(&mut self.rng, &self.args.services));
@@ -100,11 +100,13 @@
         TaskBody { service: None, need, declared_ms, work }
     }
 
-    /// Draws a run time and puts it into the work.
-    fn body(&mut self) -> (String, u32) {
+    /// Draws a run time and fills the work's template.
+    fn body(&mut self, task: u64) -> (String, u32) {
         let most = self.args.max_run_ms.unwrap_or(self.args.run_ms);
         let run_ms = self.rng.random_range(self.args.run_ms..=most);
-        (self.args.work.replace("{ms}", &run_ms.to_string()), run_ms)
+        let key = format!("{}-{}-{task}", self.args.seed, self.serial);
+        let work = self.args.work.replace("{ms}", &run_ms.to_string()).replace("{key}", &key);
+        (work, run_ms)
     }
 
     fn percent(&mut self, percent: u8) -> bool {
--- a/endivestile_ctl/tests/common/mod.rs
+++ b/endivestile_ctl/tests/common/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 #![allow(clippy::unwrap_used, reason = "a test fails by panic")]
 
+pub(crate) mod host;
+
 use std::io::Write;
 use std::path::PathBuf;
 use std::process::{Command, Stdio};
