Refuse a name of two machines and a restart below the last revision

Cause: a planned stop goes by name alone, so a name of two machines would stop both. After the configuration's key is deleted, hosts keep the last revision and take only a higher one, so a restart from 1 would be in force nowhere. A text with thousands of faults kept a host busy with searches for near names.

Change: names are unique among hosts, backend servers and workers; apply takes the last revision from the audit trail when the key is absent, and a higher base when the store lost everything; check names 50 faults at most. An audit entry that can't be read is told and left out. load counts submissions that started late.

--- a/endivestile_config/src/check.rs
+++ b/endivestile_config/src/check.rs
@@ -1,6 +1,6 @@
 //! Checks of a whole configuration, before it is written and before it is adopted.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use crate::document::MAX_BYTES;
 use crate::error::{ConfigError, Place};
@@ -11,17 +11,23 @@
 pub const POLICIES: [&str; 5] =
     ["earliest", "random", "round-robin", "least-outstanding", "two-choices"];
 
+/// Most faults that [`check`] names. One wrong line can make thousands, and
+/// each costs a search for the nearest name; a host that is offered such a
+/// text would be busy with it for seconds.
+const MAX_ERRORS: usize = 50;
+
 /// Checks what no single section shows.
 ///
 /// # Errors
 ///
-/// All faults found: unknown zones and backend servers, addresses that stand
-/// twice, zeros where none may be, an unknown policy, no host, no member, or a
-/// canonical form over [`MAX_BYTES`].
+/// The faults found, at most 50: unknown zones and backend servers, names and
+/// addresses that stand twice, zeros where none may be, an unknown policy, no
+/// host, no member, or a canonical form over [`MAX_BYTES`].
 pub fn check(config: &Config) -> Result<(), Vec<ConfigError>> {
     let mut found = Found { config, errors: Vec::new() };
     found.places();
     found.services();
+    found.names();
     found.addresses();
     found.numbers();
     found.whole();
@@ -64,6 +70,19 @@
 }
 
 impl Found<'_> {
+    fn add(&mut self, error: ConfigError) {
+        if self.errors.len() < MAX_ERRORS {
+            self.errors.push(error);
+        }
+    }
+
+    fn unknown<T>(&mut self, place: Place, value: &str, known: &BTreeMap<Name, T>) {
+        if self.errors.len() < MAX_ERRORS {
+            let near = nearest(value, known.keys().map(AsRef::as_ref));
+            self.add(ConfigError::Reference { place, value: value.to_owned(), near });
+        }
+    }
+
     fn places(&mut self) {
         let config = self.config;
         config.hosts.iter().for_each(|(name, host)| self.zone("host", name, &host.zone));
@@ -76,9 +95,8 @@
 
     fn zone(&mut self, kind: &str, name: &str, zone: &str) {
         if !self.config.zones.contains_key(zone) {
-            let near = nearest(zone, self.config.zones.keys().map(AsRef::as_ref));
             let place = Place::key(&format!("{kind} {name}"), "zone");
-            self.errors.push(ConfigError::Reference { place, value: zone.to_owned(), near });
+            self.unknown(place, zone, &self.config.zones);
         }
     }
 
@@ -87,12 +105,27 @@
         for (name, service) in &config.services {
             let place = Place::key(&format!("service {name}"), "backend-servers");
             if service.servers.is_empty() {
-                self.errors.push(ConfigError::Missing { place: place.clone() });
+                self.add(ConfigError::Missing { place: place.clone() });
             }
             for server in service.servers.iter().filter(|s| !config.servers.contains_key(*s)) {
-                let near = nearest(server, config.servers.keys().map(AsRef::as_ref));
-                let value = server.to_string();
-                self.errors.push(ConfigError::Reference { place: place.clone(), value, near });
+                self.unknown(place.clone(), server, &config.servers);
+            }
+        }
+    }
+
+    /// Refuses a name that two machines have. A planned stop goes by the name
+    /// alone; it would stop both, one of them unnoticed.
+    fn names(&mut self) {
+        let config = self.config;
+        let hosts = config.hosts.keys().map(|name| ("host", name));
+        let servers = config.servers.keys().map(|name| ("backend-server", name));
+        let workers = config.workers.keys().map(|name| ("worker", name));
+        let mut owners: HashMap<&Name, &str> = HashMap::new();
+        for (kind, name) in hosts.chain(servers).chain(workers) {
+            if let Some(other) = owners.insert(name, kind) {
+                let place = Place::key(&format!("{kind} {name}"), "");
+                let (value, other) = (format!("the name {name}"), format!("{other} {name}"));
+                self.add(ConfigError::Clash { place, value, other });
             }
         }
     }
@@ -109,7 +142,7 @@
             let place = Place::key(&section, "address");
             if let Some(other) = owners.insert(address, section) {
                 let value = address.to_string();
-                self.errors.push(ConfigError::Clash { place, value, other });
+                self.add(ConfigError::Clash { place, value, other });
             }
         }
     }
@@ -144,27 +177,27 @@
         if number == 0 {
             let place = Place::key(section, key);
             let accepted = "whole numbers from 1".to_owned();
-            self.errors.push(ConfigError::Value { place, value: "0".to_owned(), accepted });
+            self.add(ConfigError::Value { place, value: "0".to_owned(), accepted });
         }
     }
 
     fn whole(&mut self) {
         let config = self.config;
         if config.hosts.is_empty() {
-            self.errors.push(ConfigError::Missing { place: Place::key("host NAME", "") });
+            self.add(ConfigError::Missing { place: Place::key("host NAME", "") });
         }
         if config.members.is_empty() {
-            self.errors.push(ConfigError::Missing { place: Place::key("member NAME", "") });
+            self.add(ConfigError::Missing { place: Place::key("member NAME", "") });
         }
         if !POLICIES.contains(&config.rules.policy.as_ref()) {
             let place = Place::key("rules", "policy");
             let (value, accepted) = (config.rules.policy.to_string(), POLICIES.join(", "));
-            self.errors.push(ConfigError::Value { place, value, accepted });
+            self.add(ConfigError::Value { place, value, accepted });
         }
         let bytes = config.canonical().len();
         if bytes > MAX_BYTES {
             let place = Place { origin: Name::from("canonical form"), ..Place::default() };
-            self.errors.push(ConfigError::Size { place, bytes, limit: MAX_BYTES });
+            self.add(ConfigError::Size { place, bytes, limit: MAX_BYTES });
         }
     }
 }
--- a/endivestile_config/tests/config.rs
+++ b/endivestile_config/tests/config.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panic")]
 
-use endivestile_config::model::Config;
+use endivestile_config::model::{Config, Server};
 use endivestile_config::{ConfigError, MAX_BYTES, check, check_change, diff, locate};
 use endivestile_config::{parse, parse_files};
 use test_case::test_case;
@@ -100,6 +100,7 @@
 
 #[test_case("zone = east", "zone = eats", "inventory.ini:6: [host a] zone: there is no \"eats\", the nearest is \"east\""; "zone")]
 #[test_case("10.0.1.1:9000", "10.0.0.1:8081", "inventory.ini:12: [backend-server east-1] address: 10.0.0.1:8081 belongs to [host a] already"; "address")]
+#[test_case("[worker w1]", "[worker a]", "inventory.ini:20: [worker a]: the name a belongs to [host a] already"; "name of two machines")]
 fn check_located(old: &str, new: &str, message: &str) {
     let text = INVENTORY.replacen(old, new, 1);
     let files = [("inventory.ini", text.as_str()), ("rules.ini", RULES)];
@@ -116,6 +117,19 @@
     assert_eq!(messages, ["[host NAME]: missing", "[member NAME]: missing"]);
 }
 
+/// A region's inventory names a zone wrongly, in thousands of sections. Each
+/// fault costs a search for the nearest name, and a host that is offered the
+/// text would be busy with it.
+#[test]
+fn check_many_faults_bounded() {
+    let mut config = sample();
+    for n in 0..5_000 {
+        let server = Server { address: format!("10.1.0.1:{}", n + 1).into(), ..Server::default() };
+        config.servers.insert(format!("s{n}").into(), server);
+    }
+    assert_eq!(check(&config).unwrap_err().len(), 50);
+}
+
 #[test]
 fn check_zero() {
     let mut config = sample();
--- a/endivestile_ctl/src/command/apply.rs
+++ b/endivestile_ctl/src/command/apply.rs
@@ -2,13 +2,12 @@
 
 use std::fmt::Write;
 
-use endivestile_config::model::Config;
 use endivestile_config::{Change, check_change, diff};
 use endivestile_wire::key;
 use serde::Serialize;
 
 use super::history::entries;
-use crate::audit::{Action, Entry};
+use crate::audit::{Action, Entry, KEPT};
 use crate::change::{Guarded, Outcome, commit};
 use crate::cli::ApplyArgs;
 use crate::context::{Context, in_force};
@@ -37,8 +36,14 @@
     let base = args.base.unwrap_or(config.revision);
     let mut store = context.store()?;
     let current = in_force(&mut store)?;
-    if current.config.revision != base {
-        return Err(conflict(&mut store, base, &current.config));
+    let held = match current.stored {
+        0 => last_accepted(&mut store)?,
+        _ => current.config.revision,
+    };
+    // Without a value in the store nobody's change can be written over, and a
+    // higher base is how operators go on after the store lost everything.
+    if base < held || base > held && current.stored > 0 {
+        return Err(conflict(&mut store, base, held));
     }
     config.revision = base + 1;
     let changes = diff(&current.config, &config);
@@ -62,8 +67,8 @@
             Ok(Exit::Done)
         }
         Outcome::Raced => {
-            let now = in_force(&mut store)?.config;
-            Err(conflict(&mut store, base, &now))
+            let now = in_force(&mut store)?.config.revision;
+            Err(conflict(&mut store, base, now))
         }
     }
 }
@@ -79,9 +84,18 @@
     }
 }
 
+/// Returns the last revision in the audit trail, 0 when there is none.
+///
+/// The configuration's key was deleted, or was never written. Hosts keep the
+/// last revision that they adopted and take only a higher one; a new start
+/// from revision 1 would be reported as accepted and be in force nowhere.
+fn last_accepted(store: &mut Store) -> Result<u64, CtlError> {
+    let trail = entries(store, KEPT)?;
+    Ok(trail.iter().map(|entry| entry.revision).max().unwrap_or(0))
+}
+
 /// Tells what others changed since the revision that the files were made from.
-fn conflict(store: &mut Store, base: u64, current: &Config) -> CtlError {
-    let revision = current.revision;
+fn conflict(store: &mut Store, base: u64, revision: u64) -> CtlError {
     let mut text = format!(
         "revision {revision} is in force, the files were made from revision {base}; \
          nothing was changed"
--- a/endivestile_ctl/src/command/history.rs
+++ b/endivestile_ctl/src/command/history.rs
@@ -1,6 +1,7 @@
 //! `history`: the audit trail.
 
 use endivestile_wire::key;
+use endivestile_wire::store::KeyValue;
 
 use super::apply::list;
 use crate::audit::{self, Entry, Head};
@@ -38,17 +39,24 @@
     while from < head.next {
         let request = scan(key::AUDIT, &audit::key(from), PAGE as i64);
         let page = store.read("read-history", &request)?;
-        for kv in &page.kvs {
-            found.push(read(&String::from_utf8_lossy(&kv.key), &kv.value)?);
-        }
-        if !page.more {
-            break;
-        }
-        from = found.last().map_or(head.next, |entry| entry.serial + 1);
+        found.extend(page.kvs.iter().filter_map(legible));
+        let last = page.kvs.last().filter(|_| page.more);
+        from = last.and_then(|kv| serial(&kv.key)).map_or(head.next, |serial| serial + 1);
     }
     Ok(found)
 }
 
+/// Reads an entry. One that was written past the tools is told and left out;
+/// it must not hold up the changes that look into the trail.
+fn legible(kv: &KeyValue) -> Option<Entry> {
+    let entry = read(&String::from_utf8_lossy(&kv.key), &kv.value);
+    entry.inspect_err(|error| out::complain(&error.to_string())).ok()
+}
+
+fn serial(key: &[u8]) -> Option<u64> {
+    std::str::from_utf8(key).ok()?.strip_prefix(key::AUDIT)?.parse().ok()
+}
+
 fn read<T: for<'a> serde::Deserialize<'a>>(key: &str, value: &[u8]) -> Result<T, CtlError> {
     serde_json::from_slice(value).map_err(|error| CtlError::Held {
         step: "read-history",
--- a/endivestile_ctl/src/load/caller.rs
+++ b/endivestile_ctl/src/load/caller.rs
@@ -10,6 +10,8 @@
 use super::report::{Ending, Tally};
 use crate::http::{Call, Http};
 
+/// How far behind its time a submission may start without being counted as late.
+const LATE: Duration = Duration::from_millis(2);
 /// Ids that are asked for at once when none is left.
 const BLOCK: usize = 64;
 
@@ -43,6 +45,7 @@
     fn shoot(&mut self, shot: &Shot) {
         let id = if shot.needs_id() { self.id(shot) } else { None };
         let due = self.due(shot);
+        self.tally.late += u64::from(due.elapsed() > LATE);
         let issued = id.is_some() && !self.shared.args.own_ids;
         let call = Call {
             member: &shot.member,
--- a/endivestile_ctl/src/load/report.rs
+++ b/endivestile_ctl/src/load/report.rs
@@ -63,6 +63,8 @@
     done: u64,
     /// Tasks of all submissions.
     tasks: u64,
+    /// Submissions that started late, because all callers were busy.
+    pub(super) late: u64,
     /// The trace, if wanted.
     lines: Vec<Line>,
 }
@@ -110,6 +112,7 @@
         }
         self.done += other.done;
         self.tasks += other.tasks;
+        self.late += other.late;
         self.lines.extend(other.lines);
     }
 
@@ -155,6 +158,9 @@
     submissions: u64,
     /// Tasks of all submissions.
     tasks: u64,
+    /// Submissions that started late, because all callers were busy; many of
+    /// them mean that the rate was not reached.
+    late: u64,
     /// Tasks of complete submissions a second.
     goodput: f64,
     /// Times by ending.
@@ -172,6 +178,7 @@
             seconds,
             submissions: classes.iter().map(|row| row.count).sum(),
             tasks: tally.tasks,
+            late: tally.late,
             goodput: tally.done as f64 / seconds,
             classes,
             counters,
@@ -186,10 +193,10 @@
 
     /// Returns the report for people.
     pub(super) fn text(&self) -> String {
-        let Self { seconds, submissions, tasks, goodput, .. } = self;
+        let Self { seconds, submissions, tasks, late, goodput, .. } = self;
         let mut text = format!(
             "{submissions} submissions, {tasks} tasks in {seconds:.1} s, \
-             {goodput:.0} tasks/s complete\n\
+             {goodput:.0} tasks/s complete, {late} started late\n\
              class             count     p50 us     p95 us     p99 us     max us"
         );
         for row in &self.classes {
--- a/endivestile_ctl/tests/change.rs
+++ b/endivestile_ctl/tests/change.rs
@@ -243,3 +243,43 @@
     assert_eq!(run.code, 4, "{run:?}");
     assert_eq!(revision(&store), "1");
 }
+
+/// Somebody deletes the configuration's key. The hosts go on with revision 2
+/// and take only a higher one; an operator who starts again from 1 would be
+/// told that it is in force, and it would be in force nowhere.
+#[test]
+fn apply_after_deleted_key() {
+    let store = StoreStandIn::start().unwrap();
+    apply(&store, CONFIG, 0, "ann");
+    apply(&store, &CONFIG.replace("slots = 8", "slots = 9"), 1, "ann");
+    store.delete(key::CONFIG);
+    let run = apply(&store, CONFIG, 0, "ben");
+    assert_eq!(run.code, 4, "{run:?}");
+    assert_eq!(apply(&store, CONFIG, 2, "ben").code, 0);
+    assert_eq!(revision(&store), "3");
+}
+
+#[test]
+fn apply_after_lost_store() {
+    let store = StoreStandIn::start().unwrap();
+    assert_eq!(apply(&store, CONFIG, 41, "ann").code, 0);
+    assert_eq!(revision(&store), "42");
+}
+
+#[test]
+fn history_over_pages() {
+    let store = StoreStandIn::start().unwrap();
+    apply(&store, CONFIG, 0, "ann");
+    let first = store.list(key::AUDIT).remove(0).1;
+    let text = String::from_utf8(first).unwrap();
+    for serial in 2..=250 {
+        let entry = text.replace("\"serial\":1,", &format!("\"serial\":{serial},"));
+        store.put(&format!("{}{serial:020}", key::AUDIT), entry);
+    }
+    store.put(&format!("{}{:020}", key::AUDIT, 120), "spoilt");
+    store.put(key::AUDIT_HEAD, r#"{"next":251}"#);
+    let run = with_store(&store, &["history", "--last", "240", "--json"], "");
+    let trail: Vec<Value> = serde_json::from_str(&run.out).unwrap();
+    assert_eq!((trail.len(), &trail[0]["serial"]), (239, &Value::from(250)));
+    assert!(run.err.contains("00120"), "{run:?}");
+}
