Document every key and add the samples of today's deployments

Cause: operators need each key with unit, default and accepted values, and a page drifts away from the code unless something compares them.

The prices of a message in them are starting points, not measured.

--- /dev/null
+++ b/endivestile_config/tests/pages.rs
@@ -0,0 +1,111 @@
+//! The page of the keys and the samples, against the code.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panic")]
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use endivestile_config::model::{Config, Host, Member, Server, Service, Worker, Zone};
+use endivestile_config::{MAX_BYTES, Settings, check, parse_files};
+use test_case::test_case;
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap().to_owned()
+}
+
+/// Returns the rows of a section of the page: key and default.
+fn rows(part: &str, section: &str) -> Vec<(String, String)> {
+    let page = fs::read_to_string(root().join("docs/CONFIGURATION.md")).unwrap();
+    let part = page.split("\n## ").find(|text| text.starts_with(part)).unwrap().to_owned();
+    let heading = format!("`[{section}");
+    let text = part.split("\n### ").find(|text| text.starts_with(&heading)).unwrap();
+    text.lines()
+        .filter(|line| line.starts_with("| `"))
+        .map(|line| line.split('|').map(|cell| cell.trim().replace('`', "")).collect::<Vec<_>>())
+        .map(|cells| (cells[1].clone(), cells[3].clone()))
+        .collect()
+}
+
+/// Tells whether a default of the page stands for a value of the canonical form.
+fn stands_for(default: &str, value: &str) -> bool {
+    default == value || default == "-" || default.starts_with("empty") && value.is_empty()
+}
+
+fn assert_documented(canonical: &str, part: impl Fn(&str) -> &'static str) {
+    for section in canonical.split("\n\n").flat_map(|text| text.split("\n[")) {
+        let (title, keys) = section.trim_start_matches('[').split_once("]\n").unwrap();
+        let kind = title.split(' ').next().unwrap();
+        let rows = rows(part(kind), kind);
+        let keys: Vec<(&str, &str)> =
+            keys.lines().map(|line| line.split_once('=').unwrap()).collect();
+        assert_eq!(rows.len(), keys.len(), "{kind}");
+        for ((key, value), (row, default)) in keys.iter().zip(&rows) {
+            assert_eq!(key.trim(), row, "{kind}");
+            assert!(stands_for(default, value.trim()), "{kind} {key}: {default} {value}");
+        }
+    }
+}
+
+#[test]
+fn settings_documented() {
+    assert_documented(&Settings::default().canonical(), |_| "Settings");
+}
+
+#[test]
+fn config_documented() {
+    let mut config = Config::default();
+    config.zones.insert("n".into(), Zone::default());
+    config.hosts.insert("n".into(), Host::default());
+    config.servers.insert("n".into(), Server::default());
+    config.workers.insert("n".into(), Worker::default());
+    config.services.insert("n".into(), Service::default());
+    config.members.insert("n".into(), Member::default());
+    assert_documented(&config.canonical(), |kind| match kind {
+        "availability-zone" | "host" | "backend-server" | "worker" => "Inventory",
+        _ => "Rules",
+    });
+}
+
+#[test_case("consortium", 3, 7)]
+#[test_case("pitchfee", 4, 8)]
+fn sample_accepted(name: &str, zones: usize, hosts: usize) {
+    let read = |file: &str| {
+        fs::read_to_string(root().join("examples/config").join(name).join(file)).unwrap()
+    };
+    let (inventory, rules) = (read("inventory.ini"), read("rules.ini"));
+    let config = parse_files(&[("inventory.ini", &inventory), ("rules.ini", &rules)]).unwrap();
+    assert_eq!(check(&config), Ok(()));
+    assert_eq!((config.zones.len(), config.hosts.len()), (zones, hosts));
+    assert_eq!((config.servers.len(), config.workers.len()), (50, 50));
+    let settings = Settings::parse(&read("entry-1.ini"), "entry-1.ini").unwrap();
+    let host = &config.hosts[&settings.host.name];
+    assert_eq!(host.zone, settings.host.zone);
+    assert_eq!(host.address.as_ref(), settings.host.advertised().to_string());
+}
+
+/// The fleet grows to its size in two years, and the configuration no longer
+/// fits into one value of the store: no change could be accepted any more.
+#[test]
+fn canonical_target_size_fits() {
+    let mut config = Config::default();
+    for n in 0..26 {
+        config.zones.insert(format!("region-{}-{n}", n % 8).into(), Zone::default());
+    }
+    for n in 0..208 {
+        let address = format!("10.1.{}.{}:8081", n / 200, n % 200 + 1).into();
+        let host = Host { zone: "region-1-25".into(), address, weight: 1 };
+        config.hosts.insert(format!("entry-{n:03}").into(), host);
+    }
+    for n in 0..4_400 {
+        let address = format!("10.2.{}.{}:9000", n / 200, n % 200 + 1).into();
+        let (zone, rack) = ("region-1-25".into(), format!("rack-{:03}", n / 8).into());
+        let worker =
+            Worker { zone, rack, address, cpu_milli: 32_000, memory_mb: 65_536, accelerators: 2 };
+        config.workers.insert(format!("worker-{n:04}").into(), worker);
+    }
+    for n in 0..170 {
+        config.members.insert(format!("team-{n:03}").into(), Member::default());
+    }
+    assert_eq!(check(&config), Ok(()));
+    assert!(config.canonical().len() < MAX_BYTES);
+}
