--- a/endivestile_ctl/tests/change.rs
+++ b/endivestile_ctl/tests/change.rs
@@ -25,7 +25,10 @@
     let store = StoreStandIn::start().unwrap();
     assert_eq!(apply(&store, CONFIG, 0, "ann").code, 0);
     let next = CONFIG.replace("slots = 8", "slots = 9");
+    let before = store.counts();
     let run = apply(&store, &next, 1, "ben");
+    let after = store.counts();
+    assert_eq!((after.range - before.range, after.txn - before.txn), (2, 1));
     assert_eq!((run.code, run.out.as_str()), (0, "revision 2 in force, 1 keys changed\n"));
     let trail = history(&store);
     assert_eq!(trail[0]["who"], "ben");
@@ -42,9 +45,9 @@
 fn apply_unchanged_writes_nothing() {
     let store = StoreStandIn::start().unwrap();
     apply(&store, CONFIG, 0, "ann");
-    let before = store.counts().txn;
+    let before = store.counts().total();
     assert_eq!(apply(&store, CONFIG, 1, "ann").code, 0);
-    assert_eq!(store.counts().txn, before);
+    assert_eq!(store.counts().total(), before + 1);
     assert_eq!(revision(&store), "1");
 }
 
