Add traces and the ideal of experiments

Cause: response is to be held against the best that the servers could have given. Ruled out: the optimum (job shop, not computable here) and the fastest server's bare run time (ignores that slots are taken). Change: Poisson traces by seed with log-uniform run times and job sizes, bursts, and a clairvoyant list schedule by earliest finish as yardstick. Conclusion: the runner can replay and compare.

--- a/endivestile_testkit/src/lib.rs
+++ b/endivestile_testkit/src/lib.rs
@@ -10,6 +10,7 @@
 mod net;
 mod store;
 mod timer;
+pub mod trial;
 
 pub use caller::{Caller, Reply};
 pub use deploy::{Daemon, Deployment, HostProcess, Plan, wait_for};
--- /dev/null
+++ b/endivestile_testkit/src/trial/mod.rs
@@ -0,0 +1,10 @@
+//! Pieces of experiments: arrival traces, the ideal they are held against, and
+//! their statistics.
+
+mod ideal;
+mod stats;
+mod trace;
+
+pub use ideal::{Park, ideal_ms};
+pub use stats::{median, percentile};
+pub use trace::{Burst, Item, Kind, Load, Mix, trace};
