--- /dev/null
+++ b/endivestile_testkit/examples/experiment/replay.rs
@@ -0,0 +1,164 @@
+//! Replays a trace and notes what came back.
+
+use std::sync::mpsc::{Sender, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use endivestile_testkit::trial::{Item, Kind};
+use endivestile_testkit::{Caller, Reply, echo};
+
+use crate::fault::wait;
+use crate::spec::{Ids, MEMBERS, SERVICE, Spec};
+
+/// Stack of a caller's thread, in bytes.
+const STACK: usize = 256 << 10;
+
+/// How one submission ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum End {
+    /// The whole and right answer.
+    Complete,
+    /// An answer that is not the one to this submission.
+    Wrong,
+    /// Refused as not run.
+    NotRun,
+    /// Refused as unknown.
+    Unknown,
+    /// Failed.
+    Failed,
+    /// Cancelled.
+    Cancelled,
+    /// The connection failed or broke.
+    Broken,
+}
+
+/// What came back for one submission.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Outcome {
+    /// Index in the trace.
+    pub(crate) index: usize,
+    /// How it ended.
+    pub(crate) end: End,
+    /// Time from its scheduled arrival to its answer, in milliseconds.
+    pub(crate) response_ms: f64,
+}
+
+/// Callers of all hosts, and ids that the hosts minted.
+#[derive(Debug)]
+pub(crate) struct Desk {
+    /// Callers by host, then by member.
+    callers: Vec<Vec<Caller>>,
+    /// Prefix that makes works and ids of this slice its own.
+    slice: String,
+    /// Ids by index in the trace.
+    ids: Vec<String>,
+}
+
+impl Desk {
+    /// Prepares the replay of a slice by the hosts at these addresses.
+    pub(crate) fn new(
+        spec: &Spec,
+        agent: &Caller,
+        addresses: &[std::net::SocketAddr],
+        slice: &str,
+        items: &[Item],
+    ) -> Result<Self, ureq::Error> {
+        let callers: Vec<Vec<Caller>> = addresses
+            .iter()
+            .map(|address| MEMBERS.iter().map(|member| agent.at(address).member(member)).collect())
+            .collect();
+        let mut stocks = vec![Vec::new(); callers.len()];
+        let mut ids = Vec::new();
+        for n in 0..items.len() {
+            let host = n % callers.len();
+            ids.push(match spec.ids {
+                Ids::Dated => Caller::own_id(&format!("{slice}-{n}")),
+                Ids::Minted => mint(&callers[host][0], &mut stocks[host])?,
+            });
+        }
+        Ok(Self { callers, slice: slice.to_owned(), ids })
+    }
+
+    /// Submits all items at their times and waits for all answers.
+    pub(crate) fn replay(&self, spec: &Spec, items: &[Item], began: Instant) -> Vec<Outcome> {
+        let (sender, outcomes) = channel();
+        thread::scope(|scope| {
+            if spec.fault == crate::fault::Kind::Cancel {
+                scope.spawn(|| self.cancel(spec, items, began));
+            }
+            for (index, item) in items.iter().enumerate() {
+                let at = began + Duration::from_micros(item.at_us);
+                thread::sleep(at.saturating_duration_since(Instant::now()));
+                let sender = sender.clone();
+                let run = move || self.submit(index, item, at, &sender);
+                let thread = thread::Builder::new().stack_size(STACK).spawn_scoped(scope, run);
+                if let Err(err) = thread {
+                    eprintln!("event=caller_not_started error={err}");
+                }
+            }
+        });
+        drop(sender);
+        outcomes.into_iter().collect()
+    }
+
+    fn submit(&self, index: usize, item: &Item, at: Instant, sender: &Sender<Outcome>) {
+        let caller = &self.callers[index % self.callers.len()][item.member];
+        let works = self.works(index, item);
+        let id = &self.ids[index];
+        let reply = match item.kind {
+            Kind::Idempotent => caller.request(SERVICE, None, &works[0]),
+            Kind::Once => caller.request(SERVICE, Some(id), &works[0]),
+            Kind::Job => caller.job(SERVICE, id, &works),
+        };
+        let response_ms = at.elapsed().as_secs_f64() * 1_000.0;
+        let end = reply.map_or(End::Broken, |reply| judge(&reply, item.kind, &works));
+        // The receiver lasts longer than the threads.
+        let _ = sender.send(Outcome { index, end, response_ms });
+    }
+
+    fn works(&self, index: usize, item: &Item) -> Vec<String> {
+        let work =
+            |(n, ms): (usize, &f64)| format!(r#"{{"key":"{}-{index}-{n}","ms":{ms}}}"#, self.slice);
+        item.tasks_ms.iter().enumerate().map(work).collect()
+    }
+
+    /// Cancels every submission with an id that arrived before the fault's time.
+    fn cancel(&self, spec: &Spec, items: &[Item], began: Instant) {
+        wait(began, spec.from_ms);
+        for (index, item) in items.iter().enumerate() {
+            if item.kind != Kind::Idempotent && item.at_us < spec.from_ms * 1_000 {
+                let caller = &self.callers[index % self.callers.len()][item.member];
+                // Whether it was cancelled shows in the submission's own answer.
+                let _ = caller.cancel(&self.ids[index]);
+            }
+        }
+    }
+}
+
+fn mint(caller: &Caller, stock: &mut Vec<String>) -> Result<String, ureq::Error> {
+    const BLOCK: usize = 1_000;
+    if stock.is_empty() {
+        *stock = caller.ids(BLOCK)?;
+    }
+    stock.pop().ok_or(ureq::Error::BadUri("no ids were minted".into()))
+}
+
+fn judge(reply: &Reply, kind: Kind, works: &[String]) -> End {
+    let right = match kind {
+        Kind::Job => {
+            let results = reply.answer().and_then(|answer| answer.results);
+            results.is_some_and(|results| {
+                results.iter().eq(works.iter().map(|w| echo(w)).collect::<Vec<_>>().iter())
+            })
+        }
+        _ => reply.body == echo(&works[0]),
+    };
+    match (reply.status, reply.word().as_str()) {
+        (200, _) if right => End::Complete,
+        (200, _) => End::Wrong,
+        (503, "not run") => End::NotRun,
+        (503, _) => End::Unknown,
+        (409, "cancelled") => End::Cancelled,
+        _ => End::Failed,
+    }
+}
--- /dev/null
+++ b/endivestile_testkit/examples/experiment/run.rs
@@ -0,0 +1,151 @@
+//! The course of an experiment.
+
+use std::error::Error;
+use std::path::Path;
+use std::thread;
+use std::time::Instant;
+
+use endivestile_testkit::trial::{Burst, Item, Load, Mix, ideal_ms, trace};
+use endivestile_testkit::{Caller, Daemon, Deployment, wait_for};
+
+use crate::fault::{self, Kind};
+use crate::measure::{Counts, counts, revision, since};
+use crate::replay::{Desk, Outcome};
+use crate::spec::{MEMBERS, Spec, server};
+
+/// Seconds that all hosts have to adopt a configuration.
+const ADOPT_S: u64 = 20;
+/// Seconds that machines have to finish after the last answer.
+const DRAIN_S: u64 = 60;
+/// Factor of a burst.
+const BURST: f64 = 5.0;
+/// Member that floods.
+const FLOODER: usize = 2;
+
+/// One policy at one load, once.
+#[derive(Debug, Clone)]
+pub(crate) struct Slice {
+    /// Policy.
+    pub(crate) policy: String,
+    /// Load in percent of capacity.
+    pub(crate) load: u32,
+    /// What arrived.
+    pub(crate) items: Vec<Item>,
+    /// What the ideal gives, by index in `items`.
+    pub(crate) ideal_ms: Vec<f64>,
+    /// What came back.
+    pub(crate) outcomes: Vec<Outcome>,
+    /// What was counted.
+    pub(crate) counts: Counts,
+    /// Length of the slice with its drain, in seconds.
+    pub(crate) span_s: f64,
+    /// Works that were started more than once, idempotent requests apart.
+    pub(crate) doubled: usize,
+    /// Most tasks at once on one server.
+    pub(crate) peak: usize,
+}
+
+/// Runs all slices: for each load, rounds in which each policy gets the same trace.
+pub(crate) fn run(spec: &Spec, daemon: &Path) -> Result<Vec<Slice>, Box<dyn Error>> {
+    let mut deployment = Deployment::start(spec.plan(), &Daemon::new(daemon))?;
+    let agent = Caller::new(deployment.hosts[0].address(), MEMBERS[0]);
+    let agent = agent.deadline_ms(spec.deadline_ms);
+    warm(spec, &mut deployment, &agent)?;
+    let mut slices = Vec::new();
+    for load in &spec.loads {
+        for round in 0..spec.rounds {
+            let items = arrivals(spec, *load, round);
+            for n in 0..spec.policies.len() {
+                // Another policy begins each round, so that none always follows the same one.
+                let policy = &spec.policies[(n + round) % spec.policies.len()];
+                adopt(&mut deployment, &agent, policy)?;
+                let name = format!("{load}-{round}-{policy}");
+                let mut slice = replay(spec, &mut deployment, &agent, &name, items.clone())?;
+                (slice.policy, slice.load) = (policy.clone(), *load);
+                eprintln!("event=slice load={load} round={round} policy={policy}");
+                slices.push(slice);
+            }
+        }
+    }
+    Ok(slices)
+}
+
+/// Runs a slice that is not counted, so that speeds are learnt and connections open.
+fn warm(spec: &Spec, deployment: &mut Deployment, agent: &Caller) -> Result<(), Box<dyn Error>> {
+    const LOAD: u32 = 60;
+    adopt(deployment, agent, &spec.policies[0])?;
+    let calm = Spec { fault: Kind::None, ..spec.clone() };
+    let items = arrivals(&calm, LOAD, usize::MAX >> 1);
+    replay(&calm, deployment, agent, "warm", items).map(|_| ())
+}
+
+/// Draws the arrivals of a round; each round has a seed of its own.
+fn arrivals(spec: &Spec, load: u32, round: usize) -> Vec<Item> {
+    let (from_us, to_us) = (spec.from_ms * 1_000, spec.to_ms * 1_000);
+    let burst = Burst { from_us, to_us, factor: BURST };
+    let load = Load {
+        seed: spec.seed + round as u64,
+        work: spec.capacity() * f64::from(load) / 100.0,
+        span_us: spec.slice_ms * 1_000,
+        burst: (spec.fault == Kind::Burst).then_some(burst),
+    };
+    let mut items = trace(&load, &spec.mix());
+    if spec.fault == Kind::Flood {
+        let mut members = [0; 3];
+        members[FLOODER] = 1;
+        let flood = Load { seed: !load.seed, work: spec.capacity(), ..load };
+        let extra = trace(&flood, &Mix { members, ..spec.mix() });
+        items.extend(extra.into_iter().filter(|item| (from_us..to_us).contains(&item.at_us)));
+        items.sort_by_key(|item| item.at_us);
+    }
+    items
+}
+
+/// Puts a policy in force at all hosts.
+fn adopt(deployment: &mut Deployment, agent: &Caller, policy: &str) -> Result<(), Box<dyn Error>> {
+    let wanted = deployment.reconfigure(|config| config.rules.policy = policy.into());
+    let in_force = || deployment.hosts.iter().all(|host| revision(agent, host.address()) >= wanted);
+    if wait_for(ADOPT_S, in_force) { Ok(()) } else { Err("a configuration was not adopted".into()) }
+}
+
+fn replay(
+    spec: &Spec,
+    deployment: &mut Deployment,
+    agent: &Caller,
+    name: &str,
+    items: Vec<Item>,
+) -> Result<Slice, Box<dyn Error>> {
+    deployment.servers.forget();
+    let addresses: Vec<_> = deployment.hosts.iter().map(|host| host.address()).collect();
+    let desk = Desk::new(spec, agent, &addresses, name, &items)?;
+    let before = counts(deployment, agent);
+    let began = Instant::now();
+    let outcomes = thread::scope(|scope| {
+        let replay = scope.spawn(|| desk.replay(spec, &items, began));
+        fault::act(spec, deployment, began);
+        replay.join().map_err(|_| "the replay panicked")
+    })?;
+    if !wait_for(DRAIN_S, || deployment.servers.running() == 0) {
+        return Err("tasks still run long after the last answer".into());
+    }
+    let counts = since(&before, &counts(deployment, agent));
+    let once = |(work, _): &(String, usize)| is_once(work, &items);
+    Ok(Slice {
+        policy: String::new(),
+        load: 0,
+        ideal_ms: ideal_ms(&items, &spec.parks()),
+        outcomes,
+        counts,
+        span_s: began.elapsed().as_secs_f64(),
+        doubled: deployment.servers.doubled().iter().filter(|work| once(work)).count(),
+        peak: (0..spec.servers).map(|n| deployment.servers.peak(&server(n))).max().unwrap_or(0),
+        items,
+    })
+}
+
+/// Tells whether a work, keyed `<slice>-<index>-<task>`, may start only once.
+fn is_once(work: &str, items: &[Item]) -> bool {
+    let index = work.rsplit('-').nth(1).and_then(|text| text.parse::<usize>().ok());
+    let item = index.and_then(|index| items.get(index));
+    item.is_none_or(|item| item.kind != endivestile_testkit::trial::Kind::Idempotent)
+}
--- a/endivestile_testkit/src/caller.rs
+++ b/endivestile_testkit/src/caller.rs
@@ -66,6 +66,11 @@
         Self { base: format!("http://{address}"), ..self.clone() }
     }
 
+    /// Calls on behalf of another member through the same agent.
+    pub fn member(self, member: &str) -> Self {
+        Self { member: member.to_owned(), ..self }
+    }
+
     /// Sets the deadline of each call from its sending.
     pub fn deadline_ms(self, deadline_ms: u64) -> Self {
         Self { deadline_ms, ..self }
