--- a/endivestile_kernel/src/event.rs
+++ b/endivestile_kernel/src/event.rs
@@ -1,5 +1,6 @@
 //! What enters and leaves the kernel.
 
+use std::fmt;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -257,3 +258,27 @@
     /// Back ends taken out.
     Ejections,
 }
+
+impl fmt::Display for Metric {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let name = match self {
+            Self::Accepted => "accepted",
+            Self::RefusedNotRun => "refused_not_run",
+            Self::RefusedUnknown => "refused_unknown",
+            Self::Complete => "complete",
+            Self::Failed => "failed",
+            Self::Starts => "starts",
+            Self::Retries => "retries",
+            Self::Forwards => "forwards",
+            Self::Handoffs => "handoffs",
+            Self::Records => "records",
+            Self::Frames => "frames",
+            Self::IdleFrames => "idle_frames",
+            Self::Resent => "resent",
+            Self::StoreCalls => "store_calls",
+            Self::Takeovers => "takeovers",
+            Self::Ejections => "ejections",
+        };
+        f.write_str(name)
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/kernel.rs
@@ -0,0 +1,243 @@
+//! The kernel: takes events in, gives effects out.
+
+mod link;
+mod status;
+mod stop;
+mod submit;
+mod task;
+mod watch;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use endivestile_config::model::{Config, Name};
+
+use crate::budget::Budget;
+use crate::channel::Channel;
+use crate::hosts::Hosts;
+use crate::mint::Mint;
+use crate::passed::Passed;
+use crate::routes::Routes;
+use crate::runs::Runs;
+use crate::{
+    Effect, Event, Metric, Peer, PlaceEffect, Placer, PlacerSetup, Refusal, ShardEffect,
+    ShardSetup, Shards, SubmissionId, Time,
+};
+
+pub use status::{HostStatus, Status};
+
+/// Steps after which one event's chain of consequences counts as a fault.
+const MAX_STEPS: usize = 1_000_000;
+
+/// What a kernel is told once.
+#[derive(Debug, Clone)]
+pub struct Setup {
+    /// This incarnation.
+    pub me: Peer,
+    /// Availability zone of this host.
+    pub zone: Name,
+    /// Address of this host's links, `IP:port`.
+    pub address: Name,
+    /// Seconds since 1970 at the start of the process.
+    pub wall_s: u64,
+    /// Seed of everything that is drawn at random.
+    pub seed: u64,
+}
+
+/// All decisions of one entry host.
+#[derive(Debug)]
+pub struct Kernel {
+    setup: Setup,
+    config: Option<Arc<Config>>,
+    text: Bytes,
+    wanted: Option<Time>,
+    hosts: Hosts,
+    channels: BTreeMap<Peer, Channel>,
+    watched: BTreeMap<Peer, Time>,
+    survey_due: Time,
+    load: (Time, Arc<[crate::Figure]>),
+    shards: Shards,
+    placer: Placer,
+    runs: Runs,
+    passed: Passed,
+    mint: Mint,
+    budget: Budget,
+    routes: Routes,
+    totals: BTreeMap<Metric, u64>,
+    stopping: Option<Time>,
+    leaving: bool,
+    drained: bool,
+    shard_effects: Vec<ShardEffect>,
+    place_effects: Vec<PlaceEffect>,
+    out: Vec<Effect>,
+}
+
+impl Kernel {
+    /// Starts without a configuration: every submission is refused until one is adopted.
+    pub fn new(setup: Setup) -> Self {
+        let me = setup.me.clone();
+        let shard_setup = ShardSetup {
+            me: me.clone(),
+            zone: setup.zone.clone(),
+            wall_s: setup.wall_s,
+            seed: setup.seed,
+        };
+        Self {
+            config: None,
+            text: Bytes::new(),
+            wanted: None,
+            hosts: Hosts::new(me.clone(), setup.zone.clone(), setup.address.clone()),
+            channels: BTreeMap::new(),
+            watched: BTreeMap::new(),
+            survey_due: Time::ZERO,
+            load: (Time::ZERO, Arc::from([])),
+            shards: Shards::new(shard_setup),
+            placer: Placer::new(PlacerSetup { me: me.clone(), seed: setup.seed }),
+            runs: Runs::default(),
+            passed: Passed::default(),
+            mint: Mint::new(me),
+            budget: Budget::new(),
+            routes: Routes::default(),
+            totals: BTreeMap::new(),
+            stopping: None,
+            leaving: false,
+            drained: false,
+            shard_effects: Vec::new(),
+            place_effects: Vec::new(),
+            out: Vec::new(),
+            setup,
+        }
+    }
+
+    /// Takes one event in. Frames to peers wait for [`Self::flush`], so that
+    /// one frame carries what several events caused.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
+        self.dispatch(now, event);
+        self.settle(now);
+        out.append(&mut self.out);
+    }
+
+    /// Sends what waits for the peers; called after a batch of events.
+    pub fn flush(&mut self, now: Time, out: &mut Vec<Effect>) {
+        self.send_frames(now);
+        out.append(&mut self.out);
+    }
+
+    /// Returns when the kernel wants [`Event::Tick`].
+    pub fn deadline(&self) -> Option<Time> {
+        let channels = self.channels.values().filter_map(Channel::deadline).min();
+        let drain = self.drain_due();
+        [
+            channels,
+            drain,
+            self.runs.deadline(),
+            self.passed.deadline(),
+            self.shards.deadline(),
+            self.placer.deadline(),
+            Some(self.survey_due),
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+    }
+
+    /// Returns whether the platform's balancer may send calls here.
+    pub fn ready(&self) -> bool {
+        self.config.is_some() && !self.leaving
+    }
+
+    /// Issues ids that this incarnation alone may start.
+    pub fn mint(&mut self, now: Time, count: usize) -> Vec<SubmissionId> {
+        let window_s = self.config.as_ref().map_or(0, |config| config.rules.window_s);
+        self.mint.issue(now, count, window_s)
+    }
+
+    fn dispatch(&mut self, now: Time, event: Event) {
+        match event {
+            Event::Call { call, submission } => self.call(now, call, submission),
+            Event::Ask { call, id, ask } => self.called(now, call, id, ask),
+            Event::Frame(frame) => self.frame(now, frame),
+            Event::LinkDown(peer) => self.link_down(now, &peer),
+            Event::End { attempt, end } => {
+                self.placer.end(now, attempt, end, &mut self.place_effects);
+            }
+            Event::Stored { token, stored } => {
+                let view = self.hosts.view();
+                self.shards.stored(now, view, token, stored, &mut self.shard_effects);
+            }
+            Event::Record { shard, revision, value } => {
+                let view = self.hosts.view();
+                let out = &mut self.shard_effects;
+                self.shards.record(now, view, shard, revision, &value, out);
+            }
+            Event::Host { host, registration } => {
+                let changed = self.hosts.register(now, &host, registration.as_ref());
+                self.viewed(now, changed);
+            }
+            Event::Platform { name, state } => self.platform(now, &name, state),
+            Event::Stop { name, stop } => self.planned_stop(now, &name, stop),
+            Event::Store(up) => {
+                self.hosts.store(up);
+                self.viewed(now, true);
+            }
+            Event::Config { config, text } => self.adopt(now, config, text),
+            Event::Shutdown => self.shutdown(now),
+            Event::Tick => self.tick(now),
+        }
+    }
+
+    fn tick(&mut self, now: Time) {
+        self.survey(now);
+        self.passed_due(now);
+        self.runs_due(now);
+        let view = self.hosts.view();
+        self.shards.tick(now, view, &mut self.shard_effects);
+        self.placer.tick(now, &mut self.place_effects);
+        self.check_drained(now);
+    }
+
+    /// Carries out what the parts want of each other until nothing is left.
+    fn settle(&mut self, now: Time) {
+        for _ in 0..MAX_STEPS {
+            let shard_effects = std::mem::take(&mut self.shard_effects);
+            let place_effects = std::mem::take(&mut self.place_effects);
+            if shard_effects.is_empty() && place_effects.is_empty() {
+                return;
+            }
+            for effect in shard_effects {
+                self.shard_effect(now, effect);
+            }
+            for effect in place_effects {
+                self.place_effect(now, effect);
+            }
+        }
+        unreachable!("the kernel's parts answer each other without end");
+    }
+
+    fn adopt(&mut self, now: Time, config: Arc<Config>, text: Bytes) {
+        // A slow peer or a lagging watch may offer an older revision; taking it
+        // would put rules in force again that operators have replaced.
+        if self.config.as_ref().is_some_and(|own| own.revision >= config.revision) {
+            return;
+        }
+        self.text = text;
+        self.budget.configure(config.rules.retry_percent);
+        self.hosts.configure(now, &config);
+        self.shards.configure(&config.rules);
+        self.config = Some(config.clone());
+        let view = self.hosts.view();
+        self.placer.configure(now, &config, view, &mut self.place_effects);
+        self.info("config_adopted", vec![("revision", config.revision.to_string())]);
+        self.viewed(now, true);
+    }
+
+    fn count(&mut self, metric: Metric, count: u64) {
+        *self.totals.entry(metric).or_default() += count;
+        self.out.push(Effect::Count(metric, count));
+    }
+
+    fn refusal(&self, now: Time, class: crate::Class, cause: crate::Cause) -> Refusal {
+        Refusal { class, cause, retry: self.retry_at(now, cause) }
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/kernel/link.rs
@@ -0,0 +1,154 @@
+//! Frames and messages between hosts.
+
+use std::sync::Arc;
+
+use crate::channel::{Channel, address_of};
+use crate::hosts::BEAT_MS;
+use crate::{Effect, Figure, Frame, HostState, Kernel, Level, Metric, Msg, Note, Peer, Time};
+
+/// Age at which the load figures are worked out anew, in milliseconds.
+const FIGURES_MS: u64 = 50;
+/// Wait before a configuration is asked for again, in milliseconds.
+const WANT_MS: u64 = 500;
+/// Frames to one peer at a time.
+const MAX_FRAMES: usize = 16;
+
+impl Kernel {
+    pub(super) fn frame(&mut self, now: Time, mut frame: Frame) {
+        if frame.to != self.setup.me {
+            return;
+        }
+        let from = frame.from.clone();
+        let Some(changed) = self.hosts.heard(now, &from, frame.leaving) else { return };
+        if let Some(figures) = frame.load.take() {
+            self.routes.tell(now, &from, figures);
+        }
+        self.want_config(now, &from, frame.revision);
+        let channel = self.channel(&from);
+        let msgs = channel.receive(now, frame);
+        for msg in msgs {
+            self.message(now, &from, msg);
+        }
+        self.viewed(now, changed);
+    }
+
+    pub(super) fn link_down(&mut self, now: Time, peer: &Peer) {
+        if let Some(channel) = self.channels.get_mut(peer) {
+            channel.broken(now);
+        }
+        let changed = self.hosts.broken(now, peer);
+        self.viewed(now, changed);
+    }
+
+    pub(super) fn push(&mut self, to: &Peer, msg: Msg) {
+        self.channel(to).push(msg);
+    }
+
+    fn channel(&mut self, peer: &Peer) -> &mut Channel {
+        self.channels.entry(peer.clone()).or_insert_with(|| Channel::new(peer.clone()))
+    }
+
+    fn message(&mut self, now: Time, from: &Peer, msg: Msg) {
+        match msg {
+            Msg::Submit { call, submission, hops } => {
+                self.submitted(now, from, call, submission, hops);
+            }
+            Msg::Ask { call, id, ask, hops } => {
+                let waiter = crate::run::Waiter::Front(from.clone(), call);
+                self.ask(now, waiter, id, ask, hops);
+            }
+            Msg::Reply { call, answer } => self.replied(now, call, answer),
+            Msg::Place(order) => self.placer.order(now, from, order, &mut self.place_effects),
+            Msg::Drop(key) => self.placer.drop_task(now, from, key, &mut self.place_effects),
+            Msg::Placed { key, outcome } => self.placed(now, from, key, outcome),
+            Msg::WantConfig(revision) => self.give_config(from, revision),
+            Msg::Config { text, .. } => self.out.push(Effect::Offer(text)),
+            Msg::Record { .. }
+            | Msg::Recorded { .. }
+            | Msg::Fenced { .. }
+            | Msg::Sync { .. }
+            | Msg::Synced { .. }
+            | Msg::Yield { .. } => {
+                let view = self.hosts.view();
+                self.shards.message(now, view, from, msg, &mut self.shard_effects);
+            }
+        }
+        self.settle(now);
+    }
+
+    fn want_config(&mut self, now: Time, from: &Peer, revision: u64) {
+        let own = self.config.as_ref().map_or(0, |config| config.revision);
+        if revision <= own || self.wanted.is_some_and(|due| due > now) {
+            return;
+        }
+        self.wanted = Some(now.after_ms(WANT_MS));
+        self.push(from, Msg::WantConfig(own));
+    }
+
+    fn give_config(&mut self, to: &Peer, revision: u64) {
+        let Some(config) = &self.config else { return };
+        if config.revision > revision {
+            let msg = Msg::Config { revision: config.revision, text: self.text.clone() };
+            self.push(to, msg);
+        }
+    }
+
+    /// Sends what is due to every peer.
+    pub(super) fn send_frames(&mut self, now: Time) {
+        self.update_load(now);
+        let peers: Vec<Peer> = self.channels.keys().cloned().collect();
+        for peer in peers {
+            if self.hosts.view().state(&peer) == HostState::Gone {
+                continue;
+            }
+            for _ in 0..MAX_FRAMES {
+                if !self.send_frame(now, &peer) {
+                    break;
+                }
+            }
+        }
+    }
+
+    fn send_frame(&mut self, now: Time, peer: &Peer) -> bool {
+        let Some(address) = address_of(self.hosts.view(), peer) else { return false };
+        let watched = self.watched.contains_key(peer);
+        let Some(channel) = self.channels.get_mut(peer) else { return false };
+        let Some(mut frame) = channel.frame(now, &self.setup.me) else { return false };
+        if watched {
+            channel.beat(now.after_ms(BEAT_MS));
+        }
+        frame.revision = self.config.as_ref().map_or(0, |config| config.revision);
+        frame.leaving = self.leaving;
+        frame.load = channel.tell_load(now, &self.load.1);
+        let idle = frame.msgs.is_empty();
+        self.out.push(Effect::Send { address, frame });
+        self.count(Metric::Frames, 1);
+        if idle {
+            self.count(Metric::IdleFrames, 1);
+        }
+        !idle
+    }
+
+    fn update_load(&mut self, now: Time) {
+        if self.load.0 > now {
+            return;
+        }
+        let figures: Arc<[Figure]> = self.placer.figures(now).into();
+        self.load = (now.after_ms(FIGURES_MS), figures);
+    }
+
+    pub(super) fn info(&mut self, event: &'static str, pairs: Vec<(&'static str, String)>) {
+        self.out.push(Effect::Log(Note { level: Level::Info, event, id: None, pairs }));
+    }
+
+    pub(super) fn log_end(&mut self, now: Time, number: u64, answer: &crate::Answer) {
+        let Some(run) = self.runs.get(number) else { return };
+        let pairs = vec![
+            ("step", String::from("answer")),
+            ("answer", answer.label().to_owned()),
+            ("ms", (now.since(run.arrived).as_millis()).to_string()),
+        ];
+        let id = run.label();
+        self.out.push(Effect::Log(Note { level: Level::Debug, event: "ended", id, pairs }));
+    }
+}
--- a/endivestile_kernel/src/view.rs
+++ b/endivestile_kernel/src/view.rs
@@ -65,11 +65,17 @@
     }
 
     /// Returns the host that counts the slots of a back end: the first in
-    /// rendezvous order among the live hosts of the back end's zone, or of all
-    /// zones when that zone has none.
+    /// rendezvous order among the live hosts of the back end's zone, of all
+    /// zones when that zone has none, or of the leaving ones when none lives.
     pub fn placer(&self, zone: &str, server: &str) -> Option<&HostView> {
         let near = self.live().filter(|host| host.zone.as_ref() == zone);
-        first(near, server).or_else(|| first(self.live(), server))
+        first(near, server)
+            .or_else(|| first(self.live(), server))
+            .or_else(|| first(self.leaving(), server))
+    }
+
+    fn leaving(&self) -> impl Iterator<Item = &HostView> {
+        self.hosts.values().filter(|host| host.state == HostState::Leaving)
     }
 
     /// Returns the live hosts in rendezvous order for `key`, best first.
--- /dev/null
+++ b/endivestile_testkit/tests/stories/refusal_overload.story
@@ -0,0 +1,11 @@
+# Five hundred requests arrive at once, of which the slots can run a few
+# within the deadline. The rest is refused at once as not run, truthfully.
+story
+world zones=a hosts=2 servers=1 slots=2 ms=200
+submit c at=a1 times=500 deadline=2s
+run 100ms
+submit d at=a2 times=20 deadline=2s
+run 10s
+check
+----
+every promise kept
--- /dev/null
+++ b/endivestile_testkit/tests/stories/start_front_killed.story
@@ -0,0 +1,23 @@
+# The host that took the call dies while another runs the job. The caller comes
+# back through a third host, joins the running job and gets its whole answer.
+story
+world zones=a,b hosts=3 servers=2
+submit c1 at=a1 id=k1 tasks=20
+submit c2 at=a2 id=k1 tasks=20
+submit c3 at=b3 id=k1 tasks=20
+run 50ms
+kill a1
+submit c4 at=b1 id=k1 tasks=20
+submit c5 at=b2 id=k1 tasks=20
+run 10s
+answers
+starts
+check
+----
+c1 broken
+c2 failed
+c3 failed
+c4 failed
+c5 failed
+k1 started 19
+every promise kept
