Serve a request and a job from end to end through real processes

Cause: the daemon ran on a stand-in for the kernel. With the kernel in place the quickstart's first job was refused as unknown: registrations are read before the configuration has been checked, and the kernel dropped those of hosts that were not in its inventory yet, so most peers stayed 'suspect' (seen in /status). Ruled out: reading the registrations again after each adoption (two more calls of every host to the store at every change). The loop sends frames between ticks. Settings may name seed hosts. Starts are counted once. Conclusion: the thin path stands: caller, entry host, peer, back end and back, with the configuration from the store.

--- a/endivestile/src/engine.rs
+++ b/endivestile/src/engine.rs
@@ -5,8 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::stub::{Kernel, Setup};
-use endivestile_kernel::{Answer, CallId, Effect, Event, Time};
+use endivestile_kernel::{Answer, CallId, Effect, Event, Kernel, Setup, Time};
 use stakker::{CX, FixedTimerKey, StopCause, after, at};
 use tiny_http::Request;
 
@@ -121,11 +120,13 @@
     /// effects and sets the timer for the kernel's next deadline.
     pub(crate) fn settle(&mut self, cx: CX![]) {
         let now = self.clock.at(cx.now());
+        self.kernel.flush(now, &mut self.effects);
         for _ in 0..TICKS {
             if self.kernel.deadline().is_none_or(|deadline| deadline > now) {
                 break;
             }
             self.kernel.handle(now, Event::Tick, &mut self.effects);
+            self.kernel.flush(now, &mut self.effects);
         }
         self.carry(cx);
         self.arm(cx);
@@ -156,7 +157,7 @@
                 self.event(cx, Event::Ask { call, id, ask });
             }
             Demand::Mint(count) => {
-                let minted = self.kernel.mint(count);
+                let minted = self.kernel.mint(self.clock.at(cx.now()), count);
                 let texts: Vec<&str> = minted.iter().map(|id| id.text().as_ref()).collect();
                 let body = serde_json::json!({ "ids": texts }).to_string();
                 self.say(request, ids, Reply::json(200, body));
@@ -186,7 +187,8 @@
 
     /// Answers a caller.
     fn say(&mut self, request: Request, ids: usize, reply: Reply) {
-        let reply = if ids == 0 { reply } else { reply.with_ids(&self.kernel.mint(ids)) };
+        let now = self.clock.now();
+        let reply = if ids == 0 { reply } else { reply.with_ids(&self.kernel.mint(now, ids)) };
         self.edges.voice.push(Say { request, reply });
     }
 
--- a/endivestile/src/lib.rs
+++ b/endivestile/src/lib.rs
@@ -23,7 +23,6 @@
 mod signals;
 mod status;
 mod store;
-mod stub;
 
 pub use args::Args;
 pub use error::{Exit, RunError};
--- a/endivestile/src/run.rs
+++ b/endivestile/src/run.rs
@@ -3,15 +3,15 @@
 use std::cell::Cell;
 use std::ffi::OsString;
 use std::fs;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use crate::stub::Setup;
 use clap::Parser;
 use endivestile_config::Settings;
 use endivestile_config::model::Name;
-use endivestile_kernel::Peer;
+use endivestile_kernel::{Peer, Seed, Setup};
 use stakker::{Actor, Stakker, actor, call, ret_nop};
 
 use crate::args::Args;
@@ -124,7 +124,9 @@
     let edges = Edges { backends, links, store: store.clone(), checker, voice, notes, counters };
     let wall_s = since_epoch().as_secs();
     let seed = me.birth;
-    let setup = Setup { me, zone: settings.host.zone.clone(), address, wall_s, seed };
+    let seeds = settings.host.seeds.iter();
+    let seeds = seeds.map(|(host, at)| seed_of(host, *at)).collect();
+    let setup = Setup { me, zone: settings.host.zone.clone(), address, wall_s, seed, seeds };
     let exit = Rc::new(Cell::new(Exit::Failed));
     let limit_s = settings.stop.limit_s;
     let parts = Parts { setup, edges, clock, adopted, limit_s, exit: Rc::clone(&exit) };
@@ -147,6 +149,11 @@
     Ok(Name::from(address.to_string()))
 }
 
+/// Returns a host of the settings as one to ask for the configuration.
+fn seed_of(host: &Name, address: SocketAddr) -> Seed {
+    Seed { host: host.clone(), address: Name::from(address.to_string()) }
+}
+
 /// Runs the loop until the engine ends it.
 fn turn(inlet: &Inlet, parts: Parts) {
     let mut stakker = Stakker::new(Instant::now());
--- a/endivestile/src/status.rs
+++ b/endivestile/src/status.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 
-use crate::stub::Kernel;
+use endivestile_kernel::Kernel;
 use serde_json::{Map, Value};
 
 use crate::clock::Clock;
--- a/endivestile_config/src/settings/host.rs
+++ b/endivestile_config/src/settings/host.rs
@@ -5,9 +5,12 @@
 use crate::error::ConfigError;
 use crate::keys::{Keys, unknown_key};
 use crate::model::Name;
-use crate::raw::Raw;
+use crate::raw::{Raw, is_name};
 use crate::settings::{optional, socket_or_none};
 
+/// What a seed is, in words.
+const SEED_ACCEPTED: &str = "name@IP:port of another entry host, for example e2@10.0.1.8:8081";
+
 /// What the host is and where it listens.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HostSettings {
@@ -21,6 +24,8 @@
     pub peers: SocketAddr,
     /// Address that peers dial; none means the address of `peers`.
     pub advertise: Option<SocketAddr>,
+    /// Hosts to ask for the configuration while the store is away: name and address of links.
+    pub seeds: Vec<(Name, SocketAddr)>,
 }
 
 impl HostSettings {
@@ -38,6 +43,7 @@
             http: any(8080),
             peers: any(8081),
             advertise: None,
+            seeds: Vec::new(),
         }
     }
 }
@@ -47,7 +53,7 @@
 }
 
 impl Keys for HostSettings {
-    const KEYS: &'static [&'static str] = &["name", "zone", "http", "peers", "advertise"];
+    const KEYS: &'static [&'static str] = &["name", "zone", "http", "peers", "advertise", "seeds"];
     const REQUIRED: &'static [&'static str] = &[];
 
     fn set(&mut self, raw: &Raw) -> Result<(), ConfigError> {
@@ -57,6 +63,7 @@
             "http" => self.http = raw.socket()?,
             "peers" => self.peers = raw.socket()?,
             "advertise" => self.advertise = socket_or_none(raw)?,
+            "seeds" => self.seeds = seeds(raw)?,
             _ => return Err(unknown_key::<Self>(raw)),
         }
         Ok(())
@@ -68,7 +75,24 @@
             "zone" => self.zone.to_string(),
             "http" => self.http.to_string(),
             "peers" => self.peers.to_string(),
-            _ => optional(self.advertise),
+            "advertise" => optional(self.advertise),
+            _ => seeds_text(&self.seeds),
         }
     }
 }
+
+fn seeds(raw: &Raw) -> Result<Vec<(Name, SocketAddr)>, ConfigError> {
+    let items = raw.list()?;
+    items.iter().map(|item| seed(item).ok_or_else(|| item.refuse(SEED_ACCEPTED))).collect()
+}
+
+fn seed(raw: &Raw) -> Option<(Name, SocketAddr)> {
+    let (name, address) = raw.text.split_once('@')?;
+    let address = address.parse().ok()?;
+    is_name(name).then(|| (Name::from(name), address))
+}
+
+fn seeds_text(seeds: &[(Name, SocketAddr)]) -> String {
+    let items: Vec<String> = seeds.iter().map(|(name, at)| format!("{name}@{at}")).collect();
+    items.join(", ")
+}
--- a/endivestile_kernel/src/hosts.rs
+++ b/endivestile_kernel/src/hosts.rs
@@ -46,6 +46,7 @@
     heard: Option<Time>,
     broken: Option<Time>,
     silent: Option<Time>,
+    address: Option<Name>,
 }
 
 /// Puts the sources together: registrations in the store, the platform's
@@ -88,20 +89,18 @@
     /// Takes in the inventory; a host that is not in it any more is forgotten.
     pub(crate) fn configure(&mut self, now: Time, config: &Config) -> bool {
         let me = self.view.me.host.clone();
-        self.facts.retain(|name, _| *name == me || config.hosts.contains_key(name));
+        self.view.hosts.retain(|name, _| *name == me || config.hosts.contains_key(name));
         for (name, host) in &config.hosts {
-            self.facts.entry(name.clone()).or_default();
-            let address = match self.view.hosts.get(name) {
-                Some(known) if *name == me => known.address.clone(),
-                _ => host.address.clone(),
-            };
-            let peer = Peer::new(name.clone(), self.facts[name].birth);
+            let facts = self.facts.entry(name.clone()).or_default();
+            let own = self.view.hosts.get(name).filter(|_| *name == me);
+            let told = own.map(|own| own.address.clone()).or_else(|| facts.address.clone());
+            let address = told.unwrap_or_else(|| host.address.clone());
+            let peer = Peer::new(name.clone(), facts.birth);
             let zone = host.zone.clone();
             let state = HostState::Suspect;
             let entry = HostView { peer, zone, address, weight: host.weight, state };
             self.view.hosts.insert(name.clone(), entry);
         }
-        self.view.hosts.retain(|name, _| self.facts.contains_key(name));
         self.refresh(now);
         true
     }
@@ -111,7 +110,8 @@
         self.view.store = up;
     }
 
-    /// Takes in a registration, or the end of one.
+    /// Takes in a registration, or the end of one; also of a host that is not in
+    /// the inventory yet, since registrations are read before the configuration.
     pub(crate) fn register(
         &mut self,
         now: Time,
@@ -121,12 +121,13 @@
         if *name == self.view.me.host {
             return false;
         }
-        let Some(facts) = self.facts.get_mut(name) else { return false };
+        let facts = self.facts.entry(name.clone()).or_default();
         match registration {
             Some(registration) if registration.peer.birth >= facts.birth => {
                 facts.reborn(registration.peer.birth);
                 facts.registered = true;
                 facts.leaving = registration.leaving;
+                facts.address = Some(registration.address.clone());
                 if let Some(host) = self.view.hosts.get_mut(name) {
                     host.address = registration.address.clone();
                 }
@@ -139,15 +140,13 @@
 
     /// Takes in the platform's word on a host.
     pub(crate) fn platform(&mut self, now: Time, name: &str, state: Option<PlatformState>) -> bool {
-        let Some(facts) = self.facts.get_mut(name) else { return false };
-        facts.platform = state;
+        self.facts.entry(Name::from(name)).or_default().platform = state;
         self.refresh(now)
     }
 
     /// Takes in a planned stop, or its end.
     pub(crate) fn stop(&mut self, now: Time, name: &str, stop: bool) -> bool {
-        let Some(facts) = self.facts.get_mut(name) else { return false };
-        facts.stopped = stop;
+        self.facts.entry(Name::from(name)).or_default().stopped = stop;
         self.refresh(now)
     }
 
@@ -167,7 +166,8 @@
     /// Takes in a frame's sender; says whether the view changed, none for an
     /// incarnation that is gone or a host that is not in the inventory.
     pub(crate) fn heard(&mut self, now: Time, peer: &Peer, leaving: bool) -> Option<bool> {
-        let facts = self.facts.get_mut(&peer.host)?;
+        self.view.hosts.get(&peer.host)?;
+        let facts = self.facts.entry(peer.host.clone()).or_default();
         if peer.birth < facts.birth || peer.host == self.view.me.host {
             return None;
         }
--- a/endivestile_kernel/src/kernel/submit.rs
+++ b/endivestile_kernel/src/kernel/submit.rs
@@ -237,7 +237,9 @@
     fn park_or_refuse(&mut self, now: Time, arrival: Arrival, class: Class, cause: Cause) {
         let passing = matches!(cause, Cause::HomeAway | Cause::WitnessAway | Cause::ShardMoving);
         let at = now.after_ms(PARK_MS);
-        if !passing || !self.hosts.view().store || at >= arrival.until {
+        // At the start the store may not have answered yet.
+        let hope = self.hosts.view().store || now < Time::ZERO.after_ms(PATIENCE_MS);
+        if !passing || !hope || at >= arrival.until {
             self.refuse(now, &arrival.waiter, class, cause);
             return;
         }
--- a/endivestile_kernel/src/kernel/task.rs
+++ b/endivestile_kernel/src/kernel/task.rs
@@ -129,7 +129,6 @@
     pub(super) fn place_effect(&mut self, now: Time, effect: PlaceEffect) {
         match effect {
             PlaceEffect::Start { attempt, address, path, order, .. } => {
-                self.count(Metric::Starts, 1);
                 self.out.push(Effect::Start { attempt, address, path, order });
             }
             PlaceEffect::Abort(attempt) => self.out.push(Effect::Abort(attempt)),
--- a/endivestile_testkit/src/world.rs
+++ b/endivestile_testkit/src/world.rs
@@ -79,13 +79,15 @@
     starts: Vec<Started>,
     breaches: Vec<String>,
     faulty: bool,
+    seeded: bool,
     births: u64,
     rng: SmallRng,
 }
 
 impl World {
-    /// Makes a world in which every host of the configuration runs.
-    pub fn new(config: Config, seed: u64) -> Self {
+    /// Makes a world in which every host of the configuration runs; `seeded`
+    /// says whether their settings name each other.
+    pub fn new(config: Config, seed: u64, seeded: bool) -> Self {
         let config = Arc::new(config);
         let backends = Backend::all(&config);
         let mut world = Self {
@@ -102,6 +104,7 @@
             starts: Vec::new(),
             breaches: Vec::new(),
             faulty: false,
+            seeded,
             births: 0,
             rng: SmallRng::seed_from_u64(seed),
         };
--- a/endivestile_testkit/src/world/host.rs
+++ b/endivestile_testkit/src/world/host.rs
@@ -51,7 +51,7 @@
             address: host.address.clone(),
             wall_s: WALL_S + self.now / 1_000_000,
             seed: self.births,
-            seeds: seeds(&config),
+            seeds: if self.seeded { seeds(&config) } else { Vec::new() },
         };
         let machine = Machine {
             birth: self.births,
--- a/endivestile_testkit/src/world/platform.rs
+++ b/endivestile_testkit/src/world/platform.rs
@@ -11,6 +11,8 @@
 
 /// Time between two looks at the leases, in microseconds.
 const LEASES_US: u64 = 500_000;
+/// Time that the check of a configuration takes, in microseconds.
+const CHECK_US: u64 = 50_000;
 /// Time after which a lease that is not renewed ends, in microseconds.
 const LEASE_US: u64 = 5_000_000;
 
@@ -129,6 +131,10 @@
             for event in self.state() {
                 self.event_in(self.platform.delay_us, name, birth, event);
             }
+            // The daemon checks a configuration on a thread of its own, so that it
+            // comes after what was read with it.
+            let config = self.config_event(self.platform.revision);
+            self.event_in(self.platform.delay_us + CHECK_US, name, birth, config);
         }
     }
 
@@ -142,8 +148,8 @@
 
     fn state(&self) -> Vec<Event> {
         let platform = &self.platform;
-        let mut events = vec![self.config_event(platform.revision)];
-        events.extend(platform.values.keys().filter_map(|key| self.record(key)));
+        let records = platform.values.keys().filter_map(|key| self.record(key));
+        let mut events: Vec<Event> = records.collect();
         for host in self.machines.keys() {
             let lease = platform.registered.get(host);
             let registration = lease.map(|lease| lease.registration.clone());
--- a/endivestile_testkit/src/world/story.rs
+++ b/endivestile_testkit/src/world/story.rs
@@ -42,7 +42,8 @@
     if first.words.first() != Some(&"world") {
         return Err(format!("a story starts with `world`: {}", first.line));
     }
-    let mut world = World::new(first.config()?, first.number("seed", 1)?);
+    let mut world =
+        World::new(first.config()?, first.number("seed", 1)?, first.number("seeds", 1)? == 1);
     for server in world.server_names() {
         world.speed(&server, first.number("ms", 100)?);
     }
