Go on from the last accepted revision, whatever the store holds

Cause: a value written past the tools stood in the way of every command: one that can't be read made apply, show and stop fail, and an old one that was put back let apply go on from its revision, which no host adopts.

Change: the head of the audit trail holds the last accepted revision; apply goes on from no lower one, replaces a value that no host takes, and stop works beside such a value. A scan of the trail for the last revision is gone.

--- a/endivestile_ctl/src/change.rs
+++ b/endivestile_ctl/src/change.rs
@@ -1,14 +1,13 @@
 //! Guarded changes: what is written and its audit entry, in one transaction.
 
 use endivestile_wire::key;
-use endivestile_wire::store::{KeyValue, RequestOp, TxnRequest, TxnResponse};
+use endivestile_wire::store::request_op::Request as Op;
+use endivestile_wire::store::{RequestOp, TxnRequest, TxnResponse};
 
 use crate::audit::{self, Entry, Head, KEPT};
 use crate::error::CtlError;
 use crate::store::{Store, delete, first, guard, put, range};
 
-use endivestile_wire::store::request_op::Request as Op;
-
 /// Times that a change is written anew because another entry of the audit
 /// trail came first.
 const TRIES: usize = 100;
@@ -35,16 +34,42 @@
     Raced,
 }
 
+/// The audit trail's head and the revision of its key in the store.
+#[derive(Debug, Default)]
+pub(crate) struct Tip {
+    /// The head.
+    pub(crate) head: Head,
+    /// Revision of the key's last change; 0 when absent.
+    stored: i64,
+}
+
+impl Tip {
+    /// Reads the head.
+    pub(crate) fn read(store: &mut Store) -> Result<Self, CtlError> {
+        const STEP: &str = "read-audit-head";
+        let held = store.get(STEP, key::AUDIT_HEAD)?;
+        if held.mod_revision == 0 {
+            return Ok(Self::default());
+        }
+        let head = serde_json::from_slice(&held.value).map_err(|error| CtlError::Held {
+            step: STEP,
+            key: key::AUDIT_HEAD.to_owned(),
+            reason: error.to_string(),
+        })?;
+        Ok(Self { head, stored: held.mod_revision })
+    }
+}
+
 /// Writes a change and its audit entry, both or none.
 pub(crate) fn commit(
     store: &mut Store,
     change: &Guarded,
     entry: &mut Entry,
+    mut tip: Tip,
 ) -> Result<Outcome, CtlError> {
     for _ in 0..TRIES {
-        let head = store.get(change.step, key::AUDIT_HEAD)?;
-        entry.serial = next(&head)?;
-        let request = transaction(change, entry, &head)?;
+        entry.serial = tip.head.next;
+        let request = transaction(change, entry, &tip)?;
         let response = store.settle(&request).map_err(|fault| match fault.sent {
             true => CtlError::Lost {
                 step: change.step,
@@ -63,6 +88,7 @@
         }
         // Only the audit trail has moved on. A former attempt can't take
         // effect any more, because its compare with the head now fails.
+        tip = Tip::read(store)?;
     }
     Err(CtlError::Conflict(format!("the audit trail moved on {TRIES} times; nothing was changed")))
 }
@@ -74,26 +100,15 @@
     serde_json::from_slice::<Entry>(&held.value).is_ok_and(|held| held.write == entry.write)
 }
 
-fn next(head: &KeyValue) -> Result<u64, CtlError> {
-    if head.value.is_empty() {
-        return Ok(Head::default().next);
-    }
-    let read: Result<Head, _> = serde_json::from_slice(&head.value);
-    read.map(|head| head.next).map_err(|error| CtlError::Held {
-        step: "read-audit-head",
-        key: key::AUDIT_HEAD.to_owned(),
-        reason: error.to_string(),
-    })
-}
-
-fn transaction(change: &Guarded, entry: &Entry, head: &KeyValue) -> Result<TxnRequest, CtlError> {
+fn transaction(change: &Guarded, entry: &Entry, tip: &Tip) -> Result<TxnRequest, CtlError> {
     let key = audit::key(entry.serial);
+    let head = Head { next: entry.serial + 1, revision: tip.head.revision.max(entry.revision) };
     let mut success = vec![
         match &change.value {
             Some(value) => put(&change.key, value.clone()),
             None => delete(&change.key),
         },
-        put(key::AUDIT_HEAD, json(&Head { next: entry.serial + 1 })?),
+        put(key::AUDIT_HEAD, json(&head)?),
         put(&key, json(entry)?),
     ];
     if let Some(oldest) = entry.serial.checked_sub(KEPT).filter(|oldest| *oldest > 0) {
@@ -101,10 +116,7 @@
     }
     let read = |key: &str| RequestOp { request: Some(Op::RequestRange(range(key))) };
     Ok(TxnRequest {
-        compare: vec![
-            guard(&change.key, change.revision),
-            guard(key::AUDIT_HEAD, head.mod_revision),
-        ],
+        compare: vec![guard(&change.key, change.revision), guard(key::AUDIT_HEAD, tip.stored)],
         success,
         failure: vec![read(&key), read(&change.key)],
     })
--- a/endivestile_ctl/src/command/apply.rs
+++ b/endivestile_ctl/src/command/apply.rs
@@ -7,8 +7,8 @@
 use serde::Serialize;
 
 use super::history::entries;
-use crate::audit::{Action, Entry, KEPT};
-use crate::change::{Guarded, Outcome, commit};
+use crate::audit::{Action, Entry};
+use crate::change::{Guarded, Outcome, Tip, commit};
 use crate::cli::ApplyArgs;
 use crate::context::{Context, in_force};
 use crate::error::CtlError;
@@ -36,21 +36,23 @@
     let base = args.base.unwrap_or(config.revision);
     let mut store = context.store()?;
     let current = in_force(&mut store)?;
-    let held = match current.stored {
-        0 => last_accepted(&mut store)?,
-        _ => current.config.revision,
-    };
-    // Without a value in the store nobody's change can be written over, and a
-    // higher base is how operators go on after the store lost everything.
-    if base < held || base > held && current.stored > 0 {
+    let tip = Tip::read(&mut store)?;
+    let held = current.config.revision.max(tip.head.revision);
+    // Where no host takes what the store holds, nobody's change can be written
+    // over; a higher base is how operators go on after the store lost everything.
+    let vacant = current.stored == 0 || current.fault.is_some();
+    if base < held || base > held && !vacant {
         return Err(conflict(&mut store, base, held));
     }
     config.revision = base + 1;
     let changes = diff(&current.config, &config);
-    if changes.is_empty() && current.stored > 0 {
+    if changes.is_empty() && !vacant && current.config.revision == held {
         report(context, &Applied { revision: base, changes: 0, serial: 0 });
         return Ok(Exit::Done);
     }
+    if let Some(fault) = &current.fault {
+        out::complain(&format!("the value that no host takes is replaced: {fault}"));
+    }
     check_change(&current.config, &config).map_err(CtlError::Refused)?;
     let mut entry = Entry::new(Action::Apply, &args.author.who, &args.author.note);
     entry.revision = config.revision;
@@ -61,7 +63,7 @@
         revision: current.stored,
         value: Some(config.canonical().into_bytes()),
     };
-    match commit(&mut store, &change, &mut entry)? {
+    match commit(&mut store, &change, &mut entry, tip)? {
         Outcome::Done(serial) => {
             report(context, &Applied { revision: base + 1, changes: changes.len(), serial });
             Ok(Exit::Done)
@@ -84,20 +86,10 @@
     }
 }
 
-/// Returns the last revision in the audit trail, 0 when there is none.
-///
-/// The configuration's key was deleted, or was never written. Hosts keep the
-/// last revision that they adopted and take only a higher one; a new start
-/// from revision 1 would be reported as accepted and be in force nowhere.
-fn last_accepted(store: &mut Store) -> Result<u64, CtlError> {
-    let trail = entries(store, KEPT)?;
-    Ok(trail.iter().map(|entry| entry.revision).max().unwrap_or(0))
-}
-
 /// Tells what others changed since the revision that the files were made from.
 fn conflict(store: &mut Store, base: u64, revision: u64) -> CtlError {
     let mut text = format!(
-        "revision {revision} is in force, the files were made from revision {base}; \
+        "revision {revision} was accepted last, the files were made from revision {base}; \
          nothing was changed"
     );
     // The conflict stands without the trail too.
--- a/endivestile_ctl/src/command/review.rs
+++ b/endivestile_ctl/src/command/review.rs
@@ -64,7 +64,7 @@
 /// Shows what files would change.
 pub(crate) fn diff(context: &Context, args: &FileArgs) -> Result<Exit, CtlError> {
     let config = files::config(&args.files)?;
-    let current = in_force(&mut context.store()?)?.config;
+    let current = in_force(&mut context.store()?)?.sound()?;
     let changes = changes(&current, &config);
     if context.json {
         out::json(&Difference { revision: current.revision, changes: &changes });
@@ -77,7 +77,7 @@
 
 /// Shows the configuration in force.
 pub(crate) fn show(context: &Context, args: &ShowArgs) -> Result<Exit, CtlError> {
-    let current = in_force(&mut context.store()?)?.config;
+    let current = in_force(&mut context.store()?)?.sound()?;
     match (args.revision, context.json) {
         (true, true) => out::json(&current.revision),
         (true, false) => out::say(&current.revision.to_string()),
--- a/endivestile_ctl/src/command/stop.rs
+++ b/endivestile_ctl/src/command/stop.rs
@@ -1,13 +1,12 @@
 //! `stop` and `resume`: planned stops.
 
-use endivestile_config::model::Config;
 use endivestile_wire::key;
 use serde::Serialize;
 
 use crate::audit::{Action, Entry};
-use crate::change::{Guarded, Outcome, commit};
+use crate::change::{Guarded, Outcome, Tip, commit};
 use crate::cli::StopArgs;
-use crate::context::{Context, in_force};
+use crate::context::{Context, InForce, in_force};
 use crate::error::CtlError;
 use crate::exit::Exit;
 use crate::out;
@@ -49,9 +48,8 @@
     let held = store.get("read-stop", &path)?;
     let stopped = held.mod_revision > 0;
     // A stop may be taken back after its machine has left the inventory.
-    if !stopped && !is_known(&in_force(&mut store)?.config, name) {
-        let reason = format!("no host, backend server or worker is named \"{name}\"");
-        return Err(CtlError::Usage(reason));
+    if !stopped {
+        check_name(&in_force(&mut store)?, name)?;
     }
     if stopped == stopping {
         report(context, &Changed { name, stopping, serial: 0 });
@@ -68,7 +66,8 @@
         revision: held.mod_revision,
         value: stopping.then_some(value),
     };
-    match commit(&mut store, &change, &mut entry)? {
+    let tip = Tip::read(&mut store)?;
+    match commit(&mut store, &change, &mut entry, tip)? {
         Outcome::Done(serial) => {
             report(context, &Changed { name, stopping, serial });
             Ok(Exit::Done)
@@ -80,10 +79,17 @@
     }
 }
 
-fn is_known(config: &Config, name: &str) -> bool {
-    config.hosts.contains_key(name)
+/// Refuses a name that no machine has. A configuration that can't be read must
+/// not stand in the way of a stop.
+fn check_name(current: &InForce, name: &str) -> Result<(), CtlError> {
+    let config = &current.config;
+    let known = config.hosts.contains_key(name)
         || config.servers.contains_key(name)
-        || config.workers.contains_key(name)
+        || config.workers.contains_key(name);
+    if known || current.fault.is_some() {
+        return Ok(());
+    }
+    Err(CtlError::Usage(format!("no host, backend server or worker is named \"{name}\"")))
 }
 
 fn report(context: &Context, changed: &Changed<'_>) {
