Let submit come back by another host under the same id

Cause: a host may die after it took a submission; the caller can learn the answer by another host, and must not learn 'not run' where a silent host may still run it.

Change: submit takes several hosts, tried in turn; 'not run' after a silent host counts as unknown.

--- a/endivestile_ctl/src/cli.rs
+++ b/endivestile_ctl/src/cli.rs
@@ -131,9 +131,10 @@
 /// Arguments of `submit`.
 #[derive(Debug, Args)]
 pub(crate) struct SubmitArgs {
-    /// Callers' address of the entry host, IP:port.
-    #[arg(long)]
-    pub(crate) host: SocketAddr,
+    /// Callers' address of an entry host, IP:port; the next one is tried, with
+    /// the same id, when one gives no answer.
+    #[arg(long = "host", required = true, value_delimiter = ',')]
+    pub(crate) hosts: Vec<SocketAddr>,
     /// Member on whose behalf it runs.
     #[arg(long)]
     pub(crate) member: String,
--- a/endivestile_ctl/src/command/submit.rs
+++ b/endivestile_ctl/src/command/submit.rs
@@ -1,5 +1,7 @@
 //! `submit`: one request or job.
 
+use std::net::SocketAddr;
+
 use endivestile_wire::call::JobBody;
 use serde::Serialize;
 use serde_json::Value;
@@ -33,7 +35,7 @@
     let http = Http::new();
     let needs_id = !matches!(work, Work::Request { idempotent: true, .. });
     let id = match &args.id {
-        None if needs_id => Some(mint(&http, args)?),
+        None if needs_id => Some(mint(&http, &args.hosts)?),
         given => given.clone(),
     };
     if let (Some(id), false) = (&id, context.json) {
@@ -46,8 +48,41 @@
         ids: 0,
         work: &work,
     };
-    let answer = http.submit(args.host, &call);
-    Ok(report(context, args, id.clone(), answer))
+    let answer = submit(&http, &args.hosts, &call);
+    Ok(report(context, id.clone(), answer))
+}
+
+/// Submits to one host after another until one answers.
+///
+/// A host may die after it took the submission. Under the same id another host
+/// attaches the caller to what runs already, or says that it can't tell; it
+/// starts nothing twice.
+fn submit(http: &Http, hosts: &[SocketAddr], call: &Call<'_>) -> Result<Reply, Silence> {
+    let mut sent = false;
+    let mut reason = String::new();
+    for host in hosts {
+        match http.submit(*host, call) {
+            Ok(reply) if sent => return Ok(doubt(reply)),
+            Ok(reply) => return Ok(reply),
+            Err(silence) => {
+                out::complain(&format!("step=submit peer={host}: {}", silence.reason));
+                sent |= silence.sent;
+                reason = silence.reason;
+            }
+        }
+    }
+    Err(Silence { sent, reason })
+}
+
+/// Takes no host's word that nothing ran after another was sent the submission
+/// and stayed silent: a paused host may start it when it wakes. The caller
+/// would do the work elsewhere, and it would be done twice.
+fn doubt(reply: Reply) -> Reply {
+    if reply.class != Class::NotRun {
+        return reply;
+    }
+    out::complain("refused as not run, but an earlier host gave no answer and may still run it");
+    Reply { class: Class::Unknown, ..reply }
 }
 
 fn work(args: &SubmitArgs) -> Result<Work, CtlError> {
@@ -64,22 +99,25 @@
     Ok(Work::Job(job))
 }
 
-fn mint(http: &Http, args: &SubmitArgs) -> Result<String, CtlError> {
-    let away = |reason| CtlError::Away { step: "mint", peer: args.host.to_string(), reason };
-    let ids = http.mint(args.host, 1).map_err(|silence| away(silence.reason))?;
-    ids.into_iter().next().ok_or_else(|| away("no id came back".to_owned()))
+fn mint(http: &Http, hosts: &[SocketAddr]) -> Result<String, CtlError> {
+    let mut last = CtlError::Usage("no host is given".to_owned());
+    for host in hosts {
+        let away = |reason| CtlError::Away { step: "mint", peer: host.to_string(), reason };
+        match http.mint(*host, 1) {
+            Ok(ids) => match ids.into_iter().next() {
+                Some(id) => return Ok(id),
+                None => last = away("no id came back".to_owned()),
+            },
+            Err(silence) => last = away(silence.reason),
+        }
+    }
+    Err(last)
 }
 
-fn report(
-    context: &Context,
-    args: &SubmitArgs,
-    id: Option<String>,
-    answer: Result<Reply, Silence>,
-) -> Exit {
+fn report(context: &Context, id: Option<String>, answer: Result<Reply, Silence>) -> Exit {
     let (class, exit, status, body) = match answer {
         Ok(reply) => (reply.class, Exit::from(reply.class), reply.status, reply.body),
         Err(silence) => {
-            out::complain(&format!("step=submit peer={}: {}", args.host, silence.reason));
             let exit = if silence.sent { Exit::Unknown } else { Exit::Away };
             let class = if silence.sent { Class::Unknown } else { Class::NotRun };
             (class, exit, 0, Vec::new())
--- a/endivestile_ctl/tests/calls.rs
+++ b/endivestile_ctl/tests/calls.rs
@@ -91,6 +91,27 @@
     assert_eq!(run.code, 5, "{run:?}");
 }
 
+/// The first host dies, or is paused, with the submission in its hands, and the
+/// caller comes back by another host. Under another id the job could be done a
+/// second time; so it could if the caller took a refusal by the second host for
+/// the word of both.
+#[test_case(200, r#"{"status":"complete","results":["r"]}"# => 0; "complete")]
+#[test_case(503, r#"{"status":"not run"}"# => 5; "not run by the second only")]
+fn submit_again_by_other_host(status: u16, body: &'static str) -> i32 {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let dying = listener.local_addr().unwrap();
+    let other = FakeHost::start(status, body);
+    let host = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        stream.read_exact(&mut [0; 64]).unwrap();
+    });
+    let both = format!("{dying},{}", other.address());
+    let run = submit(&both, &["--id", "1:k"], JOB);
+    host.join().unwrap();
+    assert_eq!(other.seen()[0].id.as_deref(), Some("1:k"));
+    run.code
+}
+
 fn load(address: &str, more: &[&str]) -> Run {
     let args = ["load", "--host", address, "--member", "walvis,swakop", "--service", "orders"];
     tool(&[&args[..], &["--seconds", "1"], more].concat(), "")
