--- /dev/null
+++ b/endivestile_kernel/src/kernel/status.rs
@@ -0,0 +1,91 @@
+//! What an entry host tells operators of itself.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use crate::{Kernel, ServerStatus, ShardStatus, Time};
+
+/// A host as this one sees it.
+#[derive(Debug, Clone, Serialize)]
+pub struct HostStatus {
+    /// Incarnation.
+    pub peer: String,
+    /// Availability zone.
+    pub zone: String,
+    /// `live`, `leaving`, `suspect` or `gone`.
+    pub state: String,
+    /// Messages not acknowledged yet.
+    pub backlog: usize,
+}
+
+/// State of one entry host.
+#[derive(Debug, Clone, Serialize)]
+pub struct Status {
+    /// This incarnation.
+    pub peer: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Revision of the configuration in force, 0 for none.
+    pub revision: u64,
+    /// Whether the balancer may send calls here.
+    pub ready: bool,
+    /// Whether the host is leaving.
+    pub leaving: bool,
+    /// Whether the platform's store answers.
+    pub store: bool,
+    /// Submissions that have not ended.
+    pub active: usize,
+    /// Submissions of which callers of this host wait for the answer.
+    pub waiting: usize,
+    /// Submissions that are remembered, ended ones among them.
+    pub remembered: usize,
+    /// Calls passed on to another host.
+    pub passed: usize,
+    /// Events counted since the start, by the name of the metric.
+    pub totals: BTreeMap<String, u64>,
+    /// Hosts.
+    pub hosts: BTreeMap<String, HostStatus>,
+    /// Shards in which the host plays a part.
+    pub shards: Vec<ShardStatus>,
+    /// Back ends of the host's share.
+    pub servers: Vec<ServerStatus>,
+}
+
+impl Kernel {
+    /// Returns the state of this host.
+    pub fn status(&self, now: Time) -> Status {
+        let totals = self.totals.iter().map(|(metric, count)| (metric.to_string(), *count));
+        Status {
+            peer: self.setup.me.to_string(),
+            zone: self.setup.zone.to_string(),
+            revision: self.config.as_ref().map_or(0, |config| config.revision),
+            ready: self.ready(),
+            leaving: self.leaving,
+            store: self.hosts.view().store,
+            active: self.runs.active(),
+            waiting: self.waiting_calls(),
+            remembered: self.runs.len(),
+            passed: self.passed.len(),
+            totals: totals.collect(),
+            hosts: self.host_status(),
+            shards: self.shards.status(),
+            servers: self.placer.status(now),
+        }
+    }
+
+    fn host_status(&self) -> BTreeMap<String, HostStatus> {
+        let hosts = self.hosts.view().hosts.iter();
+        let status = hosts.map(|(name, host)| {
+            let backlog = self.channels.get(&host.peer).map_or(0, |channel| channel.backlog());
+            let status = HostStatus {
+                peer: host.peer.to_string(),
+                zone: host.zone.to_string(),
+                state: format!("{:?}", host.state).to_lowercase(),
+                backlog,
+            };
+            (name.to_string(), status)
+        });
+        status.collect()
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/kernel/task.rs
@@ -0,0 +1,340 @@
+//! Runs and their tasks.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::kernel::submit::Arrival;
+use crate::routes::{Route, Routes};
+use crate::run::{Run, RunState, TaskState, Waiter};
+use crate::{
+    Answer, Cause, Class, Effect, Failure, HostState, Kernel, Metric, Msg, Order, Outcome, Peer,
+    PlaceEffect, Submission, Target, Task, TaskKey, Time,
+};
+
+/// Starts of one repeatable task at most.
+const MAX_STARTS: u8 = 3;
+/// Tries of one task at most, also of those that were never started.
+const MAX_TRIES: u8 = 7;
+/// First wait before a task that a placer gave back is placed again, in
+/// milliseconds; doubles with every try.
+const REPLACE_MS: u64 = 10;
+/// Longest such wait, in milliseconds.
+const REPLACE_MAX_MS: u64 = 500;
+/// Silence of a placer after which its tasks count as lost, in milliseconds.
+pub(super) const LOST_MS: u64 = 5_000;
+/// Wait that a refusal suggests when the queue says nothing, in milliseconds.
+const DRAIN_MS: u64 = 250;
+
+impl Kernel {
+    /// Runs a submission that needs nobody's leave.
+    pub(super) fn begin(&mut self, now: Time, arrival: Arrival, keep: Time) {
+        if let Err(cause) = self.admission(now, &arrival.submission) {
+            self.refuse(now, &arrival.waiter, Class::NotRun, cause);
+            return;
+        }
+        let mut run = Run::new(now, arrival.submission, RunState::Running);
+        run.keep = keep;
+        run.waiters.push(arrival.waiter);
+        let number = self.runs.add(run);
+        self.start(now, number);
+    }
+
+    /// Says at once what cannot end in time, so that the caller can turn elsewhere.
+    pub(super) fn admission(&self, now: Time, submission: &Submission) -> Result<(), Cause> {
+        let Some(config) = &self.config else { return Err(Cause::NoConfig) };
+        if self.runs.active() >= config.rules.queue_limit as usize {
+            return Err(Cause::Full);
+        }
+        let mut targets: BTreeMap<&Target, &Task> = BTreeMap::new();
+        for task in &submission.tasks {
+            targets.entry(&task.target).or_insert(task);
+        }
+        for task in targets.into_values() {
+            let Some(route) = self.route(now, task) else {
+                return Err(if self.leaving { Cause::Stopping } else { Cause::NoBackend });
+            };
+            if route.end > submission.deadline {
+                return Err(Cause::Deadline);
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts every task of a run.
+    pub(super) fn start(&mut self, now: Time, number: u64) {
+        self.count(Metric::Accepted, 1);
+        let Some(run) = self.runs.get_mut(number) else { return };
+        run.state = RunState::Running;
+        let deadline = run.submission.deadline;
+        let count = run.tasks.len();
+        self.runs.postpone(number, deadline);
+        for index in 0..count {
+            self.budget.first();
+            self.place(now, TaskKey { run: number, index: index as u16, attempt: 0 });
+        }
+    }
+
+    /// Returns where a task would end first.
+    fn route(&self, now: Time, task: &Task) -> Option<Route> {
+        let config = self.config.as_ref()?;
+        let view = self.hosts.view();
+        let me = &self.setup.me;
+        let own = self.placer.expected(now, task).map(|end| Route { peer: me.clone(), end });
+        let other = self.routes.best(now, view, &config.rules, &task.target);
+        let best = match (own, other) {
+            (Some(own), Some(other)) if other.end < own.end => Some(other),
+            (Some(own), _) => Some(own),
+            (None, other) => other,
+        };
+        best.or_else(|| Routes::fallback(now, view, config, &task.target))
+    }
+
+    fn place(&mut self, now: Time, key: TaskKey) {
+        let TaskKey { run: number, index, attempt } = key;
+        let Some(run) = self.runs.get(number) else { return };
+        let current = run.tasks.get(usize::from(index)).map(|task| task.attempt);
+        if !matches!(run.state, RunState::Running) || current != Some(attempt) {
+            return;
+        }
+        let Some(task) = run.submission.tasks.get(usize::from(index)).cloned() else { return };
+        let order = Order {
+            key,
+            member: run.submission.member.clone(),
+            deadline: run.submission.deadline,
+            arrived: run.arrived,
+            left: run.left,
+            task,
+        };
+        let Some(route) = self.route(now, &order.task) else {
+            self.unplaced(now, key, Cause::NoBackend);
+            return;
+        };
+        if let Some(run) = self.runs.get_mut(number) {
+            run.tasks[usize::from(index)].state = TaskState::Placed(route.peer.clone());
+        }
+        self.hand_over(now, &route.peer, order);
+    }
+
+    fn hand_over(&mut self, now: Time, to: &Peer, order: Order) {
+        if *to == self.setup.me {
+            let me = self.setup.me.clone();
+            self.placer.order(now, &me, order, &mut self.place_effects);
+            return;
+        }
+        self.count(Metric::Handoffs, 1);
+        self.routes.assume(to, &order.task.target);
+        self.push(to, Msg::Place(order));
+    }
+
+    pub(super) fn place_effect(&mut self, now: Time, effect: PlaceEffect) {
+        match effect {
+            PlaceEffect::Start { attempt, address, path, order, .. } => {
+                self.count(Metric::Starts, 1);
+                self.out.push(Effect::Start { attempt, address, path, order });
+            }
+            PlaceEffect::Abort(attempt) => self.out.push(Effect::Abort(attempt)),
+            PlaceEffect::Ended { home, key, outcome } => {
+                if home == self.setup.me {
+                    self.placed(now, &home, key, outcome);
+                } else {
+                    self.push_alive(now, &home, Msg::Placed { key, outcome });
+                }
+            }
+            PlaceEffect::Log(note) => self.out.push(Effect::Log(note)),
+            PlaceEffect::Count(metric, count) => self.count(metric, count),
+        }
+    }
+
+    /// Takes in how a task ended at a placer; a late word on an earlier try is dropped.
+    pub(super) fn placed(&mut self, now: Time, from: &Peer, key: TaskKey, outcome: Outcome) {
+        let Some(run) = self.runs.get_mut(key.run) else { return };
+        let Some(task) = run.tasks.get_mut(usize::from(key.index)) else { return };
+        if task.attempt != key.attempt || task.state != TaskState::Placed(from.clone()) {
+            return;
+        }
+        match outcome {
+            Outcome::Done(result) => {
+                task.state = TaskState::Done(result);
+                run.left -= 1;
+                if let Some(results) = run.results() {
+                    self.finish(now, key.run, Answer::Complete(results));
+                }
+            }
+            Outcome::NotRun(cause) => self.not_run(now, key, cause),
+            Outcome::Rejected { peer, status } => {
+                run.starts += 1;
+                let failure = Failure::Rejected { task: key.index, peer, status };
+                self.ambiguous(now, key, failure, status >= SERVER_ERROR);
+            }
+            Outcome::Lost { peer } => {
+                run.starts += 1;
+                self.ambiguous(now, key, Failure::Lost { task: key.index, peer }, true);
+            }
+        }
+    }
+
+    /// A task was not started: another share may still take it.
+    ///
+    /// While a host leaves, its peers learn of it one after the other, and for
+    /// some milliseconds each takes another one to have its share. A task that
+    /// is placed anew at once uses up its tries among them, and its caller sees
+    /// a request cut off by a planned stop; so it waits a little longer each time.
+    fn not_run(&mut self, now: Time, key: TaskKey, cause: Cause) {
+        let elsewhere = matches!(cause, Cause::NoBackend | Cause::Stopping);
+        if !elsewhere || key.attempt + 1 >= MAX_TRIES {
+            self.unplaced(now, key, cause);
+            return;
+        }
+        let Some(run) = self.runs.get_mut(key.run) else { return };
+        let task = &mut run.tasks[usize::from(key.index)];
+        task.attempt += 1;
+        task.state = TaskState::Ready;
+        let wait_ms = (REPLACE_MS << key.attempt.min(6)).min(REPLACE_MAX_MS);
+        let next = TaskKey { attempt: key.attempt + 1, ..key };
+        self.replacing.insert((now.after_ms(wait_ms), next));
+    }
+
+    /// Places what waited to be placed again.
+    pub(super) fn replace_due(&mut self, now: Time) {
+        while let Some(&(due, key)) = self.replacing.first() {
+            if due > now {
+                return;
+            }
+            self.replacing.pop_first();
+            self.place(now, key);
+        }
+    }
+
+    /// A task may have run: only what may be repeated is tried again.
+    fn ambiguous(&mut self, now: Time, key: TaskKey, failure: Failure, repeat: bool) {
+        let may_repeat = self.runs.get(key.run).is_some_and(Run::may_repeat);
+        let starts = self.runs.get(key.run).map_or(0, |run| run.starts);
+        if repeat && may_repeat && starts < MAX_STARTS && self.budget.retry() {
+            self.count(Metric::Retries, 1);
+            self.again(now, key);
+        } else {
+            self.finish(now, key.run, Answer::Failed(failure));
+        }
+    }
+
+    fn again(&mut self, now: Time, key: TaskKey) {
+        if let Some(run) = self.runs.get_mut(key.run) {
+            let task = &mut run.tasks[usize::from(key.index)];
+            task.attempt += 1;
+            task.state = TaskState::Ready;
+        }
+        self.place(now, TaskKey { attempt: key.attempt + 1, ..key });
+    }
+
+    fn unplaced(&mut self, now: Time, key: TaskKey, cause: Cause) {
+        let Some(run) = self.runs.get_mut(key.run) else { return };
+        run.tasks[usize::from(key.index)].state = TaskState::Void;
+        let answer = if run.untouched() {
+            Answer::Refused(self.refusal(now, Class::NotRun, cause))
+        } else {
+            Answer::Failed(Failure::NotPlaced { task: key.index, cause })
+        };
+        self.finish(now, key.run, answer);
+    }
+
+    /// Ends a run: its other tasks are dropped, everyone who waits is answered.
+    pub(super) fn finish(&mut self, now: Time, number: u64, answer: Answer) {
+        let Some(run) = self.runs.get_mut(number) else { return };
+        if matches!(run.state, RunState::Ended(_)) {
+            return;
+        }
+        let waiters = std::mem::take(&mut run.waiters);
+        let drops = placed_tasks(number, run);
+        let answer = Arc::new(answer);
+        self.log_end(now, number, &answer);
+        self.runs.end(number, answer.clone());
+        for (peer, key) in drops {
+            self.drop_task(now, &peer, key);
+        }
+        for waiter in waiters {
+            self.reply(now, &waiter, answer.clone());
+        }
+    }
+
+    fn drop_task(&mut self, now: Time, peer: &Peer, key: TaskKey) {
+        if *peer == self.setup.me {
+            let me = self.setup.me.clone();
+            self.placer.drop_task(now, &me, key, &mut self.place_effects);
+        } else {
+            self.push_alive(now, peer, Msg::Drop(key));
+        }
+    }
+
+    /// Gives up, or forgets, what is due.
+    pub(super) fn runs_due(&mut self, now: Time) {
+        while let Some(number) = self.runs.pop_due(now) {
+            let Some(run) = self.runs.get(number) else { return };
+            match run.state {
+                RunState::Ended(_) => self.runs.remove(number),
+                RunState::Asking | RunState::Refusing(_) => self.give_up_asking(now, number),
+                RunState::Running => {
+                    let answer = if run.untouched() {
+                        Answer::Refused(self.refusal(now, Class::NotRun, Cause::Deadline))
+                    } else {
+                        Answer::Failed(Failure::Deadline)
+                    };
+                    self.finish(now, number, answer);
+                }
+            }
+        }
+    }
+
+    /// Tasks at a placer that is gone, or silent for too long, may have run.
+    pub(super) fn lose_tasks(&mut self, now: Time, lost: &Peer) {
+        let at_lost = |task: &crate::run::RunTask| task.state == TaskState::Placed(lost.clone());
+        let runs = self.runs.select(|run| run.tasks.iter().any(at_lost));
+        for number in runs {
+            let Some(run) = self.runs.get(number) else { continue };
+            let keys: Vec<TaskKey> = placed_tasks(number, run)
+                .into_iter()
+                .filter_map(|(peer, key)| (peer == *lost).then_some(key))
+                .collect();
+            for key in keys {
+                let outcome = Outcome::Lost { peer: lost.host.clone() };
+                self.placed(now, lost, key, outcome);
+            }
+        }
+    }
+
+    /// Returns when the queue of this host's share is expected to be drained.
+    pub(super) fn drain_at(&self, now: Time) -> Time {
+        let figures = self.load.1.iter();
+        let wait = figures.map(|figure| u64::from(figure.wait_us)).max().unwrap_or(0);
+        now.after_us(wait).max(now.after_ms(DRAIN_MS))
+    }
+
+    /// Pushes a message unless the receiver is gone.
+    pub(super) fn push_alive(&mut self, now: Time, to: &Peer, msg: Msg) {
+        let _ = now;
+        if self.hosts.view().state(to) != HostState::Gone {
+            self.push(to, msg);
+        }
+    }
+
+    pub(super) fn waiting_calls(&self) -> usize {
+        let calls = |run: &Run| run.waiters.iter().any(|w| matches!(w, Waiter::Call(_)));
+        self.runs.select(calls).len()
+    }
+}
+
+/// Lowest HTTP status that speaks of the back end rather than of the request.
+const SERVER_ERROR: u16 = 500;
+
+/// Returns the tasks of a run that are with a placer.
+fn placed_tasks(number: u64, run: &Run) -> Vec<(Peer, TaskKey)> {
+    let tasks = run.tasks.iter().enumerate();
+    tasks
+        .filter_map(|(index, task)| match &task.state {
+            TaskState::Placed(peer) => {
+                let key = TaskKey { run: number, index: index as u16, attempt: task.attempt };
+                Some((peer.clone(), key))
+            }
+            _ => None,
+        })
+        .collect()
+}
--- /dev/null
+++ b/endivestile_kernel/src/mint.rs
@@ -0,0 +1,70 @@
+//! Ids that this incarnation issues.
+
+use std::collections::VecDeque;
+
+use crate::{Peer, SubmissionId, Time};
+
+/// Ids issued within this many milliseconds expire together.
+const MERGE_MS: u64 = 1_000;
+
+/// Issues ids and remembers when, so that an id that outlived the resubmission
+/// window is told from a new one without a list of all that were used.
+#[derive(Debug)]
+pub(crate) struct Mint {
+    me: Peer,
+    next: u64,
+    blocks: VecDeque<Block>,
+}
+
+/// Ids issued together.
+#[derive(Debug)]
+struct Block {
+    first: u64,
+    expires: Time,
+}
+
+/// How an id stands at its issuer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Standing {
+    /// Within the window until this instant.
+    Valid(Time),
+    /// Outlived the window.
+    Expired,
+    /// Never issued.
+    Forged,
+}
+
+impl Mint {
+    /// Starts with no id issued.
+    pub(crate) fn new(me: Peer) -> Self {
+        Self { me, next: 1, blocks: VecDeque::new() }
+    }
+
+    /// Issues `count` ids that are valid for `window_s` seconds.
+    pub(crate) fn issue(&mut self, now: Time, count: usize, window_s: u64) -> Vec<SubmissionId> {
+        while self.blocks.front().is_some_and(|block| block.expires <= now) {
+            self.blocks.pop_front();
+        }
+        let first = self.next;
+        self.next += count as u64;
+        let expires = now.after_ms(window_s * 1_000);
+        // Ids of one second share a block, or every answer would leave one behind.
+        if self.blocks.back().is_none_or(|last| last.expires.after_ms(MERGE_MS) < expires) {
+            self.blocks.push_back(Block { first, expires });
+        }
+        (first..self.next).map(|serial| SubmissionId::mint(&self.me, serial)).collect()
+    }
+
+    /// Returns how the id number `serial` of this incarnation stands.
+    pub(crate) fn standing(&self, now: Time, serial: u64) -> Standing {
+        if serial == 0 || serial >= self.next {
+            return Standing::Forged;
+        }
+        let after = self.blocks.partition_point(|block| block.first <= serial);
+        let block = after.checked_sub(1).and_then(|at| self.blocks.get(at));
+        match block {
+            Some(block) if block.expires > now => Standing::Valid(block.expires),
+            _ => Standing::Expired,
+        }
+    }
+}
--- a/endivestile_kernel/src/place/status.rs
+++ b/endivestile_kernel/src/place/status.rs
@@ -3,9 +3,11 @@
 use std::fmt;
 
 use endivestile_config::model::Name;
+use serde::Serialize;
 
 /// Whether a back end is given tasks.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
 pub enum Condition {
     /// In use.
     Up,
@@ -29,7 +31,7 @@
 }
 
 /// One back end of the share, as `endivectl status` shows it.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct ServerStatus {
     /// Name of the back end.
     pub name: Name,
--- a/endivestile_testkit/src/lib.rs
+++ b/endivestile_testkit/src/lib.rs
@@ -10,8 +10,12 @@
 mod net;
 mod store;
 mod timer;
+mod world;
+
+pub mod trial;
 
 pub use caller::{Caller, Reply};
 pub use deploy::{Daemon, Deployment, HostProcess, Plan, wait_for};
 pub use machine::{BackendStandIn, Fault, Spec, Start, WorkerStandIn, echo};
 pub use store::{Counts, StoreStandIn};
+pub use world::{CallLog, Mode, Started, Submit, WALL_S, World, tell};
--- /dev/null
+++ b/endivestile_testkit/tests/stories/answer_conflict.story
@@ -0,0 +1,16 @@
+# Two programs use the same id for different work. The second is told so and
+# nothing of it runs; the first gets its own answer.
+story
+world zones=a,b hosts=2 servers=2
+submit c1 at=a1 id=k1 work=first tasks=2
+run 10ms
+submit c2 at=b1 id=k1 work=second tasks=2
+run 5s
+answers
+starts
+check
+----
+c1 complete
+c2 conflict
+first started 2
+every promise kept
--- /dev/null
+++ b/endivestile_testkit/tests/stories/fails_at_once.story
@@ -0,0 +1,15 @@
+# A backend server fails every task at once and so always looks free. It is
+# taken out after a few failures instead of swallowing the work; most callers
+# get their answer.
+story
+world zones=a hosts=1 servers=4 slots=2 ms=100
+server a-s1 fails
+submit c at=a1 times=100
+run 20s
+answers
+check
+starts
+----
+c: 100 complete
+every promise kept
+c started 107
