Wait for a fast back end only while that does not delay later tasks

Cause: the policies side by side in virtual time (12 servers of 8 slots, speeds eightfold apart, 60 s) showed that `earliest` waited until its own completion was no worse. Change: the number that may wait shrinks with the arrivals that the faster slots must carry, to none once they carry no more; arrivals are averaged over 2 s, with the weights counted, so that the first seconds do not look idle.

--- /dev/null
+++ b/endivestile_kernel/src/place/arrivals.rs
@@ -0,0 +1,45 @@
+//! Rate at which work arrives.
+
+use crate::Time;
+
+/// Time over which arrivals are averaged, in microseconds.
+const SPAN_US: f64 = 2_000_000.0;
+
+/// Shortest time over which a rate is told, in microseconds.
+const LEAST_US: f64 = 100_000.0;
+
+/// Rate of arrivals, averaged with weights that fall off exponentially.
+///
+/// The weights are counted as well: without that, the first seconds after a
+/// start look idle, and tasks wait for fast back ends that can't carry them.
+#[derive(Debug, Default)]
+pub(crate) struct Arrivals {
+    /// Units, by weight.
+    units: f64,
+    /// Microseconds seen, by weight.
+    seen: f64,
+    /// Last arrival.
+    last: Time,
+}
+
+impl Arrivals {
+    /// Counts units that arrive.
+    pub(crate) fn count(&mut self, now: Time, units: u32) {
+        let (before, seen) = self.decayed(now);
+        self.units = before + f64::from(units);
+        self.seen = seen;
+        self.last = now;
+    }
+
+    /// Returns the units a microsecond.
+    pub(crate) fn rate(&self, now: Time) -> f64 {
+        let (units, seen) = self.decayed(now);
+        units / seen.max(LEAST_US)
+    }
+
+    fn decayed(&self, now: Time) -> (f64, f64) {
+        let gap = now.since(self.last).as_micros() as f64;
+        let keep = (-gap / SPAN_US).exp();
+        (self.units * keep, self.seen * keep + SPAN_US * (1.0 - keep))
+    }
+}
--- a/endivestile_kernel/src/place/choice.rs
+++ b/endivestile_kernel/src/place/choice.rs
@@ -2,6 +2,7 @@
 
 use super::pool::Pool;
 use super::room::Room;
+use crate::Time;
 
 /// A choice of a back end for one task, as a policy sees it.
 ///
@@ -11,17 +12,19 @@
     pool: &'a Pool,
     want: Room,
     near: Option<usize>,
-    waited_us: u64,
+    now: Time,
+    queued: Time,
 }
 
 impl<'a> Choice<'a> {
+    /// Offers a task queued at the second of `times`, at the first of them.
     pub(crate) const fn new(
         pool: &'a Pool,
         want: Room,
         near: Option<usize>,
-        waited_us: u64,
+        times: (Time, Time),
     ) -> Self {
-        Self { pool, want, near, waited_us }
+        Self { pool, want, near, now: times.0, queued: times.1 }
     }
 
     /// Returns the number of back ends.
@@ -63,23 +66,29 @@
         self.near
     }
 
-    /// Returns whether a task does better on this free back end than by waiting
-    /// for a faster one.
+    /// Returns whether taking this free back end is better than waiting for a
+    /// faster one, for the task and for those behind it.
     ///
     /// While a task would run here, each faster slot can start and finish as
-    /// many as fit into that time, less the one it is busy with on average. The
-    /// waiting tasks that exceed their sum finish sooner here. A task that has
-    /// already waited as long as it would run here waits no more: the faster
-    /// ones are not giving back their slots as expected.
+    /// many as fit into that time, less the one it is busy with on average. A
+    /// task behind as many others would be finished at the same time by waiting.
+    /// But each task that waits also delays those that come after it for as long
+    /// as the faster slots stay busy: the nearer arrivals are to what the faster
+    /// slots can carry, the fewer may wait, and none once they carry no more.
+    ///
+    /// A task that has already waited as long as it would run here waits no
+    /// more: the faster slots are not given back as expected.
     pub fn worthwhile(&self, at: usize) -> bool {
         let typical = self.pool.typical_us(at);
-        if self.waited_us as f64 >= typical {
+        if self.now.since(self.queued).as_micros() as f64 >= typical {
             return true;
         }
         let (units, rate) = self.pool.bands.below(self.pool.seats[at].band);
         if units == 0.0 {
             return true;
         }
-        self.pool.wanted as f64 > typical * rate - units
+        let carried = rate / self.pool.scale;
+        let spare = 1.0 - self.pool.arrivals.rate(self.now) / carried;
+        self.pool.wanted as f64 > (typical * rate - units) * spare.max(0.0)
     }
 }
--- a/endivestile_kernel/src/place/dispatch.rs
+++ b/endivestile_kernel/src/place/dispatch.rs
@@ -160,7 +160,7 @@
     fn pick(&mut self, now: Time, id: u32, slot: u32) -> Pick {
         let Some(held) = self.held.get(slot) else { return Pick::Full };
         let (want, run, kept) = (held.want(), held.order.key.run, held.kept);
-        let waited = now.since(held.queued).as_micros() as u64;
+        let queued = held.queued;
         let (deadline, trial) = (held.order.deadline, held.trial);
         if let Some(at) = kept.and_then(|backend| self.kept_seat(id, backend, &want)) {
             return Pick::At(at);
@@ -170,7 +170,7 @@
             return Pick::Full;
         }
         let pool = &self.pools[id as usize];
-        let choice = Choice::new(pool, want, near, waited);
+        let choice = Choice::new(pool, want, near, (now, queued));
         let Some(at) = (self.choose)(&choice, &mut self.rng) else { return Pick::Wait };
         if !choice.free(at) {
             return Pick::Full;
--- a/endivestile_kernel/src/place/mod.rs
+++ b/endivestile_kernel/src/place/mod.rs
@@ -3,6 +3,7 @@
 //! One placer owns the slots of the back ends in its host's share. A task stays
 //! in the placer's queue until a slot is free and worth taking.
 
+mod arrivals;
 mod backend;
 mod bands;
 mod baselines;
--- a/endivestile_kernel/src/place/placer.rs
+++ b/endivestile_kernel/src/place/placer.rs
@@ -140,7 +140,9 @@
                 return;
             }
         };
-        self.pools[pool as usize].hint(order.task.declared);
+        let state = &mut self.pools[pool as usize];
+        state.hint(order.task.declared);
+        state.arrivals.count(now, state.units(&Room::wanted(&order.task.target)));
         let held = Held {
             home: home.clone(),
             order,
--- a/endivestile_kernel/src/place/pool.rs
+++ b/endivestile_kernel/src/place/pool.rs
@@ -4,6 +4,7 @@
 
 use endivestile_config::model::Name;
 
+use super::arrivals::Arrivals;
 use super::bands::Bands;
 use super::fit::FitTree;
 use super::queue::FairQueue;
@@ -57,6 +58,8 @@
     pub(crate) needs: BTreeMap<Need, u32>,
     /// Capacity that the waiting tasks want.
     pub(crate) wanted: u64,
+    /// Rate at which wanted capacity arrives.
+    pub(crate) arrivals: Arrivals,
     /// Run time of all back ends together.
     pub(crate) common: Speed,
     /// Mean run time over typical run time.
@@ -92,6 +95,7 @@
             queue: FairQueue::default(),
             needs: BTreeMap::new(),
             wanted: 0,
+            arrivals: Arrivals::default(),
             common: Speed { ln: DEFAULT_US.ln(), ..Speed::default() },
             scale: 1.0,
             typical: 1.0,
--- a/endivestile_kernel/tests/place_fake/mod.rs
+++ b/endivestile_kernel/tests/place_fake/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, missing_docs, unreachable_pub)]
 
+pub mod ideal;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::sync::Arc;
