Bench the cost of a placement decision and the memory of what is held

Cause: cost and memory at 4,400 back ends were not known. Change: a criterion bench of one task's whole course (order, queue, start, end) at 50, 500 and 4,400 back ends and 10, 100 and 1,000 queued tasks, cancellation waves, and a counting allocator for bytes.

--- a/endivestile_kernel/benches/place.rs
+++ b/endivestile_kernel/benches/place.rs
@@ -1,2 +1,230 @@
-//! Cost of a placement decision.
-fn main() {}
+//! Cost of a placement decision, and memory of what a placer holds.
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::hint::black_box;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use criterion::{BenchmarkId, Criterion};
+use endivestile_config::model::{Config, Member, Name, Server, Service, Worker};
+use endivestile_kernel::{
+    AttemptId, End, HostState, HostView, Need, Order, Peer, PlaceEffect, Placer, PlacerSetup,
+    Target, Task, TaskKey, Time, View,
+};
+
+const SLOTS: u32 = 8;
+const MEMBERS: usize = 170;
+
+/// Allocator that counts the bytes in use.
+struct Counting;
+
+static IN_USE: AtomicUsize = AtomicUsize::new(0);
+
+// SAFETY: every call goes to the system's allocator unchanged.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        IN_USE.fetch_add(layout.size(), Ordering::Relaxed);
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        IN_USE.fetch_sub(layout.size(), Ordering::Relaxed);
+        unsafe { System.dealloc(ptr, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+fn name(prefix: &str, at: usize) -> Name {
+    Name::from(format!("{prefix}{at:04}"))
+}
+
+fn address() -> Name {
+    Name::from("127.0.0.1:2")
+}
+
+fn config(count: usize, workers: bool) -> Config {
+    let mut config = Config::default();
+    let mut names = Vec::new();
+    for at in 0..count {
+        let (zone, rack) = (Name::from("z"), name("r", at / 8));
+        if workers {
+            let accelerators = if at % 3 == 0 { 4 } else { 0 };
+            let (cpu_milli, memory_mb) = (32_000, 64_000);
+            let worker =
+                Worker { zone, rack, address: address(), cpu_milli, memory_mb, accelerators };
+            config.workers.insert(name("w", at), worker);
+        } else {
+            let server = Server { zone, rack, address: address(), slots: SLOTS, connections: 64 };
+            config.servers.insert(name("b", at), server);
+            names.push(name("b", at));
+        }
+    }
+    config.services.insert(Name::from("s"), Service { servers: names, path: Name::from("/") });
+    for at in 0..MEMBERS {
+        config.members.insert(name("m", at), Member { limit: 10_000_000, weight: 1 });
+    }
+    config.rules.queue_limit = 10_000_000;
+    config
+}
+
+fn view() -> View {
+    let me = Peer::new("h", 1);
+    let zone = Name::from("z");
+    let (peer, state) = (me.clone(), HostState::Live);
+    let host = HostView { peer, zone: zone.clone(), address: address(), weight: 1, state };
+    View { me, zone, hosts: [(Name::from("h"), host)].into(), store: true }
+}
+
+/// A placer under load, and the calls it has open.
+struct Load {
+    placer: Placer,
+    me: Peer,
+    members: Vec<Name>,
+    open: std::collections::VecDeque<AttemptId>,
+    task: Arc<Task>,
+    now: Time,
+    run: u64,
+    out: Vec<PlaceEffect>,
+}
+
+impl Load {
+    fn new(count: usize, workers: bool) -> Self {
+        let me = Peer::new("h", 1);
+        let mut placer = Placer::new(PlacerSetup { me: me.clone(), seed: 1 });
+        let mut out = Vec::new();
+        placer.configure(Time::ZERO, &config(count, workers), &view(), &mut out);
+        let target = if workers {
+            Target::Need(Need { cpu_milli: 4_000, memory_mb: 1_000, accelerators: 0 })
+        } else {
+            Target::Service(Name::from("s"))
+        };
+        let task = Arc::new(Task { target, work: Bytes::new(), declared: 100 });
+        let members = (0..MEMBERS).map(|at| name("m", at)).collect();
+        let open = std::collections::VecDeque::new();
+        Self { placer, me, members, open, task, now: Time::ZERO, run: 0, out }
+    }
+
+    fn order(&mut self) {
+        self.run += 1;
+        let order = Order {
+            key: TaskKey { run: self.run, index: 0, attempt: 0 },
+            member: self.members[self.run as usize % MEMBERS].clone(),
+            deadline: self.now.after_ms(100_000_000),
+            arrived: self.now,
+            left: 1,
+            task: self.task.clone(),
+        };
+        self.placer.order(self.now, &self.me, order, &mut self.out);
+        self.collect();
+    }
+
+    fn end(&mut self) {
+        let Some(attempt) = self.open.pop_front() else { return };
+        self.placer.end(self.now, attempt, End::Answered(Bytes::new()), &mut self.out);
+        self.collect();
+    }
+
+    fn collect(&mut self) {
+        for effect in self.out.drain(..) {
+            if let PlaceEffect::Start { attempt, .. } = black_box(effect) {
+                self.open.push_back(attempt);
+            }
+        }
+    }
+
+    /// Fills all slots and the queue, then learns speeds for a while.
+    fn fill(&mut self, queued: usize) {
+        loop {
+            let before = self.open.len();
+            self.order();
+            if self.open.len() == before {
+                break;
+            }
+        }
+        for _ in 0..queued {
+            self.order();
+        }
+        for _ in 0..self.open.len() * 4 {
+            self.step();
+        }
+    }
+
+    /// One task ends, the next starts in its place, and a new one is queued.
+    fn step(&mut self) {
+        self.now = self.now.after_us(10 + self.run % 7);
+        self.order();
+        self.end();
+    }
+}
+
+fn decisions(c: &mut Criterion) {
+    for (kind, workers) in [("servers", false), ("workers", true)] {
+        let mut group = c.benchmark_group(kind);
+        group.sample_size(30).measurement_time(Duration::from_millis(800));
+        group.warm_up_time(Duration::from_millis(200));
+        for count in [50, 500, 4_400] {
+            for queued in [10, 100, 1_000] {
+                let mut load = Load::new(count, workers);
+                load.fill(queued);
+                let id = BenchmarkId::new(count.to_string(), queued);
+                group.bench_function(id, |b| b.iter(|| load.step()));
+            }
+        }
+        group.finish();
+    }
+}
+
+fn cancel_waves(c: &mut Criterion) {
+    let mut group = c.benchmark_group("cancel");
+    group.sample_size(10).measurement_time(Duration::from_millis(800));
+    for wave in [1_000, 10_000, 100_000] {
+        group.bench_function(BenchmarkId::from_parameter(wave), |b| {
+            b.iter_custom(|rounds| {
+                let mut spent = Duration::ZERO;
+                for _ in 0..rounds {
+                    spent += cancel(wave);
+                }
+                spent / wave as u32
+            });
+        });
+    }
+    group.finish();
+}
+
+fn cancel(wave: usize) -> Duration {
+    let mut load = Load::new(50, false);
+    load.fill(wave);
+    let keys: Vec<TaskKey> =
+        (0..=load.run).map(|run| TaskKey { run, index: 0, attempt: 0 }).collect();
+    let start = Instant::now();
+    for key in keys {
+        load.placer.drop_task(load.now, &load.me, key, &mut load.out);
+    }
+    start.elapsed()
+}
+
+fn memory() {
+    let before = IN_USE.load(Ordering::Relaxed);
+    let mut load = Load::new(4_400, false);
+    let base = IN_USE.load(Ordering::Relaxed);
+    load.fill(0);
+    let filled = IN_USE.load(Ordering::Relaxed);
+    for _ in 0..100_000 {
+        load.order();
+    }
+    let queued = IN_USE.load(Ordering::Relaxed);
+    println!("bytes per back end, configuration included: {}", (base - before) / 4_400);
+    println!("bytes per running task: {}", (filled - base) / (4_400 * SLOTS as usize));
+    println!("bytes per queued task: {}", (queued - filled) / 100_000);
+}
+
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    decisions(&mut criterion);
+    cancel_waves(&mut criterion);
+    memory();
+}
