--- a/endivestile_kernel/src/place/queue.rs
+++ b/endivestile_kernel/src/place/queue.rs
@@ -1,6 +1,6 @@
 //! Waiting tasks of a pool, fair between members.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 
 use super::line::{Line, Rank};
 
@@ -11,7 +11,8 @@
 /// up idle time for a later flood.
 #[derive(Debug, Default)]
 pub(crate) struct FairQueue {
-    lines: HashMap<u32, Line>,
+    /// By number of the member.
+    lines: Vec<Line>,
     order: BTreeSet<(u64, u32)>,
     clock: u64,
     waiting: u32,
@@ -26,7 +27,7 @@
 
     /// Returns the waiting tasks of a member.
     pub(crate) fn waiting_of(&self, member: u32) -> usize {
-        self.lines.get(&member).map_or(0, |line| line.tasks.len())
+        self.lines.get(member as usize).map_or(0, |line| line.tasks.len())
     }
 
     /// Returns the part of the pool that a member gets while it waits.
@@ -43,7 +44,10 @@
     /// Adds a task.
     pub(crate) fn push(&mut self, member: u32, weight: u32, rank: Rank, task: u32) {
         let clock = self.order.first().map_or(self.clock, |(vtime, _)| *vtime);
-        let line = self.lines.entry(member).or_default();
+        if self.lines.len() <= member as usize {
+            self.lines.resize_with(member as usize + 1, Line::default);
+        }
+        let line = &mut self.lines[member as usize];
         if line.tasks.is_empty() {
             line.weight = weight.max(1);
             line.vtime = line.vtime.max(clock);
@@ -57,7 +61,7 @@
 
     /// Removes a task.
     pub(crate) fn remove(&mut self, member: u32, rank: &Rank) {
-        let Some(line) = self.lines.get_mut(&member) else { return };
+        let Some(line) = self.lines.get_mut(member as usize) else { return };
         if line.tasks.remove(rank).is_none() {
             return;
         }
@@ -70,7 +74,7 @@
 
     /// Adds `cost` microseconds to the service that a member has had.
     pub(crate) fn charge(&mut self, member: u32, cost: u64) {
-        let Some(line) = self.lines.get_mut(&member) else { return };
+        let Some(line) = self.lines.get_mut(member as usize) else { return };
         let next = line.vtime.saturating_add(cost / u64::from(line.weight.max(1)));
         self.clock = self.clock.max(line.vtime);
         Self::shift(&mut self.order, line, member, next);
@@ -78,7 +82,7 @@
 
     /// Takes `cost` microseconds back from the service that a member has had.
     pub(crate) fn refund(&mut self, member: u32, cost: u64) {
-        let Some(line) = self.lines.get_mut(&member) else { return };
+        let Some(line) = self.lines.get_mut(member as usize) else { return };
         let next = line.vtime.saturating_sub(cost / u64::from(line.weight.max(1)));
         // Run times believed too long put the clock ahead of the members' true
         // service; a member that comes then would wait for nothing.
@@ -99,7 +103,7 @@
         self.order
             .iter()
             .take(lines)
-            .filter_map(|(_, member)| self.lines.get(member))
+            .filter_map(|(_, member)| self.lines.get(*member as usize))
             .flat_map(move |line| line.tasks.values().take(depth).copied())
     }
 
@@ -110,7 +114,8 @@
         let (_, line) = self
             .lines
             .iter()
-            .filter(|(id, line)| **id != member && !line.tasks.is_empty())
+            .enumerate()
+            .filter(|(id, line)| *id != member as usize && !line.tasks.is_empty())
             .map(|(_, line)| (line.tasks.len() as u64 * 1_000 / u64::from(line.weight), line))
             .filter(|(length, _)| *length > own + 1_000)
             .max_by_key(|(length, _)| *length)?;
