--- a/endivestile/examples/quickstart.rs
+++ b/endivestile/examples/quickstart.rs
@@ -9,7 +9,8 @@
 use std::error::Error;
 use std::ffi::OsString;
 use std::process::ExitCode;
-use std::time::Instant;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use endivestile_testkit::{Caller, Daemon, Deployment, Plan, Reply, Spec, echo};
 use endivestile_wire::call::{NeedBody, TaskBody};
@@ -20,6 +21,8 @@
 const JOB_TASKS: usize = 40;
 /// Requests of each kind.
 const REQUESTS: usize = 10;
+/// Times that a submission is repeated when the entry host asks for it.
+const TRIES: usize = 10;
 /// Seconds that a graceful shutdown may take here.
 const STOP_S: u64 = 20;
 
@@ -77,9 +80,10 @@
 
 fn run_job(callers: &[Caller]) -> Step {
     let works: Vec<String> = (0..JOB_TASKS).map(|n| work("job", n, 50 + n)).collect();
-    let tasks = works.iter().enumerate().map(|(n, work)| task(n, work)).collect();
+    let tasks: Vec<TaskBody> = works.iter().enumerate().map(|(n, work)| task(n, work)).collect();
+    let id = Caller::own_id("job");
     let began = Instant::now();
-    let reply = callers[0].tasks(&Caller::own_id("job"), tasks)?;
+    let reply = persist(|| callers[0].tasks(&id, tasks.clone()))?;
     let took_ms = began.elapsed().as_millis();
     let results = reply.answer().and_then(|answer| answer.results).unwrap_or_default();
     let expected: Vec<String> = works.iter().map(|work| echo(work)).collect();
@@ -107,7 +111,8 @@
             let work = work(kind, n, 60);
             let id = Caller::own_id(&format!("{kind}-{n}"));
             let began = Instant::now();
-            let reply = caller.request("orders", (!idempotent).then_some(id.as_str()), &work)?;
+            let id = (!idempotent).then_some(id.as_str());
+            let reply = persist(|| caller.request("orders", id, &work))?;
             took_ms.push(began.elapsed().as_millis());
             ensure(reply.status == 200 && reply.body == echo(&work), || told(kind, &reply))?;
         }
@@ -122,8 +127,8 @@
 fn resubmit(callers: &[Caller]) -> Step {
     let id = Caller::own_id("payment");
     let work = work("payment", 0, 20);
-    let first = callers[0].request("orders", Some(&id), &work)?;
-    let second = callers[3].request("orders", Some(&id), &work)?;
+    let first = persist(|| callers[0].request("orders", Some(&id), &work))?;
+    let second = persist(|| callers[3].request("orders", Some(&id), &work))?;
     ensure(first.status == 200 && first == second, || told("resubmission", &second))?;
     println!("resubmission by another entry host: same answer, no second start");
     Ok(())
@@ -158,6 +163,19 @@
     Ok(())
 }
 
+/// Submits again under the same id while the answer is "come back later", as a
+/// caller should: entry hosts that have just started still share out the ids.
+fn persist(mut submit: impl FnMut() -> Result<Reply, ureq::Error>) -> Step<Reply> {
+    for _ in 0..TRIES {
+        let reply = submit()?;
+        match reply.retry_s {
+            Some(retry_s) => thread::sleep(Duration::from_secs(retry_s)),
+            None => return Ok(reply),
+        }
+    }
+    Ok(submit()?)
+}
+
 fn work(kind: &str, n: usize, ms: usize) -> String {
     format!(r#"{{"key":"{kind}-{n}","ms":{ms}}}"#)
 }
