Count tasks of experiments at the machines

Cause: the hosts' counter of starts counts each start twice (in the placer and in the kernel), which halves every figure per task. Change: messages are divided by the starts that the stand-ins counted. Conclusion: the counter itself is for the kernel to mend.

--- a/endivestile_testkit/examples/experiment/measure.rs
+++ b/endivestile_testkit/examples/experiment/measure.rs
@@ -18,6 +18,7 @@
             *sums.entry(name.clone()).or_default() += count.as_u64().unwrap_or(0);
         }
     }
+    sums.insert("task_starts".into(), deployment.servers.total());
     sums.insert("refused_sends".into(), deployment.servers.denied());
     sums.insert("platform_calls".into(), deployment.store.counts().total());
     sums
--- a/endivestile_testkit/examples/experiment/summary.rs
+++ b/endivestile_testkit/examples/experiment/summary.rs
@@ -148,7 +148,7 @@
 fn per_task(slice: &Slice, names: &[&str]) -> f64 {
     let count = |name: &str| slice.counts.get(name).copied().unwrap_or(0) as f64;
     let sum: f64 = names.iter().map(|name| count(name)).sum();
-    ratio(sum, count("starts"))
+    ratio(sum, count("task_starts"))
 }
 
 fn share(slice: &Slice, end: End) -> f64 {
--- a/endivestile_testkit/src/machine/backend.rs
+++ b/endivestile_testkit/src/machine/backend.rs
@@ -86,6 +86,11 @@
         self.park.started(name)
     }
 
+    /// Returns the starts at all servers, forgotten ones included.
+    pub fn total(&self) -> u64 {
+        self.park.total()
+    }
+
     /// Returns the most tasks that ran at once on a server.
     pub fn peak(&self, name: &str) -> usize {
         self.park.peak(name)
--- a/endivestile_testkit/src/machine/park.rs
+++ b/endivestile_testkit/src/machine/park.rs
@@ -118,6 +118,11 @@
         lock(&self.machine(name).state).starts.len()
     }
 
+    /// Returns the starts at all machines, forgotten ones included.
+    pub(crate) fn total(&self) -> u64 {
+        self.machines.values().map(|machine| lock(&machine.state).total).sum()
+    }
+
     /// Returns the most tasks that ran at once on a machine.
     pub(crate) fn peak(&self, name: &str) -> usize {
         lock(&self.machine(name).state).peak
--- a/endivestile_testkit/src/machine/state.rs
+++ b/endivestile_testkit/src/machine/state.rs
@@ -104,6 +104,7 @@
     pub(crate) tasks: HashMap<u64, (String, Running)>,
     pub(crate) usage: VecDeque<(Instant, usize)>,
     pub(crate) starts: Vec<Start>,
+    pub(crate) total: u64,
     pub(crate) denied: u64,
     last: u64,
     rng: SmallRng,
@@ -120,6 +121,7 @@
             tasks: HashMap::new(),
             usage: VecDeque::new(),
             starts: Vec::new(),
+            total: 0,
             denied: 0,
             last: 0,
             rng: SmallRng::seed_from_u64(seed),
@@ -194,6 +196,7 @@
             at_us,
             service_us,
         });
+        state.total += 1;
         let running = Running {
             began,
             ends: began + Duration::from_micros(service_us),
