--- a/endivestile_kernel/src/kernel.rs
+++ b/endivestile_kernel/src/kernel.rs
@@ -7,7 +7,7 @@
 mod task;
 mod watch;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -15,14 +15,14 @@
 
 use crate::budget::Budget;
 use crate::channel::Channel;
-use crate::hosts::Hosts;
+use crate::hosts::{Hosts, Seed};
 use crate::mint::Mint;
 use crate::passed::Passed;
 use crate::routes::Routes;
 use crate::runs::Runs;
 use crate::{
     Effect, Event, Metric, Peer, PlaceEffect, Placer, PlacerSetup, Refusal, ShardEffect,
-    ShardSetup, Shards, SubmissionId, Time,
+    ShardSetup, Shards, SubmissionId, TaskKey, Time,
 };
 
 pub use status::{HostStatus, Status};
@@ -43,6 +43,8 @@
     pub wall_s: u64,
     /// Seed of everything that is drawn at random.
     pub seed: u64,
+    /// Hosts to ask for the configuration while the store is away.
+    pub seeds: Vec<Seed>,
 }
 
 /// All decisions of one entry host.
@@ -61,6 +63,7 @@
     placer: Placer,
     runs: Runs,
     passed: Passed,
+    replacing: BTreeSet<(Time, TaskKey)>,
     mint: Mint,
     budget: Budget,
     routes: Routes,
@@ -87,7 +90,7 @@
             config: None,
             text: Bytes::new(),
             wanted: None,
-            hosts: Hosts::new(me.clone(), setup.zone.clone(), setup.address.clone()),
+            hosts: Hosts::new(me.clone(), setup.zone.clone(), setup.address.clone(), &setup.seeds),
             channels: BTreeMap::new(),
             watched: BTreeMap::new(),
             survey_due: Time::ZERO,
@@ -96,6 +99,7 @@
             placer: Placer::new(PlacerSetup { me: me.clone(), seed: setup.seed }),
             runs: Runs::default(),
             passed: Passed::default(),
+            replacing: BTreeSet::new(),
             mint: Mint::new(me),
             budget: Budget::new(),
             routes: Routes::default(),
@@ -133,6 +137,7 @@
             drain,
             self.runs.deadline(),
             self.passed.deadline(),
+            self.replacing.first().map(|&(due, _)| due),
             self.shards.deadline(),
             self.placer.deadline(),
             Some(self.survey_due),
@@ -190,6 +195,7 @@
     fn tick(&mut self, now: Time) {
         self.survey(now);
         self.passed_due(now);
+        self.replace_due(now);
         self.runs_due(now);
         let view = self.hosts.view();
         self.shards.tick(now, view, &mut self.shard_effects);
--- a/endivestile_testkit/src/world/story.rs
+++ b/endivestile_testkit/src/world/story.rs
@@ -67,6 +67,7 @@
             "answers" => self.answers(),
             "starts" => self.starts(),
             "check" => self.check(),
+            "settled" => self.settled(),
             "hosts" => self.hosts(),
             "calls" => self.store_calls(step)?,
             _ => self.fault(step)?,
@@ -88,10 +89,7 @@
                 let host = self.host(step, 1)?;
                 self.world.pause(&host);
             }
-            "resume" => {
-                let host = self.host(step, 1)?;
-                self.world.resume(&host);
-            }
+            "resume" => self.resume(step)?,
             "shutdown" => {
                 let host = self.host(step, 1)?;
                 self.world.shutdown(&host);
@@ -112,6 +110,17 @@
         Ok(())
     }
 
+    fn resume(&mut self, step: &Step<'_>) -> Result<(), String> {
+        let hosts = match step.word(1)? {
+            "all" => self.world.paused_hosts(),
+            host => vec![Name::from(host)],
+        };
+        for host in hosts {
+            self.world.resume(&host);
+        }
+        Ok(())
+    }
+
     /// Reads a host's name, or `home ID` for the home of an id.
     fn host(&self, step: &Step<'_>, at: usize) -> Result<String, String> {
         let word = step.word(at)?;
@@ -177,16 +186,27 @@
     }
 
     fn answers(&mut self) {
+        let mut groups: BTreeMap<(&str, String), usize> = BTreeMap::new();
         for (name, call) in &self.names {
-            let log = &self.world.calls()[call];
-            let _ = writeln!(self.out, "{name} {}", log.label());
+            let label = self.world.calls()[call].label();
+            match name.split_once('-') {
+                Some((group, _)) => *groups.entry((group, label)).or_default() += 1,
+                None => {
+                    let _ = writeln!(self.out, "{name} {label}");
+                }
+            }
+        }
+        for ((group, label), count) in groups {
+            let _ = writeln!(self.out, "{group}: {count} {label}");
         }
     }
 
+    /// Prints the starts of each submission, those of `times=` together.
     fn starts(&mut self) {
         let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
         for start in self.world.starts() {
             let word = start.work.rsplit_once('/').map_or(start.work.as_str(), |(word, _)| word);
+            let word = word.split_once('-').map_or(word, |(group, _)| group);
             *counts.entry(word).or_default() += 1;
         }
         for (word, count) in counts {
@@ -204,6 +224,20 @@
         }
     }
 
+    /// Prints the calls that nobody has answered, on hosts that run.
+    fn settled(&mut self) {
+        let mut open = 0;
+        for (name, call) in &self.names {
+            if self.world.calls()[call].status() == "open" {
+                let _ = writeln!(self.out, "{name} has no answer");
+                open += 1;
+            }
+        }
+        if open == 0 {
+            self.out.push_str("every call answered\n");
+        }
+    }
+
     fn hosts(&mut self) {
         for (name, revision, state) in self.world.host_states() {
             let _ = writeln!(self.out, "{name} {state} revision {revision}");
@@ -374,6 +408,11 @@
         self.backends.keys().cloned().collect()
     }
 
+    fn paused_hosts(&self) -> Vec<Name> {
+        let paused = self.machines.iter().filter(|(_, machine)| machine.paused);
+        paused.map(|(name, _)| name.clone()).collect()
+    }
+
     fn host_states(&self) -> Vec<(Name, u64, &'static str)> {
         let states = self.machines.iter().map(|(name, machine)| {
             let state = match (&machine.kernel, machine.paused) {
