--- a/endivestile/tests/bad_input.rs
+++ b/endivestile/tests/bad_input.rs
@@ -2,25 +2,31 @@
 
 mod common;
 
-use std::sync::OnceLock;
+use std::sync::{Arc, Mutex, Weak};
 
 use common::{Rig, dated};
 use test_case::test_case;
 
-/// One rig serves all cases; each names its own work.
-fn rig() -> &'static Rig {
-    static RIG: OnceLock<Rig> = OnceLock::new();
-    RIG.get_or_init(|| Rig::start(&["calls.body-limit=65536"]))
+/// Returns the rig that all running cases share; it ends with the last of them.
+fn rig() -> Arc<Rig> {
+    static SHARED: Mutex<Weak<Rig>> = Mutex::new(Weak::new());
+    let mut shared = SHARED.lock().expect("a rig that starts");
+    shared.upgrade().unwrap_or_else(|| {
+        let rig = Arc::new(Rig::start(&["calls.body-limit=65536"]));
+        *shared = Arc::downgrade(&rig);
+        rig
+    })
 }
 
 /// Asserts that a call was refused by name and started nothing.
 #[track_caller]
 fn assert_refused(path: &str, headers: &[(&str, &str)], body: &str, status: u16, field: &str) {
-    let before = rig().backends.starts().len();
-    let got = rig().daemon.post(path, headers, body);
+    let rig = rig();
+    let before = rig.backends.starts().len();
+    let got = rig.daemon.post(path, headers, body);
     assert_eq!((got.status, got.field("field")), (status, field.into()), "{}", got.body);
     assert_eq!(got.field("status"), "invalid");
-    assert_eq!(rig().backends.starts().len(), before);
+    assert_eq!(rig.backends.starts().len(), before);
 }
 
 const ORDERS: &str = "/v1/requests/orders";
@@ -107,7 +113,8 @@
 /// process, and every other caller would see its connection closed.
 #[test]
 fn request_absurd_length() {
-    let daemon = &rig().daemon;
+    let rig = rig();
+    let daemon = &rig.daemon;
     for length in ["9000000000000000", "9223372036854775807", "18446744073709551615"] {
         let head = format!(
             "POST /v1/requests/orders HTTP/1.1\r\nHost: e1\r\nMember: m1\r\nIdempotent: true\r\n\
@@ -123,14 +130,15 @@
 /// confirmed: the caller sends the whole of it again.
 #[test]
 fn request_cut_body() {
-    let before = rig().backends.starts().len();
+    let rig = rig();
+    let before = rig.backends.starts().len();
     let head = "POST /v1/requests/orders HTTP/1.1\r\nHost: e1\r\nMember: m1\r\n\
                 Idempotent: true\r\nContent-Length: 5000\r\n\r\nhalf";
-    let mut stream = std::net::TcpStream::connect(&rig().daemon.http).expect("connect");
+    let mut stream = std::net::TcpStream::connect(&rig.daemon.http).expect("connect");
     std::io::Write::write_all(&mut stream, head.as_bytes()).expect("write");
     stream.shutdown(std::net::Shutdown::Write).expect("shutdown");
     let mut reply = String::new();
     let _ = std::io::Read::read_to_string(&mut stream, &mut reply);
     assert!(reply.starts_with("HTTP/1.1 400"), "{reply}");
-    assert_eq!(rig().backends.starts().len(), before);
+    assert_eq!(rig.backends.starts().len(), before);
 }
--- /dev/null
+++ b/endivestile_kernel/src/routes.rs
@@ -0,0 +1,152 @@
+//! Which host's share a task goes to.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use endivestile_config::model::{Config, Name, Rules};
+
+use crate::{Figure, HostState, Need, Peer, Target, Time, View};
+
+/// Expected time of a task when nothing is known, in microseconds.
+const GUESS_US: u64 = 200_000;
+/// Age after which figures are only a hint that the share exists, in milliseconds.
+const STALE_MS: u64 = 3_000;
+
+/// A share as its owner last described it.
+#[derive(Debug, Default)]
+struct Share {
+    told: Time,
+    figures: Arc<[Figure]>,
+    // Handed over since the figures were told.
+    assumed: HashMap<Target, u32>,
+}
+
+/// What is known of the other hosts' shares.
+///
+/// Figures ride on frames that are sent anyway, so they are old when they are
+/// used. What was handed over since counts on top: otherwise every host would
+/// pour its tasks onto the share that looked best at the last frame.
+#[derive(Debug, Default)]
+pub(crate) struct Routes {
+    shares: BTreeMap<Peer, Share>,
+}
+
+/// A share and when a task would end there.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Route {
+    /// Owner of the share.
+    pub(crate) peer: Peer,
+    /// Expected end, the messages' price included.
+    pub(crate) end: Time,
+}
+
+impl Routes {
+    /// Takes in the figures of a share.
+    pub(crate) fn tell(&mut self, now: Time, peer: &Peer, figures: Arc<[Figure]>) {
+        let share = Share { told: now, figures, assumed: HashMap::new() };
+        self.shares.insert(peer.clone(), share);
+    }
+
+    /// Forgets the share of an incarnation that is gone.
+    pub(crate) fn forget(&mut self, peer: &Peer) {
+        self.shares.remove(peer);
+    }
+
+    /// Notes that a task was handed to a share.
+    pub(crate) fn assume(&mut self, peer: &Peer, target: &Target) {
+        if let Some(share) = self.shares.get_mut(peer) {
+            *share.assumed.entry(class(target)).or_default() += 1;
+        }
+    }
+
+    /// Returns the best share of another host.
+    pub(crate) fn best(
+        &self,
+        now: Time,
+        view: &View,
+        rules: &Rules,
+        target: &Target,
+    ) -> Option<Route> {
+        let usable = |peer: &&Peer| view.state(peer) == HostState::Live;
+        let routes = self.shares.keys().filter(usable);
+        routes.filter_map(|peer| self.route(now, view, rules, peer, target)).min_by_key(|r| r.end)
+    }
+
+    /// Returns some live host that counts the slots of a back end for the
+    /// target, for when no share has told of one.
+    pub(crate) fn fallback(
+        now: Time,
+        view: &View,
+        config: &Config,
+        target: &Target,
+    ) -> Option<Route> {
+        let home = |zone: &Name, name: &Name| {
+            let host = view.placer(zone, name)?;
+            (host.peer != view.me).then(|| host.peer.clone())
+        };
+        let peer = match target {
+            Target::Service(name) => config.services.get(name)?.servers.iter().find_map(|name| {
+                let server = config.servers.get(name)?;
+                home(&server.zone, name)
+            }),
+            Target::Need(need) => config
+                .workers
+                .iter()
+                .filter(|(_, worker)| fits(need, worker))
+                .find_map(|(name, worker)| home(&worker.zone, name)),
+        };
+        Some(Route { peer: peer?, end: now.after_us(GUESS_US + 2 * config.rules.distance_us) })
+    }
+
+    fn route(
+        &self,
+        now: Time,
+        view: &View,
+        rules: &Rules,
+        peer: &Peer,
+        target: &Target,
+    ) -> Option<Route> {
+        let share = self.shares.get(peer)?;
+        let class = class(target);
+        let figure = share.figures.iter().find(|figure| figure.target == class)?;
+        if figure.slots == 0 {
+            return None;
+        }
+        let assumed = share.assumed.get(&class).copied().unwrap_or(0);
+        let stale = share.told.after_ms(STALE_MS) < now;
+        let wait = if stale { u64::from(figure.service_us) } else { wait_us(figure, assumed) };
+        let host = view.hosts.get(&peer.host)?;
+        let distance = if host.zone == view.zone { 0 } else { 2 * rules.distance_us };
+        // An order and its outcome are two messages.
+        let price = 2 * rules.price_us;
+        let end = now.after_us(wait + u64::from(figure.service_us) + distance + price);
+        Some(Route { peer: peer.clone(), end })
+    }
+}
+
+/// Returns the wait expected at a share after `assumed` more tasks.
+fn wait_us(figure: &Figure, assumed: u32) -> u64 {
+    if assumed < figure.free {
+        return u64::from(figure.wait_us);
+    }
+    let over = u64::from(assumed - figure.free + 1);
+    let turn = u64::from(figure.service_us) / u64::from(figure.slots);
+    u64::from(figure.wait_us) + over * turn.max(1)
+}
+
+/// Returns the class under which figures are told: needs fall into two.
+fn class(target: &Target) -> Target {
+    match target {
+        Target::Service(_) => target.clone(),
+        Target::Need(need) => {
+            let accelerators = need.accelerators.min(1);
+            Target::Need(Need { cpu_milli: 0, memory_mb: 0, accelerators })
+        }
+    }
+}
+
+fn fits(need: &Need, worker: &endivestile_config::model::Worker) -> bool {
+    need.cpu_milli <= worker.cpu_milli
+        && need.memory_mb <= worker.memory_mb
+        && need.accelerators <= worker.accelerators
+}
--- /dev/null
+++ b/endivestile_testkit/src/world/check.rs
@@ -0,0 +1,100 @@
+//! The promises, checked against what back ends and callers saw.
+
+use std::collections::BTreeMap;
+
+use endivestile_kernel::Answer;
+
+use super::World;
+use super::backend::echo;
+use super::call::work;
+
+/// Time after which a leaving back end gets no new work, in microseconds.
+const LEAVING_US: u64 = 5_000_000;
+/// Time within which an accepted configuration is in force, in microseconds.
+const ADOPT_US: u64 = 14_000_000;
+
+impl World {
+    /// Returns every breach of a promise so far.
+    pub fn check(&mut self) -> Vec<String> {
+        let mut breaches = self.breaches.clone();
+        breaches.extend(self.double_starts());
+        breaches.extend(self.false_refusals());
+        breaches.extend(self.work_for_leaving());
+        breaches.extend(self.late_configs());
+        breaches
+    }
+
+    /// Checks an answer at the moment it is given.
+    pub(super) fn check_answer(&mut self, call: u64) {
+        let Some(log) = self.calls.get(&call) else { return };
+        let Some(answer) = &log.answer else { return };
+        let breach = match answer {
+            Answer::Complete(results) if log.tasks > 0 => {
+                let whole = (0..log.tasks).map(|index| echo(work(&log.word, index).as_bytes()));
+                if results.len() != log.tasks {
+                    Some(format!("promise 2: call {call} got a part of its answer"))
+                } else if !whole.eq(results.iter().cloned()) {
+                    Some(format!("promise 3: call {call} got another's answer"))
+                } else {
+                    None
+                }
+            }
+            Answer::Refused(_) if answer.is_not_run() && log.starts > 0 => {
+                Some(format!("promise 4: call {call} was told not run, {} started", log.word))
+            }
+            _ => None,
+        };
+        self.breaches.extend(breach);
+    }
+
+    fn double_starts(&self) -> Vec<String> {
+        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+        for start in &self.starts {
+            *counts.entry(&start.work).or_default() += 1;
+        }
+        // An idempotent request without an id may be tried again.
+        let once = |word: &str| {
+            let mut calls = self.calls.values();
+            calls.any(|call| call.id.is_some() && call.word == word)
+        };
+        let doubled = counts.into_iter().filter(|(work, count)| {
+            let word = work.rsplit_once('/').map_or(*work, |(word, _)| word);
+            *count > 1 && once(word)
+        });
+        doubled.map(|(work, count)| format!("promise 1: {work} started {count} times")).collect()
+    }
+
+    /// A word whose every call was refused as not run must never have started.
+    fn false_refusals(&self) -> Vec<String> {
+        let mut refused: BTreeMap<&str, bool> = BTreeMap::new();
+        for call in self.calls.values().filter(|call| call.tasks > 0) {
+            let not_run = call.answer.as_ref().is_some_and(Answer::is_not_run);
+            *refused.entry(&call.word).or_insert(true) &= not_run;
+        }
+        let words = refused.into_iter().filter(|(_, refused)| *refused);
+        let started = words.filter(|(word, _)| self.starts_of(word) > 0);
+        started.map(|(word, _)| format!("promise 4: {word} was refused and started")).collect()
+    }
+
+    fn work_for_leaving(&self) -> Vec<String> {
+        let late = self.starts.iter().filter(|start| {
+            let leaving = self.backends.get(&start.server).and_then(|backend| backend.leaving);
+            leaving.is_some_and(|since| start.at > since + LEAVING_US)
+        });
+        late.map(|start| format!("promise 6: {} started on leaving {}", start.work, start.server))
+            .collect()
+    }
+
+    /// Hosts that reach the store, or a peer that does, have the newest
+    /// configuration in time.
+    fn late_configs(&self) -> Vec<String> {
+        let Some(accepted) = self.platform.accepted else { return Vec::new() };
+        if accepted + ADOPT_US > self.now || self.faulty {
+            return Vec::new();
+        }
+        let newest = self.platform.revision;
+        let running = self.machines.iter().filter(|(_, machine)| machine.awake());
+        let late = running.filter(|(name, _)| self.revision(name) < newest);
+        late.map(|(name, _)| format!("promise 8: {name} has an old configuration")).collect()
+    }
+}
