Refuse at once a job that cannot end by its deadline

Cause: admission looked at the first task of a job alone; a job of 200 tasks on two slots was accepted, ran for its whole deadline and failed, its work wasted. Ruled out: counting all queued work of all shares (figures are too old for that). Change: the other tasks of a job end one turn after the other, a turn being one over the joint rate of the known shares; figures of needs are found by their class. Only runs under way are looked through when a placer is lost.

--- a/endivestile_kernel/src/kernel/task.rs
+++ b/endivestile_kernel/src/kernel/task.rs
@@ -45,15 +45,17 @@
         if self.runs.active() >= config.rules.queue_limit as usize {
             return Err(Cause::Full);
         }
-        let mut targets: BTreeMap<&Target, &Task> = BTreeMap::new();
+        let mut targets: BTreeMap<&Target, (&Task, u64)> = BTreeMap::new();
         for task in &submission.tasks {
-            targets.entry(&task.target).or_insert(task);
+            targets.entry(&task.target).or_insert((task, 0)).1 += 1;
         }
-        for task in targets.into_values() {
+        for (task, count) in targets.into_values() {
             let Some(route) = self.route(now, task) else {
                 return Err(if self.leaving { Cause::Stopping } else { Cause::NoBackend });
             };
-            if route.end > submission.deadline {
+            // The other tasks of a job end one turn after the other.
+            let turn = self.routes.turn_us(self.hosts.view(), &self.load.1, &task.target);
+            if route.end.after_us(turn * (count - 1)) > submission.deadline {
                 return Err(Cause::Deadline);
             }
         }
--- a/endivestile_kernel/src/routes.rs
+++ b/endivestile_kernel/src/routes.rs
@@ -72,6 +72,16 @@
         routes.filter_map(|peer| self.route(now, view, rules, peer, target)).min_by_key(|r| r.end)
     }
 
+    /// Returns the microseconds between the ends of two tasks of a job that is
+    /// spread over this host's share and those of the live hosts known.
+    pub(crate) fn turn_us(&self, view: &View, own: &[Figure], target: &Target) -> u64 {
+        let class = class(target);
+        let live = self.shares.iter().filter(|(peer, _)| view.state(peer) == HostState::Live);
+        let others: f64 = live.map(|(_, share)| rate(&share.figures, &class)).sum();
+        let rate = others + rate(own, &class);
+        if rate > 0.0 { (1.0 / rate) as u64 } else { 0 }
+    }
+
     /// Returns some live host that counts the slots of a back end for the
     /// target, for when no share has told of one.
     pub(crate) fn fallback(
@@ -108,7 +118,7 @@
     ) -> Option<Route> {
         let share = self.shares.get(peer)?;
         let class = class(target);
-        let figure = share.figures.iter().find(|figure| figure.target == class)?;
+        let figure = find(&share.figures, &class)?;
         if figure.slots == 0 {
             return None;
         }
@@ -124,6 +134,17 @@
     }
 }
 
+/// Returns the figure of a class of tasks.
+fn find<'a>(figures: &'a [Figure], class: &Target) -> Option<&'a Figure> {
+    figures.iter().find(|figure| self::class(&figure.target) == *class)
+}
+
+/// Returns the tasks that a share ends in a microsecond.
+fn rate(figures: &[Figure], class: &Target) -> f64 {
+    let rate = |figure: &Figure| f64::from(figure.slots) / f64::from(figure.service_us.max(1));
+    find(figures, class).map_or(0.0, rate)
+}
+
 /// Returns the wait expected at a share after `assumed` more tasks.
 fn wait_us(figure: &Figure, assumed: u32) -> u64 {
     if assumed < figure.free {
--- a/endivestile_kernel/src/runs.rs
+++ b/endivestile_kernel/src/runs.rs
@@ -18,7 +18,7 @@
     kept: VecDeque<(u64, usize)>,
     bytes: usize,
     next: u64,
-    active: usize,
+    active: BTreeSet<u64>,
 }
 
 impl Runs {
@@ -30,7 +30,7 @@
             self.ids.insert(id.clone(), number);
         }
         self.due.insert((run.due, number));
-        self.active += 1;
+        self.active.insert(number);
         self.runs.insert(number, run);
         number
     }
@@ -65,7 +65,7 @@
         if matches!(run.state, RunState::Ended(_)) {
             return;
         }
-        self.active -= 1;
+        self.active.remove(&number);
         let keep = run.keep;
         let size = answer.payload();
         run.state = RunState::Ended(answer);
@@ -85,9 +85,7 @@
     pub(crate) fn remove(&mut self, number: u64) {
         let Some(run) = self.runs.remove(&number) else { return };
         self.due.remove(&(run.due, number));
-        if !matches!(run.state, RunState::Ended(_)) {
-            self.active -= 1;
-        }
+        self.active.remove(&number);
         if let Some(id) = &run.submission.id
             && self.ids.get(id) == Some(&number)
         {
@@ -108,7 +106,7 @@
 
     /// Returns the runs that have not ended.
     pub(crate) fn active(&self) -> usize {
-        self.active
+        self.active.len()
     }
 
     /// Returns all runs, ended ones among them.
@@ -116,10 +114,10 @@
         self.runs.len()
     }
 
-    /// Returns the numbers of the runs that `pick` picks.
+    /// Returns the numbers of the runs that have not ended and that `pick` picks.
     pub(crate) fn select(&self, pick: impl Fn(&Run) -> bool) -> Vec<u64> {
-        let picked = self.runs.iter().filter(|(_, run)| pick(run));
-        picked.map(|(number, _)| *number).collect()
+        let picks = |number: &&u64| self.runs.get(number).is_some_and(&pick);
+        self.active.iter().filter(picks).copied().collect()
     }
 
     /// Drops the work of an ended run: only its digest and answer are needed.
