Give up waiting tasks before their run at the deadline

Cause: at a deadline the home's run and the placer's queue come due in the same tick; the run went first and answered "failed: the deadline passed" for a task that had never left the queue (found by a process test: backend server busy until the deadline, caller got 504 failed with zero starts).

Ruled out: a placer that gives up a millisecond early (a task that could still start would be refused).

Change: the tick lets the placer give up first and carries out its effects before runs end. Story plain_timing expected the weaker answer for c4, whose task waits behind a server of one slot and never starts; it now expects "not run Deadline after 0.5 s", which says more and is still checked against the starts ("every promise kept").

--- a/endivestile_kernel/src/kernel.rs
+++ b/endivestile_kernel/src/kernel.rs
@@ -196,10 +196,13 @@
         self.survey(now);
         self.passed_due(now);
         self.replace_due(now);
-        self.runs_due(now);
         let view = self.hosts.view();
         self.shards.tick(now, view, &mut self.shard_effects);
         self.placer.tick(now, &mut self.place_effects);
+        // The placer gives up what still waits at the deadline and proves that
+        // it never ran; a run that ended first would be told as failed.
+        self.settle(now);
+        self.runs_due(now);
         self.check_drained(now);
     }
 
--- a/endivestile_testkit/tests/stories/plain_timing.story
+++ b/endivestile_testkit/tests/stories/plain_timing.story
@@ -12,5 +12,5 @@
 c1 complete
 c2 complete
 c3 not run Deadline after 0.0 s
-c4 failed Deadline
+c4 not run Deadline after 0.5 s
 every promise kept
