Test the ways in which calls to back ends end, with processes

Cause: nobody had seen the edges' endings through a caller's eyes.

Change: refused, busy, leaving: "not run" and no start; closed after reading, half an answer, error status: "failed" and one start; silent: 504 at the deadline; stale pooled connections; resubmission; another body under the same id; job with ids; cancellation before the back end answers; minted ids.

--- /dev/null
+++ b/endivestile/tests/back_ends.rs
@@ -0,0 +1,159 @@
+//! Each way in which a call to a back end can end, seen by the caller and counted at the back end.
+
+mod common;
+
+use std::thread;
+
+use common::{Rig, dated, wait_for};
+use endivestile_testkit::{Fault, echo};
+use test_case::test_case;
+
+#[test]
+fn order_answered() {
+    let rig = Rig::start(&[]);
+    let got = rig.daemon.order("k", r#"{"key":"k"}"#);
+    assert_eq!((got.status, got.body), (200, echo(r#"{"key":"k"}"#)));
+    assert_eq!(rig.backends.count("k"), 1);
+}
+
+/// Two callers' requests are answered late and in another order than they
+/// came. One who got the other's answer would confirm the wrong booking.
+#[test]
+fn order_out_of_order() {
+    let rig = Rig::start(&[]);
+    let works: Vec<String> =
+        (0..16).map(|at| format!(r#"{{"key":"k{at}","ms":{}}}"#, 10 * (16 - at))).collect();
+    thread::scope(|scope| {
+        for (at, work) in works.iter().enumerate() {
+            let daemon = &rig.daemon;
+            scope.spawn(move || {
+                let got = daemon.order(&format!("k{at}"), work);
+                assert_eq!((got.status, got.body), (200, echo(work)));
+            });
+        }
+    });
+    assert_eq!(rig.backends.doubled(), Vec::new());
+}
+
+/// The backend server takes the request and its answer is lost: it closes the
+/// connection, sends half, or fails. The caller is told that it failed, and
+/// the payment is not made a second time.
+#[test_case(Fault::Close, "s1 was lost"; "closed after reading")]
+#[test_case(Fault::Half, "s1 was lost"; "half an answer")]
+#[test_case(Fault::Status(500), "status 500"; "error status")]
+fn order_lost(fault: Fault, reason: &str) {
+    let rig = Rig::start(&[]);
+    rig.backends.set_fault("s1", fault);
+    let got = rig.daemon.order("k", r#"{"key":"k"}"#);
+    assert_eq!((got.status, got.field("status")), (502, "failed".into()), "{}", got.body);
+    assert!(got.body.contains(reason), "{}", got.body);
+    assert_eq!(rig.backends.count("k"), 1);
+}
+
+/// The backend server cannot be reached, is full, or leaves, and says so before
+/// it starts anything. The caller hears "not run" at its deadline at the
+/// latest, and nothing ran.
+#[test_case(Fault::Refuse; "connection refused")]
+#[test_case(Fault::Busy; "busy")]
+#[test_case(Fault::Leaving; "leaving")]
+fn order_not_run(fault: Fault) {
+    let rig = Rig::start(&[]);
+    rig.backends.set_fault("s1", fault);
+    let headers = [("Member", "m1"), ("Idempotency-Key", &*dated("k")), ("Deadline-Ms", "1500")];
+    let got = rig.daemon.post("/v1/requests/orders", &headers, r#"{"key":"k"}"#);
+    assert_eq!((got.status, got.field("status")), (503, "not run".into()), "{}", got.body);
+    assert!(got.retry.is_some());
+    assert_eq!(rig.backends.count("k"), 0);
+}
+
+/// The backend server runs the task and never answers. The caller waits no
+/// longer than its deadline, and hears that the task may have run.
+#[test]
+fn order_silent() {
+    let rig = Rig::start(&[]);
+    assert_eq!(rig.daemon.order("first", "first").status, 200);
+    rig.backends.set_fault("s1", Fault::Silent);
+    let headers = [("Member", "m1"), ("Idempotency-Key", &*dated("k")), ("Deadline-Ms", "500")];
+    let got = rig.daemon.post("/v1/requests/orders", &headers, r#"{"key":"k"}"#);
+    assert_eq!((got.status, got.field("status")), (504, "failed".into()), "{}", got.body);
+    assert_eq!(rig.backends.count("k"), 1);
+}
+
+/// The backend server closes connections that the entry host still keeps. A
+/// request that fell into one would be lost, and its caller told that it failed.
+#[test]
+fn order_stale_connection() {
+    let rig = Rig::start(&[]);
+    for at in 0..20 {
+        let key = format!("k{at}");
+        let got = rig.daemon.order(&key, &format!(r#"{{"key":"{key}"}}"#));
+        assert_eq!(got.status, 200, "{}", got.body);
+        rig.backends.cut("s1");
+        // The end of the connection must have crossed the loopback.
+        thread::sleep(std::time::Duration::from_millis(20));
+    }
+    assert_eq!(rig.backends.doubled(), Vec::new());
+}
+
+/// A caller resubmits a booking whose answer it lost, and gets the answer of
+/// the first try.
+#[test]
+fn order_resubmitted() {
+    let rig = Rig::start(&[]);
+    let headers = [("Member", "m1"), ("Idempotency-Key", &*dated("k"))];
+    let work = r#"{"key":"k"}"#;
+    let first = rig.daemon.post("/v1/requests/orders", &headers, work);
+    let again = rig.daemon.post("/v1/requests/orders", &headers, work);
+    assert_eq!((first.status, &first.body), (again.status, &again.body));
+    assert_eq!(rig.backends.count("k"), 1);
+    let other = rig.daemon.post("/v1/requests/orders", &headers, "other");
+    assert_eq!((other.status, other.field("status")), (422, "conflict".into()));
+}
+
+#[test]
+fn job_complete_and_asked() {
+    let rig = Rig::start(&[]);
+    let id = dated("job");
+    let task = |key: &str| format!(r#"{{"service":"orders","work":"{key}"}}"#);
+    let body = format!(r#"{{"tasks":[{},{}]}}"#, task("one"), task("two"));
+    let headers = [("Member", "m1"), ("Idempotency-Key", &*id), ("Want-Ids", "3")];
+    let got = rig.daemon.post("/v1/jobs", &headers, &body);
+    let results = serde_json::json!([echo("one"), echo("two")]);
+    assert_eq!((got.status, got.field("results")), (200, results.clone()), "{}", got.body);
+    assert_eq!(got.minted.len(), 3);
+    let asked = rig.daemon.get(&format!("/v1/submissions/{id}"));
+    assert_eq!((asked.status, asked.field("results")), (200, results));
+    assert_eq!(rig.daemon.get(&format!("/v1/submissions/{}", dated("none"))).status, 404);
+}
+
+/// A caller cancels a job that runs. It must not wait for the back end, which
+/// may take until the deadline.
+#[test]
+fn job_cancelled() {
+    let rig = Rig::start(&[]);
+    let id = dated("job");
+    let body = r#"{"tasks":[{"service":"orders","work":"{\"key\":\"k\",\"ms\":15000}"}]}"#;
+    thread::scope(|scope| {
+        let waiting = scope.spawn(|| {
+            rig.daemon.post("/v1/jobs", &[("Member", "m1"), ("Idempotency-Key", &id)], body)
+        });
+        wait_for("the start", || rig.backends.count("k") == 1);
+        let got = rig.daemon.delete(&format!("/v1/submissions/{id}"));
+        assert_eq!((got.status, got.field("status")), (200, "cancelled".into()), "{}", got.body);
+        let got = waiting.join().expect("caller");
+        assert_eq!((got.status, got.field("status")), (409, "cancelled".into()), "{}", got.body);
+    });
+    assert_eq!(rig.backends.running(), 1, "the answer came before the back end's");
+}
+
+#[test]
+fn ids_minted() {
+    let rig = Rig::start(&[]);
+    let got = rig.daemon.post("/v1/ids?count=2", &[], "");
+    let ids: Vec<String> = serde_json::from_value(got.field("ids")).expect("ids");
+    assert_eq!(ids.len(), 2);
+    let headers = [("Member", "m1"), ("Idempotency-Key", &*ids[0])];
+    assert_eq!(rig.daemon.post("/v1/requests/orders", &headers, "w").status, 200);
+    assert_eq!(rig.daemon.post("/v1/requests/orders", &headers, "w").status, 200);
+    assert_eq!(rig.backends.count("w"), 1);
+}
--- a/endivestile/tests/common/mod.rs
+++ b/endivestile/tests/common/mod.rs
@@ -17,7 +17,7 @@
 const PATIENCE: Duration = Duration::from_secs(20);
 
 /// Waits until `condition` holds.
-pub fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
+pub(crate) fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
     let end = Instant::now() + PATIENCE;
     while !condition() {
         assert!(Instant::now() < end, "waited in vain for {what}");
@@ -26,15 +26,15 @@
 }
 
 /// A store, one backend server `s1` of the service `orders`, and one daemon.
-pub struct Rig {
-    pub store: StoreStandIn,
-    pub backends: BackendStandIn,
-    pub daemon: Daemon,
+pub(crate) struct Rig {
+    pub(crate) store: StoreStandIn,
+    pub(crate) backends: BackendStandIn,
+    pub(crate) daemon: Daemon,
 }
 
 impl Rig {
     /// Starts everything and waits until the daemon is ready.
-    pub fn start(overrides: &[&str]) -> Self {
+    pub(crate) fn start(overrides: &[&str]) -> Self {
         let store = StoreStandIn::start().expect("store");
         let backends = BackendStandIn::start(vec![Spec::new("s1")]).expect("back ends");
         store.put("endivestile/config", config(1, &backends));
@@ -45,31 +45,31 @@
 }
 
 /// Returns a configuration with the given revision.
-pub fn config(revision: u64, backends: &BackendStandIn) -> String {
+pub(crate) fn config(revision: u64, backends: &BackendStandIn) -> String {
     format!(
         "[configuration]\nrevision={revision}\n\
          [availability-zone a]\nregion=r\n\
          [host e1]\nzone=a\naddress=127.0.0.1:1\nweight=1\n\
          [backend-server s1]\nzone=a\nrack=1\naddress={}\nslots=8\nconnections=64\n\
          [worker w1]\nzone=a\nrack=1\naddress=127.0.0.1:2\ncpu-milli=4000\nmemory-mb=8000\naccelerators=1\n\
-         [service orders]\nservers=s1\npath=/order\n\
+         [service orders]\nbackend-servers=s1\npath=/order\n\
          [member m1]\nlimit=1000\nweight=1\n",
         backends.address("s1")
     )
 }
 
 /// The daemon as a process.
-pub struct Daemon {
+pub(crate) struct Daemon {
     child: Child,
     lines: Arc<Mutex<Vec<String>>>,
-    pub http: String,
-    pub peers: String,
+    pub(crate) http: String,
+    pub(crate) peers: String,
     agent: Agent,
 }
 
 impl Daemon {
     /// Starts the daemon on ephemeral ports, which its first log line names.
-    pub fn start(store: &StoreStandIn, host: &str, overrides: &[&str]) -> Self {
+    pub(crate) fn start(store: &StoreStandIn, host: &str, overrides: &[&str]) -> Self {
         let mut command = Command::new(env!("CARGO_BIN_EXE_endivestile"));
         let address = store.address();
         for set in [
@@ -86,7 +86,8 @@
         for set in overrides {
             command.args(["--set", set]);
         }
-        let mut child = command.stdout(Stdio::null()).stderr(Stdio::piped()).spawn().expect("daemon");
+        let mut child =
+            command.stdout(Stdio::null()).stderr(Stdio::piped()).spawn().expect("daemon");
         let lines = Arc::new(Mutex::new(Vec::new()));
         let (output, kept) = (child.stderr.take().expect("stderr"), Arc::clone(&lines));
         thread::spawn(move || {
@@ -104,7 +105,7 @@
     }
 
     /// Waits for a log line and returns it.
-    pub fn wait_line(&self, part: &str) -> String {
+    pub(crate) fn wait_line(&self, part: &str) -> String {
         let mut found = None;
         wait_for(part, || {
             found = self.lines().into_iter().find(|line| line.contains(part));
@@ -114,27 +115,27 @@
     }
 
     /// Returns the log so far.
-    pub fn lines(&self) -> Vec<String> {
+    pub(crate) fn lines(&self) -> Vec<String> {
         self.lines.lock().expect("lines").clone()
     }
 
     /// Waits until new work is taken.
-    pub fn wait_ready(&self) {
+    pub(crate) fn wait_ready(&self) {
         wait_for("ready", || self.get("/ready").status == 200);
     }
 
     /// Calls with the method GET.
-    pub fn get(&self, path: &str) -> Got {
+    pub(crate) fn get(&self, path: &str) -> Got {
         Got::new(self.agent.get(self.url(path)).call())
     }
 
     /// Calls with the method DELETE.
-    pub fn delete(&self, path: &str) -> Got {
+    pub(crate) fn delete(&self, path: &str) -> Got {
         Got::new(self.agent.delete(self.url(path)).call())
     }
 
     /// Calls with the method POST.
-    pub fn post(&self, path: &str, headers: &[(&str, &str)], body: &str) -> Got {
+    pub(crate) fn post(&self, path: &str, headers: &[(&str, &str)], body: &str) -> Got {
         let mut call = self.agent.post(self.url(path));
         for (name, value) in headers {
             call = call.header(*name, *value);
@@ -143,13 +144,13 @@
     }
 
     /// Submits a non-idempotent request to `orders` under a fresh id.
-    pub fn order(&self, key: &str, work: &str) -> Got {
+    pub(crate) fn order(&self, key: &str, work: &str) -> Got {
         let id = dated(key);
         self.post("/v1/requests/orders", &[("Member", "m1"), ("Idempotency-Key", &id)], work)
     }
 
     /// Sends bytes as they are, and returns what came back until the connection ended.
-    pub fn raw(&self, bytes: &[u8]) -> String {
+    pub(crate) fn raw(&self, bytes: &[u8]) -> String {
         let mut stream = TcpStream::connect(&self.http).expect("connect");
         stream.set_read_timeout(Some(Duration::from_secs(5))).expect("timeout");
         stream.write_all(bytes).expect("write");
@@ -165,14 +166,14 @@
     }
 
     /// Sends a signal, such as `TERM`.
-    pub fn signal(&self, name: &str) {
+    pub(crate) fn signal(&self, name: &str) {
         let command = format!("kill -{name} {}", self.child.id());
         let status = Command::new("sh").args(["-c", &command]).status().expect("kill");
         assert!(status.success());
     }
 
     /// Waits until the process has ended, and returns its exit code.
-    pub fn wait_exit(&mut self) -> Option<i32> {
+    pub(crate) fn wait_exit(&mut self) -> Option<i32> {
         let mut code = None;
         wait_for("the end of the daemon", || {
             code = self.child.try_wait().expect("wait").map(|status| status.code());
@@ -198,15 +199,15 @@
 
 /// What a caller got.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Got {
+pub(crate) struct Got {
     /// HTTP status, 0 when the connection ended without one.
-    pub status: u16,
+    pub(crate) status: u16,
     /// Header `Retry-After`.
-    pub retry: Option<String>,
+    pub(crate) retry: Option<String>,
     /// Header `Minted-Ids`.
-    pub minted: Vec<String>,
+    pub(crate) minted: Vec<String>,
     /// Body.
-    pub body: String,
+    pub(crate) body: String,
 }
 
 impl Got {
@@ -225,14 +226,14 @@
     }
 
     /// Returns a field of the JSON body.
-    pub fn field(&self, name: &str) -> Value {
+    pub(crate) fn field(&self, name: &str) -> Value {
         let body: Value = serde_json::from_str(&self.body).unwrap_or_default();
         body[name].clone()
     }
 }
 
 /// Returns an id dated now.
-pub fn dated(key: &str) -> String {
+pub(crate) fn dated(key: &str) -> String {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("clock");
     format!("{}:{key}", now.as_secs())
 }
