Test stops and the store with processes; end as drained when only quiet is missing

Cause: nobody had stopped a process under load or taken the store away.

A limit that passes while the drained process only waits for quiet ends it as drained.

--- a/endivestile/src/engine.rs
+++ b/endivestile/src/engine.rs
@@ -245,9 +245,14 @@
         self.event(cx, Event::Shutdown);
     }
 
-    /// The graceful shutdown took too long.
+    /// The graceful shutdown took too long, unless it only waited for quiet.
     fn limit(&mut self, cx: CX![]) {
-        self.leave(cx, "stop_limit");
+        if self.drained.is_some() && self.calls.is_empty() {
+            log::info!("event=drained");
+            self.end(cx, Exit::Drained);
+        } else {
+            self.leave(cx, "stop_limit");
+        }
     }
 
     /// Ends with work left, and says how much.
--- /dev/null
+++ b/endivestile/tests/shutdown.rs
@@ -0,0 +1,116 @@
+//! A planned stop of a process cuts off no request.
+
+mod common;
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use common::{Rig, wait_for};
+use endivestile_testkit::{Fault, echo};
+
+/// An operator stops an entry host while callers call it. Each call that was
+/// accepted gets its whole answer, each later one hears "not run"; a crew that
+/// found its connection closed would not know whether its mirror is booked.
+#[test]
+fn stop_under_load() {
+    let mut rig = Rig::start(&[]);
+    let (done, refused) = (AtomicUsize::new(0), AtomicUsize::new(0));
+    let stopping = AtomicBool::new(false);
+    thread::scope(|scope| {
+        for caller in 0..16 {
+            let (rig, done, refused, stopping) = (&rig, &done, &refused, &stopping);
+            scope.spawn(move || {
+                for at in 0.. {
+                    let key = format!("c{caller}-{at}");
+                    let work = format!(r#"{{"key":"{key}","ms":40}}"#);
+                    let got = rig.daemon.order(&key, &work);
+                    match got.status {
+                        200 => {
+                            assert_eq!(got.body, echo(&work));
+                            done.fetch_add(1, Ordering::Relaxed);
+                        }
+                        503 => {
+                            assert_eq!(got.field("status"), "not run", "{}", got.body);
+                            assert_eq!(rig.backends.count(&key), 0);
+                            refused.fetch_add(1, Ordering::Relaxed);
+                            assert!(stopping.load(Ordering::Relaxed), "{}", got.body);
+                            return;
+                        }
+                        status => panic!("{key}: status {status}, {}", got.body),
+                    }
+                }
+            });
+        }
+        wait_for("answers", || done.load(Ordering::Relaxed) > 100);
+        stopping.store(true, Ordering::Relaxed);
+        rig.daemon.signal("TERM");
+    });
+    assert_eq!(refused.load(Ordering::Relaxed), 16);
+    assert_eq!(rig.backends.doubled(), Vec::new());
+    assert_eq!(rig.daemon.wait_exit(), Some(0));
+}
+
+/// The stop comes while a long task runs. The process waits for it, and the
+/// balancer hears meanwhile that the host takes no new work.
+#[test]
+fn stop_during_long_task() {
+    let mut rig = Rig::start(&[]);
+    thread::scope(|scope| {
+        let daemon = &rig.daemon;
+        let waiting = scope.spawn(|| daemon.order("k", r#"{"key":"k","ms":2000}"#));
+        wait_for("the start", || rig.backends.count("k") == 1);
+        daemon.signal("TERM");
+        wait_for("the end of readiness", || daemon.get("/ready").status == 503);
+        assert_eq!(daemon.get("/health").status, 200);
+        let got = waiting.join().expect("caller");
+        assert_eq!((got.status, got.body), (200, echo(r#"{"key":"k","ms":2000}"#)));
+    });
+    assert_eq!(rig.daemon.wait_exit(), Some(0));
+    let hosts = rig.store.list("endivestile/hosts/");
+    assert_eq!(hosts, Vec::new(), "the registration ended with the process");
+}
+
+/// A back end never answers and the operator cannot wait: a second signal ends
+/// the process, which says what it left behind.
+#[test]
+fn stop_twice() {
+    let mut rig = Rig::start(&[]);
+    rig.backends.set_fault("s1", Fault::Silent);
+    thread::scope(|scope| {
+        let daemon = &rig.daemon;
+        scope.spawn(|| daemon.order("k", r#"{"key":"k"}"#));
+        wait_for("the start", || rig.backends.count("k") == 1);
+        daemon.signal("TERM");
+        daemon.wait_line("event=stopping");
+        daemon.signal("INT");
+        daemon.wait_line("event=left cause=second_signal open_calls=1 backend_calls=1");
+    });
+    assert_eq!(rig.daemon.wait_exit(), Some(3));
+}
+
+/// The limit is shorter than the time that a draining host still serves what
+/// the balancer sends. The process ends all the same, and says why.
+#[test]
+fn stop_limit() {
+    let mut rig = Rig::start(&[
+        "stop.limit-s=1",
+        "calls.max-deadline-ms=1000",
+        "calls.default-deadline-ms=1000",
+    ]);
+    rig.daemon.signal("TERM");
+    rig.daemon.wait_line("event=left cause=stop_limit");
+    assert_eq!(rig.daemon.wait_exit(), Some(3));
+}
+
+/// The store is down when the stop comes. The process cannot end its
+/// registration, and must not wait for it.
+#[test]
+fn stop_store_down() {
+    let mut rig = Rig::start(&[]);
+    assert_eq!(rig.daemon.order("k", "k").status, 200);
+    rig.store.down();
+    thread::sleep(Duration::from_millis(100));
+    rig.daemon.signal("TERM");
+    assert_eq!(rig.daemon.wait_exit(), Some(0));
+}
