Do not take the platform's word that a host is gone

Cause: read again: a host listed as gone and not heard counted as surely ended, so home and witness of a shard, cut off together from the platform, could serve on inside while another host claimed the shard outside. Ruled out: never claiming (a lost rack would block its shards for good); a longer wait (no wait is long enough for a cut). Change: the list's 'gone' makes a host suspect. Proof of an end is a later incarnation or the operators' removal of the host from the inventory; a host that is not in the inventory it adopts leaves by itself. A channel to a host that is wrongly thought gone is thereby kept: a new one would wait for messages already seen.

--- a/endivestile_kernel/benches/place.rs
+++ b/endivestile_kernel/benches/place.rs
@@ -76,7 +76,7 @@
     let zone = Name::from("z");
     let (peer, state) = (me.clone(), HostState::Live);
     let host = HostView { peer, zone: zone.clone(), address: address(), weight: 1, state };
-    View { me, zone, hosts: [(Name::from("h"), host)].into(), store: true }
+    View { me, zone, hosts: [(Name::from("h"), host)].into(), store: true, inventory: true }
 }
 
 /// A placer under load, and the calls it has open.
--- a/endivestile_kernel/src/hosts.rs
+++ b/endivestile_kernel/src/hosts.rs
@@ -59,6 +59,7 @@
 pub(crate) struct Hosts {
     view: View,
     facts: BTreeMap<Name, Facts>,
+    listed: bool,
 }
 
 impl Hosts {
@@ -78,7 +79,11 @@
             facts.insert(seed.host.clone(), Facts::default());
             hosts.insert(seed.host.clone(), seed.view());
         }
-        Self { view: View { me, zone, hosts, store: false }, facts }
+        Self {
+            view: View { me, zone, hosts, store: false, inventory: false },
+            facts,
+            listed: false,
+        }
     }
 
     /// Returns the hosts as this one sees them.
@@ -101,6 +106,8 @@
             let entry = HostView { peer, zone, address, weight: host.weight, state };
             self.view.hosts.insert(name.clone(), entry);
         }
+        self.view.inventory = true;
+        self.listed = config.hosts.contains_key(&me);
         self.refresh(now);
         true
     }
@@ -157,10 +164,12 @@
         self.refresh(now)
     }
 
-    /// Returns whether this host was told to stop, by operators or the platform.
+    /// Returns whether this host was told to stop, by operators or the platform,
+    /// or is not in the inventory any more.
     pub(crate) fn told_to_stop(&self) -> bool {
         let Some(own) = self.facts.get(&self.view.me.host) else { return false };
-        own.stopped || own.platform == Some(PlatformState::Leaving)
+        let listed = matches!(own.platform, Some(PlatformState::Leaving | PlatformState::Gone));
+        own.stopped || listed || (self.view.inventory && !self.listed)
     }
 
     /// Takes in a frame's sender; says whether the view changed, none for an
@@ -233,8 +242,11 @@
     fn state(&self, now: Time) -> HostState {
         let recent = |at: Option<Time>, ms: u64| at.is_some_and(|at| at.after_ms(ms) > now);
         let heard = recent(self.heard, SUSPECT_MS);
+        // The platform's list lags, and a host that is cut off from the platform
+        // may look gone to it while it serves on. Its word makes a host suspect;
+        // only a later incarnation or the operators prove that it ended.
         if self.platform == Some(PlatformState::Gone) && !heard {
-            return HostState::Gone;
+            return HostState::Suspect;
         }
         let silent = self.silent.is_some_and(|since| since.after_ms(SUSPECT_MS) <= now);
         let broken = recent(self.broken, BROKEN_MS);
--- a/endivestile_kernel/src/view.rs
+++ b/endivestile_kernel/src/view.rs
@@ -16,8 +16,9 @@
     Leaving,
     /// Silent for longer than the suspicion limit, or refuses connections.
     Suspect,
-    /// This incarnation has surely ended: a later one is registered, or the
-    /// platform says that the machine is gone.
+    /// This incarnation has surely ended: a later one is known, which could not
+    /// have bound the address otherwise, or operators took the host out of the
+    /// inventory.
     Gone,
 }
 
@@ -47,14 +48,18 @@
     pub hosts: BTreeMap<Name, HostView>,
     /// Whether the store answers.
     pub store: bool,
+    /// Whether the hosts are those of an adopted inventory.
+    pub inventory: bool,
 }
 
 impl View {
-    /// Returns the state of an incarnation; an earlier one than the latest is gone.
+    /// Returns the state of an incarnation. An earlier one than the latest is
+    /// gone, and so is a host that operators took out of the inventory.
     pub fn state(&self, peer: &Peer) -> HostState {
         match self.hosts.get(&peer.host) {
             Some(host) if host.peer.birth > peer.birth => HostState::Gone,
             Some(host) if host.peer.birth == peer.birth => host.state,
+            None if self.inventory => HostState::Gone,
             _ => HostState::Suspect,
         }
     }
--- a/endivestile_kernel/tests/place_fake/mod.rs
+++ b/endivestile_kernel/tests/place_fake/mod.rs
@@ -76,7 +76,7 @@
         };
         (Name::from(*name), view)
     });
-    View { me: home(), zone: Name::from("z"), hosts: hosts.collect(), store: true }
+    View { me: home(), zone: Name::from("z"), hosts: hosts.collect(), store: true, inventory: true }
 }
 
 /// A configuration of one service `s` over `servers` of `slots` slots, racks of four.
--- a/endivestile_kernel/tests/shards/world.rs
+++ b/endivestile_kernel/tests/shards/world.rs
@@ -154,7 +154,8 @@
             seed: index as u64 * 1_000 + birth,
         });
         shards.configure(&self.rules);
-        let view = View { me: peer.clone(), zone, hosts: BTreeMap::new(), store: false };
+        let view =
+            View { me: peer.clone(), zone, hosts: BTreeMap::new(), store: false, inventory: false };
         let heard = vec![self.now; self.zones.len()];
         Node { peer, born: self.now, shards, run: Run::Up, leaving: false, view, heard }
     }
--- a/endivestile_testkit/src/world/story.rs
+++ b/endivestile_testkit/src/world/story.rs
@@ -283,7 +283,9 @@
     fn accept(&mut self, step: &Step<'_>) -> Result<(), String> {
         let limit: u32 = step.number("limit", 1_000)? as u32;
         let policy = step.pairs.get("policy").copied();
+        let without = step.pairs.get("without").copied().unwrap_or_default();
         self.world.accept(|config| {
+            config.hosts.retain(|name, _| !without.split(',').any(|gone| **name == *gone));
             for member in config.members.values_mut() {
                 member.limit = limit;
             }
