--- a/endivestile_kernel/tests/shards/world.rs
+++ b/endivestile_kernel/tests/shards/world.rs
@@ -40,6 +40,8 @@
     run: Run,
     leaving: bool,
     view: View,
+    /// Incarnations and states of all hosts in the view.
+    states: Vec<(u64, HostState)>,
     /// Last instant at which each other host was in reach.
     heard: Vec<u64>,
 }
@@ -156,7 +158,8 @@
         shards.configure(&self.rules);
         let view = View { me: peer.clone(), zone, hosts: BTreeMap::new(), store: false };
         let heard = vec![self.now; self.zones.len()];
-        Node { peer, born: self.now, shards, run: Run::Up, leaving: false, view, heard }
+        let (born, run, leaving, states) = (self.now, Run::Up, false, Vec::new());
+        Node { peer, born, shards, run, leaving, view, states, heard }
     }
 
     pub(crate) fn crash(&mut self, node: usize) {
@@ -192,6 +195,14 @@
         self.nodes.iter().position(|node| node.peer.host == peer.host).expect("a host")
     }
 
+    pub(crate) fn run(&self, node: usize) -> Run {
+        self.nodes[node].run
+    }
+
+    pub(crate) fn is_leaving(&self, node: usize) -> bool {
+        self.nodes[node].leaving
+    }
+
     pub(crate) fn set_run(&mut self, node: usize, run: Run) {
         self.nodes[node].run = run;
     }
@@ -361,6 +372,7 @@
     }
 
     fn deliver(&mut self) {
+        self.links.retain(|_, link| !link.is_empty());
         let pairs: Vec<(usize, usize)> = self.links.keys().copied().collect();
         for (from, to) in pairs {
             while self.reaches(from, to) {
@@ -447,25 +459,34 @@
                 self.nodes[node].heard[other] = self.now;
             }
         }
-        let hosts = (0..self.nodes.len()).map(|other| self.host_view(node, other)).collect();
-        let view = View { hosts, store: self.store_up, ..self.nodes[node].view.clone() };
-        if view != self.nodes[node].view {
-            self.nodes[node].view = view;
-            self.event(node, |shards, now, view, out| shards.view_changed(now, view, out));
+        let states: Vec<_> = (0..self.nodes.len()).map(|other| self.sight(node, other)).collect();
+        let store = self.store_up;
+        if states == self.nodes[node].states && store == self.nodes[node].view.store {
+            return;
         }
+        let hosts = (0..self.nodes.len()).map(|other| self.host_view(other, &states)).collect();
+        self.nodes[node].view = View { hosts, store, ..self.nodes[node].view.clone() };
+        self.nodes[node].states = states;
+        self.event(node, |shards, now, view, out| shards.view_changed(now, view, out));
     }
 
-    fn host_view(&self, node: usize, other: usize) -> (Name, HostView) {
-        let peer = self.nodes[other].peer.clone();
+    /// Returns the incarnation and state of a host as another one sees it.
+    fn sight(&self, node: usize, other: usize) -> (u64, HostState) {
+        let peer = &self.nodes[other].peer;
         let silent = self.now - self.nodes[node].heard[other] > SUSPECT_MS;
         let state = match () {
-            () if self.gone.contains(&peer) => HostState::Gone,
+            () if self.gone.contains(peer) => HostState::Gone,
             () if silent => HostState::Suspect,
             () if self.nodes[other].leaving => HostState::Leaving,
             () => HostState::Live,
         };
+        (peer.birth, state)
+    }
+
+    fn host_view(&self, other: usize, states: &[(u64, HostState)]) -> (Name, HostView) {
+        let peer = self.nodes[other].peer.clone();
         let zone = Name::from(format!("zone{}", self.zones[other]));
-        let address = Name::from("127.0.0.1:1");
+        let (address, state) = (Name::from("127.0.0.1:1"), states[other].1);
         (peer.host.clone(), HostView { peer, zone, address, weight: 1, state })
     }
 }
