--- a/endivestile/tests/common/mod.rs
+++ b/endivestile/tests/common/mod.rs
@@ -86,7 +86,8 @@
         for set in overrides {
             command.args(["--set", set]);
         }
-        let mut child = command.stdout(Stdio::null()).stderr(Stdio::piped()).spawn().expect("daemon");
+        let mut child =
+            command.stdout(Stdio::null()).stderr(Stdio::piped()).spawn().expect("daemon");
         let lines = Arc::new(Mutex::new(Vec::new()));
         let (output, kept) = (child.stderr.take().expect("stderr"), Arc::clone(&lines));
         thread::spawn(move || {
