--- a/endivestile_kernel/src/hosts.rs
+++ b/endivestile_kernel/src/hosts.rs
@@ -46,6 +46,7 @@
     heard: Option<Time>,
     broken: Option<Time>,
     silent: Option<Time>,
+    address: Option<Name>,
 }
 
 /// Puts the sources together: registrations in the store, the platform's
@@ -58,6 +59,7 @@
 pub(crate) struct Hosts {
     view: View,
     facts: BTreeMap<Name, Facts>,
+    listed: bool,
 }
 
 impl Hosts {
@@ -77,7 +79,11 @@
             facts.insert(seed.host.clone(), Facts::default());
             hosts.insert(seed.host.clone(), seed.view());
         }
-        Self { view: View { me, zone, hosts, store: false }, facts }
+        Self {
+            view: View { me, zone, hosts, store: false, inventory: false },
+            facts,
+            listed: false,
+        }
     }
 
     /// Returns the hosts as this one sees them.
@@ -88,20 +94,20 @@
     /// Takes in the inventory; a host that is not in it any more is forgotten.
     pub(crate) fn configure(&mut self, now: Time, config: &Config) -> bool {
         let me = self.view.me.host.clone();
-        self.facts.retain(|name, _| *name == me || config.hosts.contains_key(name));
+        self.view.hosts.retain(|name, _| *name == me || config.hosts.contains_key(name));
         for (name, host) in &config.hosts {
-            self.facts.entry(name.clone()).or_default();
-            let address = match self.view.hosts.get(name) {
-                Some(known) if *name == me => known.address.clone(),
-                _ => host.address.clone(),
-            };
-            let peer = Peer::new(name.clone(), self.facts[name].birth);
+            let facts = self.facts.entry(name.clone()).or_default();
+            let own = self.view.hosts.get(name).filter(|_| *name == me);
+            let told = own.map(|own| own.address.clone()).or_else(|| facts.address.clone());
+            let address = told.unwrap_or_else(|| host.address.clone());
+            let peer = Peer::new(name.clone(), facts.birth);
             let zone = host.zone.clone();
             let state = HostState::Suspect;
             let entry = HostView { peer, zone, address, weight: host.weight, state };
             self.view.hosts.insert(name.clone(), entry);
         }
-        self.view.hosts.retain(|name, _| self.facts.contains_key(name));
+        self.view.inventory = true;
+        self.listed = config.hosts.contains_key(&me);
         self.refresh(now);
         true
     }
@@ -111,7 +117,8 @@
         self.view.store = up;
     }
 
-    /// Takes in a registration, or the end of one.
+    /// Takes in a registration, or the end of one; also of a host that is not in
+    /// the inventory yet, since registrations are read before the configuration.
     pub(crate) fn register(
         &mut self,
         now: Time,
@@ -121,12 +128,13 @@
         if *name == self.view.me.host {
             return false;
         }
-        let Some(facts) = self.facts.get_mut(name) else { return false };
+        let facts = self.facts.entry(name.clone()).or_default();
         match registration {
             Some(registration) if registration.peer.birth >= facts.birth => {
                 facts.reborn(registration.peer.birth);
                 facts.registered = true;
                 facts.leaving = registration.leaving;
+                facts.address = Some(registration.address.clone());
                 if let Some(host) = self.view.hosts.get_mut(name) {
                     host.address = registration.address.clone();
                 }
@@ -139,15 +147,13 @@
 
     /// Takes in the platform's word on a host.
     pub(crate) fn platform(&mut self, now: Time, name: &str, state: Option<PlatformState>) -> bool {
-        let Some(facts) = self.facts.get_mut(name) else { return false };
-        facts.platform = state;
+        self.facts.entry(Name::from(name)).or_default().platform = state;
         self.refresh(now)
     }
 
     /// Takes in a planned stop, or its end.
     pub(crate) fn stop(&mut self, now: Time, name: &str, stop: bool) -> bool {
-        let Some(facts) = self.facts.get_mut(name) else { return false };
-        facts.stopped = stop;
+        self.facts.entry(Name::from(name)).or_default().stopped = stop;
         self.refresh(now)
     }
 
@@ -158,16 +164,19 @@
         self.refresh(now)
     }
 
-    /// Returns whether this host was told to stop, by operators or the platform.
+    /// Returns whether this host was told to stop, by operators or the platform,
+    /// or is not in the inventory any more.
     pub(crate) fn told_to_stop(&self) -> bool {
         let Some(own) = self.facts.get(&self.view.me.host) else { return false };
-        own.stopped || own.platform == Some(PlatformState::Leaving)
+        let listed = matches!(own.platform, Some(PlatformState::Leaving | PlatformState::Gone));
+        own.stopped || listed || (self.view.inventory && !self.listed)
     }
 
     /// Takes in a frame's sender; says whether the view changed, none for an
     /// incarnation that is gone or a host that is not in the inventory.
     pub(crate) fn heard(&mut self, now: Time, peer: &Peer, leaving: bool) -> Option<bool> {
-        let facts = self.facts.get_mut(&peer.host)?;
+        self.view.hosts.get(&peer.host)?;
+        let facts = self.facts.entry(peer.host.clone()).or_default();
         if peer.birth < facts.birth || peer.host == self.view.me.host {
             return None;
         }
@@ -233,8 +242,11 @@
     fn state(&self, now: Time) -> HostState {
         let recent = |at: Option<Time>, ms: u64| at.is_some_and(|at| at.after_ms(ms) > now);
         let heard = recent(self.heard, SUSPECT_MS);
+        // The platform's list lags, and a host that is cut off from the platform
+        // may look gone to it while it serves on. Its word makes a host suspect;
+        // only a later incarnation or the operators prove that it ended.
         if self.platform == Some(PlatformState::Gone) && !heard {
-            return HostState::Gone;
+            return HostState::Suspect;
         }
         let silent = self.silent.is_some_and(|since| since.after_ms(SUSPECT_MS) <= now);
         let broken = recent(self.broken, BROKEN_MS);
--- a/endivestile_testkit/src/world/story.rs
+++ b/endivestile_testkit/src/world/story.rs
@@ -42,7 +42,8 @@
     if first.words.first() != Some(&"world") {
         return Err(format!("a story starts with `world`: {}", first.line));
     }
-    let mut world = World::new(first.config()?, first.number("seed", 1)?);
+    let mut world =
+        World::new(first.config()?, first.number("seed", 1)?, first.number("seeds", 1)? == 1);
     for server in world.server_names() {
         world.speed(&server, first.number("ms", 100)?);
     }
@@ -282,7 +283,9 @@
     fn accept(&mut self, step: &Step<'_>) -> Result<(), String> {
         let limit: u32 = step.number("limit", 1_000)? as u32;
         let policy = step.pairs.get("policy").copied();
+        let without = step.pairs.get("without").copied().unwrap_or_default();
         self.world.accept(|config| {
+            config.hosts.retain(|name, _| !without.split(',').any(|gone| **name == *gone));
             for member in config.members.values_mut() {
                 member.limit = limit;
             }
