Strengthen the shards' tests by what mutations showed

Cause: of fifteen first mutations seven went unseen: no_fence, fence_after_swap, old_batch_granted, lost write not read back, stale_ack, unsynced_ack, withdrawn_granted.

Ruled out as faults of the tests: fence_after_swap, old_batch_granted and unsynced_ack are equivalent. A witness enters an id in the table that it takes over with before it acknowledges, and drops its sync with the record, so that either the fence or the sync alone stops a double start; batches are one at a time on ordered links.

--- a/endivestile_kernel/tests/shard_model.rs
+++ b/endivestile_kernel/tests/shard_model.rs
@@ -280,9 +280,8 @@
             let home = hosts[record.home];
             !home.dead && home.seen.is_none_or(|seen| seen.epoch < record.epoch)
         }
-        Mail::Recorded { to, epoch } => {
-            !hosts[to].dead && stands(to).home == epoch && stands(to).fence <= epoch
-        }
+        // Whether a stale one matters is for the rules to say.
+        Mail::Recorded { to, .. } => !hosts[to].dead,
         Mail::Synced { to, epoch } => {
             !hosts[to].dead && stands(to).home == epoch && stands(to).backing == Backing::Missing
         }
--- a/endivestile_kernel/tests/shards/scenarios.rs
+++ b/endivestile_kernel/tests/shards/scenarios.rs
@@ -65,6 +65,27 @@
     let again = world.submit(home, &id(0, 1));
     world.advance(10);
     assert_eq!(fate(&world, again), Some(&Fate::Started));
+    let question = world.confirm(home, &id(0, 2));
+    world.withdraw(home, question);
+    world.advance(2_000);
+    assert_eq!(fate(&world, question), None);
+}
+
+// The watch on the store is late, so that a former home does not hear that it
+// was replaced. The new home's fence tells it at once; without it callers
+// would wait a second and learn nothing.
+#[test]
+fn fence_tells_former_home() {
+    let mut world = three();
+    let (home, witness) = (world.home(0), world.witness(0));
+    world.watch_ms = 60_000;
+    world.set_run(home, Run::Paused);
+    world.advance(200);
+    world.set_run(home, Run::Up);
+    let ticket = world.submit(home, &id(0, 1));
+    world.advance(20);
+    assert_eq!(world.home(0), witness);
+    assert_eq!(fate(&world, ticket), Some(&Fate::Started));
 }
 
 // The home is paused after it has sent an id to its witness. The witness
@@ -139,6 +160,7 @@
 fn take_over_answer_lost() {
     let mut world = three();
     let (home, witness) = (world.home(0), world.witness(0));
+    world.watch_ms = 60_000;
     world.crash(home);
     world.lose = 1;
     world.advance(400);
--- a/endivestile_kernel/tests/shards/sequences.rs
+++ b/endivestile_kernel/tests/shards/sequences.rs
@@ -26,6 +26,7 @@
     Slow(usize, usize, u64),
     Store(bool),
     LoseAnswers(u32),
+    LateWatch(u64),
     Leave(usize),
     Gone(usize),
     Wait(u64),
@@ -46,6 +47,7 @@
         1 => (host(), host(), 1..200u64).prop_map(|(a, b, ms)| Step::Slow(a, b, ms)),
         1 => any::<bool>().prop_map(Step::Store),
         1 => (1..4u32).prop_map(Step::LoseAnswers),
+        1 => (1..5_000u64).prop_map(Step::LateWatch),
         1 => host().prop_map(Step::Leave),
         1 => host().prop_map(Step::Gone),
         10 => prop_oneof![1..10u64, 10..400u64].prop_map(Step::Wait),
@@ -71,6 +73,7 @@
         }
         Step::Store(up) => world.store_up = up,
         Step::LoseAnswers(count) => world.lose = count,
+        Step::LateWatch(ms) => world.watch_ms = ms,
         Step::Leave(host) if world.run(host) == Run::Up => world.leave(host),
         Step::Gone(host) if world.run(host) == Run::Dead => world.declare_gone(host),
         Step::Wait(ms) => world.advance(ms),
@@ -84,6 +87,7 @@
     world.lose = 0;
     world.cut.clear();
     world.delay_ms.clear();
+    world.watch_ms = 5;
     for host in 0..HOSTS {
         match world.run(host) {
             Run::Paused => world.set_run(host, Run::Up),
--- a/endivestile_kernel/tests/shards/world.rs
+++ b/endivestile_kernel/tests/shards/world.rs
@@ -97,6 +97,8 @@
     pub(crate) delay_ms: BTreeMap<(usize, usize), u64>,
     pub(crate) cut: BTreeSet<(usize, usize)>,
     pub(crate) store_up: bool,
+    /// Delay of the watch on the records.
+    pub(crate) watch_ms: u64,
     /// Store answers to lose after the effect.
     pub(crate) lose: u32,
     values: BTreeMap<Name, (u64, Bytes)>,
@@ -129,6 +131,7 @@
             delay_ms: BTreeMap::new(),
             cut: BTreeSet::new(),
             store_up: true,
+            watch_ms: 5,
             lose: 0,
             values: BTreeMap::new(),
             revision: 0,
@@ -447,7 +450,7 @@
         self.values.insert(key.clone(), (self.revision, value.clone()));
         let shard = key.rsplit('/').next().and_then(|text| text.parse().ok()).expect("a shard");
         for node in 0..self.nodes.len() {
-            let (at, revision) = (self.now + 5 + node as u64, self.revision);
+            let (at, revision) = (self.now + self.watch_ms + node as u64, self.revision);
             self.watch.push(Watched { at, node, shard, revision, value: value.clone() });
         }
         Stored::Swapped(self.revision)
