--- /dev/null
+++ b/endivestile_testkit/examples/slopes/heap.rs
@@ -0,0 +1,30 @@
+//! Bytes that this process has allocated.
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// Allocator that counts the bytes in use.
+struct Counting;
+
+static IN_USE: AtomicUsize = AtomicUsize::new(0);
+
+// SAFETY: every call goes to the system's allocator unchanged.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        IN_USE.fetch_add(layout.size(), Ordering::Relaxed);
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        IN_USE.fetch_sub(layout.size(), Ordering::Relaxed);
+        unsafe { System.dealloc(ptr, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+/// Returns the bytes in use.
+pub(crate) fn in_use() -> usize {
+    IN_USE.load(Ordering::Relaxed)
+}
--- /dev/null
+++ b/endivestile_testkit/examples/slopes/inventory.rs
@@ -0,0 +1,74 @@
+//! Inventories of a given size.
+
+use endivestile_config::model::{Config, Host, Member, Name, Worker, Zone};
+
+/// Members of the target.
+const MEMBERS: usize = 170;
+/// Workers of a rack.
+const RACK: usize = 20;
+/// Regions of the target.
+const REGIONS: usize = 8;
+
+/// Size of an inventory.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Size {
+    /// Availability zones.
+    pub(crate) zones: usize,
+    /// Entry hosts.
+    pub(crate) hosts: usize,
+    /// Workers.
+    pub(crate) workers: usize,
+}
+
+/// Returns the name of a zone.
+pub(crate) fn zone(at: usize) -> Name {
+    Name::from(format!("zone-{at:02}"))
+}
+
+/// Returns the name of a host.
+pub(crate) fn host(at: usize) -> Name {
+    Name::from(format!("entry-{at:03}"))
+}
+
+/// Returns the name of a member.
+pub(crate) fn member(at: usize) -> Name {
+    Name::from(format!("member-{:03}", at % MEMBERS))
+}
+
+/// Makes a configuration with hosts and workers spread evenly over the zones.
+pub(crate) fn config(size: Size) -> Config {
+    let mut config = Config { revision: 1, ..Config::default() };
+    for at in 0..size.zones {
+        let region = Name::from(format!("region-{}", at % REGIONS));
+        config.zones.insert(zone(at), Zone { region });
+    }
+    for at in 0..size.hosts {
+        let address = Name::from(format!("127.1.{}.{}:7070", at / 200, at % 200 + 1));
+        let entry = Host { zone: zone(at % size.zones), address, weight: 1 };
+        config.hosts.insert(host(at), entry);
+    }
+    for at in 0..MEMBERS {
+        config.members.insert(member(at), Member { limit: 1_000_000, weight: 1 });
+    }
+    add_workers(&mut config, size);
+    config.rules.queue_limit = 1_000_000;
+    config
+}
+
+/// Adds workers that nobody serves; nothing is sent to them without a task.
+pub(crate) fn add_workers(config: &mut Config, size: Size) {
+    let zones: Vec<Name> = config.zones.keys().cloned().collect();
+    for at in 0..size.workers {
+        // 6,300 accelerators on 4,400 workers.
+        let accelerators = if at % 14 < 5 { 4 } else { 0 };
+        let worker = Worker {
+            zone: zones[at % zones.len()].clone(),
+            rack: Name::from(format!("rack-{:03}", at / RACK)),
+            address: Name::from(format!("127.2.{}.{}:9000", at / 200, at % 200 + 1)),
+            cpu_milli: 32_000,
+            memory_mb: 65_536,
+            accelerators,
+        };
+        config.workers.insert(Name::from(format!("worker-{at:05}")), worker);
+    }
+}
--- /dev/null
+++ b/endivestile_testkit/examples/slopes/rig.rs
@@ -0,0 +1,166 @@
+//! One kernel without processes: back ends answer when they are told to.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use endivestile_config::model::Config;
+use endivestile_kernel::{
+    AttemptId, CallId, Effect, End, Event, Figure, Frame, Kernel, Need, Peer, Registration, Setup,
+    Submission, SubmissionId, Target, Task, Time,
+};
+
+use crate::inventory;
+
+/// Seconds since 1970 at which kernels start.
+pub(crate) const WALL_S: u64 = 1_800_000_000;
+/// Need of a task: 32 of them fit a worker.
+const NEED: Need = Need { cpu_milli: 1_000, memory_mb: 1_000, accelerators: 0 };
+/// Bytes of work and of a result.
+const WORK: [u8; 64] = [b'w'; 64];
+
+/// A kernel and its open calls to back ends.
+pub(crate) struct Rig {
+    /// The kernel.
+    pub(crate) kernel: Kernel,
+    /// Its clock.
+    pub(crate) now: Time,
+    /// Time spent inside it.
+    pub(crate) spent: Duration,
+    /// Part of it spent on frames and on the next deadline.
+    pub(crate) flushing: Duration,
+    /// Answers to callers.
+    pub(crate) answers: u64,
+    /// Frames sent.
+    pub(crate) frames: u64,
+    /// Effects for others than callers and back ends.
+    pub(crate) rest: Vec<Effect>,
+    open: VecDeque<AttemptId>,
+    calls: u64,
+    out: Vec<Effect>,
+}
+
+impl Rig {
+    /// Starts the kernel of host number `at`.
+    pub(crate) fn new(at: usize, zones: usize) -> Self {
+        let setup = Setup {
+            me: peer(at),
+            zone: inventory::zone(at % zones),
+            address: "127.0.0.1:7070".into(),
+            wall_s: WALL_S,
+            seed: 1,
+            seeds: Vec::new(),
+        };
+        Self {
+            kernel: Kernel::new(setup),
+            now: Time::ZERO,
+            spent: Duration::ZERO,
+            flushing: Duration::ZERO,
+            answers: 0,
+            frames: 0,
+            rest: Vec::new(),
+            open: VecDeque::new(),
+            calls: 0,
+            out: Vec::new(),
+        }
+    }
+
+    /// Hands an event in and carries the effects out.
+    pub(crate) fn event(&mut self, event: Event) {
+        let began = Instant::now();
+        self.kernel.handle(self.now, event, &mut self.out);
+        let handled = Instant::now();
+        self.kernel.flush(self.now, &mut self.out);
+        // The daemon asks for it after each batch, to set its timer.
+        std::hint::black_box(self.kernel.deadline());
+        self.flushing += handled.elapsed();
+        self.spent += began.elapsed();
+        for effect in self.out.drain(..) {
+            match effect {
+                Effect::Start { attempt, .. } => self.open.push_back(attempt),
+                Effect::Answer { .. } => self.answers += 1,
+                Effect::Log(_) | Effect::Count(..) => {}
+                other => {
+                    self.frames += u64::from(matches!(other, Effect::Send { .. }));
+                    self.rest.push(other);
+                }
+            }
+        }
+    }
+
+    /// Adopts a configuration.
+    pub(crate) fn configure(&mut self, config: &Config) {
+        self.event(Event::Config { config: Arc::new(config.clone()), text: Bytes::new() });
+    }
+
+    /// Registers host number `at`.
+    pub(crate) fn register(&mut self, at: usize, zones: usize, leaving: bool) {
+        let registration = Registration {
+            peer: peer(at),
+            zone: inventory::zone(at % zones),
+            address: format!("127.1.{}.{}:7070", at / 200, at % 200 + 1).into(),
+            leaving,
+        };
+        let host = inventory::host(at);
+        self.event(Event::Host { host, registration: Some(registration) });
+    }
+
+    /// Hears host number `at`, which tells a load without free slots.
+    pub(crate) fn hear(&mut self, at: usize, me: usize) {
+        let target = Target::Need(Need { cpu_milli: 0, memory_mb: 0, accelerators: 0 });
+        let figure = Figure {
+            target,
+            slots: 600,
+            free: 0,
+            waiting: 100,
+            service_us: 200_000,
+            wait_us: 400_000,
+        };
+        self.event(Event::Frame(Frame {
+            from: peer(at),
+            to: peer(me),
+            seq: 0,
+            ack: 0,
+            sent: self.now,
+            revision: 1,
+            leaving: false,
+            load: Some(Arc::from([figure])),
+            msgs: Vec::new(),
+        }));
+    }
+
+    /// Submits a request, or a job when `tasks` is more than one.
+    pub(crate) fn submit(&mut self, id: Option<SubmissionId>, tasks: usize) {
+        self.calls += 1;
+        let work = Bytes::copy_from_slice(&WORK);
+        let task =
+            || Arc::new(Task { target: Target::Need(NEED), work: work.clone(), declared: 0 });
+        let submission = Submission {
+            idempotent: id.is_none(),
+            id,
+            member: inventory::member(self.calls as usize),
+            deadline: self.now.after_ms(1_000_000),
+            tasks: (0..tasks).map(|_| task()).collect(),
+        };
+        self.event(Event::Call { call: CallId(self.calls), submission });
+    }
+
+    /// Ends the oldest open call to a back end; false when none is open.
+    pub(crate) fn end(&mut self) -> bool {
+        let Some(attempt) = self.open.pop_front() else { return false };
+        let end = End::Answered(Bytes::copy_from_slice(&WORK));
+        self.event(Event::End { attempt, end });
+        true
+    }
+
+    /// Returns the open calls to back ends.
+    pub(crate) fn open(&self) -> usize {
+        self.open.len()
+    }
+}
+
+/// Returns the incarnation of host number `at`.
+pub(crate) fn peer(at: usize) -> Peer {
+    Peer::new(inventory::host(at), 1 + at as u64)
+}
