Repeat requests at once when the placer that holds them falls silent

Cause: process test request_zone_cut: a request handed over to the other zone just before a cut waited for its deadline (504), because tasks at a silent placer counted as lost only after 6.5 s. Ruled out: counting all tasks as lost at the first suspicion (a paused placer often comes back with their answers, and a job would fail for nothing). Change: requests without an id are repeated, within the retry budget, as soon as the placer is suspected; the others go on waiting. Figures: story answer_zone_cut_handed_over, 4 s after the cut: 4 of 8 answered before, 8 of 8 after.

--- a/endivestile_kernel/src/kernel/task.rs
+++ b/endivestile_kernel/src/kernel/task.rs
@@ -5,7 +5,7 @@
 
 use crate::kernel::submit::Arrival;
 use crate::routes::{Route, Routes};
-use crate::run::{Run, RunState, TaskState, Waiter};
+use crate::run::{Run, RunState, RunTask, TaskState, Waiter};
 use crate::{
     Answer, Cause, Class, Effect, Failure, HostState, Kernel, Metric, Msg, Order, Outcome, Peer,
     PlaceEffect, Submission, Target, Task, TaskKey, Time,
@@ -287,8 +287,20 @@
 
     /// Tasks at a placer that is gone, or silent for too long, may have run.
     pub(super) fn lose_tasks(&mut self, now: Time, lost: &Peer) {
-        let at_lost = |task: &crate::run::RunTask| task.state == TaskState::Placed(lost.clone());
-        let runs = self.runs.select(|run| run.tasks.iter().any(at_lost));
+        self.lose_tasks_of(now, lost, |_| true);
+    }
+
+    /// Requests that may be repeated do not wait for a placer that went silent:
+    /// their caller would see nothing until the deadline, though another back
+    /// end could answer at once. The others wait, since the placer may come back
+    /// with their answers.
+    pub(super) fn repeat_tasks(&mut self, now: Time, silent: &Peer) {
+        self.lose_tasks_of(now, silent, Run::may_repeat);
+    }
+
+    fn lose_tasks_of(&mut self, now: Time, lost: &Peer, pick: impl Fn(&Run) -> bool) {
+        let at_lost = |task: &RunTask| task.state == TaskState::Placed(lost.clone());
+        let runs = self.runs.select(|run| pick(run) && run.tasks.iter().any(at_lost));
         for number in runs {
             let Some(run) = self.runs.get(number) else { continue };
             let keys: Vec<TaskKey> = placed_tasks(number, run)
--- a/endivestile_kernel/src/kernel/watch.rs
+++ b/endivestile_kernel/src/kernel/watch.rs
@@ -82,6 +82,7 @@
         self.placer.view_changed(now, view, &mut self.place_effects);
         self.settle(now);
         self.reroute(now);
+        self.repeat_silent(now);
     }
 
     fn bury_gone(&mut self, now: Time) {
@@ -97,6 +98,15 @@
         }
     }
 
+    fn repeat_silent(&mut self, now: Time) {
+        let view = self.hosts.view();
+        let silent = |peer: &&Peer| view.state(peer) == HostState::Suspect;
+        let silent: Vec<Peer> = self.channels.keys().filter(silent).cloned().collect();
+        for peer in silent {
+            self.repeat_tasks(now, &peer);
+        }
+    }
+
     fn lose_silent(&mut self, now: Time) {
         let limit = SUSPECT_MS + LOST_MS;
         let silent = |peer: &&Peer| {
