Cut the kernel's module for calls into five

Ruled out: - Change: submit (who may run it), grant (what shards allow), ask, pass (other hosts), reply; no change of behaviour; the time for which ids are remembered stands once and uses the shards' margin.

--- a/endivestile_kernel/src/kernel.rs
+++ b/endivestile_kernel/src/kernel.rs
@@ -1,6 +1,10 @@
 //! The kernel: takes events in, gives effects out.
 
+mod ask;
+mod grant;
 mod link;
+mod pass;
+mod reply;
 mod status;
 mod stop;
 mod submit;
--- /dev/null
+++ b/endivestile_kernel/src/kernel/ask.rs
@@ -0,0 +1,93 @@
+//! Questions about ids, and cancellations.
+
+use std::sync::Arc;
+
+use crate::kernel::submit::MAX_HOPS;
+use crate::passed::{Forward, What};
+use crate::run::{RunState, Waiter};
+use crate::{
+    Answer, Ask, CallId, Cause, Class, Failure, Form, HostState, Kernel, Msg, Peer, SubmissionId,
+    Time,
+};
+
+/// Time to answer a question before it is given up, in milliseconds.
+const ASK_MS: u64 = 2_000;
+
+impl Kernel {
+    pub(super) fn called(&mut self, now: Time, call: CallId, id: SubmissionId, ask: Ask) {
+        self.ask(now, Waiter::Call(call), id, ask, 0);
+    }
+
+    pub(super) fn ask(&mut self, now: Time, waiter: Waiter, id: SubmissionId, ask: Ask, hops: u8) {
+        if let Some(number) = self.runs.by_id(&id) {
+            self.answer_ask(now, &waiter, number, ask);
+            return;
+        }
+        let owner = match id.form() {
+            Form::Minted(issuer, _) => Some(issuer.clone()),
+            Form::Dated(_) => match self.shards.known(&id) {
+                Some(known) => Some(known.runner.clone()),
+                None => self.shards.home(&id).cloned(),
+            },
+        };
+        let Some(owner) = owner else {
+            self.refuse(now, &waiter, Class::Unknown, Cause::ShardMoving);
+            return;
+        };
+        if owner == self.setup.me {
+            self.reply(now, &waiter, Arc::new(Answer::NotFound));
+            return;
+        }
+        match self.hosts.view().state(&owner) {
+            HostState::Gone => {
+                let answer = Answer::Failed(Failure::HomeLost);
+                self.reply(now, &waiter, Arc::new(answer));
+            }
+            HostState::Live | HostState::Leaving if hops < MAX_HOPS => {
+                self.forward_ask(now, waiter, id, ask, owner, hops + 1);
+            }
+            _ => self.refuse(now, &waiter, Class::Unknown, Cause::HomeAway),
+        }
+    }
+
+    fn forward_ask(
+        &mut self,
+        now: Time,
+        waiter: Waiter,
+        id: SubmissionId,
+        ask: Ask,
+        to: Peer,
+        hops: u8,
+    ) {
+        let due = now.after_ms(ASK_MS);
+        let forward = Forward { waiter, what: What::Ask, to: to.clone(), due, hops, until: due };
+        let call = self.passed.forward(forward);
+        self.push(&to, Msg::Ask { call, id, ask, hops });
+    }
+
+    fn answer_ask(&mut self, now: Time, waiter: &Waiter, number: u64, ask: Ask) {
+        let Some(run) = self.runs.get_mut(number) else { return };
+        if let RunState::Ended(answer) = &run.state {
+            let answer = answer.clone();
+            self.reply(now, waiter, answer);
+            return;
+        }
+        match ask {
+            Ask::Fetch => self.reply(now, waiter, Arc::new(Answer::Running)),
+            Ask::Cancel => {
+                run.waiters.push(waiter.clone());
+                self.shards.withdraw(number);
+                self.keep_cancelled(now, number);
+                self.finish(now, number, Answer::Failed(Failure::Cancelled));
+            }
+        }
+    }
+
+    /// A cancelled id stays cancelled when its submission comes in late.
+    fn keep_cancelled(&mut self, now: Time, number: u64) {
+        let keep = now.after_ms(self.keep_ms());
+        if let Some(run) = self.runs.get_mut(number) {
+            run.keep = run.keep.max(keep);
+        }
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/kernel/grant.rs
@@ -0,0 +1,68 @@
+//! What the shards let this host do.
+
+use crate::kernel::submit::{Arrival, PATIENCE_MS};
+use crate::run::RunState;
+use crate::{Answer, Cause, Class, Effect, Kernel, MARGIN_S, Metric, ShardEffect, Time};
+
+impl Kernel {
+    pub(super) fn shard_effect(&mut self, now: Time, effect: ShardEffect) {
+        match effect {
+            ShardEffect::Send { to, msg } => self.push(&to, msg),
+            ShardEffect::Store { token, op } => {
+                self.count(Metric::StoreCalls, 1);
+                self.out.push(Effect::Store { token, op });
+            }
+            ShardEffect::Granted { ticket } => self.granted(now, ticket),
+            ShardEffect::Refused { ticket, class, cause } => {
+                self.ungranted(now, ticket, class, cause);
+            }
+            ShardEffect::Moved { ticket } => {
+                self.ungranted(now, ticket, Class::Unknown, Cause::ShardMoving);
+            }
+            ShardEffect::Log(note) => self.out.push(Effect::Log(note)),
+            ShardEffect::Count(metric, count) => self.count(metric, count),
+        }
+    }
+
+    fn granted(&mut self, now: Time, ticket: u64) {
+        let keep_ms = self.keep_ms();
+        let Some(run) = self.runs.get_mut(ticket) else { return };
+        match run.state {
+            RunState::Asking => {
+                run.keep = run.arrived.after_ms(keep_ms);
+                self.start(now, ticket);
+            }
+            RunState::Refusing(cause) => {
+                let refusal = self.refusal(now, Class::NotRun, cause);
+                self.finish(now, ticket, Answer::Refused(refusal));
+            }
+            RunState::Running | RunState::Ended(_) => {}
+        }
+    }
+
+    fn ungranted(&mut self, now: Time, ticket: u64, class: Class, cause: Cause) {
+        let Some(run) = self.runs.get_mut(ticket) else { return };
+        let submission = run.submission.clone();
+        let waiters = std::mem::take(&mut run.waiters);
+        let until = run.arrived.after_ms(PATIENCE_MS).min(submission.deadline);
+        self.runs.remove(ticket);
+        for waiter in waiters {
+            let arrival = Arrival { waiter, submission: submission.clone(), hops: 0, until };
+            self.park_or_refuse(now, arrival, class, cause);
+        }
+    }
+
+    /// Returns for how long an id is remembered, in milliseconds: the window and
+    /// the margins by which clocks may differ on both ends.
+    pub(super) fn keep_ms(&self) -> u64 {
+        let window_s = self.config.as_ref().map_or(0, |config| config.rules.window_s);
+        (window_s + 2 * MARGIN_S) * 1_000
+    }
+
+    /// Gives up on a run that the witness has not let start.
+    pub(super) fn give_up_asking(&mut self, now: Time, ticket: u64) {
+        self.shards.withdraw(ticket);
+        let refusal = self.refusal(now, Class::Unknown, Cause::WitnessAway);
+        self.finish(now, ticket, Answer::Refused(refusal));
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/kernel/pass.rs
@@ -0,0 +1,112 @@
+//! Calls passed on to another host, or waiting for one.
+
+use std::sync::Arc;
+
+use crate::kernel::reply::RETRY_MS;
+use crate::kernel::submit::{Arrival, MAX_HOPS, PATIENCE_MS};
+use crate::passed::{Forward, Parked, What};
+use crate::{Answer, Cause, Class, Failure, Form, HostState, Kernel, Metric, Msg, Peer, Time};
+
+/// Wait before a parked submission is tried again, in milliseconds.
+const PARK_MS: u64 = 100;
+
+impl Kernel {
+    pub(super) fn forward_home(&mut self, now: Time, arrival: Arrival, home: Peer) {
+        let state = self.hosts.view().state(&home);
+        let reachable = matches!(state, HostState::Live | HostState::Leaving);
+        if reachable && arrival.hops < MAX_HOPS {
+            self.forward(now, arrival, home);
+        } else {
+            self.park_or_refuse(now, arrival, Class::Unknown, Cause::HomeAway);
+        }
+    }
+
+    pub(super) fn forward(&mut self, now: Time, arrival: Arrival, to: Peer) {
+        let submission = arrival.submission;
+        let forward = Forward {
+            waiter: arrival.waiter,
+            due: submission.deadline.after_ms(RETRY_MS),
+            what: What::Submission(submission.clone()),
+            to: to.clone(),
+            hops: arrival.hops + 1,
+            until: arrival.until.max(now.after_ms(PATIENCE_MS)),
+        };
+        let hops = forward.hops;
+        let call = self.passed.forward(forward);
+        self.count(Metric::Forwards, 1);
+        self.push(&to, Msg::Submit { call, submission, hops });
+    }
+
+    /// Waits for the shard to get a usable home while that can be hoped for;
+    /// otherwise refuses at once.
+    pub(super) fn park_or_refuse(
+        &mut self,
+        now: Time,
+        arrival: Arrival,
+        class: Class,
+        cause: Cause,
+    ) {
+        let passing = matches!(cause, Cause::HomeAway | Cause::WitnessAway | Cause::ShardMoving);
+        let at = now.after_ms(PARK_MS);
+        // At the start the store may not have answered yet.
+        let hope = self.hosts.view().store || now < Time::ZERO.after_ms(PATIENCE_MS);
+        if !passing || !hope || at >= arrival.until {
+            self.refuse(now, &arrival.waiter, class, cause);
+            return;
+        }
+        let Arrival { waiter, submission, hops, until } = arrival;
+        self.passed.park(at, Parked { waiter, submission, hops, until });
+    }
+
+    pub(super) fn replied(&mut self, now: Time, call: u64, answer: Arc<Answer>) {
+        let Some(forward) = self.passed.take(call) else { return };
+        self.reply(now, &forward.waiter, answer);
+    }
+
+    /// Takes back what was passed on to hosts that went silent or are gone.
+    pub(super) fn reroute(&mut self, now: Time) {
+        let view = self.hosts.view();
+        let away = |peer: &Peer| matches!(view.state(peer), HostState::Suspect | HostState::Gone);
+        for forward in self.passed.take_to(away) {
+            self.reroute_one(now, forward);
+        }
+    }
+
+    fn reroute_one(&mut self, now: Time, forward: Forward) {
+        let gone = self.hosts.view().state(&forward.to) == HostState::Gone;
+        let Forward { waiter, what, hops, until, .. } = forward;
+        let What::Submission(submission) = what else {
+            self.refuse(now, &waiter, Class::Unknown, Cause::HomeAway);
+            return;
+        };
+        let minted = submission.id.as_ref().is_some_and(|id| matches!(id.form(), Form::Minted(..)));
+        if minted && gone {
+            self.reply(now, &waiter, Arc::new(Answer::Failed(Failure::HomeLost)));
+        } else if minted {
+            self.refuse(now, &waiter, Class::Unknown, Cause::HomeAway);
+        } else {
+            let hops = hops.saturating_sub(1);
+            let until = until.max(now.after_ms(PATIENCE_MS)).min(submission.deadline);
+            let arrival = Arrival { waiter, submission, hops, until };
+            self.park_or_refuse(now, arrival, Class::Unknown, Cause::HomeAway);
+        }
+    }
+
+    pub(super) fn passed_due(&mut self, now: Time) {
+        while let Some(parked) = self.passed.unpark(now) {
+            let Parked { waiter, submission, hops, until } = parked;
+            self.submit(now, Arrival { waiter, submission, hops, until });
+        }
+        while let Some(forward) = self.passed.late(now) {
+            match forward.what {
+                What::Submission(_) => {
+                    let answer = Answer::Failed(Failure::Deadline);
+                    self.reply(now, &forward.waiter, Arc::new(answer));
+                }
+                What::Ask => {
+                    self.refuse(now, &forward.waiter, Class::Unknown, Cause::HomeAway);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/kernel/reply.rs
@@ -0,0 +1,48 @@
+//! Answers to those who wait.
+
+use std::sync::Arc;
+
+use crate::run::Waiter;
+use crate::{Answer, Cause, Class, Effect, Kernel, Metric, Msg, Time};
+
+/// Wait that a refusal suggests when nothing better is known, in milliseconds.
+pub(super) const RETRY_MS: u64 = 1_000;
+
+impl Kernel {
+    pub(super) fn refuse(&mut self, now: Time, waiter: &Waiter, class: Class, cause: Cause) {
+        let refusal = self.refusal(now, class, cause);
+        self.reply(now, waiter, Arc::new(Answer::Refused(refusal)));
+    }
+
+    pub(super) fn reply(&mut self, now: Time, waiter: &Waiter, answer: Arc<Answer>) {
+        match waiter {
+            Waiter::Call(call) => {
+                self.count_answer(&answer);
+                self.out.push(Effect::Answer { call: *call, answer });
+            }
+            Waiter::Front(peer, call) => {
+                let msg = Msg::Reply { call: *call, answer };
+                self.push_alive(now, peer, msg);
+            }
+        }
+    }
+
+    pub(super) fn retry_at(&self, now: Time, cause: Cause) -> Time {
+        match cause {
+            Cause::Expired => Time::NEVER,
+            Cause::Full | Cause::Limit | Cause::Deadline => self.drain_at(now),
+            _ => now.after_ms(RETRY_MS),
+        }
+    }
+
+    fn count_answer(&mut self, answer: &Answer) {
+        let metric = match answer {
+            Answer::Complete(_) => Metric::Complete,
+            Answer::Failed(_) => Metric::Failed,
+            Answer::Refused(refusal) if refusal.class == Class::NotRun => Metric::RefusedNotRun,
+            Answer::Refused(_) => Metric::RefusedUnknown,
+            Answer::Conflict | Answer::Running | Answer::NotFound => return,
+        };
+        self.count(metric, 1);
+    }
+}
