Send new messages at once while earlier ones are being acknowledged

The virtual world sent frames after every event and could not show it. Ruled out: the back ends and the HTTP edge (one caller at a time was fast). Change: the timer is set only when something sent is unacknowledged. The world's hosts take in what comes within 100 us before they send, as the daemon's loop does; 'submit' may spread its calls, 'slower' counts late ones.

--- a/endivestile_kernel/src/channel.rs
+++ b/endivestile_kernel/src/channel.rs
@@ -213,7 +213,8 @@
         self.sent = self.sent.max(self.acked);
         self.resend_ms = RESEND_MS;
         self.resend_due = None;
-        if !self.unacked.is_empty() {
+        // What was never sent is not held back: it leaves with the next frame.
+        if self.sent > self.acked {
             self.resend_due = Some(now.after_ms(self.resend_ms));
         }
     }
--- a/endivestile_testkit/src/world.rs
+++ b/endivestile_testkit/src/world.rs
@@ -40,6 +40,8 @@
     Event { host: Name, birth: u64, event: Event },
     /// A host's kernel asked to be woken.
     Wake { host: Name, birth: u64 },
+    /// A host has taken in what came at about the same time.
+    Flush { host: Name, birth: u64 },
     /// A call reaches a back end.
     Arrive(backend::Visit),
     /// A back end is done with a call.
@@ -148,6 +150,7 @@
         match happening {
             Happening::Event { host, birth, event } => self.deliver(&host, birth, event),
             Happening::Wake { host, birth } => self.wake(&host, birth),
+            Happening::Flush { host, birth } => self.flush(&host, birth),
             Happening::Arrive(visit) => self.arrive(visit),
             Happening::Depart(visit) => self.depart(visit),
             Happening::Expire(visit) => self.expire(visit),
--- a/endivestile_testkit/src/world/host.rs
+++ b/endivestile_testkit/src/world/host.rs
@@ -7,6 +7,9 @@
 
 use super::{Happening, WALL_S, World};
 
+/// Time in which a host's loop takes in events before it sends frames, in microseconds.
+const TURN_US: u64 = 100;
+
 /// One entry host.
 #[derive(Debug)]
 pub(super) struct Machine {
@@ -18,6 +21,7 @@
     held: VecDeque<Event>,
     wake: Option<u64>,
     revision: u64,
+    turning: bool,
 }
 
 impl Machine {
@@ -62,6 +66,7 @@
             held: VecDeque::new(),
             wake: None,
             revision: 0,
+            turning: false,
         };
         let name = Name::from(name);
         self.machines.insert(name.clone(), machine);
@@ -125,11 +130,34 @@
         let Some(kernel) = &mut machine.kernel else { return };
         let mut effects = Vec::new();
         kernel.handle(clock, event, &mut effects);
-        kernel.flush(clock, &mut effects);
+        let due = !std::mem::replace(&mut machine.turning, true);
         for effect in effects {
             self.carry_out(name, birth, effect);
         }
         self.watch_revision(name);
+        if due {
+            self.at(now + TURN_US, Happening::Flush { host: name.clone(), birth });
+        }
+    }
+
+    /// Ends a turn of the host's loop: frames carry what its events caused.
+    pub(super) fn flush(&mut self, name: &Name, birth: u64) {
+        let now = self.now;
+        let Some(machine) = self.machines.get_mut(name) else { return };
+        if machine.birth != birth {
+            return;
+        }
+        machine.turning = false;
+        if machine.paused {
+            return;
+        }
+        let clock = machine.clock(now);
+        let Some(kernel) = &mut machine.kernel else { return };
+        let mut effects = Vec::new();
+        kernel.flush(clock, &mut effects);
+        for effect in effects {
+            self.carry_out(name, birth, effect);
+        }
         self.plan_wake(name, birth);
     }
 
--- a/endivestile_testkit/src/world/story.rs
+++ b/endivestile_testkit/src/world/story.rs
@@ -69,6 +69,7 @@
             "starts" => self.starts(),
             "check" => self.check(),
             "settled" => self.settled(),
+            "slower" => self.slower(step)?,
             "hosts" => self.hosts(),
             "calls" => self.store_calls(step)?,
             _ => self.fault(step)?,
@@ -135,17 +136,19 @@
 
     fn submit(&mut self, step: &Step<'_>) -> Result<(), String> {
         let name = step.word(1)?.to_owned();
-        let id = step.pairs.get("id").map(|key| self.id(key)).transpose()?;
         let word = match (step.pairs.get("work"), step.pairs.get("id")) {
             (Some(word), _) | (None, Some(word)) => (*word).to_owned(),
             (None, None) => name.clone(),
         };
         let repeat: u64 = step.number("times", 1)?;
+        let every = step.span("every", 0)?;
         for turn in 0..repeat {
             let suffix = if repeat == 1 { String::new() } else { format!("-{turn}") };
+            let key = step.pairs.get("id").map(|key| format!("{key}{suffix}"));
+            let id = key.map(|key| self.id(&key)).transpose()?;
             let submit = Submit {
                 host: Name::from(*step.pairs.get("at").ok_or("at=HOST is missing")?),
-                id: id.clone(),
+                id,
                 word: format!("{word}{suffix}"),
                 member: Name::from(*step.pairs.get("member").unwrap_or(&"m")),
                 tasks: step.number("tasks", 1)? as usize,
@@ -154,6 +157,7 @@
             };
             let call = self.world.submit(submit);
             self.names.insert(format!("{name}{suffix}"), call);
+            self.world.run(every);
         }
         Ok(())
     }
@@ -225,6 +229,15 @@
         }
     }
 
+    /// Prints how many calls took longer than a span.
+    fn slower(&mut self, step: &Step<'_>) -> Result<(), String> {
+        let span = span_ms(step.word(1)?)?;
+        let took = self.names.values().filter_map(|call| self.world.took_ms(*call));
+        let count = took.filter(|took| *took > span).count();
+        let _ = writeln!(self.out, "{count} calls took longer than {span} ms");
+        Ok(())
+    }
+
     /// Prints the calls that nobody has answered, on hosts that run.
     fn settled(&mut self) {
         let mut open = 0;
