Measure admission and memory of remembered ids

Cause: the table's size and the price of an admission bound what a host can be home of.

Change: benches/shards.rs: a home and its witness that hear each other at once, and the resident memory of a million ids of 47 bytes.

--- /dev/null
+++ b/endivestile_kernel/benches/shards.rs
@@ -0,0 +1,152 @@
+//! Cost of an admission, and bytes for each remembered id.
+
+use std::collections::BTreeMap;
+use std::hint::black_box;
+
+use criterion::{BatchSize, Criterion};
+use endivestile_config::model::{Name, Rules};
+use endivestile_kernel::{
+    Admit, HostState, HostView, Known, Msg, Peer, ShardEffect, ShardSetup, Shards, StoreOp, Stored,
+    SubmissionId, Time, View,
+};
+
+const WALL_S: u64 = 1_800_000_000;
+const SHARDS: u32 = 64;
+/// Ids whose memory is measured.
+const IDS: u64 = 1_000_000;
+
+/// A home of every shard and its witness, which hear each other at once.
+struct Pair {
+    hosts: Vec<(Shards, View)>,
+    values: BTreeMap<Name, u64>,
+    now: Time,
+    out: Vec<ShardEffect>,
+}
+
+impl Pair {
+    fn new() -> Self {
+        let hosts = (0..2).map(host).collect();
+        let mut pair = Self { hosts, values: BTreeMap::new(), now: Time::ZERO, out: Vec::new() };
+        while pair.hosts[0].0.status().iter().any(|shard| !shard.synced) {
+            pair.now = pair.now.after_ms(10);
+            pair.tick();
+        }
+        pair
+    }
+
+    fn tick(&mut self) {
+        let (shards, view) = &mut self.hosts[0];
+        let mut out = Vec::new();
+        shards.tick(self.now, view, &mut out);
+        self.apply(0, out);
+    }
+
+    fn apply(&mut self, at: usize, effects: Vec<ShardEffect>) {
+        for effect in effects {
+            let mut out = Vec::new();
+            let to = if let ShardEffect::Send { .. } = effect { 1 - at } else { at };
+            let from = self.hosts[at].1.me.clone();
+            let (shards, view) = &mut self.hosts[to];
+            match effect {
+                ShardEffect::Send { msg, .. } => {
+                    shards.message(self.now, view, &from, msg, &mut out);
+                }
+                ShardEffect::Store { token, op: StoreOp::Swap { key, .. } } => {
+                    let revision = self.values.entry(key).or_default();
+                    *revision += 1;
+                    shards.stored(self.now, view, token, Stored::Swapped(*revision), &mut out);
+                }
+                ShardEffect::Granted { ticket } => drop(black_box(ticket)),
+                _ => {}
+            }
+            self.apply(to, out);
+        }
+    }
+
+    /// Admits ids at the home, with the witness's answers.
+    fn admit(&mut self, ids: &[SubmissionId]) {
+        let mut out = std::mem::take(&mut self.out);
+        for (ticket, id) in ids.iter().enumerate() {
+            let (shards, view) = &mut self.hosts[0];
+            let admit = shards.admit(self.now, view, id, 7, ticket as u64, &mut out);
+            debug_assert_eq!(admit, Admit::Wait);
+        }
+        self.apply(0, out);
+    }
+}
+
+fn host(index: usize) -> (Shards, View) {
+    let names = ["zone0", "zone1"];
+    let me = Peer::new(format!("host{index}"), 1);
+    let zone = Name::from(names[index]);
+    let setup = ShardSetup { me: me.clone(), zone: zone.clone(), wall_s: WALL_S, seed: 1 };
+    let mut shards = Shards::new(setup);
+    shards.configure(&Rules { shards: SHARDS, ..Rules::default() });
+    let hosts = (0..2).map(|other| {
+        let peer = Peer::new(format!("host{other}"), 1);
+        // The first host ranks first for every shard.
+        let weight = if other == 0 { u32::MAX } else { 1 };
+        let (zone, address) = (Name::from(names[other]), Name::from("127.0.0.1:1"));
+        let view = HostView { peer, zone, address, weight, state: HostState::Live };
+        (view.peer.host.clone(), view)
+    });
+    let view = View { me, zone, hosts: hosts.collect(), store: true };
+    (shards, view)
+}
+
+/// Makes ids of the length of a UUID with its date.
+fn ids(from: u64, count: u64) -> Vec<SubmissionId> {
+    let text = |number: u64| format!("{WALL_S}:{number:08x}-89ab-4cde-8f01-23456789abcd");
+    (from..from + count).map(|n| SubmissionId::parse(&text(n)).expect("an id")).collect()
+}
+
+fn bench_admit(c: &mut Criterion) {
+    let mut group = c.benchmark_group("admit_and_record");
+    for burst in [1u64, 16, 256] {
+        let mut pair = Pair::new();
+        let mut next = 0;
+        group.throughput(criterion::Throughput::Elements(burst));
+        group.bench_function(format!("burst_{burst}"), |bencher| {
+            bencher.iter_batched(
+                || {
+                    next += burst;
+                    ids(next, burst)
+                },
+                |ids| pair.admit(&ids),
+                BatchSize::SmallInput,
+            );
+        });
+    }
+    group.finish();
+}
+
+/// Returns the resident bytes of this process.
+fn resident() -> u64 {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split_whitespace().nth(1).and_then(|text| text.parse().ok());
+    pages.unwrap_or(0u64) * 4_096
+}
+
+fn print_memory() {
+    let mut pair = Pair::new();
+    let home = pair.hosts[0].1.me.clone();
+    let (witness, view) = &mut pair.hosts[1];
+    let before = resident();
+    for part in 0..IDS / 1_000 {
+        for id in ids(part * 1_000, 1_000) {
+            let shard = id.shard(SHARDS);
+            let known = Known { id, digest: 7, runner: home.clone(), forget: Time::NEVER };
+            let msg = Msg::Record { shard, epoch: 1, batch: 1, ids: vec![known] };
+            witness.message(pair.now, view, &home, msg, &mut Vec::new());
+        }
+    }
+    let ids: usize = witness.status().iter().map(|shard| shard.ids).sum();
+    println!("remembered {ids} ids in {} bytes each", (resident() - before) / ids as u64);
+}
+
+fn main() {
+    print_memory();
+    let mut criterion = Criterion::default().configure_from_args();
+    bench_admit(&mut criterion);
+    criterion.final_summary();
+}
