--- a/endivestile_kernel/benches/shards.rs
+++ b/endivestile_kernel/benches/shards.rs
@@ -90,7 +90,7 @@
         let view = HostView { peer, zone, address, weight, state: HostState::Live };
         (view.peer.host.clone(), view)
     });
-    let view = View { me, zone, hosts: hosts.collect(), store: true };
+    let view = View { me, zone, hosts: hosts.collect(), store: true, inventory: true };
     (shards, view)
 }
 
--- a/endivestile_kernel/src/id.rs
+++ b/endivestile_kernel/src/id.rs
@@ -34,8 +34,8 @@
 /// What an id tells about where it may be started, and until when.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Form {
-    /// `m:<host>:<birth>:<serial>`, issued by one incarnation, which alone may start it.
-    Minted(Peer),
+    /// `m:<host>:<birth>:<serial>`, number `serial` of one incarnation, which alone may start it.
+    Minted(Peer, u64),
     /// `<seconds since 1970>:<key>`, chosen by the caller at its first try.
     Dated(u64),
 }
@@ -67,7 +67,7 @@
     /// Makes the id number `serial` of `issuer`.
     pub fn mint(issuer: &Peer, serial: u64) -> Self {
         let text = format!("m:{}:{:x}:{serial:x}", issuer.host, issuer.birth);
-        Self { text: Name::from(text), form: Form::Minted(issuer.clone()) }
+        Self { text: Name::from(text), form: Form::Minted(issuer.clone(), serial) }
     }
 
     /// Returns the id as callers write it.
@@ -134,10 +134,10 @@
 
 fn parse_minted(text: &str) -> Option<Form> {
     let mut parts = text.strip_prefix("m:")?.rsplitn(3, ':');
-    u64::from_str_radix(parts.next()?, 16).ok()?;
+    let serial = u64::from_str_radix(parts.next()?, 16).ok()?;
     let birth = u64::from_str_radix(parts.next()?, 16).ok()?;
     let host = parts.next().filter(|host| !host.is_empty())?;
-    Some(Form::Minted(Peer::new(host, birth)))
+    Some(Form::Minted(Peer::new(host, birth), serial))
 }
 
 fn parse_dated(text: &str) -> Option<Form> {
--- a/endivestile_kernel/src/shard/effect.rs
+++ b/endivestile_kernel/src/shard/effect.rs
@@ -1,6 +1,7 @@
 //! What enters and leaves the shards' state machine.
 
 use endivestile_config::model::Name;
+use serde::Serialize;
 
 use crate::{Cause, Class, Known, Metric, Msg, Note, Peer, StoreOp};
 
@@ -73,7 +74,8 @@
 }
 
 /// What a host is to a shard.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
 pub enum Role {
     /// Starts submissions.
     Home,
@@ -84,7 +86,7 @@
 }
 
 /// A shard as this host sees it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct ShardStatus {
     /// Number of the shard.
     pub shard: u32,
--- /dev/null
+++ b/endivestile_kernel/tests/place_compare.rs
@@ -0,0 +1,178 @@
+//! The policies side by side, in virtual time, against a clairvoyant list schedule.
+
+mod place_fake;
+
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::Arc;
+
+use endivestile_kernel::{Outcome, Time};
+use place_fake::ideal::{Arrival, list_schedule};
+use place_fake::{Fake, Mode, order, servers};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use test_case::test_case;
+
+const SERVERS: usize = 12;
+const SLOTS: u32 = 8;
+const SEEDS: [u64; 8] = [5, 6, 7, 8, 9, 10, 11, 12];
+const POLICIES: [&str; 5] =
+    ["earliest", "random", "round-robin", "least-outstanding", "two-choices"];
+
+/// Speeds that differ eightfold.
+fn factors() -> Vec<f64> {
+    (0..SERVERS).map(|at| [0.5, 1.0, 2.0, 4.0][at % 4]).collect()
+}
+
+/// Arrivals at `load` percent of capacity for `secs`: single tasks and jobs of up
+/// to 40, sizes from 50 ms to a second, a few of several seconds.
+fn trace(load: u32, secs: u64, seed: u64) -> Vec<Arrival> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let rate: f64 = factors().iter().map(|factor| f64::from(SLOTS) / factor).sum();
+    let work = rate * f64::from(load) / 100.0;
+    let mut at = 0.0;
+    let mut tasks = Vec::new();
+    let mut job = 0;
+    while at < secs as f64 * 1e6 {
+        let count = if rng.random_bool(0.05) { rng.random_range(2..=40) } else { 1 };
+        for _ in 0..count {
+            let ln = rng.random_range(50_000_f64.ln()..1_000_000_f64.ln());
+            let long = rng.random_bool(0.01);
+            let size_us = if long { rng.random_range(2e6..5e6) } else { ln.exp() } as u64;
+            at += size_us as f64 / work
+                * -rng.random_range(f64::MIN_POSITIVE..1.0).ln()
+                * f64::from(u8::from(count == 1));
+            let at_us = at as u64;
+            let declared_ms = declare(&mut rng, size_us);
+            tasks.push(Arrival {
+                at_us,
+                size_us,
+                deadline_us: at_us + 20_000_000,
+                declared_ms,
+                job,
+            });
+        }
+        if count > 1 {
+            let size: u64 = tasks.iter().rev().take(count).map(|task| task.size_us).sum();
+            at += size as f64 / work;
+        }
+        job += 1;
+    }
+    tasks
+}
+
+/// Declares a run time: a third says nothing, the rest is off by up to fivefold
+/// either way, all of it three times too long.
+fn declare(rng: &mut SmallRng, size_us: u64) -> u32 {
+    if rng.random_bool(0.3) {
+        return rng.random_range(10..20_000);
+    }
+    (size_us as f64 / 1_000.0 * 3.0 * rng.random_range(-1.6_f64..1.6).exp()) as u32
+}
+
+/// What came of traces.
+#[derive(Default)]
+struct Run {
+    /// Response times of finished tasks, in microseconds.
+    times: Vec<u64>,
+    /// Work finished, in microseconds on a back end of factor 1.
+    work: u64,
+}
+
+impl Run {
+    fn plus(mut self, other: Self) -> Self {
+        self.times.extend(other.times);
+        self.work += other.work;
+        self
+    }
+}
+
+fn replay(policy: &str, trace: &[Arrival], declared: bool) -> Run {
+    let mut config = servers(SERVERS, SLOTS);
+    config.rules.policy = policy.into();
+    let mut fake = Fake::new(config);
+    for (at, factor) in factors().into_iter().enumerate() {
+        fake.mode(&format!("b{at:04}"), Mode::Works(factor));
+    }
+    let mut left: HashMap<u64, u16> = HashMap::new();
+    for task in trace {
+        *left.entry(task.job).or_default() += 1;
+    }
+    for (run, task) in trace.iter().enumerate() {
+        fake.run_until(Time::from_micros(task.at_us));
+        let mut order = order(fake.now, run as u64, "a", task.size_us);
+        order.deadline = Time::from_micros(task.deadline_us);
+        order.left = left[&task.job];
+        Arc::make_mut(&mut order.task).declared = if declared { task.declared_ms } else { 0 };
+        fake.order(order);
+    }
+    fake.run_ms(60_000);
+    let mut run = Run::default();
+    for (at, key, outcome) in &fake.ended {
+        let task = trace[key.run as usize];
+        if matches!(outcome, Outcome::Done(_)) {
+            run.times.push(at.as_micros() - task.at_us);
+            run.work += task.size_us;
+        }
+    }
+    run
+}
+
+fn runs() -> impl Iterator<Item = (&'static str, bool)> {
+    [("earliest", false)].into_iter().chain(POLICIES.map(|policy| (policy, true)))
+}
+
+fn quantile(times: &mut [u64], part: f64) -> f64 {
+    times.sort_unstable();
+    times[((times.len() - 1) as f64 * part) as usize] as f64 / 1_000.0
+}
+
+// The back ends were bought over many years. A placer that does not know fast
+// from slow makes its callers wait for the slow ones while fast ones are free.
+#[test_case(30)]
+#[test_case(60)]
+#[test_case(80)]
+#[test_case(95)]
+#[test_case(110)]
+fn policies_against_ideal(load: u32) {
+    let traces = SEEDS.map(|seed| trace(load, 20, seed));
+    let offered: u64 = traces.iter().flatten().map(|task| task.size_us).sum();
+    let ideal = traces.iter().flat_map(|trace| list_schedule(trace, &factors(), SLOTS));
+    let mut table = vec![Row::new("list schedule", ideal.collect(), 100.0)];
+    for (policy, declared) in runs() {
+        let runs = traces.iter().map(|trace| replay(policy, trace, declared));
+        let run = runs.fold(Run::default(), Run::plus);
+        let name = if declared { policy.to_owned() } else { format!("{policy}, none declared") };
+        table.push(Row::new(&name, run.times, run.work as f64 / offered as f64 * 100.0));
+    }
+    for row in &table {
+        println!("{load:>4}  {row}");
+    }
+    let best = table[3..].iter().map(|row| row.p99).fold(f64::MAX, f64::min);
+    for row in &table[1..3] {
+        assert!(row.p99 <= best, "load {load}: p99 {} over {best}", row.p99);
+    }
+}
+
+/// One row of the table: response times in milliseconds, work done in percent.
+struct Row {
+    name: String,
+    p50: f64,
+    p95: f64,
+    p99: f64,
+    work: f64,
+}
+
+impl Row {
+    fn new(name: &str, mut times: Vec<u64>, work: f64) -> Self {
+        let [p50, p95, p99] = [0.5, 0.95, 0.99].map(|part| quantile(&mut times, part));
+        Self { name: name.to_owned(), p50, p95, p99, work }
+    }
+}
+
+impl fmt::Display for Row {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { name, p50, p95, p99, work } = self;
+        write!(f, "{name:<26} p50 {p50:>5.0} p95 {p95:>5.0} p99 {p99:>5.0} work {work:>5.1}%")
+    }
+}
--- a/endivestile_kernel/tests/shards/world.rs
+++ b/endivestile_kernel/tests/shards/world.rs
@@ -138,7 +138,8 @@
             seed: index as u64 * 1_000 + birth,
         });
         shards.configure(&self.rules);
-        let view = View { me: peer.clone(), zone, hosts: BTreeMap::new(), store: false };
+        let view =
+            View { me: peer.clone(), zone, hosts: BTreeMap::new(), store: false, inventory: false };
         let heard = vec![self.now; self.zones.len()];
         let (born, run, leaving, states) = (self.now, Run::Up, false, Vec::new());
         Node { peer, born, shards, run, leaving, view, states, heard }
--- /dev/null
+++ b/endivestile_testkit/src/world/platform.rs
@@ -0,0 +1,218 @@
+//! The platform: its store, its leases and its list of hosts.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use endivestile_config::model::Name;
+use endivestile_kernel::{Event, PlatformState, Registration, ShardRecord, StoreOp, Stored};
+
+use super::net::STORE;
+use super::{Happening, World};
+
+/// Time between two looks at the leases, in microseconds.
+const LEASES_US: u64 = 500_000;
+/// Time that the check of a configuration takes, in microseconds.
+const CHECK_US: u64 = 50_000;
+/// Time after which a lease that is not renewed ends, in microseconds.
+const LEASE_US: u64 = 5_000_000;
+
+/// A host's registration and when its lease was last renewed.
+#[derive(Debug)]
+pub(super) struct Lease {
+    registration: Registration,
+    renewed: u64,
+}
+
+/// The platform's services.
+#[derive(Debug)]
+pub(super) struct Platform {
+    pub(super) down: bool,
+    pub(super) delay_us: u64,
+    pub(super) lose: u32,
+    pub(super) calls: u64,
+    pub(super) revision: u64,
+    pub(super) accepted: Option<u64>,
+    pub(super) registered: BTreeMap<Name, Lease>,
+    pub(super) list: BTreeMap<Name, PlatformState>,
+    pub(super) stops: BTreeMap<Name, bool>,
+    changes: u64,
+    values: BTreeMap<Name, (u64, Bytes)>,
+}
+
+impl Platform {
+    /// Starts with a configuration and nothing else.
+    pub(super) fn new(revision: u64) -> Self {
+        Self {
+            down: false,
+            delay_us: 2_000,
+            lose: 0,
+            calls: 0,
+            revision,
+            accepted: None,
+            registered: BTreeMap::new(),
+            list: BTreeMap::new(),
+            stops: BTreeMap::new(),
+            changes: 0,
+            values: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the host of the home in a shard's record.
+    pub(super) fn shard_home(&self, shard: u32) -> Option<Name> {
+        let (_, value) = self.values.get(&ShardRecord::key(shard))?;
+        Some(ShardRecord::decode(value)?.home.host)
+    }
+
+    fn apply(&mut self, op: &StoreOp) -> (Stored, Option<Name>) {
+        match op {
+            StoreOp::Get { key } => {
+                let (revision, value) = self.values.get(key).cloned().unwrap_or_default();
+                (Stored::Value { revision, value }, None)
+            }
+            StoreOp::Swap { key, revision, value } => {
+                let current = self.values.get(key).map_or(0, |(revision, _)| *revision);
+                if current != *revision {
+                    return (Stored::Raced, None);
+                }
+                self.changes += 1;
+                self.values.insert(key.clone(), (self.changes, value.clone()));
+                (Stored::Swapped(self.changes), Some(key.clone()))
+            }
+        }
+    }
+}
+
+impl World {
+    pub(super) fn store(&mut self, host: Name, birth: u64, token: u64, op: StoreOp) {
+        if self.platform.down {
+            self.event_in(0, &host, birth, Event::Stored { token, stored: Stored::Lost });
+            return;
+        }
+        let (mut stored, changed) = self.platform.apply(&op);
+        if self.platform.lose > 0 {
+            self.platform.lose -= 1;
+            stored = Stored::Lost;
+        }
+        let delay = self.platform.delay_us;
+        self.event_in(delay, &host, birth, Event::Stored { token, stored });
+        if let Some(event) = changed.and_then(|key| self.record(&key)) {
+            self.tell_all(event);
+        }
+    }
+
+    fn record(&self, key: &Name) -> Option<Event> {
+        let shard = key.rsplit('/').next()?.parse().ok()?;
+        let (revision, value) = self.platform.values.get(key)?.clone();
+        Some(Event::Record { shard, revision, value })
+    }
+
+    /// Tells every host that watches the store.
+    pub(super) fn tell_all(&mut self, event: Event) {
+        let watching = self.machines.iter().filter(|(_, machine)| machine.connected);
+        let watching: Vec<(Name, u64)> =
+            watching.map(|(name, machine)| (name.clone(), machine.birth)).collect();
+        let delay = self.platform.delay_us;
+        for (name, birth) in watching {
+            self.event_in(delay, &name, birth, event.clone());
+        }
+    }
+
+    /// Connects a host's watch, if the store can be reached.
+    pub(super) fn connect(&mut self, name: &Name) {
+        let reachable = !self.platform.down && self.net.reaches(name, STORE);
+        let Some(machine) = self.machines.get_mut(name) else { return };
+        if machine.kernel.is_none() || machine.connected == reachable {
+            return;
+        }
+        machine.connected = reachable;
+        let birth = machine.birth;
+        self.event_in(0, name, birth, Event::Store(reachable));
+        if reachable {
+            for event in self.state() {
+                self.event_in(self.platform.delay_us, name, birth, event);
+            }
+            // The daemon checks a configuration on a thread of its own, so that it
+            // comes after what was read with it.
+            let config = self.config_event(self.platform.revision);
+            self.event_in(self.platform.delay_us + CHECK_US, name, birth, config);
+        }
+    }
+
+    /// Connects or disconnects every watch as the faults have it.
+    pub(super) fn reconnect(&mut self) {
+        let names: Vec<Name> = self.machines.keys().cloned().collect();
+        for name in names {
+            self.connect(&name);
+        }
+    }
+
+    fn state(&self) -> Vec<Event> {
+        let platform = &self.platform;
+        let records = platform.values.keys().filter_map(|key| self.record(key));
+        let mut events: Vec<Event> = records.collect();
+        for host in self.machines.keys() {
+            let lease = platform.registered.get(host);
+            let registration = lease.map(|lease| lease.registration.clone());
+            events.push(Event::Host { host: host.clone(), registration });
+        }
+        for (name, state) in &platform.list {
+            events.push(Event::Platform { name: name.clone(), state: Some(*state) });
+        }
+        for (name, stop) in &platform.stops {
+            events.push(Event::Stop { name: name.clone(), stop: *stop });
+        }
+        events
+    }
+
+    pub(super) fn config_event(&self, revision: u64) -> Event {
+        let config = self.configs[&revision].clone();
+        Event::Config { config, text: Bytes::from(revision.to_string()) }
+    }
+
+    pub(super) fn leases(&mut self) {
+        let names: Vec<Name> = self.machines.keys().cloned().collect();
+        for name in names {
+            self.renew(&name);
+        }
+        self.at(self.now + LEASES_US, Happening::Leases);
+    }
+
+    fn renew(&mut self, name: &Name) {
+        let now = self.now;
+        let Some(machine) = self.machines.get(name) else { return };
+        let birth = machine.birth;
+        let renews = machine.awake() && machine.connected;
+        let held = self.platform.registered.get_mut(name);
+        match held {
+            Some(lease) if renews && lease.registration.peer.birth == birth => lease.renewed = now,
+            _ if renews => {
+                let leaving = machine.leaving(now);
+                self.register(name, leaving);
+            }
+            Some(lease) if lease.renewed + LEASE_US < now && !self.platform.down => {
+                self.platform.registered.remove(name);
+                self.tell_all(Event::Host { host: name.clone(), registration: None });
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn register(&mut self, name: &Name, leaving: bool) {
+        let config = self.config();
+        let (Some(machine), Some(host)) = (self.machines.get(name), config.hosts.get(name)) else {
+            return;
+        };
+        if !machine.connected {
+            return;
+        }
+        let registration = Registration {
+            peer: endivestile_kernel::Peer::new(name.clone(), machine.birth),
+            zone: host.zone.clone(),
+            address: host.address.clone(),
+            leaving,
+        };
+        let lease = Lease { registration: registration.clone(), renewed: self.now };
+        self.platform.registered.insert(name.clone(), lease);
+        self.tell_all(Event::Host { host: name.clone(), registration: Some(registration) });
+    }
+}
--- /dev/null
+++ b/endivestile_testkit/src/world/story.rs
@@ -0,0 +1,436 @@
+//! Stories: scripted scenarios, one step a line.
+//!
+//! `docs/SCENARIOS.md` lists the steps. A story prints what `answers`,
+//! `starts`, `hosts` and `check` ask for, and nothing else.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use endivestile_config::model::{Config, Host, Member, Name, Rules, Server, Service, Worker, Zone};
+use endivestile_kernel::{Ask, Need, PlatformState, SubmissionId};
+
+use super::call::millis;
+use super::{Mode, Submit, WALL_S, World};
+
+/// Milliseconds until a submission's deadline, unless the story says otherwise.
+const DEADLINE_MS: u64 = 30_000;
+/// Milliseconds in which the hosts of a new world find each other.
+const SETTLE_MS: u64 = 3_000;
+
+/// A story being told.
+struct Story {
+    world: World,
+    names: BTreeMap<String, u64>,
+    ids: BTreeMap<String, SubmissionId>,
+    out: String,
+}
+
+/// One step: a verb, plain words and `key=value` pairs.
+struct Step<'a> {
+    line: &'a str,
+    words: Vec<&'a str>,
+    pairs: BTreeMap<&'a str, &'a str>,
+}
+
+/// Tells a story and returns what it printed.
+///
+/// # Errors
+/// Names the first line that is no step.
+pub fn tell(text: &str) -> Result<String, String> {
+    let mut lines = text.lines().map(str::trim).filter(|line| !line.is_empty());
+    let first = Step::read(lines.next().unwrap_or_default());
+    if first.words.first() != Some(&"world") {
+        return Err(format!("a story starts with `world`: {}", first.line));
+    }
+    let mut world =
+        World::new(first.config()?, first.number("seed", 1)?, first.number("seeds", 1)? == 1);
+    for server in world.server_names() {
+        world.speed(&server, first.number("ms", 100)?);
+    }
+    world.run(SETTLE_MS);
+    let mut story =
+        Story { world, names: BTreeMap::new(), ids: BTreeMap::new(), out: String::new() };
+    for line in lines {
+        let step = Step::read(line);
+        story.step(&step).map_err(|error| format!("{line}: {error}"))?;
+    }
+    Ok(story.out)
+}
+
+impl Story {
+    fn step(&mut self, step: &Step<'_>) -> Result<(), String> {
+        match step.words[0] {
+            "run" => self.world.run(span_ms(step.word(1)?)?),
+            "submit" => self.submit(step)?,
+            "ask" => self.ask(step, Ask::Fetch)?,
+            "cancel" => self.ask(step, Ask::Cancel)?,
+            "mint" => self.mint(step)?,
+            "answers" => self.answers(),
+            "starts" => self.starts(),
+            "check" => self.check(),
+            "settled" => self.settled(),
+            "hosts" => self.hosts(),
+            "calls" => self.store_calls(step)?,
+            _ => self.fault(step)?,
+        }
+        Ok(())
+    }
+
+    fn fault(&mut self, step: &Step<'_>) -> Result<(), String> {
+        match step.words[0] {
+            "kill" => {
+                let host = self.host(step, 1)?;
+                self.world.kill(&host);
+            }
+            "start" => {
+                let host = self.host(step, 1)?;
+                self.world.start(&host);
+            }
+            "pause" => {
+                let host = self.host(step, 1)?;
+                self.world.pause(&host);
+            }
+            "resume" => self.resume(step)?,
+            "shutdown" => {
+                let host = self.host(step, 1)?;
+                self.world.shutdown(&host);
+            }
+            "cut" => self.world.cut(step.word(1)?, step.word(2)?),
+            "heal" => self.world.heal(),
+            "lose" => self.world.lose_frames(step.parse(1)?),
+            "jitter" => self.world.jitter(span_ms(step.word(1)?)?),
+            "store" => self.store(step)?,
+            "server" => self.server(step)?,
+            "list" => self.world.list(step.word(1)?, platform_state(step.word(2)?)?),
+            "stop" => self.world.plan_stop(step.word(1)?, true),
+            "unstop" => self.world.plan_stop(step.word(1)?, false),
+            "accept" => self.accept(step)?,
+            "offer-old" => self.world.offer_old(step.word(1)?),
+            verb => return Err(format!("no step `{verb}`")),
+        }
+        Ok(())
+    }
+
+    fn resume(&mut self, step: &Step<'_>) -> Result<(), String> {
+        let hosts = match step.word(1)? {
+            "all" => self.world.paused_hosts(),
+            host => vec![Name::from(host)],
+        };
+        for host in hosts {
+            self.world.resume(&host);
+        }
+        Ok(())
+    }
+
+    /// Reads a host's name, or `home ID` for the home of an id.
+    fn host(&self, step: &Step<'_>, at: usize) -> Result<String, String> {
+        let word = step.word(at)?;
+        if word != "home" {
+            return Ok(word.to_owned());
+        }
+        let id = self.ids.get(step.word(at + 1)?).ok_or("no such id")?;
+        let home = self.world.home_of(id).ok_or("the shard has no record")?;
+        Ok(home.to_string())
+    }
+
+    fn submit(&mut self, step: &Step<'_>) -> Result<(), String> {
+        let name = step.word(1)?.to_owned();
+        let id = step.pairs.get("id").map(|key| self.id(key)).transpose()?;
+        let word = match (step.pairs.get("work"), step.pairs.get("id")) {
+            (Some(word), _) | (None, Some(word)) => (*word).to_owned(),
+            (None, None) => name.clone(),
+        };
+        let repeat: u64 = step.number("times", 1)?;
+        for turn in 0..repeat {
+            let suffix = if repeat == 1 { String::new() } else { format!("-{turn}") };
+            let submit = Submit {
+                host: Name::from(*step.pairs.get("at").ok_or("at=HOST is missing")?),
+                id: id.clone(),
+                word: format!("{word}{suffix}"),
+                member: Name::from(*step.pairs.get("member").unwrap_or(&"m")),
+                tasks: step.number("tasks", 1)? as usize,
+                deadline_ms: step.span("deadline", DEADLINE_MS)?,
+                need: step.need()?,
+            };
+            let call = self.world.submit(submit);
+            self.names.insert(format!("{name}{suffix}"), call);
+        }
+        Ok(())
+    }
+
+    fn id(&mut self, key: &str) -> Result<SubmissionId, String> {
+        if let Some(id) = self.ids.get(key) {
+            return Ok(id.clone());
+        }
+        let wall = WALL_S + self.world.now() / 1_000_000;
+        let text = format!("{wall}:{key}");
+        let id = SubmissionId::parse(&text).map_err(|error| error.to_string())?;
+        self.ids.insert(key.to_owned(), id.clone());
+        Ok(id)
+    }
+
+    fn mint(&mut self, step: &Step<'_>) -> Result<(), String> {
+        let host = step.pairs.get("at").ok_or("at=HOST is missing")?;
+        let id = self.world.mint(host).ok_or("the host does not run")?;
+        self.ids.insert(step.word(1)?.to_owned(), id);
+        Ok(())
+    }
+
+    fn ask(&mut self, step: &Step<'_>, ask: Ask) -> Result<(), String> {
+        let name = step.word(1)?.to_owned();
+        let key = *step.pairs.get("id").ok_or("id=KEY is missing")?;
+        let id = self.id(key)?;
+        let host = step.pairs.get("at").ok_or("at=HOST is missing")?;
+        let call = self.world.ask(host, &id, ask);
+        self.names.insert(name, call);
+        Ok(())
+    }
+
+    fn answers(&mut self) {
+        let mut groups: BTreeMap<(&str, String), usize> = BTreeMap::new();
+        for (name, call) in &self.names {
+            let label = self.world.calls()[call].label();
+            match name.split_once('-') {
+                Some((group, _)) => *groups.entry((group, label)).or_default() += 1,
+                None => {
+                    let _ = writeln!(self.out, "{name} {label}");
+                }
+            }
+        }
+        for ((group, label), count) in groups {
+            let _ = writeln!(self.out, "{group}: {count} {label}");
+        }
+    }
+
+    /// Prints the starts of each submission, those of `times=` together.
+    fn starts(&mut self) {
+        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+        for start in self.world.starts() {
+            let word = start.work.rsplit_once('/').map_or(start.work.as_str(), |(word, _)| word);
+            let word = word.split_once('-').map_or(word, |(group, _)| group);
+            *counts.entry(word).or_default() += 1;
+        }
+        for (word, count) in counts {
+            let _ = writeln!(self.out, "{word} started {count}");
+        }
+    }
+
+    fn check(&mut self) {
+        let breaches = self.world.check();
+        if breaches.is_empty() {
+            self.out.push_str("every promise kept\n");
+        }
+        for breach in breaches {
+            let _ = writeln!(self.out, "{breach}");
+        }
+    }
+
+    /// Prints the calls that nobody has answered, on hosts that run.
+    fn settled(&mut self) {
+        let mut open = 0;
+        for (name, call) in &self.names {
+            if self.world.calls()[call].status() == "open" {
+                let _ = writeln!(self.out, "{name} has no answer");
+                open += 1;
+            }
+        }
+        if open == 0 {
+            self.out.push_str("every call answered\n");
+        }
+    }
+
+    fn hosts(&mut self) {
+        for (name, revision, state) in self.world.host_states() {
+            let _ = writeln!(self.out, "{name} {state} revision {revision}");
+        }
+    }
+
+    /// Prints whether the hosts' calls to the store stay under a bound.
+    fn store_calls(&mut self, step: &Step<'_>) -> Result<(), String> {
+        let bound: u64 = step.number("under", 0)?;
+        let calls = self.world.store_calls();
+        let kept = if calls < bound { "under" } else { "over" };
+        let _ = writeln!(self.out, "store calls {kept} {bound}");
+        Ok(())
+    }
+
+    fn store(&mut self, step: &Step<'_>) -> Result<(), String> {
+        match step.word(1)? {
+            "down" => self.world.store_down(true),
+            "up" => self.world.store_down(false),
+            "slow" => self.world.store_slow(span_ms(step.word(2)?)?),
+            "loses" => self.world.store_loses(step.parse(2)?),
+            word => return Err(format!("store down, up, slow or loses, not `{word}`")),
+        }
+        Ok(())
+    }
+
+    fn server(&mut self, step: &Step<'_>) -> Result<(), String> {
+        let name = step.word(1)?;
+        match step.word(2)? {
+            "good" => self.world.behave(name, Mode::Good),
+            "refuses" => self.world.behave(name, Mode::Refuse),
+            "closes" => self.world.behave(name, Mode::Close),
+            "fails" => self.world.behave(name, Mode::Fail),
+            "hangs" => self.world.behave(name, Mode::Hang),
+            "leaves" => self.world.behave(name, Mode::Leaving),
+            "takes" => self.world.speed(name, span_ms(step.word(3)?)?),
+            word => return Err(format!("no behaviour `{word}`")),
+        }
+        Ok(())
+    }
+
+    fn accept(&mut self, step: &Step<'_>) -> Result<(), String> {
+        let limit: u32 = step.number("limit", 1_000)? as u32;
+        let policy = step.pairs.get("policy").copied();
+        let without = step.pairs.get("without").copied().unwrap_or_default();
+        self.world.accept(|config| {
+            config.hosts.retain(|name, _| !without.split(',').any(|gone| **name == *gone));
+            for member in config.members.values_mut() {
+                member.limit = limit;
+            }
+            if let Some(policy) = policy {
+                config.rules.policy = Name::from(policy);
+            }
+        });
+        Ok(())
+    }
+}
+
+impl<'a> Step<'a> {
+    fn read(line: &'a str) -> Self {
+        let mut words = Vec::new();
+        let mut pairs = BTreeMap::new();
+        for part in line.split_whitespace() {
+            match part.split_once('=') {
+                Some((key, value)) => {
+                    pairs.insert(key, value);
+                }
+                None => words.push(part),
+            }
+        }
+        if words.is_empty() {
+            words.push("");
+        }
+        Self { line, words, pairs }
+    }
+
+    fn word(&self, at: usize) -> Result<&'a str, String> {
+        self.words.get(at).copied().ok_or_else(|| format!("word {at} is missing"))
+    }
+
+    fn parse<T: std::str::FromStr>(&self, at: usize) -> Result<T, String> {
+        self.word(at)?.parse().map_err(|_| format!("word {at} is no number"))
+    }
+
+    fn number(&self, key: &str, default: u64) -> Result<u64, String> {
+        let Some(text) = self.pairs.get(key) else { return Ok(default) };
+        text.parse().map_err(|_| format!("{key} is no number"))
+    }
+
+    fn span(&self, key: &str, default: u64) -> Result<u64, String> {
+        self.pairs.get(key).map_or(Ok(default), |text| span_ms(text))
+    }
+
+    fn need(&self) -> Result<Option<Need>, String> {
+        if !self.pairs.contains_key("cpu") {
+            return Ok(None);
+        }
+        let cpu_milli = self.number("cpu", 0)? as u32;
+        let memory_mb = self.number("memory", 0)? as u32;
+        let accelerators = self.number("accelerators", 0)? as u16;
+        Ok(Some(Need { cpu_milli, memory_mb, accelerators }))
+    }
+
+    /// Makes the configuration of `world zones=a,b hosts=N servers=N …`: hosts
+    /// `a1`, `a2`…, backend servers `a-s1`…, workers `a-w1`… in every zone.
+    fn config(&self) -> Result<Config, String> {
+        let mut config = Config { revision: 1, ..Config::default() };
+        let zones = self.pairs.get("zones").copied().unwrap_or("a");
+        let slots = self.number("slots", 4)? as u32;
+        let mut service = Service { servers: Vec::new(), path: Name::from("/") };
+        for (number, zone) in zones.split(',').enumerate() {
+            let zone = Name::from(zone);
+            config.zones.insert(zone.clone(), Zone { region: Name::from("r") });
+            for index in 1..=self.number("hosts", 2)? {
+                let address = Name::from(format!("10.0.{number}.{index}:1"));
+                let host = Host { zone: zone.clone(), address, weight: 1 };
+                config.hosts.insert(Name::from(format!("{zone}{index}")), host);
+            }
+            for index in 1..=self.number("servers", 2)? {
+                let name = Name::from(format!("{zone}-s{index}"));
+                let address = Name::from(format!("10.1.{number}.{index}:1"));
+                let rack = Name::from(format!("{zone}-r{}", index / 2));
+                let server = Server { zone: zone.clone(), rack, address, slots, connections: 64 };
+                service.servers.push(name.clone());
+                config.servers.insert(name, server);
+            }
+            for index in 1..=self.number("workers", 0)? {
+                let name = Name::from(format!("{zone}-w{index}"));
+                let worker = Worker {
+                    zone: zone.clone(),
+                    rack: Name::from(format!("{zone}-r{}", index / 2)),
+                    address: Name::from(format!("10.2.{number}.{index}:1")),
+                    cpu_milli: 4_000,
+                    memory_mb: 8_192,
+                    accelerators: if index == 1 { 1 } else { 0 },
+                };
+                config.workers.insert(name, worker);
+            }
+        }
+        config.services.insert(Name::from("service"), service);
+        for member in self.pairs.get("members").copied().unwrap_or("m").split(',') {
+            let limit = self.number("limit", 10_000)? as u32;
+            config.members.insert(Name::from(member), Member { limit, weight: 1 });
+        }
+        config.rules = Rules { shards: self.number("shards", 8)? as u32, ..Rules::default() };
+        Ok(config)
+    }
+}
+
+fn span_ms(text: &str) -> Result<u64, String> {
+    let (number, unit) = match text.strip_suffix("ms") {
+        Some(number) => (number, 1),
+        None => (text.strip_suffix('s').ok_or("a span ends with ms or s")?, 1_000),
+    };
+    let count: u64 = number.parse().map_err(|_| String::from("a span is a number and a unit"))?;
+    Ok(count * unit)
+}
+
+fn platform_state(word: &str) -> Result<PlatformState, String> {
+    match word {
+        "live" => Ok(PlatformState::Live),
+        "leaving" => Ok(PlatformState::Leaving),
+        "gone" => Ok(PlatformState::Gone),
+        _ => Err(format!("live, leaving or gone, not `{word}`")),
+    }
+}
+
+impl World {
+    fn server_names(&self) -> Vec<Name> {
+        self.backends.keys().cloned().collect()
+    }
+
+    fn paused_hosts(&self) -> Vec<Name> {
+        let paused = self.machines.iter().filter(|(_, machine)| machine.paused);
+        paused.map(|(name, _)| name.clone()).collect()
+    }
+
+    fn host_states(&self) -> Vec<(Name, u64, &'static str)> {
+        let states = self.machines.iter().map(|(name, machine)| {
+            let state = match (&machine.kernel, machine.paused) {
+                (None, _) => "ended",
+                (Some(_), true) => "paused",
+                (Some(_), false) => "running",
+            };
+            (name.clone(), self.revision(name), state)
+        });
+        states.collect()
+    }
+
+    /// Returns how long a call took, in milliseconds.
+    pub fn took_ms(&self, call: u64) -> Option<u64> {
+        let log = self.calls.get(&call)?;
+        Some(millis(log.ended? - log.made))
+    }
+}
