--- a/endivestile_config/tests/pages.rs
+++ b/endivestile_config/tests/pages.rs
@@ -66,6 +66,32 @@
     });
 }
 
+/// Returns the events that the sources under a directory log.
+fn events(dir: &Path) -> Vec<String> {
+    let mut found = Vec::new();
+    for entry in fs::read_dir(dir).unwrap().map(|entry| entry.unwrap().path()) {
+        if entry.is_dir() {
+            found.extend(events(&entry));
+            continue;
+        }
+        let text = fs::read_to_string(entry).unwrap();
+        for rest in text.split("event=").skip(1) {
+            let end = rest.find(|c: char| !c.is_ascii_lowercase() && c != '_').unwrap();
+            found.extend((end > 0).then(|| rest[..end].to_owned()));
+        }
+    }
+    found
+}
+
+#[test]
+fn events_documented() {
+    let page = fs::read_to_string(root().join("docs/OPERATIONS.md")).unwrap();
+    let mut missing = events(&root().join("endivestile/src"));
+    assert!(!missing.is_empty());
+    missing.retain(|event| !page.contains(&format!("`{event}`")));
+    assert_eq!(missing, Vec::<String>::new());
+}
+
 #[test_case("consortium", 3, 7)]
 #[test_case("pitchfee", 4, 8)]
 fn sample_accepted(name: &str, zones: usize, hosts: usize) {
