Keep goodput under overload: let in only what can still be finished

Cause: with deadlines of 2 s and 30 s of overload, tasks were let in that started with one mean run time left; half of such tasks end too late. Tasks stopped at their deadline taught nothing, so that only short ones counted. Change: arrivals, refused ones as well, tell how scarce slots are; from 90% of capacity on, one to four mean run times have to be left behind the wait. A task stopped after more than the usual time counts as a sample of that length.

--- a/endivestile_kernel/src/place/ending.rs
+++ b/endivestile_kernel/src/place/ending.rs
@@ -72,13 +72,18 @@
         let Some(held) = self.held.get(slot) else { return };
         let micros = now.since(run.started).as_micros() as u64;
         let pool = &mut self.pools[held.pool as usize];
-        if !matches!(end, End::Answered(_)) || !run.wanted {
+        // A task that is stopped at its deadline has run at least so long; left
+        // out, only short ones would count, and more and more be let in too late.
+        let stopped = !run.wanted && matches!(end, End::Answered(_) | End::Lost);
+        if !stopped && !matches!(end, End::Answered(_)) {
             return;
         }
         let seats = &self.backends[run.backend as usize].seats;
         if let Some((_, at)) = seats.iter().find(|(id, _)| *id == held.pool) {
             let hint = (held.ln_size, held.order.task.declared);
-            pool.learn(now, *at as usize, micros, hint);
+            if !stopped || micros as f64 > pool.typical_us(*at as usize) {
+                pool.learn(now, *at as usize, micros, hint);
+            }
         }
         let share = f64::from(pool.units(&held.want())) / pool.typical.max(1.0);
         let cost = (micros as f64 * share) as u64;
--- a/endivestile_kernel/src/place/placer.rs
+++ b/endivestile_kernel/src/place/placer.rs
@@ -144,7 +144,6 @@
         state.hint(order.task.declared);
         let ln_size = state.declared.ln_size(order.task.declared);
         state.sizes.count(ln_size);
-        state.arrivals.count(now, state.units(&Room::wanted(&order.task.target)));
         let held = Held {
             home: home.clone(),
             order,
@@ -191,6 +190,9 @@
             return Err(Cause::Limit);
         }
         let weight = state.weight;
+        // What is refused below is wanted as well: it tells how scarce slots are.
+        let pool = &mut self.pools[id as usize];
+        pool.arrivals.count(now, pool.units(&want));
         let trial = self.feasible(now, id, (member, weight), order)?;
         if self.waiting >= self.config.rules.queue_limit {
             self.evict(id, (member, weight), out)?;
@@ -225,10 +227,8 @@
             pool.trial_at = now.after_ms(TRIAL_MS);
             return Ok(true);
         }
-        let wait = pool.member_wait_us(member.0, member.1);
-        if pool.queue.waiting() > 0
-            && now.after_us((wait + pool.average_us() * ln_size.exp()) as u64) > deadline
-        {
+        let wait = pool.member_wait_us(member.0, member.1) + pool.spare_run_us(now, ln_size);
+        if pool.queue.waiting() > 0 && now.after_us(wait as u64) > deadline {
             return Err(Cause::Deadline);
         }
         Ok(false)
--- a/endivestile_kernel/src/place/pool.rs
+++ b/endivestile_kernel/src/place/pool.rs
@@ -27,6 +27,12 @@
 /// Samples from which on deadlines are judged by learnt run times.
 const JUDGE_SAMPLES: u32 = 8;
 
+/// Part of the capacity at which slots begin to be scarce.
+const SCARCE_FROM: f64 = 0.9;
+
+/// Mean run times that have to be left at the start where slots are scarce.
+const SCARCE_RUNS: f64 = 4.0;
+
 /// What a pool runs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Kind {
@@ -282,6 +288,20 @@
         (self.mean_us(at) as u64).min(wait as u64)
     }
 
+    /// Returns the time that has to be left when a task starts, in microseconds.
+    ///
+    /// While slots are to spare a usual run time is enough: a task that turns
+    /// out too long costs nobody else. Where arrivals need all slots, each task
+    /// that is stopped at its deadline wastes what another one could have used,
+    /// and queues that are just short enough leave most tasks too little: at
+    /// one and a half times the capacity a third of it went to stopped tasks.
+    pub(crate) fn spare_run_us(&self, now: Time, ln_size: f64) -> f64 {
+        let capacity = self.bands.total().1 / self.scale;
+        let load = self.arrivals.rate(now) / capacity;
+        let full = ((load - SCARCE_FROM) / (1.0 - SCARCE_FROM)).clamp(0.0, 1.0);
+        self.average_us() * ln_size.exp() * (1.0 + (SCARCE_RUNS - 1.0) * full)
+    }
+
     /// Returns the mean run time over all slots, in microseconds.
     pub(crate) fn average_us(&self) -> f64 {
         let (units, rate) = self.bands.total();
--- a/endivestile_kernel/tests/place_compare.rs
+++ b/endivestile_kernel/tests/place_compare.rs
@@ -7,69 +7,15 @@
 use std::sync::Arc;
 
 use endivestile_kernel::{Outcome, Time};
-use place_fake::ideal::{Arrival, list_schedule};
+use place_fake::ideal::list_schedule;
+use place_fake::trace::{Arrival, SERVERS, SLOTS, factors, trace};
 use place_fake::{Fake, Mode, order, servers};
-use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 use test_case::test_case;
 
-const SERVERS: usize = 12;
-const SLOTS: u32 = 8;
 const SEEDS: [u64; 8] = [5, 6, 7, 8, 9, 10, 11, 12];
 const POLICIES: [&str; 5] =
     ["earliest", "random", "round-robin", "least-outstanding", "two-choices"];
 
-/// Speeds that differ eightfold.
-fn factors() -> Vec<f64> {
-    (0..SERVERS).map(|at| [0.5, 1.0, 2.0, 4.0][at % 4]).collect()
-}
-
-/// Arrivals at `load` percent of capacity for `secs`: single tasks and jobs of up
-/// to 40, sizes from 50 ms to a second, a few of several seconds.
-fn trace(load: u32, secs: u64, seed: u64) -> Vec<Arrival> {
-    let mut rng = SmallRng::seed_from_u64(seed);
-    let rate: f64 = factors().iter().map(|factor| f64::from(SLOTS) / factor).sum();
-    let work = rate * f64::from(load) / 100.0;
-    let mut at = 0.0;
-    let mut tasks = Vec::new();
-    let mut job = 0;
-    while at < secs as f64 * 1e6 {
-        let count = if rng.random_bool(0.05) { rng.random_range(2..=40) } else { 1 };
-        for _ in 0..count {
-            let ln = rng.random_range(50_000_f64.ln()..1_000_000_f64.ln());
-            let long = rng.random_bool(0.01);
-            let size_us = if long { rng.random_range(2e6..5e6) } else { ln.exp() } as u64;
-            at += size_us as f64 / work
-                * -rng.random_range(f64::MIN_POSITIVE..1.0).ln()
-                * f64::from(u8::from(count == 1));
-            let at_us = at as u64;
-            let declared_ms = declare(&mut rng, size_us);
-            tasks.push(Arrival {
-                at_us,
-                size_us,
-                deadline_us: at_us + 20_000_000,
-                declared_ms,
-                job,
-            });
-        }
-        if count > 1 {
-            let size: u64 = tasks.iter().rev().take(count).map(|task| task.size_us).sum();
-            at += size as f64 / work;
-        }
-        job += 1;
-    }
-    tasks
-}
-
-/// Declares a run time: a third says nothing, the rest is off by up to fivefold
-/// either way, all of it three times too long.
-fn declare(rng: &mut SmallRng, size_us: u64) -> u32 {
-    if rng.random_bool(0.3) {
-        return rng.random_range(10..20_000);
-    }
-    (size_us as f64 / 1_000.0 * 3.0 * rng.random_range(-1.6_f64..1.6).exp()) as u32
-}
-
 /// What came of traces.
 #[derive(Default)]
 struct Run {
--- a/endivestile_kernel/tests/place_fake/ideal.rs
+++ b/endivestile_kernel/tests/place_fake/ideal.rs
@@ -3,15 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-/// One task of a trace.
-#[derive(Debug, Clone, Copy)]
-pub struct Arrival {
-    pub at_us: u64,
-    pub size_us: u64,
-    pub deadline_us: u64,
-    pub declared_ms: u32,
-    pub job: u64,
-}
+use super::trace::Arrival;
 
 /// Returns response times by list schedule: in the order of arrival, each task on
 /// the slot that finishes it earliest, true run times known. A yardstick, not
--- a/endivestile_kernel/tests/place_fake/mod.rs
+++ b/endivestile_kernel/tests/place_fake/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, missing_docs, unreachable_pub)]
 
 pub mod ideal;
+pub mod trace;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
