--- /dev/null
+++ b/endivestile_kernel/src/place/admission.rs
@@ -0,0 +1,91 @@
+//! Which orders come into the queue.
+
+use super::effect::PlaceEffect;
+use super::placer::Placer;
+use super::room::Room;
+use crate::{Cause, Order, Outcome, Time};
+
+/// Time between two tries of a task believed too long for its deadline, in milliseconds.
+const TRIAL_MS: u64 = 1_000;
+
+impl Placer {
+    /// Decides whether an order may come into the queue: its pool, and whether
+    /// it is a trial against the learnt run time.
+    pub(crate) fn admit(
+        &mut self,
+        now: Time,
+        member: u32,
+        order: &Order,
+        out: &mut Vec<PlaceEffect>,
+    ) -> Result<(u32, bool), Cause> {
+        if self.stopping {
+            return Err(Cause::Stopping);
+        }
+        let id = self.pool_of(&order.task.target).ok_or(Cause::NoBackend)?;
+        let want = Room::wanted(&order.task.target);
+        if !self.pools[id as usize].could_run(&want) {
+            return Err(Cause::NoBackend);
+        }
+        let state = self.members.get(member);
+        if state.held >= state.part {
+            return Err(Cause::Limit);
+        }
+        let weight = state.weight;
+        // What is refused below is wanted as well: it tells how scarce slots are.
+        let pool = &mut self.pools[id as usize];
+        pool.arrivals.count(now, pool.units(&want));
+        let trial = self.feasible(now, id, (member, weight), order)?;
+        if self.waiting >= self.config.rules.queue_limit {
+            self.evict(id, (member, weight), out)?;
+        }
+        Ok((id, trial))
+    }
+
+    /// Refuses what can't be finished by its deadline.
+    ///
+    /// A belief that every task is too long would refuse all of them and so
+    /// never be corrected; one a second is tried all the same.
+    fn feasible(
+        &mut self,
+        now: Time,
+        id: u32,
+        member: (u32, u32),
+        order: &Order,
+    ) -> Result<bool, Cause> {
+        let deadline = order.deadline;
+        if deadline <= now {
+            return Err(Cause::Deadline);
+        }
+        let pool = &mut self.pools[id as usize];
+        if !pool.judged() {
+            return Ok(false);
+        }
+        let ln_size = pool.declared.ln_size(order.task.declared);
+        if now.after_us(pool.fastest_us(ln_size)) > deadline {
+            if now < pool.trial_at {
+                return Err(Cause::Deadline);
+            }
+            pool.trial_at = now.after_ms(TRIAL_MS);
+            return Ok(true);
+        }
+        let wait = pool.member_wait_us(member.0, member.1) + pool.spare_run_us(now, ln_size);
+        if pool.queue.waiting() > 0 && now.after_us(wait as u64) > deadline {
+            return Err(Cause::Deadline);
+        }
+        Ok(false)
+    }
+
+    /// Makes place in a full queue at the cost of the member that fills it.
+    fn evict(
+        &mut self,
+        pool: u32,
+        member: (u32, u32),
+        out: &mut Vec<PlaceEffect>,
+    ) -> Result<(), Cause> {
+        let queue = &self.pools[pool as usize].queue;
+        let slot = queue.newest_of_longest(member.0, member.1).ok_or(Cause::Full)?;
+        self.unqueue(slot);
+        self.settle(slot, Outcome::NotRun(Cause::Full), out);
+        Ok(())
+    }
+}
--- a/endivestile_kernel/src/place/mod.rs
+++ b/endivestile_kernel/src/place/mod.rs
@@ -3,6 +3,7 @@
 //! One placer owns the slots of the back ends in its host's share. A task stays
 //! in the placer's queue until a slot is free and worth taking.
 
+mod admission;
 mod arrivals;
 mod backend;
 mod bands;
@@ -10,8 +11,10 @@
 mod choice;
 mod declared;
 mod dispatch;
+mod due;
 mod effect;
 mod ending;
+mod estimate;
 mod fit;
 mod health;
 mod held;
@@ -31,6 +34,7 @@
 mod speed;
 mod status;
 mod timer;
+mod waiting;
 
 pub use choice::Choice;
 pub use effect::{PlaceEffect, PlacerSetup};
--- a/endivestile_kernel/src/place/placer.rs
+++ b/endivestile_kernel/src/place/placer.rs
@@ -13,10 +13,9 @@
 use super::policy::{Choose, policy};
 use super::pool::{Kind, Pool};
 use super::rack::Rack;
-use super::room::Room;
 use super::share;
 use super::timer::Timer;
-use crate::{AttemptId, Cause, Order, Outcome, Peer, Target, TaskKey, Time, View};
+use crate::{AttemptId, Order, Outcome, Peer, Target, TaskKey, Time, View};
 
 /// Slot of the pool of tasks without accelerators.
 pub(crate) const PLAIN: u32 = 0;
@@ -24,9 +23,6 @@
 /// Slot of the pool of tasks with accelerators.
 pub(crate) const ACCELERATED: u32 = 1;
 
-/// Time between two tries of a task believed too long for its deadline, in milliseconds.
-const TRIAL_MS: u64 = 1_000;
-
 /// Owner of the slots of the back ends in this host's share.
 ///
 /// A pure state machine: time comes in with each call, and what is to be done
@@ -168,86 +164,6 @@
         self.dispatch(now, pool, out);
     }
 
-    /// Decides whether an order may come into the queue: its pool, and whether
-    /// it is a trial against the learnt run time.
-    fn admit(
-        &mut self,
-        now: Time,
-        member: u32,
-        order: &Order,
-        out: &mut Vec<PlaceEffect>,
-    ) -> Result<(u32, bool), Cause> {
-        if self.stopping {
-            return Err(Cause::Stopping);
-        }
-        let id = self.pool_of(&order.task.target).ok_or(Cause::NoBackend)?;
-        let want = Room::wanted(&order.task.target);
-        if !self.pools[id as usize].could_run(&want) {
-            return Err(Cause::NoBackend);
-        }
-        let state = self.members.get(member);
-        if state.held >= state.part {
-            return Err(Cause::Limit);
-        }
-        let weight = state.weight;
-        // What is refused below is wanted as well: it tells how scarce slots are.
-        let pool = &mut self.pools[id as usize];
-        pool.arrivals.count(now, pool.units(&want));
-        let trial = self.feasible(now, id, (member, weight), order)?;
-        if self.waiting >= self.config.rules.queue_limit {
-            self.evict(id, (member, weight), out)?;
-        }
-        Ok((id, trial))
-    }
-
-    /// Refuses what can't be finished by its deadline.
-    ///
-    /// A belief that every task is too long would refuse all of them and so
-    /// never be corrected; one a second is tried all the same.
-    fn feasible(
-        &mut self,
-        now: Time,
-        id: u32,
-        member: (u32, u32),
-        order: &Order,
-    ) -> Result<bool, Cause> {
-        let deadline = order.deadline;
-        if deadline <= now {
-            return Err(Cause::Deadline);
-        }
-        let pool = &mut self.pools[id as usize];
-        if !pool.judged() {
-            return Ok(false);
-        }
-        let ln_size = pool.declared.ln_size(order.task.declared);
-        if now.after_us(pool.fastest_us(ln_size)) > deadline {
-            if now < pool.trial_at {
-                return Err(Cause::Deadline);
-            }
-            pool.trial_at = now.after_ms(TRIAL_MS);
-            return Ok(true);
-        }
-        let wait = pool.member_wait_us(member.0, member.1) + pool.spare_run_us(now, ln_size);
-        if pool.queue.waiting() > 0 && now.after_us(wait as u64) > deadline {
-            return Err(Cause::Deadline);
-        }
-        Ok(false)
-    }
-
-    /// Makes place in a full queue at the cost of the member that fills it.
-    fn evict(
-        &mut self,
-        pool: u32,
-        member: (u32, u32),
-        out: &mut Vec<PlaceEffect>,
-    ) -> Result<(), Cause> {
-        let queue = &self.pools[pool as usize].queue;
-        let slot = queue.newest_of_longest(member.0, member.1).ok_or(Cause::Full)?;
-        self.unqueue(slot);
-        self.settle(slot, Outcome::NotRun(Cause::Full), out);
-        Ok(())
-    }
-
     /// Drops a task: a waiting one is forgotten, a running one is stopped and
     /// its slot is free when its call ends.
     pub fn drop_task(&mut self, now: Time, home: &Peer, key: TaskKey, out: &mut Vec<PlaceEffect>) {
