--- a/endivestile/examples/overhead.rs
+++ b/endivestile/examples/overhead.rs
@@ -62,7 +62,8 @@
 
 fn measure() -> Step {
     println!("hosts mode callers p50_us p99_us worst_us rate_s");
-    for hosts in [1, 2] {
+    let only: Option<usize> = env::args().nth(1).and_then(|arg| arg.parse().ok());
+    for hosts in only.map_or(vec![1, 2], |hosts| vec![hosts]) {
         let daemon = Daemon { program: env::current_exe()?, args: vec![DAEMON.into()] };
         let deployment = Deployment::start(plan(hosts), &daemon)?;
         thread::sleep(Duration::from_secs(5));
@@ -77,6 +78,7 @@
                 round(hosts, mode, callers, targets);
                 deployment.servers.forget();
             }
+            messages(&deployment)?;
         }
         for host in &deployment.hosts {
             println!("host {}: rss {} KiB after the rounds", host.name(), rss_kb(host.pid())?);
@@ -192,6 +194,21 @@
     Ok(())
 }
 
+/// Prints the counts of messages so far.
+fn messages(deployment: &Deployment) -> Step {
+    let agent: Agent = Agent::config_builder().build().into();
+    for host in &deployment.hosts {
+        let body = agent.get(host.url("/status")).call()?.body_mut().read_to_string()?;
+        let body: Value = serde_json::from_str(&body)?;
+        let counts = &body["counters"];
+        let names = ["accepted", "frames", "idle_frames", "resent", "frames_dropped", "links_down"];
+        let counts: Vec<String> =
+            names.iter().map(|name| format!("{name} {}", counts[name])).collect();
+        println!("host {}: {}", host.name(), counts.join(", "));
+    }
+    Ok(())
+}
+
 /// Returns the bytes of frames that a host has sent to peers.
 fn sent(agent: &Agent, url: &str) -> Step<f64> {
     let body = agent.get(url).call()?.body_mut().read_to_string()?;
