--- a/endivestile_kernel/tests/shard_model.rs
+++ b/endivestile_kernel/tests/shard_model.rs
@@ -280,9 +280,8 @@
             let home = hosts[record.home];
             !home.dead && home.seen.is_none_or(|seen| seen.epoch < record.epoch)
         }
-        Mail::Recorded { to, epoch } => {
-            !hosts[to].dead && stands(to).home == epoch && stands(to).fence <= epoch
-        }
+        // Whether a stale one matters is for the rules to say.
+        Mail::Recorded { to, .. } => !hosts[to].dead,
         Mail::Synced { to, epoch } => {
             !hosts[to].dead && stands(to).home == epoch && stands(to).backing == Backing::Missing
         }
@@ -322,7 +321,6 @@
     let mut states = 0;
     for state in bfs_reach(start.clone(), State::successors) {
         states += 1;
-        if states % 1_000_000 == 0 {}
         if state.starts > 1 {
             let path = bfs(&start, State::successors, |state| state.starts > 1);
             panic!("started twice: {:#?}", trace(&path.unwrap_or_default()));
