--- a/endivestile_kernel/src/place/report.rs
+++ b/endivestile_kernel/src/place/report.rs
@@ -18,6 +18,14 @@
         Some(now.after_us(pool.finish_us(&want)))
     }
 
+    /// Returns whether a back end of this share that could run the task is free
+    /// although none has ended one yet, so that its run time is only guessed.
+    pub fn untried(&self, task: &Task) -> bool {
+        let Some(pool) = self.pool_of(&task.target) else { return false };
+        let pool = &self.pools[pool as usize];
+        !pool.common.known() && pool.first_free(&Room::wanted(&task.target)).is_some()
+    }
+
     /// Returns the load of the share: one figure per service and class of need.
     pub fn figures(&self, _now: Time) -> Vec<Figure> {
         let pools = self.pools.iter().filter(|pool| pool.usable > 0);
