--- a/endivestile_testkit/src/world/story.rs
+++ b/endivestile_testkit/src/world/story.rs
@@ -73,6 +73,7 @@
             "mint" => self.mint(step)?,
             "answers" => self.answers(),
             "starts" => self.starts(),
+            "servers" => self.servers(),
             "check" => self.check(),
             "settled" => self.settled(),
             "slower" => self.slower(step)?,
@@ -225,6 +226,17 @@
         }
     }
 
+    /// Prints the starts of each back end.
+    fn servers(&mut self) {
+        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+        for start in self.world.starts() {
+            *counts.entry(&start.server).or_default() += 1;
+        }
+        for (server, count) in counts {
+            let _ = writeln!(self.out, "{server} ran {count}");
+        }
+    }
+
     fn check(&mut self) {
         let breaches = self.world.check();
         if breaches.is_empty() {
--- /dev/null
+++ b/endivestile_testkit/tests/stories/plain_untried.story
@@ -0,0 +1,20 @@
+# The hosts of one zone have learnt that their servers are fast before the other
+# zone got its first call. Calls that come in there must be run there, or the
+# servers of that zone would never be tried.
+story
+world zones=a,b hosts=1 servers=2 slots=4 ms=20
+submit w at=a1 times=40 every=20ms
+run 1s
+submit c at=b1 times=40 every=20ms
+run 5s
+answers
+servers
+check
+----
+c: 40 complete
+w: 40 complete
+a-s1 ran 39
+a-s2 ran 1
+b-s1 ran 38
+b-s2 ran 2
+every promise kept
