Refuse a configuration that changes what is fixed

Ruled out: leaving it to the tools (issue: an invalid value written past the tools). Change: the daemon's checker compares with the configuration in force and logs the key. Figures: process test config_other_shards fails without the comparison by construction (the value is otherwise valid); not run without it. A host that starts with such a value in the store still takes it: listed.

--- a/endivestile/src/configs.rs
+++ b/endivestile/src/configs.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use endivestile_config::model::Config;
-use endivestile_config::{check, parse};
+use endivestile_config::{ConfigError, check, check_change, parse};
 use endivestile_kernel::Event;
 
 use crate::error::RunError;
@@ -53,10 +53,10 @@
 
 impl Checker {
     /// Starts the thread.
-    pub(crate) fn start(inbox: Inbox) -> Result<Self, RunError> {
+    pub(crate) fn start(inbox: Inbox, adopted: Adopted) -> Result<Self, RunError> {
         let (offers, texts) = channel();
         let thread = thread::Builder::new().name("configs".to_owned());
-        let work = move || texts.iter().for_each(|offer| judge(&inbox, &offer));
+        let work = move || texts.iter().for_each(|offer| judge(&inbox, &adopted, &offer));
         thread.spawn(work).map_err(|source| RunError::Thread { step: "check-configs", source })?;
         Ok(Self { offers })
     }
@@ -72,9 +72,10 @@
 /// A value that was written past the operators' tools may be anything. Taken
 /// over unchecked it would stop every host at once; so the one in force stays,
 /// and the log says which key is at fault.
-fn judge(inbox: &Inbox, offer: &Offer) {
-    match read(offer) {
-        Ok(config) => {
+fn judge(inbox: &Inbox, adopted: &Adopted, offer: &Offer) {
+    match read(adopted, offer) {
+        Ok(None) => {}
+        Ok(Some(config)) => {
             let text = Bytes::from(config.canonical());
             inbox.event(Event::Config { config: Arc::new(config), text });
         }
@@ -84,10 +85,20 @@
     }
 }
 
-fn read(offer: &Offer) -> Result<Config, String> {
+/// Reads a text; none when it is no later than what is in force.
+fn read(adopted: &Adopted, offer: &Offer) -> Result<Option<Config>, String> {
     let text = std::str::from_utf8(&offer.text).map_err(|e| e.to_string())?;
     let config = parse(text, offer.origin).map_err(|e| e.to_string())?;
-    check(&config)
-        .map_err(|errors| errors.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))?;
-    Ok(config)
+    check(&config).map_err(|errors| joined(&errors))?;
+    let Some(old) = adopted.get() else { return Ok(Some(config)) };
+    if config.revision <= old.revision {
+        return Ok(None);
+    }
+    // Another number of shards would send the same id to another home.
+    check_change(&old, &config).map_err(|errors| joined(&errors))?;
+    Ok(Some(config))
+}
+
+fn joined(errors: &[ConfigError]) -> String {
+    errors.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")
 }
--- a/endivestile/src/run.rs
+++ b/endivestile/src/run.rs
@@ -87,7 +87,7 @@
     let peers = peers::bind(settings.host.peers)?;
     let address = advertised(settings, &peers)?;
     let me = Peer::new(settings.host.name.clone(), since_epoch().as_micros() as u64);
-    let checker = Checker::start(inbox.clone())?;
+    let checker = Checker::start(inbox.clone(), adopted.clone())?;
     let voice = Say::pool();
     let desk = Desk {
         inbox: inbox.clone(),
--- a/endivestile/tests/store_edge.rs
+++ b/endivestile/tests/store_edge.rs
@@ -39,6 +39,19 @@
     assert_eq!(rig.daemon.order("k", "k").status, 200);
 }
 
+/// Somebody writes another number of shards past the operators' tools. Hosts that
+/// took it would send a caller's own id to another home, which starts it again.
+#[test]
+fn config_other_shards() {
+    let rig = Rig::start(&[]);
+    let other = format!("{}[rules]\nshards=128\n", config(2, &rig.backends));
+    rig.store.put("endivestile/config", other);
+    rig.daemon.wait_line("event=config_refused origin=store");
+    assert_eq!(revision(&rig.daemon), 1);
+    rig.store.put("endivestile/config", config(3, &rig.backends));
+    wait_for("revision 3", || revision(&rig.daemon) == 3);
+}
+
 /// The host starts before there is a configuration. It is alive, but the
 /// balancer must not send it work yet.
 #[test]
