Wait 15 s before a shard with a lost table is claimed

Cause: "gone" includes hosts that are not in the inventory. A host whose configuration is seconds behind takes a pair of hosts just added for hosts taken out, and could claim the shards of a pair that lives.

Ruled out: the configuration's revision in the record, which would need a field of the view as well; better, and left to the owner of the view.

Change: a claim over a lost table waits 15 s, longer than a configuration takes to be in force. The floor holds fresh ids back for 120 s anyway. The fake world jumps over idle time.

--- a/endivestile_kernel/src/shard/admit.rs
+++ b/endivestile_kernel/src/shard/admit.rs
@@ -2,7 +2,7 @@
 
 use crate::shard::core::Cx;
 use crate::shard::effect::Admit;
-use crate::shard::record::{ShardRecord, expired};
+use crate::shard::record::expired;
 use crate::shard::slot::Slot;
 use crate::shard::wait::Pending;
 use crate::{Cause, Class, HostState, Known, SubmissionId};
@@ -56,7 +56,7 @@
         if let Some(cause) = self.blocked(cx) {
             return Some(unknown(cause));
         }
-        if self.is_successor(cx, record, home) {
+        if self.standing.synced == record.epoch || self.may_claim(cx) {
             return None;
         }
         let away = home == HostState::Suspect;
@@ -77,17 +77,6 @@
         }
     }
 
-    /// Returns whether this host is about to be the home.
-    fn is_successor(&self, cx: &Cx<'_>, record: &ShardRecord, home: HostState) -> bool {
-        if self.standing.synced == record.epoch {
-            return true;
-        }
-        let witness = record.witness.as_ref();
-        let alone = witness.is_none_or(|peer| cx.view.state(peer) == HostState::Gone);
-        let claims = witness == Some(&cx.core.me) || (alone && self.is_claimant(cx));
-        home == HostState::Gone && claims
-    }
-
     /// Queues an id, or hands back what an earlier ticket of the same id waits for.
     fn enqueue(&mut self, cx: &Cx<'_>, id: &SubmissionId, digest: u64, ticket: u64) -> Admit {
         if let Some(known) = self.waiting(cx, id) {
--- a/endivestile_kernel/src/shard/plan.rs
+++ b/endivestile_kernel/src/shard/plan.rs
@@ -5,7 +5,11 @@
 use crate::shard::core::Cx;
 use crate::shard::record::{ShardRecord, floor_at};
 use crate::shard::slot::Slot;
-use crate::{HostState, Peer};
+use crate::{HostState, Peer, Time};
+
+/// Time from the loss of a table to a claim, in milliseconds: longer than a
+/// configuration takes to be in force everywhere.
+const CLAIM_MS: u64 = 15_000;
 
 /// The next step towards the store.
 #[derive(Debug, PartialEq, Eq)]
@@ -39,11 +43,13 @@
         if self.standing.home == record.epoch {
             return self.home_step(cx, record);
         }
-        let gone = cx.view.state(&record.home);
-        if record.witness.as_ref() == Some(&cx.core.me) {
-            return self.witness_step(record, gone);
+        let home = cx.view.state(&record.home);
+        let silent = matches!(home, HostState::Suspect | HostState::Gone);
+        let holds = self.standing.synced == record.epoch;
+        if holds && (silent || self.yielded == record.epoch) {
+            return Step::TakeOver;
         }
-        self.other_step(cx, record, gone)
+        if self.may_claim(cx) { Step::Claim } else { Step::Rest }
     }
 
     fn unowned_step(&self, cx: &Cx<'_>) -> Step {
@@ -71,21 +77,36 @@
         if fenced || witness != record.witness { Step::Renew(witness) } else { Step::Rest }
     }
 
-    fn witness_step(&self, record: &ShardRecord, home: HostState) -> Step {
-        let yielded = self.yielded == record.epoch;
-        let silent = matches!(home, HostState::Suspect | HostState::Gone);
-        if self.standing.synced == record.epoch && (silent || yielded) {
-            return Step::TakeOver;
+    /// Notes since when the shard's table is lost for good.
+    ///
+    /// A host whose inventory is some seconds behind takes a host that was
+    /// added meanwhile for one that was taken out, and would claim the shards
+    /// of a pair that lives; it waits until it must have caught up.
+    pub(crate) fn watch_loss(&mut self, cx: &Cx<'_>) {
+        if !self.is_lost(cx) {
+            self.claim_at = Time::NEVER;
+        } else if self.claim_at == Time::NEVER {
+            self.claim_at = cx.now.after_ms(CLAIM_MS);
         }
-        // The home died before its table arrived here: nobody has it.
-        if home == HostState::Gone { Step::Claim } else { Step::Rest }
     }
 
-    fn other_step(&self, cx: &Cx<'_>, record: &ShardRecord, home: HostState) -> Step {
-        let witness = record.witness.as_ref().map_or(HostState::Gone, |peer| cx.view.state(peer));
-        // A pair that is only suspected may be serving on behind a cut.
-        let lost = home == HostState::Gone && witness == HostState::Gone;
-        if lost && self.is_claimant(cx) { Step::Claim } else { Step::Rest }
+    /// Returns whether the home and whoever holds its table are gone.
+    fn is_lost(&self, cx: &Cx<'_>) -> bool {
+        let Some(record) = self.record() else { return false };
+        let holder = match &record.witness {
+            Some(peer) if *peer == cx.core.me => self.standing.synced == record.epoch,
+            // One that is only suspected may be serving on behind a cut.
+            Some(peer) => cx.view.state(peer) != HostState::Gone,
+            None => false,
+        };
+        cx.view.state(&record.home) == HostState::Gone && !holder
+    }
+
+    /// Returns whether this host is the one to claim a shard whose table is lost.
+    pub(crate) fn may_claim(&self, cx: &Cx<'_>) -> bool {
+        let witness = self.record().and_then(|record| record.witness.as_ref());
+        let first = || witness == Some(&cx.core.me) || self.is_claimant(cx);
+        cx.now >= self.claim_at && first()
     }
 
     /// Returns whether this host is the one to claim the shard.
--- a/endivestile_kernel/src/shard/slot.rs
+++ b/endivestile_kernel/src/shard/slot.rs
@@ -65,6 +65,8 @@
     pub(crate) doubt: Option<u64>,
     /// Whether the record has to be read before anything is written.
     pub(crate) reread: bool,
+    /// The shard may be claimed anew from then on, its table being lost.
+    pub(crate) claim_at: Time,
     /// A fenced home writes the record anew at it, if nobody else did.
     pub(crate) renew_at: Time,
     /// Waiting tickets are refused at it.
@@ -95,6 +97,7 @@
             fails: 0,
             doubt: None,
             reread: false,
+            claim_at: Time::NEVER,
             renew_at: Time::NEVER,
             stall: Time::NEVER,
             sweep: Time::ZERO,
@@ -106,11 +109,12 @@
         if let Some(cause) = self.blocked(cx) {
             self.refuse_waiting(cx, cause);
         }
+        self.watch_loss(cx);
         self.call_store(cx);
         self.send_table(cx);
         self.send_yield(cx);
         self.pump(cx);
-        cx.core.wake(self.deadline());
+        cx.core.wake(self.deadline(cx.now));
     }
 
     /// Does what is due.
@@ -127,13 +131,14 @@
         self.settle(cx);
     }
 
-    /// Returns when something is due.
-    pub(crate) fn deadline(&self) -> Time {
+    /// Returns when something is due, after what was due at `now` was done.
+    fn deadline(&self, now: Time) -> Time {
+        let claim = if self.claim_at > now { self.claim_at } else { Time::NEVER };
         let call = match &self.call {
             Some(call) => call.lost_at,
             None => self.retry.unwrap_or(Time::NEVER),
         };
-        call.min(self.stall).min(self.sweep)
+        call.min(claim).min(self.stall).min(self.sweep)
     }
 
     /// Takes in a record that is later than the last one seen.
--- a/endivestile_kernel/tests/shards/scenarios.rs
+++ b/endivestile_kernel/tests/shards/scenarios.rs
@@ -38,6 +38,7 @@
     let mut world = three();
     let first = world.submit(0, &id(0, 1));
     world.advance(10);
+    assert_eq!(world.starts[0].waited, 2);
     let again = world.submit(1, &id(0, 1));
     world.advance(10);
     assert_eq!(fate(&world, first), Some(&Fate::Started));
@@ -248,6 +249,8 @@
     assert_eq!(world.home(0), home);
     world.declare_gone(home);
     world.declare_gone(witness);
+    world.advance(14_900);
+    assert_eq!(world.home(0), home);
     world.advance(200);
     assert_eq!(world.home(0), other);
     let again = world.submit(other, &id(0, 1));
--- a/endivestile_kernel/tests/shards/sequences.rs
+++ b/endivestile_kernel/tests/shards/sequences.rs
@@ -11,7 +11,7 @@
 const SHARDS: u32 = 2;
 const IDS: usize = 6;
 /// Cases in CI.
-const CASES: u32 = 150;
+const CASES: u32 = 500;
 
 #[derive(Debug, Clone)]
 enum Step {
@@ -96,7 +96,8 @@
             Run::Up => {}
         }
     }
-    world.advance(8_000);
+    // Longer than a claim waits.
+    world.advance(30_000);
     // Dated above every floor.
     let fresh: Vec<_> = (0..8).map(|number| id(world.now + 200_000, 100 + number)).collect();
     for id in &fresh {
--- a/endivestile_kernel/tests/shards/world.rs
+++ b/endivestile_kernel/tests/shards/world.rs
@@ -324,8 +324,11 @@
 
     /// Lets virtual time pass.
     pub(crate) fn advance(&mut self, millis: u64) {
-        for _ in 0..millis {
-            self.now += 1;
+        let end = self.now + millis;
+        // Whatever a test changed just now is seen in the first step.
+        let mut next = self.now + 1;
+        while self.now < end {
+            self.now = next.min(end);
             self.serve_store();
             self.deliver();
             for node in 0..self.nodes.len() {
@@ -334,9 +337,34 @@
                     self.tick(node);
                 }
             }
+            next = self.next_event();
         }
     }
 
+    /// Returns the next instant at which anything can happen.
+    fn next_event(&self) -> u64 {
+        let next = self.now + 1;
+        let quiet = self.calls.is_empty() && self.watch.is_empty();
+        if !quiet || self.links.values().any(|link| !link.is_empty()) || self.is_doubting() {
+            return next;
+        }
+        let due = |node: &Node| {
+            let due = node.shards.deadline().filter(|_| node.run == Run::Up)?;
+            Some(node.born + due.as_micros().div_ceil(1_000))
+        };
+        self.nodes.iter().filter_map(due).min().unwrap_or(u64::MAX).max(next)
+    }
+
+    /// Returns whether a host out of reach is not suspected yet.
+    fn is_doubting(&self) -> bool {
+        let doubts = |node: usize, other: usize| {
+            let silence = self.now - self.nodes[node].heard[other];
+            !self.reaches(other, node) && silence <= SUSPECT_MS
+        };
+        let hosts = 0..self.nodes.len();
+        hosts.clone().any(|node| hosts.clone().any(|other| doubts(node, other)))
+    }
+
     fn tick(&mut self, node: usize) {
         let now = self.clock(node);
         if self.nodes[node].shards.deadline().is_some_and(|due| due <= now) {
