--- a/endivestile_kernel/tests/shards/world.rs
+++ b/endivestile_kernel/tests/shards/world.rs
@@ -54,11 +54,12 @@
 
 /// A start of an id.
 #[derive(Debug)]
-#[allow(dead_code, reason = "printed on failure")]
+#[allow(dead_code, reason = "the host is printed on failure")]
 pub(crate) struct Start {
     pub(crate) id: SubmissionId,
     pub(crate) node: usize,
     pub(crate) at: u64,
+    pub(crate) waited: u64,
 }
 
 struct Ask {
@@ -274,7 +275,8 @@
         if ask.digest.is_some() {
             let id = ask.id.clone();
             let twice = self.starts.iter().any(|start| start.id == id);
-            self.starts.push(Start { id, node, at: self.now });
+            let waited = self.now - ask.since;
+            self.starts.push(Start { id, node, at: self.now, waited });
             assert!(!twice, "started twice: {:?}", self.starts);
             return self.end(ticket, Fate::Started);
         }
@@ -322,8 +324,11 @@
 
     /// Lets virtual time pass.
     pub(crate) fn advance(&mut self, millis: u64) {
-        for _ in 0..millis {
-            self.now += 1;
+        let end = self.now + millis;
+        // Whatever a test changed just now is seen in the first step.
+        let mut next = self.now + 1;
+        while self.now < end {
+            self.now = next.min(end);
             self.serve_store();
             self.deliver();
             for node in 0..self.nodes.len() {
@@ -332,9 +337,34 @@
                     self.tick(node);
                 }
             }
+            next = self.next_event();
         }
     }
 
+    /// Returns the next instant at which anything can happen.
+    fn next_event(&self) -> u64 {
+        let next = self.now + 1;
+        let quiet = self.calls.is_empty() && self.watch.is_empty();
+        if !quiet || self.links.values().any(|link| !link.is_empty()) || self.is_doubting() {
+            return next;
+        }
+        let due = |node: &Node| {
+            let due = node.shards.deadline().filter(|_| node.run == Run::Up)?;
+            Some(node.born + due.as_micros().div_ceil(1_000))
+        };
+        self.nodes.iter().filter_map(due).min().unwrap_or(u64::MAX).max(next)
+    }
+
+    /// Returns whether a host out of reach is not suspected yet.
+    fn is_doubting(&self) -> bool {
+        let doubts = |node: usize, other: usize| {
+            let silence = self.now - self.nodes[node].heard[other];
+            !self.reaches(other, node) && silence <= SUSPECT_MS
+        };
+        let hosts = 0..self.nodes.len();
+        hosts.clone().any(|node| hosts.clone().any(|other| doubts(node, other)))
+    }
+
     fn tick(&mut self, node: usize) {
         let now = self.clock(node);
         if self.nodes[node].shards.deadline().is_some_and(|due| due <= now) {
