--- a/endivestile_kernel/src/place/dispatch.rs
+++ b/endivestile_kernel/src/place/dispatch.rs
@@ -1,12 +1,12 @@
 //! Waiting tasks and their start.
 
-use super::choice::Choice;
+use super::choice::{Choice, Offer};
 use super::effect::PlaceEffect;
 use super::held::Run;
 use super::placer::{ACCELERATED, PLAIN, Placer};
 use super::room::Room;
 use super::timer::Timer;
-use crate::{AttemptId, Cause, Metric, Outcome, Target, Time};
+use crate::{AttemptId, Metric, Time};
 
 /// Members whose first tasks are looked at before a pool waits.
 const LINES: usize = 4;
@@ -40,64 +40,6 @@
 }
 
 impl Placer {
-    /// Puts a task into the queue of its pool.
-    pub(crate) fn enqueue(&mut self, now: Time, slot: u32) {
-        let Some(held) = self.held.get_mut(slot) else { return };
-        let pool = &mut self.pools[held.pool as usize];
-        let weight = self.members.get(held.member).weight;
-        pool.queue.push(held.member, weight, held.rank(), slot);
-        let units = pool.units(&held.want());
-        pool.wanted += u64::from(units);
-        pool.typical += (f64::from(units) - pool.typical) / 64.0;
-        if let Target::Need(need) = held.order.task.target {
-            *pool.needs.entry(need).or_default() += 1;
-        }
-        let fastest = if held.trial { 0 } else { pool.fastest_us() };
-        held.drop_at = before(held.order.deadline, fastest).max(now);
-        self.timers.insert((held.drop_at, Timer::Drop(slot)));
-        self.waiting += 1;
-    }
-
-    /// Takes a task out of the queue of its pool.
-    pub(crate) fn unqueue(&mut self, slot: u32) {
-        let Some(held) = self.held.get_mut(slot) else { return };
-        let pool = &mut self.pools[held.pool as usize];
-        pool.queue.remove(held.member, &held.rank());
-        pool.wanted = pool.wanted.saturating_sub(u64::from(pool.units(&held.want())));
-        if let Target::Need(need) = held.order.task.target {
-            let left = pool.needs.get_mut(&need).map_or(0, |count| {
-                *count -= 1;
-                *count
-            });
-            if left == 0 {
-                pool.needs.remove(&need);
-            }
-        }
-        self.timers.remove(&(held.drop_at, Timer::Drop(slot)));
-        self.waiting -= 1;
-        if let Some(id) = held.kept.take() {
-            self.backends[id as usize].kept = None;
-            self.refresh(id);
-        }
-    }
-
-    /// Ends a task that does not wait in a queue any more.
-    pub(crate) fn settle(&mut self, slot: u32, outcome: Outcome, out: &mut Vec<PlaceEffect>) {
-        let Some(held) = self.held.get(slot) else { return };
-        let (home, key) = (held.home.clone(), held.order.key);
-        self.index.remove(&(home.clone(), key));
-        self.forget(slot);
-        out.push(PlaceEffect::Ended { home, key, outcome });
-    }
-
-    /// Forgets a task that does not wait in a queue any more.
-    pub(crate) fn forget(&mut self, slot: u32) {
-        if let Some(held) = self.held.remove(slot) {
-            self.members.release(held.member);
-            self.index.remove(&(held.home, held.order.key));
-        }
-    }
-
     /// Starts what can be started in all pools; accelerators are offered first
     /// to the tasks that need them.
     pub(crate) fn dispatch_all(&mut self, now: Time, out: &mut Vec<PlaceEffect>) {
@@ -118,9 +60,11 @@
     fn next_start(&mut self, now: Time, pool: u32) -> Option<(u32, usize)> {
         let mut heads = [0; LINES * DEPTH];
         let count = self.heads(pool, &mut heads);
+        let sized = !self.pools[pool as usize].on_workers();
         let mut first = Pick::Full;
         for (step, &slot) in heads[..count].iter().enumerate() {
-            let pick = self.pick(now, pool, slot);
+            let smaller = sized && self.smaller_behind(&heads[step..count]);
+            let pick = self.pick(now, pool, slot, smaller);
             if step == 0 {
                 first = pick;
             }
@@ -131,10 +75,7 @@
                     }
                     return Some((slot, at));
                 }
-                Pick::Wait => {
-                    self.be_patient(now, pool, slot);
-                    return None;
-                }
+                Pick::Wait => self.be_patient(now, pool, slot),
                 Pick::Full if !self.pools[pool as usize].on_workers() => return None,
                 Pick::Full | Pick::Late => {}
             }
@@ -142,14 +83,29 @@
         None
     }
 
+    /// Returns whether a task of the same member as the first of `heads` is
+    /// smaller than it.
+    fn smaller_behind(&self, heads: &[u32]) -> bool {
+        let sizes = heads.iter().filter_map(|slot| self.held.get(*slot));
+        let mut sizes = sizes.map(|held| (held.member, held.ln_size));
+        let Some((member, size)) = sizes.next() else { return false };
+        sizes.take_while(|(other, _)| *other == member).any(|(_, other)| other < size)
+    }
+
     fn heads(&self, pool: u32, heads: &mut [u32]) -> usize {
         let pool = &self.pools[pool as usize];
         if pool.queue.waiting() == 0 || pool.usable == 0 {
             return 0;
         }
-        let depth = if pool.on_workers() { DEPTH } else { 1 };
+        let (lines, depth) = if pool.on_workers() {
+            (LINES, DEPTH)
+        } else if pool.declared.slope() > 0.0 {
+            (1, LINES * DEPTH)
+        } else {
+            (LINES, 1)
+        };
         let mut count = 0;
-        for (at, slot) in pool.queue.heads(LINES, depth).enumerate() {
+        for (at, slot) in pool.queue.heads(lines, depth).enumerate() {
             heads[at] = slot;
             count = at + 1;
         }
@@ -157,10 +113,10 @@
     }
 
     /// Looks for a back end for a task.
-    fn pick(&mut self, now: Time, id: u32, slot: u32) -> Pick {
+    fn pick(&mut self, now: Time, id: u32, slot: u32, smaller: bool) -> Pick {
         let Some(held) = self.held.get(slot) else { return Pick::Full };
         let (want, run, kept) = (held.want(), held.order.key.run, held.kept);
-        let queued = held.queued;
+        let (ln_size, patient) = (held.ln_size, held.patient);
         let (deadline, trial) = (held.order.deadline, held.trial);
         if let Some(at) = kept.and_then(|backend| self.kept_seat(id, backend, &want)) {
             return Pick::At(at);
@@ -170,12 +126,13 @@
             return Pick::Full;
         }
         let pool = &self.pools[id as usize];
-        let choice = Choice::new(pool, want, near, (now, queued));
+        let choice = Choice::new(pool, want, near, now, Offer { ln_size, patient, smaller });
         let Some(at) = (self.choose)(&choice, &mut self.rng) else { return Pick::Wait };
         if !choice.free(at) {
             return Pick::Full;
         }
-        let late = pool.judged() && now.after_us(pool.typical_us(at) as u64) > deadline;
+        let late =
+            pool.judged() && now.after_us((pool.typical_us(at) * ln_size.exp()) as u64) > deadline;
         if late && !trial { Pick::Late } else { Pick::At(at) }
     }
 
@@ -258,10 +215,14 @@
 
     /// Wakes up when a task has waited long enough for a faster back end.
     fn be_patient(&mut self, now: Time, id: u32, slot: u32) {
-        let Some(held) = self.held.get(slot) else { return };
+        let Some(held) = self.held.get_mut(slot) else { return };
+        if held.patient.is_some() {
+            return;
+        }
         let pool = &self.pools[id as usize];
         let Some(first) = pool.first_free(&held.want()) else { return };
-        let until = held.queued.after_us(pool.typical_us(first) as u64 + 1).max(now.after_us(1));
+        let until = now.after_us((pool.typical_us(first) * held.ln_size.exp()) as u64 + 1);
+        held.patient = Some(until);
         self.timers.insert((until, Timer::Patience(id)));
     }
 
@@ -275,7 +236,7 @@
         let want = held.want();
         let id = pool.seats[at].backend;
         let share = f64::from(pool.units(&want)) / pool.typical.max(1.0);
-        let cost = (pool.mean_us(at) * share) as u64;
+        let cost = (pool.mean_us(at) * held.ln_size.exp() * share) as u64;
         pool.queue.charge(held.member, cost);
         pool.cursor = at + 1;
         pool.turn = pool.turn.wrapping_add(1);
@@ -296,22 +257,6 @@
         self.refresh(id);
     }
 
-    /// Gives up a waiting task that can't make its deadline any more.
-    pub(crate) fn give_up(&mut self, now: Time, slot: u32, out: &mut Vec<PlaceEffect>) {
-        let Some(held) = self.held.get_mut(slot) else { return };
-        let fastest = if held.trial { 0 } else { self.pools[held.pool as usize].fastest_us() };
-        let last = before(held.order.deadline, fastest);
-        if last > now {
-            held.drop_at = last;
-            self.timers.insert((last, Timer::Drop(slot)));
-            return;
-        }
-        let pool = held.pool;
-        self.unqueue(slot);
-        self.settle(slot, Outcome::NotRun(Cause::Deadline), out);
-        self.dispatch_behind(now, pool, out);
-    }
-
     /// Starts what a task that left the queue kept from starting: on workers
     /// it may have stood before smaller ones, or had a worker kept free.
     pub(crate) fn dispatch_behind(&mut self, now: Time, pool: u32, out: &mut Vec<PlaceEffect>) {
@@ -321,11 +266,3 @@
         }
     }
 }
-
-/// Returns the instant `micros` before `deadline`.
-fn before(deadline: Time, micros: u64) -> Time {
-    if deadline == Time::NEVER {
-        return deadline;
-    }
-    Time::from_micros(deadline.as_micros().saturating_sub(micros))
-}
--- a/endivestile_kernel/src/place/mod.rs
+++ b/endivestile_kernel/src/place/mod.rs
@@ -3,14 +3,18 @@
 //! One placer owns the slots of the back ends in its host's share. A task stays
 //! in the placer's queue until a slot is free and worth taking.
 
+mod admission;
 mod arrivals;
 mod backend;
 mod bands;
 mod baselines;
 mod choice;
+mod declared;
 mod dispatch;
+mod due;
 mod effect;
 mod ending;
+mod estimate;
 mod fit;
 mod health;
 mod held;
@@ -26,9 +30,11 @@
 mod seat;
 mod share;
 mod sharing;
+mod sizes;
 mod speed;
 mod status;
 mod timer;
+mod waiting;
 
 pub use choice::Choice;
 pub use effect::{PlaceEffect, PlacerSetup};
--- a/endivestile_kernel/src/place/pool.rs
+++ b/endivestile_kernel/src/place/pool.rs
@@ -6,22 +6,24 @@
 
 use super::arrivals::Arrivals;
 use super::bands::Bands;
+use super::declared::Declared;
 use super::fit::FitTree;
 use super::queue::FairQueue;
 use super::room::Room;
 use super::seat::{Key, Seat};
+use super::sizes::Sizes;
 use super::speed::Speed;
 use crate::{Need, Time};
 
 /// Run time believed before any task has ended, in microseconds.
-const DEFAULT_US: f64 = 200_000.0;
+pub(crate) const DEFAULT_US: f64 = 200_000.0;
+
+/// Samples after which a back end's speed is known well enough to judge sizes by.
+const STEADY_SAMPLES: u32 = 8;
 
 /// Weight of a new sample in the ratio of mean to typical run time.
 const SCALE_WEIGHT: f64 = 1.0 / 64.0;
 
-/// Samples from which on deadlines are judged by learnt run times.
-const JUDGE_SAMPLES: u32 = 8;
-
 /// What a pool runs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Kind {
@@ -60,6 +62,10 @@
     pub(crate) wanted: u64,
     /// Rate at which wanted capacity arrives.
     pub(crate) arrivals: Arrivals,
+    /// What declared run times are worth.
+    pub(crate) declared: Declared,
+    /// How work is spread over sizes of tasks.
+    pub(crate) sizes: Sizes,
     /// Run time of all back ends together.
     pub(crate) common: Speed,
     /// Mean run time over typical run time.
@@ -96,6 +102,8 @@
             needs: BTreeMap::new(),
             wanted: 0,
             arrivals: Arrivals::default(),
+            declared: Declared::default(),
+            sizes: Sizes::new(),
             common: Speed { ln: DEFAULT_US.ln(), ..Speed::default() },
             scale: 1.0,
             typical: 1.0,
@@ -151,14 +159,18 @@
         self.typical_us(at) * self.scale
     }
 
-    /// Takes in the run time of a task.
-    pub(crate) fn learn(&mut self, now: Time, at: usize, micros: u64) {
+    /// Takes in the run time of a task with this believed size and declared run time.
+    pub(crate) fn learn(&mut self, now: Time, at: usize, micros: u64, hint: (f64, u32)) {
+        let (ln_size, declared_ms) = hint;
         let seat = &mut self.seats[at];
-        seat.speed.learn(now, micros);
+        if seat.speed.samples >= STEADY_SAMPLES {
+            self.declared.learn(declared_ms, (micros as f64).max(1.0).ln() - seat.speed.ln);
+        }
+        seat.speed.learn(now, micros, ln_size);
         seat.stalled = None;
         let ratio = micros as f64 / seat.speed.ln.exp();
         self.scale += (ratio.min(20.0) - self.scale) * SCALE_WEIGHT;
-        self.common.learn(now, micros);
+        self.common.learn(now, micros, ln_size);
     }
 
     /// Takes a declared run time as a hint while nothing is learnt.
@@ -207,30 +219,6 @@
         seat.key = key;
     }
 
-    /// Returns the time that a task which arrives now waits, in microseconds;
-    /// none when no back end is usable.
-    pub(crate) fn wait_us(&self, part: f64) -> Option<f64> {
-        let (units, rate) = self.bands.total();
-        if units == 0.0 {
-            return None;
-        }
-        let waiting = self.wanted as f64;
-        Some((waiting + self.typical) * self.scale / rate / part.clamp(0.001, 1.0))
-    }
-
-    /// Returns whether enough was learnt to judge deadlines by it.
-    pub(crate) const fn judged(&self) -> bool {
-        self.common.samples >= JUDGE_SAMPLES
-    }
-
-    /// Returns the shortest typical run time, 0 while too little is known.
-    pub(crate) fn fastest_us(&self) -> u64 {
-        if !self.judged() {
-            return 0;
-        }
-        self.bands.fastest_us().unwrap_or(0.0) as u64
-    }
-
     /// Returns whether a usable back end could run a task.
     pub(crate) fn could_run(&self, want: &Room) -> bool {
         if self.on_workers() {
@@ -247,31 +235,6 @@
         }
         self.free.first().map(|key| key.at())
     }
-
-    /// Returns the time that a task of a member which arrives now waits, in
-    /// microseconds: behind its own tasks at its part, or behind all at most.
-    pub(crate) fn member_wait_us(&self, member: u32, weight: u32) -> f64 {
-        let (units, rate) = self.bands.total();
-        if units == 0.0 {
-            return 0.0;
-        }
-        let own = (self.queue.waiting_of(member) + 1) as f64 * self.typical;
-        let own = own / self.queue.part(member, weight);
-        own.min(self.wanted as f64 + self.typical) * self.scale / rate
-    }
-
-    /// Returns the time until a task that arrives now is finished, in microseconds.
-    pub(crate) fn finish_us(&self, want: &Room) -> u64 {
-        let wait = self.wait_us(1.0).unwrap_or(0.0) + self.average_us();
-        let Some(at) = self.first_free(want) else { return wait as u64 };
-        (self.mean_us(at) as u64).min(wait as u64)
-    }
-
-    /// Returns the mean run time over all slots, in microseconds.
-    pub(crate) fn average_us(&self) -> f64 {
-        let (units, rate) = self.bands.total();
-        if rate == 0.0 { DEFAULT_US } else { units / rate * self.scale }
-    }
 }
 
 /// What a refresh of a seat has to know of its back end.
