Leave channels alone that have nothing to send

Cause: every flush copied the key of every channel and asked each for a frame; at 208 hosts, with callers' ids forwarded to all homes, that is 207 channels at each event.

Ruled out: a set of channels to flush, kept beside them; it would have to follow every deadline too.

Change: a channel says cheaply whether it may have a frame, and only those that do are asked.

--- a/endivestile_kernel/src/channel.rs
+++ b/endivestile_kernel/src/channel.rs
@@ -146,6 +146,13 @@
         fresh
     }
 
+    /// Returns whether there may be a frame to send, without making it.
+    pub(crate) fn wants_frame(&self, now: Time) -> bool {
+        let unsent = self.unacked.len() as u64 > self.sent - self.acked;
+        let resend = self.resend_due.is_some_and(|due| due <= now);
+        unsent || resend || self.due(now)
+    }
+
     /// Returns the next frame, if one is due.
     pub(crate) fn frame(&mut self, now: Time, me: &Peer) -> Option<Frame> {
         if self.resend_due.is_some_and(|due| due <= now) {
--- a/endivestile_kernel/src/kernel/link.rs
+++ b/endivestile_kernel/src/kernel/link.rs
@@ -122,7 +122,9 @@
     /// Sends what is due to every peer.
     pub(super) fn send_frames(&mut self, now: Time) {
         self.update_load(now);
-        let peers: Vec<Peer> = self.channels.keys().cloned().collect();
+        // A host knows hundreds of peers, and one event concerns few of them.
+        let wanting = self.channels.iter().filter(|(_, channel)| channel.wants_frame(now));
+        let peers: Vec<Peer> = wanting.map(|(peer, _)| peer.clone()).collect();
         for peer in peers {
             if self.hosts.view().state(&peer) == HostState::Gone {
                 continue;
