Compare shares without looking up their hosts

Cause: for each task the route to the best share looked every share's host up twice, by name, and built a route for each.

Ruled out: a sorted list of shares; what was handed over since the last figures moves every share at every task.

Change: a share says when a task would end there as if it were near; a host is looked up only if that beats the best so far. Ties go to the first share, as before.

--- a/endivestile_kernel/src/routes.rs
+++ b/endivestile_kernel/src/routes.rs
@@ -21,6 +21,22 @@
     assumed: HashMap<Target, u32>,
 }
 
+impl Share {
+    /// Returns when a task of a class would end here if the share were in the own zone.
+    fn end(&self, now: Time, rules: &Rules, class: &Target) -> Option<Time> {
+        let figure = self.figures.iter().find(|figure| figure.target == *class)?;
+        if figure.slots == 0 {
+            return None;
+        }
+        let assumed = self.assumed.get(class).copied().unwrap_or(0);
+        let stale = self.told.after_ms(STALE_MS) < now;
+        let wait = if stale { u64::from(figure.service_us) } else { wait_us(figure, assumed) };
+        // An order and its outcome are two messages.
+        let price = 2 * rules.price_us;
+        Some(now.after_us(wait + u64::from(figure.service_us) + price))
+    }
+}
+
 /// What is known of the other hosts' shares.
 ///
 /// Figures ride on frames that are sent anyway, so they are old when they are
@@ -67,9 +83,25 @@
         rules: &Rules,
         target: &Target,
     ) -> Option<Route> {
-        let usable = |peer: &&Peer| view.state(peer) == HostState::Live;
-        let routes = self.shares.keys().filter(usable);
-        routes.filter_map(|peer| self.route(now, view, rules, peer, target)).min_by_key(|r| r.end)
+        let class = class(target);
+        let mut best: Option<(Time, &Peer)> = None;
+        for (peer, share) in &self.shares {
+            let Some(near) = share.end(now, rules, &class) else { continue };
+            // Looking a host up costs more than the rest, and few shares come into question.
+            if best.is_some_and(|(end, _)| end <= near) {
+                continue;
+            }
+            let Some(host) = view.hosts.get(&peer.host) else { continue };
+            if host.peer.birth != peer.birth || host.state != HostState::Live {
+                continue;
+            }
+            let distance = if host.zone == view.zone { 0 } else { 2 * rules.distance_us };
+            let end = near.after_us(distance);
+            if best.is_none_or(|(first, _)| end < first) {
+                best = Some((end, peer));
+            }
+        }
+        best.map(|(end, peer)| Route { peer: peer.clone(), end })
     }
 
     /// Returns some live host that counts the slots of a back end for the
@@ -97,31 +129,6 @@
         };
         Some(Route { peer: peer?, end: now.after_us(GUESS_US + 2 * config.rules.distance_us) })
     }
-
-    fn route(
-        &self,
-        now: Time,
-        view: &View,
-        rules: &Rules,
-        peer: &Peer,
-        target: &Target,
-    ) -> Option<Route> {
-        let share = self.shares.get(peer)?;
-        let class = class(target);
-        let figure = share.figures.iter().find(|figure| figure.target == class)?;
-        if figure.slots == 0 {
-            return None;
-        }
-        let assumed = share.assumed.get(&class).copied().unwrap_or(0);
-        let stale = share.told.after_ms(STALE_MS) < now;
-        let wait = if stale { u64::from(figure.service_us) } else { wait_us(figure, assumed) };
-        let host = view.hosts.get(&peer.host)?;
-        let distance = if host.zone == view.zone { 0 } else { 2 * rules.distance_us };
-        // An order and its outcome are two messages.
-        let price = 2 * rules.price_us;
-        let end = now.after_us(wait + u64::from(figure.service_us) + distance + price);
-        Some(Route { peer: peer.clone(), end })
-    }
 }
 
 /// Returns the wait expected at a share after `assumed` more tasks.
