Score each host once per ranking

Cause: rendezvous scores, two hashes and a logarithm, were worked out in the comparator: 3,200 times to rank 208 hosts, and each change of the view ranks them for every one of 170 members.

Ruled out: keeping the ranks of all keys between changes; 208 x 170 scores of memory for a millisecond.

Change: ranked and placer score each host once. Order and ties are as before.

Conclusion: what is left is the search of each back end's zone among all hosts, linear in hosts x back ends.

--- a/endivestile_kernel/src/view.rs
+++ b/endivestile_kernel/src/view.rs
@@ -80,14 +80,16 @@
 
     /// Returns the live hosts in rendezvous order for `key`, best first.
     pub fn ranked(&self, key: &str) -> Vec<&HostView> {
-        let mut hosts: Vec<&HostView> = self.live().collect();
-        hosts.sort_by(|a, b| rank(b, key).total_cmp(&rank(a, key)));
-        hosts
+        let mut hosts: Vec<(f64, &HostView)> =
+            self.live().map(|host| (rank(host, key), host)).collect();
+        hosts.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+        hosts.into_iter().map(|(_, host)| host).collect()
     }
 }
 
 fn first<'a>(hosts: impl Iterator<Item = &'a HostView>, key: &str) -> Option<&'a HostView> {
-    hosts.max_by(|a, b| rank(a, key).total_cmp(&rank(b, key)))
+    let scored = hosts.map(|host| (rank(host, key), host));
+    scored.max_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, host)| host)
 }
 
 /// Weighted rendezvous score: the larger the weight, the nearer to zero.
