Answer callers that connect at once

Cause: process tests of stops and pauses lost some callers' answers for good, now and then: connected, request sent, no answer until the caller's own time-out (35 s). The HTTP library's accept thread queues a connection for a thread that it counts as waiting until that thread has woken up. When callers connect faster than threads wake, more are queued than threads wait; the rest stay queued until some other caller hangs up.

Ruled out: a lost answer in the kernel (GET /health, which never reaches it, is lost too); the backlog (connections are accepted); closing after each answer (a connection a call); filling the library's first threads with idle connections of our own (threads that finish a connection wait, and count, for five more seconds).

Change: the host connects to itself and hangs up, once for each first request of a connection and ten times a second otherwise. Each such connection ends at once and sets free one thread, which takes one of the queue.

Conclusion: mended from outside the library. A library whose threads don't wait on kept connections would need none of it.

--- a/endivestile/src/http/listen.rs
+++ b/endivestile/src/http/listen.rs
@@ -9,6 +9,7 @@
 use tokio::runtime::Handle;
 
 use super::Desk;
+use super::doorbell::Doorbell;
 use crate::error::RunError;
 use crate::inbox::Input;
 
@@ -41,18 +42,21 @@
 
 /// Serves callers on threads of its own.
 pub(crate) fn serve(listener: TcpListener, desk: &Desk) -> Result<(), RunError> {
-    let address = listener.local_addr().map(|a| a.to_string()).unwrap_or_default();
-    let server = Server::from_listener(listener, None).map_err(|e| RunError::Bind {
-        step: "serve-http",
-        address,
-        reason: e.to_string(),
-    })?;
+    let local = listener.local_addr();
+    let address = local.as_ref().map(ToString::to_string).unwrap_or_default();
+    let failed =
+        |reason: String| RunError::Bind { step: "serve-http", address: address.clone(), reason };
+    let server = Server::from_listener(listener, None).map_err(|e| failed(e.to_string()))?;
     let server = Arc::new(server);
+    let local = local.map_err(|e| failed(e.to_string()))?;
+    let doorbell = Arc::new(Doorbell::start(local)?);
     let readers = desk.readers();
     for _ in 0..desk.settings.threads {
         let (server, desk, readers) = (Arc::clone(&server), desk.clone(), readers.clone());
+        let doorbell = Arc::clone(&doorbell);
         let take = move || {
             for request in server.incoming_requests() {
+                doorbell.note(request.remote_addr());
                 desk.take(request, &readers);
             }
             // The library's accept thread ends at its first error, such as a
--- a/endivestile/src/http/mod.rs
+++ b/endivestile/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod call;
 mod check;
 mod desk;
+mod doorbell;
 mod head;
 mod invalid;
 mod listen;
