--- /dev/null
+++ b/endivestile/tests/promise_config.rs
@@ -0,0 +1,102 @@
+//! Promise 8, an accepted configuration is in force everywhere and never reverts: with real processes.
+
+mod promise;
+
+use endivestile_testkit::{Caller, Deployment, wait_for};
+
+use promise::{PATIENCE_S, at, caller, persist, plan, start, works};
+
+/// Key of the configuration.
+const CONFIG: &str = "endivestile/config";
+
+/// Returns the revision in force at each running host.
+fn revisions(deployment: &mut Deployment) -> Vec<u64> {
+    let hosts =
+        deployment.hosts.iter_mut().filter_map(|host| host.runs().then_some(host.address()));
+    let pages = hosts.filter_map(|address| caller(address).status().ok());
+    pages.filter_map(|page| page["revision"].as_u64()).collect()
+}
+
+/// Waits until a revision is in force at every running host.
+fn wait_revision(deployment: &mut Deployment, revision: u64) {
+    let all = wait_for(PATIENCE_S, || revisions(deployment).iter().all(|own| *own == revision));
+    assert!(all, "revision {revision} everywhere, not {:?}", revisions(deployment));
+}
+
+/// Returns whether a host has logged a refused configuration.
+fn has_refused(deployment: &mut Deployment, name: &str, count: usize) -> bool {
+    let log = deployment.host(name).log();
+    log.iter().filter(|line| line.contains("event=config_refused")).count() >= count
+}
+
+// Somebody writes past the operators' tools: first a text that is no
+// configuration, then one with a server that no service can reach, then an
+// older accepted one. Hosts must keep the one in force and go on serving.
+#[test]
+fn config_past_the_tools() {
+    let mut deployment = start(plan());
+    let old = deployment.config().canonical();
+    let revision = deployment.reconfigure(|config| config.rules.queue_limit -= 1);
+    wait_revision(&mut deployment, revision);
+    let accepted = deployment.config().canonical();
+    let higher = format!("revision = {}", revision + 7);
+    let bare = accepted.replacen(&format!("revision={revision}"), &higher, 1);
+    let bare = bare.replacen(&format!("revision = {revision}"), &higher, 1);
+    let invalid = bare.replacen("orders", "ord ers", 1);
+    assert_ne!(invalid, accepted, "the text was spoilt");
+    for (count, text) in ["no configuration", &invalid].into_iter().enumerate() {
+        deployment.store.put(CONFIG, text);
+        let refused = wait_for(PATIENCE_S, || has_refused(&mut deployment, "a1", count + 1));
+        assert!(refused, "{text}");
+    }
+    deployment.store.put(CONFIG, old);
+    deployment.store.put(CONFIG, "still none");
+    assert!(wait_for(PATIENCE_S, || has_refused(&mut deployment, "a1", 3)), "all was seen");
+    wait_revision(&mut deployment, revision);
+    let works = works("spoilt", 2, 5);
+    let reply = persist(&at(&mut deployment, "b2"), &Caller::own_id("spoilt"), &works);
+    assert_eq!(reply.expect("a final answer").word(), "complete");
+}
+
+// The store goes away and operators' last change is known to the living hosts
+// only. A host that is started anew during the outage must get that change
+// from its peers, not an older one and not none, and serve.
+#[test]
+fn config_restart_in_outage() {
+    let mut deployment = start(plan());
+    let revision = deployment.reconfigure(|config| config.rules.queue_limit -= 1);
+    wait_revision(&mut deployment, revision);
+    let hosts = deployment.config().hosts.iter();
+    let seeds: Vec<String> = hosts.map(|(name, host)| format!("{name}@{}", host.address)).collect();
+    let own = deployment.config().hosts["b2"].address.clone();
+    let seeds: Vec<String> =
+        seeds.into_iter().filter(|seed| *seed != format!("b2@{own}")).collect();
+    deployment.store.down();
+    let host = deployment.host("b2");
+    host.set(&format!("host.seeds={}", seeds.join(",")));
+    host.restart().expect("a process");
+    assert!(host.wait_ready(PATIENCE_S), "ready without the store");
+    wait_revision(&mut deployment, revision);
+    let restarted = at(&mut deployment, "b2");
+    let work = r#"{"key":"outage","ms":5}"#;
+    let served = || restarted.request("orders", None, work).is_ok_and(|reply| reply.status == 200);
+    assert!(wait_for(PATIENCE_S, served), "requests are served");
+    deployment.store.up();
+    let next = deployment.reconfigure(|config| config.rules.queue_limit -= 1);
+    wait_revision(&mut deployment, next);
+}
+
+// One host stands still while two changes are accepted, and wakes up with an
+// old watch on the store. It must end with the last change like all others.
+#[test]
+fn config_paused_host() {
+    let mut deployment = start(plan());
+    deployment.host("a2").pause();
+    deployment.reconfigure(|config| config.rules.queue_limit -= 1);
+    let revision = deployment.reconfigure(|config| config.rules.queue_limit -= 1);
+    let awake: Vec<_> = ["a1", "b1", "b2"].map(|name| at(&mut deployment, name)).into();
+    let adopted = |caller: &Caller| caller.status().is_ok_and(|page| page["revision"] == revision);
+    assert!(wait_for(PATIENCE_S, || awake.iter().all(adopted)), "in force at those awake");
+    deployment.host("a2").resume();
+    wait_revision(&mut deployment, revision);
+}
--- a/endivestile_testkit/src/deploy/process.rs
+++ b/endivestile_testkit/src/deploy/process.rs
@@ -160,6 +160,11 @@
         status
     }
 
+    /// Adds a setting, in force from the next start on.
+    pub fn set(&mut self, assignment: &str) {
+        self.settings.push(assignment.to_owned());
+    }
+
     /// Starts the process anew after its end; it is another incarnation.
     ///
     /// # Errors
