Let stories speak of many ids, declared times and short windows

Cause: stories could not tell of a wave of cancellations (one id a call), of declarations far off, or of an id that comes back after it was forgotten. The world asked each kernel for its whole status after every event, which costs a look at all runs: 10,000 calls took a minute.

Change: `times=` gives each call an id of its own, also for `ask` and `cancel`; `declared=` and `window=`; the world asks for the revision alone.

--- a/endivestile_kernel/src/kernel.rs
+++ b/endivestile_kernel/src/kernel.rs
@@ -147,6 +147,11 @@
         .min()
     }
 
+    /// Returns the revision of the configuration in force, 0 for none.
+    pub fn revision(&self) -> u64 {
+        self.config.as_ref().map_or(0, |config| config.revision)
+    }
+
     /// Returns whether the platform's balancer may send calls here.
     pub fn ready(&self) -> bool {
         self.config.is_some() && !self.leaving
--- a/endivestile_kernel/src/kernel/link.rs
+++ b/endivestile_kernel/src/kernel/link.rs
@@ -103,7 +103,7 @@
     }
 
     fn want_config(&mut self, now: Time, from: &Peer, revision: u64) {
-        let own = self.config.as_ref().map_or(0, |config| config.revision);
+        let own = self.revision();
         if revision <= own || self.wanted.is_some_and(|due| due > now) {
             return;
         }
--- a/endivestile_kernel/src/kernel/status.rs
+++ b/endivestile_kernel/src/kernel/status.rs
@@ -59,7 +59,7 @@
         Status {
             peer: self.setup.me.to_string(),
             zone: self.setup.zone.to_string(),
-            revision: self.config.as_ref().map_or(0, |config| config.revision),
+            revision: self.revision(),
             ready: self.ready(),
             leaving: self.leaving,
             store: self.hosts.view().store,
--- a/endivestile_testkit/src/world/call.rs
+++ b/endivestile_testkit/src/world/call.rs
@@ -25,6 +25,8 @@
     pub tasks: usize,
     /// Milliseconds until the deadline.
     pub deadline_ms: u64,
+    /// Run time that every task declares, in milliseconds, 0 for none.
+    pub declared_ms: u32,
     /// Need of every task; none for a task of the service.
     pub need: Option<Need>,
 }
@@ -104,6 +106,7 @@
             member: Name::from("m"),
             tasks: 0,
             deadline_ms: 0,
+            declared_ms: 0,
             need: None,
         };
         let call = self.log_call(&submit);
@@ -166,7 +169,7 @@
         Some(need) => Target::Need(need),
         None => Target::Service(Name::from("service")),
     };
-    Task { target, work: Bytes::from(work(&submit.word, index)), declared: 0 }
+    Task { target, work: Bytes::from(work(&submit.word, index)), declared: submit.declared_ms }
 }
 
 /// Returns the work of a task.
--- a/endivestile_testkit/src/world/host.rs
+++ b/endivestile_testkit/src/world/host.rs
@@ -154,10 +154,9 @@
     }
 
     fn watch_revision(&mut self, name: &Name) {
-        let now = self.now;
         let Some(machine) = self.machines.get_mut(name) else { return };
         let Some(kernel) = &machine.kernel else { return };
-        let revision = kernel.status(machine.clock(now)).revision;
+        let revision = kernel.revision();
         if revision < machine.revision {
             let breach = format!("promise 8: {name} went back to revision {revision}");
             self.breaches.push(breach);
--- a/endivestile_testkit/src/world/story.rs
+++ b/endivestile_testkit/src/world/story.rs
@@ -135,21 +135,18 @@
 
     fn submit(&mut self, step: &Step<'_>) -> Result<(), String> {
         let name = step.word(1)?.to_owned();
-        let id = step.pairs.get("id").map(|key| self.id(key)).transpose()?;
-        let word = match (step.pairs.get("work"), step.pairs.get("id")) {
-            (Some(word), _) | (None, Some(word)) => (*word).to_owned(),
-            (None, None) => name.clone(),
-        };
-        let repeat: u64 = step.number("times", 1)?;
-        for turn in 0..repeat {
-            let suffix = if repeat == 1 { String::new() } else { format!("-{turn}") };
+        let key = step.pairs.get("id").copied();
+        let word = step.pairs.get("work").copied().or(key).unwrap_or(&name);
+        for suffix in step.suffixes()? {
+            let id = key.map(|key| self.id(&format!("{key}{suffix}"))).transpose()?;
             let submit = Submit {
                 host: Name::from(*step.pairs.get("at").ok_or("at=HOST is missing")?),
-                id: id.clone(),
+                id,
                 word: format!("{word}{suffix}"),
                 member: Name::from(*step.pairs.get("member").unwrap_or(&"m")),
                 tasks: step.number("tasks", 1)? as usize,
                 deadline_ms: step.span("deadline", DEADLINE_MS)?,
+                declared_ms: step.span("declared", 0)? as u32,
                 need: step.need()?,
             };
             let call = self.world.submit(submit);
@@ -179,10 +176,12 @@
     fn ask(&mut self, step: &Step<'_>, ask: Ask) -> Result<(), String> {
         let name = step.word(1)?.to_owned();
         let key = *step.pairs.get("id").ok_or("id=KEY is missing")?;
-        let id = self.id(key)?;
         let host = step.pairs.get("at").ok_or("at=HOST is missing")?;
-        let call = self.world.ask(host, &id, ask);
-        self.names.insert(name, call);
+        for suffix in step.suffixes()? {
+            let id = self.id(&format!("{key}{suffix}"))?;
+            let call = self.world.ask(host, &id, ask);
+            self.names.insert(format!("{name}{suffix}"), call);
+        }
         Ok(())
     }
 
@@ -330,6 +329,15 @@
         self.pairs.get(key).map_or(Ok(default), |text| span_ms(text))
     }
 
+    /// Returns what `times=` adds to each name: nothing for a single call.
+    fn suffixes(&self) -> Result<Vec<String>, String> {
+        let times = self.number("times", 1)?;
+        if times == 1 {
+            return Ok(vec![String::new()]);
+        }
+        Ok((0..times).map(|turn| format!("-{turn}")).collect())
+    }
+
     fn need(&self) -> Result<Option<Need>, String> {
         if !self.pairs.contains_key("cpu") {
             return Ok(None);
@@ -381,7 +389,10 @@
             let limit = self.number("limit", 10_000)? as u32;
             config.members.insert(Name::from(member), Member { limit, weight: 1 });
         }
-        config.rules = Rules { shards: self.number("shards", 8)? as u32, ..Rules::default() };
+        let rules = Rules::default();
+        let shards = self.number("shards", 8)? as u32;
+        let window_s = self.span("window", rules.window_s * 1_000)? / 1_000;
+        config.rules = Rules { shards, window_s, ..rules };
         Ok(config)
     }
 }
