Refuse at once what no worker can ever run

Cause: a job that asks for more memory, processors or accelerators than any worker has was refused after 0.6 s. Shares tell of two classes of needs only, so the own or another share seemed to fit, and the task used up its seven tries among them.

Ruled out: finer classes in the load figures: more bytes on every frame, for a question the inventory answers alone.

Change: admission asks the inventory first.

--- a/endivestile_kernel/src/kernel/task.rs
+++ b/endivestile_kernel/src/kernel/task.rs
@@ -8,7 +8,7 @@
 use crate::run::{Run, RunState, TaskState, Waiter};
 use crate::{
     Answer, Cause, Class, Effect, Failure, HostState, Kernel, Metric, Msg, Order, Outcome, Peer,
-    PlaceEffect, Submission, Target, Task, TaskKey, Time,
+    PlaceEffect, Placer, Submission, Target, Task, TaskKey, Time,
 };
 
 /// Starts of one repeatable task at most.
@@ -50,6 +50,11 @@
             targets.entry(&task.target).or_insert((task, 0)).1 += 1;
         }
         for (task, count) in targets.into_values() {
+            // Shares tell of two classes of needs only: each would pass on what fits no
+            // worker at all, and its caller would wait while they try in turn.
+            if !Placer::can_ever(config, &task.target) {
+                return Err(Cause::NoBackend);
+            }
             let Some(route) = self.route(now, task) else {
                 return Err(if self.leaving { Cause::Stopping } else { Cause::NoBackend });
             };
--- /dev/null
+++ b/endivestile_testkit/tests/stories/never_runs.story
@@ -0,0 +1,26 @@
+# Jobs that can never run: more memory than any worker has, more accelerators,
+# a need that only a service has. They are refused at once instead of
+# waiting for their deadlines, and one of them in a job refuses the job.
+story
+world zones=a,b hosts=1 servers=1 workers=2
+submit c1 at=a1 id=k1 cpu=1000 memory=9000
+submit c2 at=b1 id=k2 cpu=1000 memory=64 accelerators=2
+submit c3 at=a1 id=k3 cpu=4001 memory=64
+submit c4 at=b1 id=k4 tasks=3 cpu=4000 memory=8192
+run 100ms
+answers
+run 10s
+answers
+starts
+check
+----
+c1 not run NoBackend after 0.0 s
+c2 not run NoBackend after 0.0 s
+c3 not run NoBackend after 0.0 s
+c4 open
+c1 not run NoBackend after 0.0 s
+c2 not run NoBackend after 0.0 s
+c3 not run NoBackend after 0.0 s
+c4 complete
+k4 started 3
+every promise kept
