--- /dev/null
+++ b/endivestile_testkit/tests/stories/list_stale.story
@@ -0,0 +1,25 @@
+# The platform's list is stale: it calls a dead host live, and knows nothing of
+# the server that says itself that it is leaving. What is seen on the links
+# goes before the list.
+story
+world zones=a hosts=3 servers=3 slots=2 ms=200
+list a3 live
+kill a3
+server a-s1 leaves
+list a-s1 live
+server a-s1 leaves
+submit c at=a1 times=30
+submit d at=a2 id=k times=10
+run 10s
+answers
+starts
+check
+settled
+----
+c: 30 complete
+d: 9 complete
+d: 1 failed Lost { task: 0, peer: "a3" }
+c started 30
+k started 9
+every promise kept
+every call answered
--- /dev/null
+++ b/endivestile_testkit/tests/stories/start_store_slow.story
@@ -0,0 +1,28 @@
+# The store is not down but slow: every call takes two seconds. The home dies
+# in the middle of a job; its witness needs several calls to take over. Callers
+# are told at once that nothing is known, or wait, and never start it again.
+story
+world zones=a,b hosts=2 servers=2 shards=2 ms=300
+submit c1 at=a1 id=k1 tasks=6
+run 100ms
+store slow 2s
+kill home k1
+submit c2 at=a2 id=k1 tasks=6
+submit c3 at=b2 id=k1 tasks=6
+run 20s
+submit c4 at=a2 id=k1 tasks=6
+submit c5 at=b2 id=k6 tasks=6
+run 20s
+answers
+check
+settled
+calls under=200
+----
+c1 failed HomeLost
+c2 broken
+c3 unknown HomeAway after 3.9 s
+c4 broken
+c5 complete
+every promise kept
+every call answered
+store calls under 200
