--- a/endivestile_testkit/src/world/story.rs
+++ b/endivestile_testkit/src/world/story.rs
@@ -69,6 +69,7 @@
             "starts" => self.starts(),
             "check" => self.check(),
             "settled" => self.settled(),
+            "slower" => self.slower(step)?,
             "hosts" => self.hosts(),
             "calls" => self.store_calls(step)?,
             _ => self.fault(step)?,
@@ -137,6 +138,7 @@
         let name = step.word(1)?.to_owned();
         let key = step.pairs.get("id").copied();
         let word = step.pairs.get("work").copied().or(key).unwrap_or(&name);
+        let every = step.span("every", 0)?;
         for suffix in step.suffixes()? {
             let id = key.map(|key| self.id(&format!("{key}{suffix}"))).transpose()?;
             let submit = Submit {
@@ -151,6 +153,7 @@
             };
             let call = self.world.submit(submit);
             self.names.insert(format!("{name}{suffix}"), call);
+            self.world.run(every);
         }
         Ok(())
     }
@@ -224,6 +227,15 @@
         }
     }
 
+    /// Prints how many calls took longer than a span.
+    fn slower(&mut self, step: &Step<'_>) -> Result<(), String> {
+        let span = span_ms(step.word(1)?)?;
+        let took = self.names.values().filter_map(|call| self.world.took_ms(*call));
+        let count = took.filter(|took| *took > span).count();
+        let _ = writeln!(self.out, "{count} calls took longer than {span} ms");
+        Ok(())
+    }
+
     /// Prints the calls that nobody has answered, on hosts that run.
     fn settled(&mut self) {
         let mut open = 0;
@@ -282,7 +294,9 @@
     fn accept(&mut self, step: &Step<'_>) -> Result<(), String> {
         let limit: u32 = step.number("limit", 1_000)? as u32;
         let policy = step.pairs.get("policy").copied();
+        let without = step.pairs.get("without").copied().unwrap_or_default();
         self.world.accept(|config| {
+            config.hosts.retain(|name, _| !without.split(',').any(|gone| **name == *gone));
             for member in config.members.values_mut() {
                 member.limit = limit;
             }
