--- a/endivestile_testkit/examples/experiment/main.rs
+++ b/endivestile_testkit/examples/experiment/main.rs
@@ -45,6 +45,9 @@
     /// place of those of the file; the rest are jobs.
     #[arg(long, value_delimiter = ',')]
     mix: Option<Vec<u32>>,
+    /// Price of a message in place of that of the file, in microseconds.
+    #[arg(long)]
+    price_us: Option<u64>,
     /// Name in place of that of the file.
     #[arg(long)]
     name: Option<String>,
@@ -69,6 +72,7 @@
     spec.loads = args.loads.unwrap_or(spec.loads);
     spec.policies = args.policies.unwrap_or(spec.policies);
     spec.name = args.name.unwrap_or(spec.name);
+    spec.price_us = args.price_us.unwrap_or(spec.price_us);
     if let Some([idempotent, once]) = args.mix.as_deref() {
         (spec.idempotent, spec.once) = (*idempotent, *once);
     }
--- a/endivestile_testkit/examples/experiment/spec.rs
+++ b/endivestile_testkit/examples/experiment/spec.rs
@@ -85,7 +85,7 @@
 impl Spec {
     /// Reads an experiment.
     pub(crate) fn read(path: &Path) -> Result<Self, Box<dyn Error>> {
-        let ini = Ini::load_from_file(path)?;
+        let ini = load(path)?;
         let keys = Keys { ini: &ini };
         Ok(Self {
             name: keys.one("experiment", "name")?,
@@ -187,6 +187,19 @@
     format!("s{n}")
 }
 
+/// Loads a file over the one that it names as its base, if it does.
+fn load(path: &Path) -> Result<Ini, Box<dyn Error>> {
+    let own = Ini::load_from_file(path)?;
+    let Some(base) = own.get_from(Some("experiment"), "base") else { return Ok(own) };
+    let mut whole = load(&path.with_file_name(base))?;
+    for (section, keys) in &own {
+        for (key, value) in keys {
+            whole.set_to(section, key.to_owned(), value.to_owned());
+        }
+    }
+    Ok(whole)
+}
+
 /// Typed access to an INI file.
 struct Keys<'a> {
     ini: &'a Ini,
