--- a/endivestile_testkit/examples/experiment/replay.rs
+++ b/endivestile_testkit/examples/experiment/replay.rs
@@ -7,7 +7,7 @@
 use endivestile_testkit::trial::{Item, Kind};
 use endivestile_testkit::{Caller, Reply, echo};
 
-use crate::fault::wait;
+use crate::fault::{Kind as Trouble, wait};
 use crate::spec::{Ids, MEMBERS, SERVICE, Spec};
 
 /// Stack of a caller's thread, in bytes.
@@ -83,7 +83,7 @@
     pub(crate) fn replay(&self, spec: &Spec, items: &[Item], began: Instant) -> Vec<Outcome> {
         let (sender, outcomes) = channel();
         thread::scope(|scope| {
-            if spec.fault == crate::fault::Kind::Cancel {
+            if spec.fault == Trouble::Cancel {
                 scope.spawn(|| self.cancel(spec, items, began));
             }
             for (index, item) in items.iter().enumerate() {
@@ -144,14 +144,10 @@
 }
 
 fn judge(reply: &Reply, kind: Kind, works: &[String]) -> End {
+    let expected: Vec<String> = works.iter().map(|work| echo(work)).collect();
     let right = match kind {
-        Kind::Job => {
-            let results = reply.answer().and_then(|answer| answer.results);
-            results.is_some_and(|results| {
-                results.iter().eq(works.iter().map(|w| echo(w)).collect::<Vec<_>>().iter())
-            })
-        }
-        _ => reply.body == echo(&works[0]),
+        Kind::Job => reply.answer().and_then(|answer| answer.results) == Some(expected),
+        _ => reply.body == expected[0],
     };
     match (reply.status, reply.word().as_str()) {
         (200, _) if right => End::Complete,
