--- /dev/null
+++ b/endivestile_kernel/src/kernel/stop.rs
@@ -0,0 +1,74 @@
+//! Graceful shutdown and planned stops.
+
+use crate::{Effect, HostState, Kernel, PlatformState, Time};
+
+/// Time for which a stopping process still serves what the balancer sends, in milliseconds.
+const LINGER_MS: u64 = 1_500;
+/// Time between two looks whether everything is drained, in milliseconds.
+const DRAIN_POLL_MS: u64 = 50;
+
+impl Kernel {
+    pub(super) fn shutdown(&mut self, now: Time) {
+        if self.stopping.is_none() {
+            self.stopping = Some(now.after_ms(LINGER_MS));
+            self.info("stopping", vec![("runs", self.runs.active().to_string())]);
+        }
+        self.viewed(now, true);
+    }
+
+    pub(super) fn platform(&mut self, now: Time, name: &str, state: Option<PlatformState>) {
+        let changed = self.hosts.platform(now, name, state);
+        let leaving = matches!(state, Some(PlatformState::Leaving | PlatformState::Gone));
+        self.placer.leaving(now, name, leaving, &mut self.place_effects);
+        self.viewed(now, changed || *name == *self.setup.me.host);
+    }
+
+    pub(super) fn planned_stop(&mut self, now: Time, name: &str, stop: bool) {
+        let changed = self.hosts.stop(now, name, stop);
+        self.placer.leaving(now, name, stop, &mut self.place_effects);
+        self.viewed(now, changed || *name == *self.setup.me.host);
+    }
+
+    /// A leaving host gives its share and its shards away, and finishes what it runs.
+    pub(super) fn set_leaving(&mut self, now: Time, leaving: bool) {
+        if leaving == self.leaving {
+            return;
+        }
+        self.leaving = leaving;
+        self.hosts.leave(now, leaving);
+        self.out.push(Effect::Register { leaving });
+        self.info("leaving", vec![("leaving", leaving.to_string())]);
+        if leaving {
+            let view = self.hosts.view();
+            self.shards.leave(now, view, &mut self.shard_effects);
+        }
+        // Told at once: the next heartbeat may be half a second away.
+        for channel in self.channels.values_mut() {
+            channel.beat(now);
+        }
+    }
+
+    pub(super) fn drain_due(&self) -> Option<Time> {
+        if self.drained { None } else { self.stopping }
+    }
+
+    pub(super) fn check_drained(&mut self, now: Time) {
+        let Some(due) = self.stopping.filter(|due| *due <= now && !self.drained) else { return };
+        if self.busy() {
+            self.stopping = Some(due.max(now).after_ms(DRAIN_POLL_MS));
+            return;
+        }
+        self.drained = true;
+        self.out.push(Effect::Drained);
+    }
+
+    fn busy(&self) -> bool {
+        let view = self.hosts.view();
+        let owed = self.channels.iter().any(|(peer, channel)| {
+            let state = view.state(peer);
+            channel.backlog() > 0 && matches!(state, HostState::Live | HostState::Leaving)
+        });
+        let calls = self.runs.active() + self.passed.len();
+        calls > 0 || owed || !self.placer.idle() || !self.shards.idle()
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/kernel/submit.rs
@@ -0,0 +1,244 @@
+//! Calls on their way to the host that may run them.
+
+use std::sync::Arc;
+
+use crate::mint::Standing;
+use crate::run::{Run, RunState, Waiter};
+use crate::{
+    Admit, Answer, CallId, Cause, Class, Failure, Form, HostState, Kernel, Known, Peer, Submission,
+    SubmissionId, Time,
+};
+
+/// Hosts that pass a call on at most.
+pub(super) const MAX_HOPS: u8 = 3;
+/// Longest wait for a shard to get a usable home, in milliseconds: somewhat
+/// more than a take-over takes while the store answers.
+pub(super) const PATIENCE_MS: u64 = 4_000;
+
+/// A submission on its way, with how it came here.
+#[derive(Debug, Clone)]
+pub(super) struct Arrival {
+    pub(super) waiter: Waiter,
+    pub(super) submission: Arc<Submission>,
+    pub(super) hops: u8,
+    pub(super) until: Time,
+}
+
+impl Kernel {
+    pub(super) fn call(&mut self, now: Time, call: CallId, submission: Submission) {
+        let until = submission.deadline.min(now.after_ms(PATIENCE_MS));
+        let submission = Arc::new(submission);
+        self.submit(now, Arrival { waiter: Waiter::Call(call), submission, hops: 0, until });
+    }
+
+    pub(super) fn submitted(
+        &mut self,
+        now: Time,
+        waiter: Waiter,
+        submission: Arc<Submission>,
+        hops: u8,
+        known: bool,
+    ) {
+        let until = submission.deadline.min(now.after_ms(PATIENCE_MS));
+        let arrival = Arrival { waiter, submission, hops, until };
+        match arrival.submission.id.clone() {
+            Some(id) if known => self.submit_known(now, &id, arrival),
+            _ => self.submit(now, arrival),
+        }
+    }
+
+    /// Starts an id that its home has recorded as this incarnation's own, unless it was started.
+    ///
+    /// A home sends an id to its witness and hands the shard over before the
+    /// word comes back: it never started the id, and nobody else may. Without
+    /// this the caller is told "failed" because of a planned stop.
+    /// It can't start twice: what this incarnation started is in the table of
+    /// runs until after the id has expired, and no other one ever starts an id
+    /// that is recorded.
+    fn submit_known(&mut self, now: Time, id: &SubmissionId, arrival: Arrival) {
+        let Some(arrival) = self.attach(now, id, arrival) else { return };
+        let window_s = self.config.as_ref().map_or(0, |config| config.rules.window_s);
+        let wall_s = self.setup.wall_s + now.as_micros() / 1_000_000;
+        match id.form() {
+            Form::Dated(secs) if wall_s <= secs.saturating_add(window_s) => {
+                let keep = now.after_ms(self.keep_ms());
+                self.begin(now, arrival, keep);
+            }
+            _ => self.refuse(now, &arrival.waiter, Class::Unknown, Cause::Expired),
+        }
+    }
+
+    pub(super) fn submit(&mut self, now: Time, arrival: Arrival) {
+        let submission = arrival.submission.clone();
+        let Some(id) = &submission.id else {
+            self.begin(now, arrival, Time::ZERO);
+            return;
+        };
+        if self.config.is_none() {
+            self.refuse(now, &arrival.waiter, Class::Unknown, Cause::NoConfig);
+            return;
+        }
+        let Some(arrival) = self.attach(now, id, arrival) else { return };
+        match id.form() {
+            Form::Minted(issuer, serial) if *issuer == self.setup.me => {
+                self.submit_minted(now, arrival, *serial);
+            }
+            Form::Minted(issuer, _) => self.pass_minted(now, arrival, issuer),
+            Form::Dated(_) => self.submit_dated(now, id, arrival),
+        }
+    }
+
+    /// Joins a submission that this host runs or ran; gives the arrival back
+    /// when there is none, or when it ended without having run.
+    fn attach(&mut self, now: Time, id: &SubmissionId, arrival: Arrival) -> Option<Arrival> {
+        let Some(number) = self.runs.by_id(id) else { return Some(arrival) };
+        let run = self.runs.get_mut(number)?;
+        if run.digest != arrival.submission.digest() {
+            self.reply(now, &arrival.waiter, Arc::new(Answer::Conflict));
+            return None;
+        }
+        let RunState::Ended(answer) = &run.state else {
+            run.waiters.push(arrival.waiter);
+            return None;
+        };
+        if answer.is_not_run() {
+            self.runs.remove(number);
+            return Some(arrival);
+        }
+        let answer = answer.clone();
+        self.reply(now, &arrival.waiter, answer);
+        None
+    }
+
+    fn submit_minted(&mut self, now: Time, arrival: Arrival, serial: u64) {
+        match self.mint.standing(now, serial) {
+            Standing::Valid(expires) => self.begin(now, arrival, expires),
+            Standing::Expired | Standing::Forged => {
+                self.refuse(now, &arrival.waiter, Class::Unknown, Cause::Expired);
+            }
+        }
+    }
+
+    fn pass_minted(&mut self, now: Time, arrival: Arrival, issuer: &Peer) {
+        match self.hosts.view().state(issuer) {
+            HostState::Gone => {
+                let answer = Answer::Failed(Failure::HomeLost);
+                self.reply(now, &arrival.waiter, Arc::new(answer));
+            }
+            HostState::Suspect => {
+                self.refuse(now, &arrival.waiter, Class::Unknown, Cause::HomeAway);
+            }
+            HostState::Live | HostState::Leaving => {
+                self.forward(now, arrival, issuer.clone(), false)
+            }
+        }
+    }
+
+    fn submit_dated(&mut self, now: Time, id: &SubmissionId, arrival: Arrival) {
+        let digest = arrival.submission.digest();
+        let verdict = self.admission(now, &arrival.submission);
+        let state = verdict.map_or_else(RunState::Refusing, |()| RunState::Asking);
+        // An id that was recorded before is met as such, however full the host is:
+        // "not run" would be untrue of it.
+        let asking = state == RunState::Asking || self.shards.known(id).is_some();
+        let mut run = Run::new(now, arrival.submission.clone(), state);
+        run.due = arrival.until;
+        run.waiters.push(arrival.waiter.clone());
+        let ticket = self.runs.add(run);
+        let (view, out) = (self.hosts.view(), &mut self.shard_effects);
+        let admit = if asking {
+            self.shards.admit(now, view, id, digest, ticket, out)
+        } else {
+            self.shards.confirm(now, view, id, ticket, out)
+        };
+        self.admitted(now, id, arrival, ticket, admit);
+    }
+
+    fn admitted(
+        &mut self,
+        now: Time,
+        id: &SubmissionId,
+        arrival: Arrival,
+        ticket: u64,
+        admit: Admit,
+    ) {
+        if admit == Admit::Wait {
+            return;
+        }
+        if let Admit::Known(known) = &admit
+            && known.runner == self.setup.me
+            && known.digest == arrival.submission.digest()
+        {
+            self.restart(now, id, arrival, ticket);
+            return;
+        }
+        if let (Admit::Known(known), Waiter::Front(from, _)) = (&admit, &arrival.waiter)
+            && known.runner == *from
+            && known.digest == arrival.submission.digest()
+        {
+            self.admit_disowned(now, id, arrival, ticket);
+            return;
+        }
+        self.runs.remove(ticket);
+        match admit {
+            Admit::Wait => {}
+            Admit::Forward(peer) => self.forward_home(now, arrival, peer),
+            Admit::Known(known) => self.meet_known(now, arrival, &known),
+            Admit::Refused(class, cause) => self.park_or_refuse(now, arrival, class, cause),
+        }
+    }
+
+    /// Admits an id that comes from the one incarnation that may have started it:
+    /// had it done so, it would have attached the call to its own run.
+    fn admit_disowned(&mut self, now: Time, id: &SubmissionId, arrival: Arrival, ticket: u64) {
+        let Waiter::Front(runner, _) = &arrival.waiter else { return };
+        self.shards.disown(id, runner);
+        let digest = arrival.submission.digest();
+        let (view, out) = (self.hosts.view(), &mut self.shard_effects);
+        let admit = self.shards.admit(now, view, id, digest, ticket, out);
+        if let Admit::Known(known) = admit {
+            self.runs.remove(ticket);
+            self.meet_known(now, arrival, &known);
+        } else {
+            self.admitted(now, id, arrival, ticket, admit);
+        }
+    }
+
+    /// Starts an id that this incarnation recorded and never started: whatever
+    /// it started is in the table of runs for as long as the id may come back.
+    /// The witness has to confirm that nobody took the shard over meanwhile.
+    fn restart(&mut self, now: Time, id: &SubmissionId, arrival: Arrival, ticket: u64) {
+        let (view, out) = (self.hosts.view(), &mut self.shard_effects);
+        match self.shards.confirm(now, view, id, ticket, out) {
+            Admit::Wait => {}
+            Admit::Forward(peer) => {
+                self.runs.remove(ticket);
+                self.forward_home(now, arrival, peer);
+            }
+            Admit::Known(_) => {
+                self.runs.remove(ticket);
+                self.refuse(now, &arrival.waiter, Class::Unknown, Cause::ShardMoving);
+            }
+            Admit::Refused(class, cause) => {
+                self.runs.remove(ticket);
+                self.park_or_refuse(now, arrival, class, cause);
+            }
+        }
+    }
+
+    /// Meets an id that another incarnation may have started: only that one knows the answer.
+    fn meet_known(&mut self, now: Time, arrival: Arrival, known: &Known) {
+        if known.digest != arrival.submission.digest() {
+            self.reply(now, &arrival.waiter, Arc::new(Answer::Conflict));
+            return;
+        }
+        let state = self.hosts.view().state(&known.runner);
+        let reachable = matches!(state, HostState::Live | HostState::Leaving);
+        if reachable && arrival.hops + 1 < MAX_HOPS && known.runner != self.setup.me {
+            self.forward(now, arrival, known.runner.clone(), true);
+            return;
+        }
+        let answer = Answer::Failed(Failure::HomeLost);
+        self.reply(now, &arrival.waiter, Arc::new(answer));
+    }
+}
--- /dev/null
+++ b/endivestile_testkit/src/world/call.rs
@@ -0,0 +1,183 @@
+//! Callers and what they were answered.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use endivestile_config::model::Name;
+use endivestile_kernel::{
+    Answer, Ask, CallId, Event, Need, Submission, SubmissionId, Target, Task, Time,
+};
+
+use super::World;
+
+/// What a caller submits.
+#[derive(Debug, Clone)]
+pub struct Submit {
+    /// Host that takes the call.
+    pub host: Name,
+    /// Id; none for an idempotent request.
+    pub id: Option<SubmissionId>,
+    /// Word that makes the work of this submission its own.
+    pub word: String,
+    /// Member.
+    pub member: Name,
+    /// Tasks.
+    pub tasks: usize,
+    /// Milliseconds until the deadline.
+    pub deadline_ms: u64,
+    /// Run time that every task declares, in milliseconds, 0 for none.
+    pub declared_ms: u32,
+    /// Need of every task; none for a task of the service.
+    pub need: Option<Need>,
+}
+
+/// One call and its answer.
+#[derive(Debug)]
+pub struct CallLog {
+    /// Host that took the call.
+    pub host: Name,
+    /// Id.
+    pub id: Option<SubmissionId>,
+    /// Word of the work.
+    pub word: String,
+    /// Tasks.
+    pub tasks: usize,
+    /// When it was made, in microseconds.
+    pub made: u64,
+    /// When it was answered.
+    pub ended: Option<u64>,
+    /// The answer.
+    pub answer: Option<Answer>,
+    /// Whether the host died first.
+    pub broken: bool,
+    /// Starts of the work seen when the answer came.
+    pub starts: usize,
+}
+
+impl CallLog {
+    /// Returns the answer as stories show it, with its cause.
+    pub fn label(&self) -> String {
+        match &self.answer {
+            Some(Answer::Refused(refusal)) => {
+                let tenths = self.ended.map_or(0, |ended| (ended - self.made) / 100_000);
+                let after = format!("{}.{} s", tenths / 10, tenths % 10);
+                format!("{} {:?} after {after}", self.status(), refusal.cause)
+            }
+            Some(Answer::Failed(failure)) => format!("{} {failure:?}", self.status()),
+            _ => self.status().to_owned(),
+        }
+    }
+
+    /// Returns the status of the answer, or why there is none.
+    pub fn status(&self) -> &'static str {
+        match &self.answer {
+            Some(answer) => answer.label(),
+            None if self.broken => "broken",
+            None => "open",
+        }
+    }
+}
+
+impl World {
+    /// Makes a call; returns its number.
+    pub fn submit(&mut self, submit: Submit) -> u64 {
+        let call = self.log_call(&submit);
+        let Some(machine) = self.machines.get(&submit.host) else { return call };
+        let clock = machine.clock(self.now);
+        let submission = Submission {
+            id: submit.id.clone(),
+            member: submit.member.clone(),
+            deadline: clock.after_ms(submit.deadline_ms),
+            idempotent: submit.id.is_none(),
+            tasks: (0..submit.tasks).map(|index| Arc::new(task(&submit, index))).collect(),
+        };
+        let birth = machine.birth;
+        let event = Event::Call { call: CallId(call), submission };
+        self.event_in(0, &submit.host, birth, event);
+        call
+    }
+
+    /// Asks a host for the answer to an id, or cancels it; returns the call's number.
+    pub fn ask(&mut self, host: &str, id: &SubmissionId, ask: Ask) -> u64 {
+        let submit = Submit {
+            host: Name::from(host),
+            id: Some(id.clone()),
+            word: String::from("?"),
+            member: Name::from("m"),
+            tasks: 0,
+            deadline_ms: 0,
+            declared_ms: 0,
+            need: None,
+        };
+        let call = self.log_call(&submit);
+        let Some(machine) = self.machines.get(host) else { return call };
+        let birth = machine.birth;
+        let event = Event::Ask { call: CallId(call), id: id.clone(), ask };
+        self.event_in(0, &submit.host, birth, event);
+        call
+    }
+
+    /// Has a host mint an id, if it runs.
+    pub fn mint(&mut self, host: &str) -> Option<SubmissionId> {
+        let now = self.now;
+        let machine = self.machines.get_mut(host)?;
+        let clock = machine.clock(now);
+        machine.kernel.as_mut()?.mint(clock, 1).pop()
+    }
+
+    fn log_call(&mut self, submit: &Submit) -> u64 {
+        let call = self.calls.len() as u64 + 1;
+        let machine = self.machines.get(&submit.host);
+        let broken = machine.is_none_or(|machine| machine.kernel.is_none());
+        let log = CallLog {
+            host: submit.host.clone(),
+            id: submit.id.clone(),
+            word: submit.word.clone(),
+            tasks: submit.tasks,
+            made: self.now,
+            ended: None,
+            answer: None,
+            broken,
+            starts: 0,
+        };
+        self.calls.insert(call, log);
+        call
+    }
+
+    pub(super) fn answered(&mut self, call: CallId, answer: &Answer) {
+        let Some(log) = self.calls.get(&call.0) else { return };
+        let starts = self.starts_of(&log.word);
+        let Some(log) = self.calls.get_mut(&call.0) else { return };
+        if log.answer.is_some() {
+            self.breaches.push(format!("promise 3: call {} answered twice", call.0));
+            return;
+        }
+        log.answer = Some(answer.clone());
+        log.ended = Some(self.now);
+        log.starts = starts;
+        self.check_answer(call.0);
+    }
+
+    pub(super) fn starts_of(&self, word: &str) -> usize {
+        let mine = |work: &str| work.rsplit_once('/').is_some_and(|(its, _)| its == word);
+        self.starts.iter().filter(|start| mine(&start.work)).count()
+    }
+}
+
+fn task(submit: &Submit, index: usize) -> Task {
+    let target = match submit.need {
+        Some(need) => Target::Need(need),
+        None => Target::Service(Name::from("service")),
+    };
+    Task { target, work: Bytes::from(work(&submit.word, index)), declared: submit.declared_ms }
+}
+
+/// Returns the work of a task.
+pub(super) fn work(word: &str, index: usize) -> String {
+    format!("{word}/{index}")
+}
+
+/// Returns an instant for comparisons in stories.
+pub(super) fn millis(micros: u64) -> u64 {
+    Time::from_micros(micros).as_micros() / 1_000
+}
--- /dev/null
+++ b/endivestile_testkit/tests/stories/partial_worker_dies.story
@@ -0,0 +1,13 @@
+# A backend server dies in the middle of a job and takes two tasks with it.
+# The job fails as a whole; the caller gets no part of it.
+story
+world zones=a hosts=1 servers=2 slots=2 ms=500
+submit c1 at=a1 id=k1 tasks=8
+run 100ms
+server a-s1 closes
+run 10s
+answers
+check
+----
+c1 failed Lost { task: 2, peer: "a-s1" }
+every promise kept
