Let a belief that tasks are too long be put to the test

Cause: story declared_far_off: 9 of 12 tasks that declared a minute and took 100 ms were refused, on the declaration alone. Story refusal_ends: servers that were slow for a while and fast again got no more requests with a deadline of 1 s: admission refused all of them by the learnt run time, which nothing could correct any more. Ruled out: no admission by run time (480 of 500 calls of refusal_overload then fail at their deadline instead of being refused at once; tried and dropped). Change: admission lets a call through while a back end is free and too little is learnt, and once a second when all tasks look too long; jobs only while nothing at all is learnt. Another host's placer gives a task up a little before the deadline, so that its word 'not run' comes in time.

--- a/endivestile_kernel/src/kernel/task.rs
+++ b/endivestile_kernel/src/kernel/task.rs
@@ -20,6 +20,8 @@
 const REPLACE_MS: u64 = 10;
 /// Longest such wait, in milliseconds.
 const REPLACE_MAX_MS: u64 = 500;
+/// Time that a placer's word takes besides the distance, in microseconds.
+const WORD_US: u64 = 5_000;
 /// Silence of a placer after which its tasks count as lost, in milliseconds.
 pub(super) const LOST_MS: u64 = 5_000;
 /// Wait that a refusal suggests when the queue says nothing, in milliseconds.
@@ -60,13 +62,23 @@
             };
             // The other tasks of a job end one turn after the other.
             let turn = self.routes.turn_us(self.hosts.view(), &self.load.1, &task.target);
-            if route.end.after_us(turn * (count - 1)) > submission.deadline {
+            let late = route.end.after_us(turn * (count - 1)) > submission.deadline;
+            if late && !self.may_try(now, task, count, submission.deadline) {
                 return Err(Cause::Deadline);
             }
         }
         Ok(())
     }
 
+    /// Returns whether tasks that look too long are tried all the same, so that
+    /// a wrong belief about their run time is corrected.
+    fn may_try(&self, now: Time, task: &Task, count: u64, deadline: Time) -> bool {
+        if count > 1 {
+            return self.placer.untried(task);
+        }
+        self.placer.may_try(now, task, deadline)
+    }
+
     /// Starts every task of a run.
     pub(super) fn start(&mut self, now: Time, number: u64) {
         self.count(Metric::Accepted, 1);
@@ -121,7 +133,20 @@
         if let Some(run) = self.runs.get_mut(number) {
             run.tasks[usize::from(index)].state = TaskState::Placed(route.peer.clone());
         }
-        self.hand_over(now, &route.peer, order);
+        let deadline = self.placer_deadline(&route.peer, order.deadline);
+        self.hand_over(now, &route.peer, Order { deadline, ..order });
+    }
+
+    /// Returns when another host's placer has to give a task up: early enough for
+    /// its word that the task never ran to come before this host's own deadline,
+    /// after which it could only say that it may have run.
+    fn placer_deadline(&self, to: &Peer, deadline: Time) -> Time {
+        if *to == self.setup.me {
+            return deadline;
+        }
+        let distance_us = self.config.as_ref().map_or(0, |config| config.rules.distance_us);
+        let early_us = WORD_US + 2 * distance_us;
+        Time::from_micros(deadline.as_micros().saturating_sub(early_us))
     }
 
     fn hand_over(&mut self, now: Time, to: &Peer, order: Order) {
--- a/endivestile_kernel/src/place/report.rs
+++ b/endivestile_kernel/src/place/report.rs
@@ -18,6 +18,21 @@
         Some(now.after_us(pool.finish_us(&want)))
     }
 
+    /// Returns whether what was learnt lets this share take the task, though the
+    /// expected end lies behind the deadline.
+    ///
+    /// A declaration alone refuses nothing, since it is often far off. A belief
+    /// that all tasks are too long is put to the test once a second: it would
+    /// refuse all of them for ever otherwise.
+    pub fn may_try(&self, now: Time, task: &Task, deadline: Time) -> bool {
+        let Some(pool) = self.pool_of(&task.target) else { return false };
+        let pool = &self.pools[pool as usize];
+        let ln_size = pool.declared.ln_size(task.declared);
+        let too_long = now.after_us(pool.fastest_us(ln_size)) > deadline;
+        let free = pool.first_free(&Room::wanted(&task.target)).is_some();
+        (free && !pool.judged()) || (too_long && now >= pool.trial_at)
+    }
+
     /// Returns whether a back end of this share that could run the task is free
     /// although none has ended one yet, so that its run time is only guessed.
     pub fn untried(&self, task: &Task) -> bool {
