Finish a take-over that was begun, even if its home came back

The witness had raised its fence and its swap was lost; the home came back and was refused, waited a second for news, and its caller was answered unknown.

Change: a witness whose fence is above the record takes over, whatever it thinks of the home. Sequences also wait up to 20 s in the middle.

--- a/endivestile_kernel/src/shard/plan.rs
+++ b/endivestile_kernel/src/shard/plan.rs
@@ -46,7 +46,10 @@
         let home = cx.view.state(&record.home);
         let silent = matches!(home, HostState::Suspect | HostState::Gone);
         let holds = self.standing.synced == record.epoch;
-        if holds && (silent || self.yielded == record.epoch) {
+        // A fence once raised keeps the home out: the take-over has to be finished
+        // even if the home was suspected wrongly, or the shard would serve nobody.
+        let begun = self.standing.fence > record.epoch;
+        if holds && (silent || begun || self.yielded == record.epoch) {
             return Step::TakeOver;
         }
         if self.may_claim(cx) { Step::Claim } else { Step::Rest }
--- a/endivestile_kernel/tests/shards/scenarios.rs
+++ b/endivestile_kernel/tests/shards/scenarios.rs
@@ -191,6 +191,27 @@
     assert_eq!(fate(&world, ticket), Some(&Fate::Started));
 }
 
+// A witness takes a slow home for dead and raises its fence, and the store goes
+// down before its swap. The home comes back and finds itself refused: without
+// an end to the take-over, its callers would be answered "unknown".
+#[test]
+fn take_over_begun_is_finished() {
+    let mut world = three();
+    let (home, witness) = (world.home(0), world.witness(0));
+    world.set_run(home, Run::Paused);
+    world.advance(31);
+    world.store_up = false;
+    world.advance(5);
+    world.set_run(home, Run::Up);
+    world.advance(1_000);
+    world.store_up = true;
+    world.advance(500);
+    assert_eq!(world.home(0), witness);
+    let ticket = world.submit(home, &id(0, 1));
+    world.advance(20);
+    assert_eq!(fate(&world, ticket), Some(&Fate::Started));
+}
+
 // Home and witness are cut from each other while both reach the store: each
 // takes the other for dead and swaps. One swap wins, and the loser must not
 // go on under the old epoch.
--- a/endivestile_kernel/tests/shards/sequences.rs
+++ b/endivestile_kernel/tests/shards/sequences.rs
@@ -51,6 +51,7 @@
         1 => host().prop_map(Step::Leave),
         1 => host().prop_map(Step::Gone),
         10 => prop_oneof![1..10u64, 10..400u64].prop_map(Step::Wait),
+        1 => (1_000..20_000u64).prop_map(Step::Wait),
     ]
 }
 
