Send queued messages at once after an acknowledgement

Cause: requests under the callers' own ids took about 570 ms with 2 hosts, of which 50 ms were work. A host takes in several events before it sends frames. When one event queued a message and the next acknowledged everything sent before, the channel started the timer for sending again although nothing was under way, and a channel with a running timer and nothing under way holds its messages, as it must after a broken link. So they waited 500 ms.

Ruled out: stand-ins (50 ms at one host), lost frames and broken links (nothing resent, no link down), the HTTP pool (slopes burst; here each call was slow, not a few).

Change: an acknowledgement starts the timer only for what is under way.

--- a/endivestile_kernel/src/channel.rs
+++ b/endivestile_kernel/src/channel.rs
@@ -219,10 +219,10 @@
         self.acked += count;
         self.sent = self.sent.max(self.acked);
         self.resend_ms = RESEND_MS;
-        self.resend_due = None;
-        if !self.unacked.is_empty() {
-            self.resend_due = Some(now.after_ms(self.resend_ms));
-        }
+        // Only for what is under way: a message that was queued and not sent
+        // yet would otherwise wait for the timer, half a second.
+        let under_way = self.sent > self.acked;
+        self.resend_due = under_way.then(|| now.after_ms(self.resend_ms));
     }
 }
 
