Free connections that the HTTP library leaves unserved

Ruled out: the engine and the pools (first in, first out), the kernel's queue.

Change: a thread connects to the callers' socket and hangs up every 50 ms; the thread that ends such a connection takes the leftovers.

Conclusion: a workaround, to go when the library's pool is mended.

--- a/endivestile/src/http/desk.rs
+++ b/endivestile/src/http/desk.rs
@@ -1,5 +1,6 @@
 //! Turns requests of callers into calls for the engine.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -25,6 +26,8 @@
 /// What the threads of the callers' interface share.
 #[derive(Debug, Clone)]
 pub(crate) struct Desk {
+    /// The callers' socket.
+    pub(crate) address: SocketAddr,
     /// The engine.
     pub(crate) inbox: Inbox,
     /// The process's clock.
--- a/endivestile/src/http/listen.rs
+++ b/endivestile/src/http/listen.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpSocket;
 use tokio::runtime::Handle;
 
-use super::Desk;
+use super::{Desk, nudge};
 use crate::error::RunError;
 use crate::inbox::Input;
 
@@ -41,12 +41,12 @@
 
 /// Serves callers on threads of its own.
 pub(crate) fn serve(listener: TcpListener, desk: &Desk) -> Result<(), RunError> {
-    let address = listener.local_addr().map(|a| a.to_string()).unwrap_or_default();
-    let server = Server::from_listener(listener, None).map_err(|e| RunError::Bind {
+    let failed = |reason: String| RunError::Bind {
         step: "serve-http",
-        address,
-        reason: e.to_string(),
-    })?;
+        address: desk.address.to_string(),
+        reason,
+    };
+    let server = Server::from_listener(listener, None).map_err(|e| failed(e.to_string()))?;
     let server = Arc::new(server);
     let readers = desk.readers();
     for _ in 0..desk.settings.threads {
@@ -64,5 +64,5 @@
         let thread = thread::Builder::new().name("http".to_owned());
         thread.spawn(take).map_err(|source| RunError::Thread { step: "serve-http", source })?;
     }
-    Ok(())
+    nudge::start(desk.address)
 }
--- a/endivestile/src/http/mod.rs
+++ b/endivestile/src/http/mod.rs
@@ -7,6 +7,7 @@
 mod head;
 mod invalid;
 mod listen;
+mod nudge;
 mod reply;
 mod route;
 mod say;
--- a/endivestile/src/run.rs
+++ b/endivestile/src/run.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::ffi::OsString;
 use std::fs;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -90,6 +90,7 @@
     let checker = Checker::start(inbox.clone())?;
     let voice = Say::pool();
     let desk = Desk {
+        address: local(&callers)?,
         inbox: inbox.clone(),
         clock,
         settings: settings.calls.clone(),
@@ -102,7 +103,7 @@
         me.host,
         me.birth,
         settings.host.zone,
-        callers.local_addr().map(|a| a.to_string()).unwrap_or_default(),
+        desk.address,
     );
     peers::serve(net.handle(), peers, inbox.clone())?;
     let desk_store = store::Desk {
@@ -136,19 +137,23 @@
 }
 
 /// Returns the address that peers dial; port 0 stands for the one that was bound.
-fn advertised(settings: &Settings, bound: &std::net::TcpListener) -> Result<Name, RunError> {
+fn advertised(settings: &Settings, bound: &TcpListener) -> Result<Name, RunError> {
     let mut address = settings.host.advertised();
     if address.port() == 0 {
-        let local = bound.local_addr().map_err(|e| RunError::Bind {
-            step: "listen-peers",
-            address: address.to_string(),
-            reason: e.to_string(),
-        })?;
-        address.set_port(local.port());
+        address.set_port(local(bound)?.port());
     }
     Ok(Name::from(address.to_string()))
 }
 
+/// Returns the address to which a socket is bound.
+fn local(socket: &TcpListener) -> Result<SocketAddr, RunError> {
+    socket.local_addr().map_err(|e| RunError::Bind {
+        step: "read-address",
+        address: String::new(),
+        reason: e.to_string(),
+    })
+}
+
 /// Returns a host of the settings as one to ask for the configuration.
 fn seed_of(host: &Name, address: SocketAddr) -> Seed {
     Seed { host: host.clone(), address: Name::from(address.to_string()) }
