--- a/endivestile/src/http/listen.rs
+++ b/endivestile/src/http/listen.rs
@@ -8,7 +8,8 @@
 use tokio::net::TcpSocket;
 use tokio::runtime::Handle;
 
-use super::{Desk, nudge};
+use super::Desk;
+use super::doorbell::Doorbell;
 use crate::error::RunError;
 use crate::inbox::Input;
 
@@ -41,18 +42,21 @@
 
 /// Serves callers on threads of its own.
 pub(crate) fn serve(listener: TcpListener, desk: &Desk) -> Result<(), RunError> {
-    let failed = |reason: String| RunError::Bind {
-        step: "serve-http",
-        address: desk.address.to_string(),
-        reason,
-    };
+    let local = listener.local_addr();
+    let address = local.as_ref().map(ToString::to_string).unwrap_or_default();
+    let failed =
+        |reason: String| RunError::Bind { step: "serve-http", address: address.clone(), reason };
     let server = Server::from_listener(listener, None).map_err(|e| failed(e.to_string()))?;
     let server = Arc::new(server);
+    let local = local.map_err(|e| failed(e.to_string()))?;
+    let doorbell = Arc::new(Doorbell::start(local)?);
     let readers = desk.readers();
     for _ in 0..desk.settings.threads {
         let (server, desk, readers) = (Arc::clone(&server), desk.clone(), readers.clone());
+        let doorbell = Arc::clone(&doorbell);
         let take = move || {
             for request in server.incoming_requests() {
+                doorbell.note(request.remote_addr());
                 desk.take(request, &readers);
             }
             // The library's accept thread ends at its first error, such as a
@@ -64,5 +68,5 @@
         let thread = thread::Builder::new().name("http".to_owned());
         thread.spawn(take).map_err(|source| RunError::Thread { step: "serve-http", source })?;
     }
-    nudge::start(desk.address)
+    Ok(())
 }
--- a/endivestile/src/run.rs
+++ b/endivestile/src/run.rs
@@ -87,10 +87,9 @@
     let peers = peers::bind(settings.host.peers)?;
     let address = advertised(settings, &peers)?;
     let me = Peer::new(settings.host.name.clone(), since_epoch().as_micros() as u64);
-    let checker = Checker::start(inbox.clone())?;
+    let checker = Checker::start(inbox.clone(), adopted.clone())?;
     let voice = Say::pool();
     let desk = Desk {
-        address: local(&callers)?,
         inbox: inbox.clone(),
         clock,
         settings: settings.calls.clone(),
@@ -103,7 +102,7 @@
         me.host,
         me.birth,
         settings.host.zone,
-        desk.address,
+        local(&callers)?,
     );
     peers::serve(net.handle(), peers, inbox.clone())?;
     let desk_store = store::Desk {
--- a/endivestile_kernel/src/kernel/link.rs
+++ b/endivestile_kernel/src/kernel/link.rs
@@ -54,8 +54,9 @@
 
     fn message(&mut self, now: Time, from: &Peer, msg: Msg) {
         match msg {
-            Msg::Submit { call, submission, hops } => {
-                self.submitted(now, from, call, submission, hops);
+            Msg::Submit { call, submission, hops, known } => {
+                let waiter = crate::run::Waiter::Front(from.clone(), call);
+                self.submitted(now, waiter, submission, hops, known);
             }
             Msg::Ask { call, id, ask, hops } => {
                 let waiter = crate::run::Waiter::Front(from.clone(), call);
@@ -103,7 +104,7 @@
     }
 
     fn want_config(&mut self, now: Time, from: &Peer, revision: u64) {
-        let own = self.config.as_ref().map_or(0, |config| config.revision);
+        let own = self.revision();
         if revision <= own || self.wanted.is_some_and(|due| due > now) {
             return;
         }
@@ -122,7 +123,9 @@
     /// Sends what is due to every peer.
     pub(super) fn send_frames(&mut self, now: Time) {
         self.update_load(now);
-        let peers: Vec<Peer> = self.channels.keys().cloned().collect();
+        // A host knows hundreds of peers, and one event concerns few of them.
+        let wanting = self.channels.iter().filter(|(_, channel)| channel.wants_frame(now));
+        let peers: Vec<Peer> = wanting.map(|(peer, _)| peer.clone()).collect();
         for peer in peers {
             if self.hosts.view().state(&peer) == HostState::Gone {
                 continue;
--- a/endivestile_kernel/src/kernel/submit.rs
+++ b/endivestile_kernel/src/kernel/submit.rs
@@ -34,14 +34,38 @@
     pub(super) fn submitted(
         &mut self,
         now: Time,
-        from: &Peer,
-        call: u64,
+        waiter: Waiter,
         submission: Arc<Submission>,
         hops: u8,
+        known: bool,
     ) {
         let until = submission.deadline.min(now.after_ms(PATIENCE_MS));
-        let waiter = Waiter::Front(from.clone(), call);
-        self.submit(now, Arrival { waiter, submission, hops, until });
+        let arrival = Arrival { waiter, submission, hops, until };
+        match arrival.submission.id.clone() {
+            Some(id) if known => self.submit_known(now, &id, arrival),
+            _ => self.submit(now, arrival),
+        }
+    }
+
+    /// Starts an id that its home has recorded as this incarnation's own, unless it was started.
+    ///
+    /// A home sends an id to its witness and hands the shard over before the
+    /// word comes back: it never started the id, and nobody else may. Without
+    /// this the caller is told "failed" because of a planned stop.
+    /// It can't start twice: what this incarnation started is in the table of
+    /// runs until after the id has expired, and no other one ever starts an id
+    /// that is recorded.
+    fn submit_known(&mut self, now: Time, id: &SubmissionId, arrival: Arrival) {
+        let Some(arrival) = self.attach(now, id, arrival) else { return };
+        let window_s = self.config.as_ref().map_or(0, |config| config.rules.window_s);
+        let wall_s = self.setup.wall_s + now.as_micros() / 1_000_000;
+        match id.form() {
+            Form::Dated(secs) if wall_s <= secs.saturating_add(window_s) => {
+                let keep = now.after_ms(self.keep_ms());
+                self.begin(now, arrival, keep);
+            }
+            _ => self.refuse(now, &arrival.waiter, Class::Unknown, Cause::Expired),
+        }
     }
 
     pub(super) fn submit(&mut self, now: Time, arrival: Arrival) {
@@ -104,7 +128,9 @@
             HostState::Suspect => {
                 self.refuse(now, &arrival.waiter, Class::Unknown, Cause::HomeAway);
             }
-            HostState::Live | HostState::Leaving => self.forward(now, arrival, issuer.clone()),
+            HostState::Live | HostState::Leaving => {
+                self.forward(now, arrival, issuer.clone(), false)
+            }
         }
     }
 
@@ -146,6 +172,13 @@
             self.restart(now, id, arrival, ticket);
             return;
         }
+        if let (Admit::Known(known), Waiter::Front(from, _)) = (&admit, &arrival.waiter)
+            && known.runner == *from
+            && known.digest == arrival.submission.digest()
+        {
+            self.admit_disowned(now, id, arrival, ticket);
+            return;
+        }
         self.runs.remove(ticket);
         match admit {
             Admit::Wait => {}
@@ -155,6 +188,22 @@
         }
     }
 
+    /// Admits an id that comes from the one incarnation that may have started it:
+    /// had it done so, it would have attached the call to its own run.
+    fn admit_disowned(&mut self, now: Time, id: &SubmissionId, arrival: Arrival, ticket: u64) {
+        let Waiter::Front(runner, _) = &arrival.waiter else { return };
+        self.shards.disown(id, runner);
+        let digest = arrival.submission.digest();
+        let (view, out) = (self.hosts.view(), &mut self.shard_effects);
+        let admit = self.shards.admit(now, view, id, digest, ticket, out);
+        if let Admit::Known(known) = admit {
+            self.runs.remove(ticket);
+            self.meet_known(now, arrival, &known);
+        } else {
+            self.admitted(now, id, arrival, ticket, admit);
+        }
+    }
+
     /// Starts an id that this incarnation recorded and never started: whatever
     /// it started is in the table of runs for as long as the id may come back.
     /// The witness has to confirm that nobody took the shard over meanwhile.
@@ -186,7 +235,7 @@
         let state = self.hosts.view().state(&known.runner);
         let reachable = matches!(state, HostState::Live | HostState::Leaving);
         if reachable && arrival.hops + 1 < MAX_HOPS && known.runner != self.setup.me {
-            self.forward(now, arrival, known.runner.clone());
+            self.forward(now, arrival, known.runner.clone(), true);
             return;
         }
         let answer = Answer::Failed(Failure::HomeLost);
