Let a runner start what its home has recorded as its own

Cause: a planned stop made jobs fail ("failed HomeLost") although they ran nowhere. A home sends an id to its witness and offers it the shard; when the witness's word is late, the record has moved before it comes, and the home drops the batch. The new home has the id as the old one's and may not start it; the old one is no home any more and may not either.

Ruled out: no offer while a batch is under way (the word of a lost frame can take longer than any wait, and a stop during a store outage would hold every new id back); the new home starting it (it can't know that the old one did not).

Change: a home that passes an id on to its recorded runner says so, and the runner starts it unless it is or was in its table of runs, or has expired. No home ever starts an id that is recorded, and what the runner started stays in its table until after the id has expired, so nothing starts twice.

What is left: frames lost during a stop.

--- a/endivestile_kernel/src/kernel/link.rs
+++ b/endivestile_kernel/src/kernel/link.rs
@@ -54,8 +54,9 @@
 
     fn message(&mut self, now: Time, from: &Peer, msg: Msg) {
         match msg {
-            Msg::Submit { call, submission, hops } => {
-                self.submitted(now, from, call, submission, hops);
+            Msg::Submit { call, submission, hops, known } => {
+                let waiter = crate::run::Waiter::Front(from.clone(), call);
+                self.submitted(now, waiter, submission, hops, known);
             }
             Msg::Ask { call, id, ask, hops } => {
                 let waiter = crate::run::Waiter::Front(from.clone(), call);
--- a/endivestile_kernel/src/kernel/pass.rs
+++ b/endivestile_kernel/src/kernel/pass.rs
@@ -15,13 +15,14 @@
         let state = self.hosts.view().state(&home);
         let reachable = matches!(state, HostState::Live | HostState::Leaving);
         if reachable && arrival.hops < MAX_HOPS {
-            self.forward(now, arrival, home);
+            self.forward(now, arrival, home, false);
         } else {
             self.park_or_refuse(now, arrival, Class::Unknown, Cause::HomeAway);
         }
     }
 
-    pub(super) fn forward(&mut self, now: Time, arrival: Arrival, to: Peer) {
+    /// Passes a submission on; `known` says that it is recorded as the receiver's own.
+    pub(super) fn forward(&mut self, now: Time, arrival: Arrival, to: Peer, known: bool) {
         let submission = arrival.submission;
         let forward = Forward {
             waiter: arrival.waiter,
@@ -34,7 +35,7 @@
         let hops = forward.hops;
         let call = self.passed.forward(forward);
         self.count(Metric::Forwards, 1);
-        self.push(&to, Msg::Submit { call, submission, hops });
+        self.push(&to, Msg::Submit { call, submission, hops, known });
     }
 
     /// Waits for the shard to get a usable home while that can be hoped for;
--- a/endivestile_kernel/src/kernel/submit.rs
+++ b/endivestile_kernel/src/kernel/submit.rs
@@ -34,14 +34,38 @@
     pub(super) fn submitted(
         &mut self,
         now: Time,
-        from: &Peer,
-        call: u64,
+        waiter: Waiter,
         submission: Arc<Submission>,
         hops: u8,
+        known: bool,
     ) {
         let until = submission.deadline.min(now.after_ms(PATIENCE_MS));
-        let waiter = Waiter::Front(from.clone(), call);
-        self.submit(now, Arrival { waiter, submission, hops, until });
+        let arrival = Arrival { waiter, submission, hops, until };
+        match arrival.submission.id.clone() {
+            Some(id) if known => self.submit_known(now, &id, arrival),
+            _ => self.submit(now, arrival),
+        }
+    }
+
+    /// Starts an id that its home has recorded as this incarnation's own, unless it was started.
+    ///
+    /// A home sends an id to its witness and hands the shard over before the
+    /// word comes back: it never started the id, and nobody else may. Without
+    /// this the caller is told "failed" because of a planned stop.
+    /// It can't start twice: what this incarnation started is in the table of
+    /// runs until after the id has expired, and no other one ever starts an id
+    /// that is recorded.
+    fn submit_known(&mut self, now: Time, id: &SubmissionId, arrival: Arrival) {
+        let Some(arrival) = self.attach(now, id, arrival) else { return };
+        let window_s = self.config.as_ref().map_or(0, |config| config.rules.window_s);
+        let wall_s = self.setup.wall_s + now.as_micros() / 1_000_000;
+        match id.form() {
+            Form::Dated(secs) if wall_s <= secs.saturating_add(window_s) => {
+                let keep = now.after_ms(self.keep_ms());
+                self.begin(now, arrival, keep);
+            }
+            _ => self.refuse(now, &arrival.waiter, Class::Unknown, Cause::Expired),
+        }
     }
 
     pub(super) fn submit(&mut self, now: Time, arrival: Arrival) {
@@ -104,7 +128,9 @@
             HostState::Suspect => {
                 self.refuse(now, &arrival.waiter, Class::Unknown, Cause::HomeAway);
             }
-            HostState::Live | HostState::Leaving => self.forward(now, arrival, issuer.clone()),
+            HostState::Live | HostState::Leaving => {
+                self.forward(now, arrival, issuer.clone(), false)
+            }
         }
     }
 
@@ -186,7 +212,7 @@
         let state = self.hosts.view().state(&known.runner);
         let reachable = matches!(state, HostState::Live | HostState::Leaving);
         if reachable && arrival.hops + 1 < MAX_HOPS && known.runner != self.setup.me {
-            self.forward(now, arrival, known.runner.clone());
+            self.forward(now, arrival, known.runner.clone(), true);
             return;
         }
         let answer = Answer::Failed(Failure::HomeLost);
--- a/endivestile_kernel/src/msg.rs
+++ b/endivestile_kernel/src/msg.rs
@@ -41,6 +41,8 @@
         submission: Arc<Submission>,
         /// Hosts that have passed it on; bounded, so that two stale views end.
         hops: u8,
+        /// Whether the home has the id recorded as the receiver's own.
+        known: bool,
     },
     /// Front to home: how does it stand, or stop it.
     Ask {
