--- a/endivestile/tests/promise/mod.rs
+++ b/endivestile/tests/promise/mod.rs
@@ -103,7 +103,8 @@
 
 /// Waits until this many tasks have started at the backend servers.
 pub(crate) fn wait_starts(deployment: &Deployment, count: u64) {
-    assert!(wait_for(PATIENCE_S, || deployment.servers.total() >= count), "{count} starts");
+    let started = wait_for(PATIENCE_S, || deployment.servers.total() >= count);
+    assert!(started, "{} of {count} starts", deployment.servers.total());
 }
 
 /// Waits until another host than `name` is home of the id.
