--- /dev/null
+++ b/endivestile_testkit/tests/stories/declared_cold.story
@@ -0,0 +1,28 @@
+# Nothing has been learnt yet, and the first requests declare a minute though they
+# take a hundred milliseconds. The declaration is all there is to judge by: most
+# of them are told at once that they can't end in time, and have not run. Callers
+# notice a service that refuses nearly all of them though its servers are idle,
+# until enough of the few that are let in have ended.
+story
+world zones=a hosts=2 servers=4 slots=2 ms=100
+submit first at=a1 times=12 declared=60s deadline=2s
+run 3s
+submit again at=a2 times=12 declared=60s deadline=2s
+run 20s
+submit later at=a2 times=12 declared=60s deadline=2s
+run 3s
+answers
+starts
+check
+settled
+----
+again: 1 complete
+again: 11 not run Deadline after 0.0 s
+first: 3 complete
+first: 9 not run Deadline after 0.0 s
+later: 12 complete
+again started 1
+first started 3
+later started 12
+every promise kept
+every call answered
--- a/endivestile_testkit/tests/stories/declared_far_off.story
+++ b/endivestile_testkit/tests/stories/declared_far_off.story
@@ -3,6 +3,8 @@
 # its deadline is answered, what does not is told so and not counted twice.
 story
 world zones=a hosts=2 servers=4 slots=2 ms=100
+submit warm at=a1 times=4
+run 2s
 submit long at=a1 times=12 declared=60s deadline=2s
 run 3s
 server a-s1 takes 3s
@@ -21,7 +23,9 @@
 again: 16 complete
 long: 12 complete
 short: 16 complete
+warm: 4 complete
 long started 12
 s started 16
+warm started 4
 every promise kept
 every call answered
