--- a/endivestile_testkit/tests/stories/declared_cold.story
+++ b/endivestile_testkit/tests/stories/declared_cold.story
@@ -16,13 +16,11 @@
 check
 settled
 ----
-again: 1 complete
-again: 11 not run Deadline after 0.0 s
-first: 3 complete
-first: 9 not run Deadline after 0.0 s
+again: 12 complete
+first: 12 complete
 later: 12 complete
-again started 1
-first started 3
+again started 12
+first started 12
 later started 12
 every promise kept
 every call answered
