Leave the back ends of a silent zone to its own hosts; read before ending after a pause

Cause: process test request_zone_cut: after a cut the north counted the south's servers as its own, because the south had no live host left, and sent a request into the cut (504). Ruled out: trying them with single tasks (each trial of a non-idempotent task is lost in the cut); a probe without a task (no such call in the back ends' protocol). Change: the back ends of a zone are counted from outside only when none of its hosts is merely silent. A pause starts the wait before the end anew.

--- a/endivestile_kernel/src/kernel/stop.rs
+++ b/endivestile_kernel/src/kernel/stop.rs
@@ -48,6 +48,14 @@
         }
     }
 
+    /// After a pause the calls that came meanwhile are still unread: a process
+    /// that ended now would cut them off.
+    pub(super) fn linger_again(&mut self, now: Time) {
+        if let Some(due) = &mut self.stopping {
+            *due = now.after_ms(LINGER_MS);
+        }
+    }
+
     pub(super) fn drain_due(&self) -> Option<Time> {
         if self.drained { None } else { self.stopping }
     }
--- a/endivestile_kernel/src/view.rs
+++ b/endivestile_kernel/src/view.rs
@@ -72,11 +72,22 @@
     /// Returns the host that counts the slots of a back end: the first in
     /// rendezvous order among the live hosts of the back end's zone, of all
     /// zones when that zone has none, or of the leaving ones when none lives.
+    ///
+    /// While a zone's hosts are silent nobody counts its back ends: the zone is
+    /// most likely cut off, its own hosts go on with them, and a task sent there
+    /// from outside would be lost in the cut.
     pub fn placer(&self, zone: &str, server: &str) -> Option<&HostView> {
         let near = self.live().filter(|host| host.zone.as_ref() == zone);
-        first(near, server)
-            .or_else(|| first(self.live(), server))
-            .or_else(|| first(self.leaving(), server))
+        let near = first(near, server);
+        if near.is_some() || self.is_silent(zone) {
+            return near;
+        }
+        first(self.live(), server).or_else(|| first(self.leaving(), server))
+    }
+
+    fn is_silent(&self, zone: &str) -> bool {
+        let silent = |host: &HostView| host.state == HostState::Suspect;
+        self.hosts.values().any(|host| host.zone.as_ref() == zone && silent(host))
     }
 
     fn leaving(&self) -> impl Iterator<Item = &HostView> {
