Notice a short pause while draining

Cause: random story (kept as stop_paused_briefly): a process paused for half a second just before its drain ended went on, saw that nothing was open, and ended with a call unread. Ruled out: noticing it by the survey of the peers (it takes 1.5 s). Change: while draining the process looks every 50 ms; a look that comes 100 ms late starts the wait anew.

--- a/endivestile_kernel/src/kernel.rs
+++ b/endivestile_kernel/src/kernel.rs
@@ -72,7 +72,7 @@
     budget: Budget,
     routes: Routes,
     totals: BTreeMap<Metric, u64>,
-    stopping: Option<Time>,
+    stopping: Option<stop::Stopping>,
     leaving: bool,
     drained: bool,
     shard_effects: Vec<ShardEffect>,
--- a/endivestile_kernel/src/kernel/stop.rs
+++ b/endivestile_kernel/src/kernel/stop.rs
@@ -4,13 +4,42 @@
 
 /// Time for which a stopping process still serves what the balancer sends, in milliseconds.
 const LINGER_MS: u64 = 1_500;
+/// Delay of a look at which the process takes itself to have been paused, in milliseconds.
+const LATE_MS: u64 = 100;
 /// Time between two looks whether everything is drained, in milliseconds.
 const DRAIN_POLL_MS: u64 = 50;
 
+/// A graceful shutdown under way.
+#[derive(Debug)]
+pub(super) struct Stopping {
+    /// When the process may end at the earliest.
+    until: Time,
+    /// When to look again whether everything is drained.
+    look: Time,
+}
+
+impl Stopping {
+    fn new(now: Time) -> Self {
+        Self { until: now.after_ms(LINGER_MS), look: now.after_ms(DRAIN_POLL_MS) }
+    }
+
+    /// Notes a look; says whether the process has to stay for a while anyway.
+    ///
+    /// A look that comes late means that the process was paused: the calls that
+    /// came meanwhile are still unread, and ending now would cut them off.
+    fn looked(&mut self, now: Time) -> bool {
+        if self.look.after_ms(LATE_MS) < now {
+            self.until = now.after_ms(LINGER_MS);
+        }
+        self.look = now.after_ms(DRAIN_POLL_MS);
+        self.until > now
+    }
+}
+
 impl Kernel {
     pub(super) fn shutdown(&mut self, now: Time) {
         if self.stopping.is_none() {
-            self.stopping = Some(now.after_ms(LINGER_MS));
+            self.stopping = Some(Stopping::new(now));
             self.info("stopping", vec![("runs", self.runs.active().to_string())]);
         }
         self.viewed(now, true);
@@ -48,22 +77,15 @@
         }
     }
 
-    /// After a pause the calls that came meanwhile are still unread: a process
-    /// that ended now would cut them off.
-    pub(super) fn linger_again(&mut self, now: Time) {
-        if let Some(due) = &mut self.stopping {
-            *due = now.after_ms(LINGER_MS);
-        }
-    }
-
     pub(super) fn drain_due(&self) -> Option<Time> {
-        if self.drained { None } else { self.stopping }
+        let stopping = self.stopping.as_ref().filter(|_| !self.drained);
+        stopping.map(|stopping| stopping.look)
     }
 
     pub(super) fn check_drained(&mut self, now: Time) {
-        let Some(due) = self.stopping.filter(|due| *due <= now && !self.drained) else { return };
-        if self.busy() {
-            self.stopping = Some(due.max(now).after_ms(DRAIN_POLL_MS));
+        let busy = self.busy();
+        let Some(stopping) = &mut self.stopping else { return };
+        if self.drained || stopping.look > now || stopping.looked(now) || busy {
             return;
         }
         self.drained = true;
--- a/endivestile_kernel/src/kernel/watch.rs
+++ b/endivestile_kernel/src/kernel/watch.rs
@@ -40,7 +40,6 @@
         for since in self.watched.values_mut() {
             *since = now;
         }
-        self.linger_again(now);
     }
 
     /// Watches the hosts of the own zone and the partners of shared shards: a
