--- a/endivestile/src/engine.rs
+++ b/endivestile/src/engine.rs
@@ -240,7 +240,7 @@
             return;
         }
         self.stopping = true;
-        log::info!("event=stopping open_calls={}", self.calls.len());
+        log::info!("event=signal open_calls={}", self.calls.len());
         after!(Duration::from_secs(self.limit_s), [cx], limit());
         self.event(cx, Event::Shutdown);
     }
--- a/endivestile/src/store/register.rs
+++ b/endivestile/src/store/register.rs
@@ -30,7 +30,7 @@
 /// incarnation has taken its name.
 pub(crate) async fn run(access: Access, desk: Desk, wishes: Receiver<Wish>) {
     let mut backoff = Backoff::new(desk.settings.backoff_ms);
-    let mut keeper = Keeper { access, desk, wishes, lease: None };
+    let mut keeper = Keeper { access, desk, wishes, lease: None, failing: false };
     loop {
         match keeper.keep(&mut backoff).await {
             Ok(()) => return,
@@ -39,7 +39,9 @@
                 return;
             }
             Err(e) => {
-                log::warn!("event=registration_failed {e}");
+                let level = if keeper.failing { log::Level::Debug } else { log::Level::Warn };
+                log::log!(level, "event=registration_failed {e}");
+                keeper.failing = true;
                 keeper.access.doubt.notify_waiters();
                 backoff.wait().await;
             }
@@ -57,6 +59,8 @@
     wishes: Receiver<Wish>,
     /// The lease, kept over errors: it may still live.
     lease: Option<Lease>,
+    /// Whether the last attempt failed, and the log says so already.
+    failing: bool,
 }
 
 impl Keeper {
@@ -65,6 +69,7 @@
         let mut lease = self.renew().await?;
         self.put(lease).await?;
         backoff.reset();
+        self.failing = false;
         let pause = Duration::from_millis(self.desk.settings.lease_s * 1_000 / REFRESHES);
         loop {
             let until = Instant::now() + pause;
--- a/endivestile/src/store/watch.rs
+++ b/endivestile/src/store/watch.rs
@@ -27,13 +27,17 @@
     let mut feed = Feed::new(desk.inbox.clone(), desk.checker.clone());
     let mut backoff = Backoff::new(desk.settings.backoff_ms);
     let mut session = Session { access, desk, up: false };
+    let mut first = true;
     loop {
         let Err(e) = session.run(&mut feed, &mut backoff).await;
+        // One line for an outage; its further attempts would bury the rest.
+        let level = if session.up || first { log::Level::Warn } else { log::Level::Debug };
+        log::log!(level, "event=store_down {e}");
+        first = false;
         if session.up {
             session.up = false;
             session.desk.inbox.event(Input::Store(false));
         }
-        log::warn!("event=store_down {e}");
         backoff.wait().await;
     }
 }
