--- a/endivestile/src/counters.rs
+++ b/endivestile/src/counters.rs
@@ -46,7 +46,7 @@
 ];
 
 /// What the edges count themselves.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy)]
 pub(crate) enum Tally {
     /// Calls refused as invalid.
     Invalid = 16,
--- a/endivestile/src/http/head.rs
+++ b/endivestile/src/http/head.rs
@@ -21,7 +21,7 @@
 const AHEAD_S: u64 = 60;
 
 /// Headers of a submission, checked as far as they can be alone.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(crate) struct Head {
     /// The id, if one was given.
     pub(crate) id: Option<SubmissionId>,
--- a/endivestile/src/http/invalid.rs
+++ b/endivestile/src/http/invalid.rs
@@ -1,7 +1,7 @@
 //! Refusals of bad input.
 
 /// What is wrong with a call; nothing of it was accepted.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub(crate) struct Invalid {
     /// HTTP status, 400 to 499.
     pub(crate) status: u16,
--- a/endivestile/src/http/reply.rs
+++ b/endivestile/src/http/reply.rs
@@ -14,7 +14,7 @@
 const SECOND_MS: u64 = 1_000;
 
 /// A reply, ready to be written.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub(crate) struct Reply {
     /// HTTP status.
     status: u16,
--- a/endivestile/src/http/route.rs
+++ b/endivestile/src/http/route.rs
@@ -9,7 +9,7 @@
 const MAX_MINTED: usize = 1_000;
 
 /// What a method and path ask for.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug)]
 pub(crate) enum Route {
     /// `POST /v1/jobs`.
     Job,
--- a/endivestile/src/net.rs
+++ b/endivestile/src/net.rs
@@ -7,7 +7,7 @@
 use crate::error::RunError;
 
 /// One runtime on one thread; nothing on it may block.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(crate) struct Net {
     /// The runtime.
     handle: Handle,
--- a/endivestile/src/store/lease.rs
+++ b/endivestile/src/store/lease.rs
@@ -9,7 +9,7 @@
 use crate::counters::Tally;
 
 /// A lease in the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy)]
 pub(crate) struct Lease(pub(crate) i64);
 
 impl Lease {
