--- a/endivestile/tests/back_ends.rs
+++ b/endivestile/tests/back_ends.rs
@@ -160,3 +160,27 @@
     assert_eq!(rig.daemon.post("/v1/requests/orders", &headers, "w").status, 200);
     assert_eq!(rig.backends.count("w"), 1);
 }
+
+/// An old backend server sends its answer without a length and closes the
+/// connection, and the answer may have been cut. It must not reach the caller
+/// as a whole one.
+#[test]
+fn order_unframed() {
+    let rig = Rig::start(&[]);
+    let old = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = old.local_addr().expect("address").to_string();
+    let config =
+        common::config(2, &rig.backends).replace(&rig.backends.address("s1").to_string(), &address);
+    rig.store.put("endivestile/config", config);
+    let serving = thread::spawn(move || {
+        let (mut stream, _) = old.accept().expect("accept");
+        let mut request = [0; 4096];
+        let _ = std::io::Read::read(&mut stream, &mut request);
+        let reply = b"HTTP/1.1 200 OK\r\n\r\nhalf of it";
+        std::io::Write::write_all(&mut stream, reply).expect("write");
+    });
+    wait_for("the configuration", || rig.daemon.get("/status").field("revision") == 2);
+    let got = rig.daemon.order("k", "k");
+    assert_eq!((got.status, got.field("status")), (502, "failed".into()), "{}", got.body);
+    serving.join().expect("server");
+}
--- a/endivestile/tests/store_edge.rs
+++ b/endivestile/tests/store_edge.rs
@@ -87,6 +87,24 @@
     assert_eq!(rig.daemon.order("after", "after").status, 200);
 }
 
+/// An operator takes a planned stop back while the host cannot reach the store.
+/// Nobody tells of the deleted key afterwards; a host that only followed
+/// changes would keep the backend server out for ever.
+#[test]
+fn stop_taken_back_during_outage() {
+    let rig = Rig::start(&[]);
+    let headers = [("Member", "m1"), ("Idempotent", "true"), ("Deadline-Ms", "2000")];
+    let status = || rig.daemon.post("/v1/requests/orders", &headers, "k").status;
+    wait_for("an answer", || status() == 200);
+    rig.store.put("endivestile/stops/s1", "{}");
+    wait_for("the stop", || status() == 503);
+    rig.store.down();
+    rig.daemon.wait_line("event=store_down");
+    rig.store.delete("endivestile/stops/s1");
+    rig.store.up();
+    wait_for("an answer again", || status() == 200);
+}
+
 /// The store stands still without closing anything. No change arrives and
 /// nothing tells so, but the refreshes of the lease, which go unanswered.
 #[test]
