--- a/endivestile_testkit/tests/mutations/run.sh
+++ b/endivestile_testkit/tests/mutations/run.sh
@@ -19,6 +19,7 @@
 fi
 export CARGO_TARGET_DIR="$scratch/target"
 copy="$scratch/copy"
+patches="$copy/endivestile_testkit/tests/mutations"
 
 # One snapshot for all mutations: the workspace may change while they are tried.
 rm -rf "$copy"
@@ -51,7 +52,7 @@
 fi
 failed=0
 for name in "${names[@]}"; do
-    patch --quiet --directory="$copy" --strip=1 <"$here/$name.patch"
+    patch --quiet --directory="$copy" --strip=1 <"$patches/$name.patch"
     caught=0 broken=0
     echo "$name"
     try stories "$scratch/$name.stories.log" -p endivestile_testkit --test stories
@@ -60,7 +61,7 @@
     if [[ -n "${PROCESSES:-}" ]]; then
         try processes "$scratch/$name.processes.log" -p endivestile "${processes[@]}"
     fi
-    patch --quiet --reverse --directory="$copy" --strip=1 <"$here/$name.patch"
+    patch --quiet --reverse --directory="$copy" --strip=1 <"$patches/$name.patch"
     if [[ $broken -eq 1 || $caught -eq 0 ]]; then failed=$((failed + 1)); fi
 done
 echo "${#names[@]} mutations, $failed not caught"
