--- a/endivestile_testkit/tests/stories/declared_cold.story
+++ b/endivestile_testkit/tests/stories/declared_cold.story
@@ -1,8 +1,6 @@
 # Nothing has been learnt yet, and the first requests declare a minute though they
-# take a hundred milliseconds. The declaration is all there is to judge by: most
-# of them are told at once that they can't end in time, and have not run. Callers
-# notice a service that refuses nearly all of them though its servers are idle,
-# until enough of the few that are let in have ended.
+# take a hundred milliseconds. Judged by the declaration alone they could not end in
+# time, and callers would be refused by a service whose servers are idle.
 story
 world zones=a hosts=2 servers=4 slots=2 ms=100
 submit first at=a1 times=12 declared=60s deadline=2s
