Wait for a recorded runner that is only suspected

Cause: a job that ran or waited at a living host was told "failed HomeLost" when its home took that host to be silent for a moment, as happens during a stop on links that lose frames. The other ways to a suspected host wait already.

Ruled out: one more hop (tried: the same jobs failed); telling "unknown" for as long as the runner is suspected: a host that was killed and never comes back would never be told of as lost.

Change: a submission whose runner is suspected is tried again for the usual patience of 4 s, and then told "failed".

One story changes: a caller's host dies while it waits.

A caller of a job whose host was killed waits up to 4 s longer for "failed".

--- a/endivestile_kernel/src/kernel/pass.rs
+++ b/endivestile_kernel/src/kernel/pass.rs
@@ -48,15 +48,24 @@
         cause: Cause,
     ) {
         let passing = matches!(cause, Cause::HomeAway | Cause::WitnessAway | Cause::ShardMoving);
-        let at = now.after_ms(PARK_MS);
         // At the start the store may not have answered yet.
         let hope = self.hosts.view().store || now < Time::ZERO.after_ms(PATIENCE_MS);
-        if !passing || !hope || at >= arrival.until {
+        if passing && hope && Self::may_park(now, &arrival) {
+            self.park(now, arrival);
+        } else {
             self.refuse(now, &arrival.waiter, class, cause);
-            return;
         }
+    }
+
+    /// Returns whether there is time to try a submission once more.
+    pub(super) fn may_park(now: Time, arrival: &Arrival) -> bool {
+        now.after_ms(PARK_MS) < arrival.until
+    }
+
+    /// Has a submission tried again soon.
+    pub(super) fn park(&mut self, now: Time, arrival: Arrival) {
         let Arrival { waiter, submission, hops, until } = arrival;
-        self.passed.park(at, Parked { waiter, submission, hops, until });
+        self.passed.park(now.after_ms(PARK_MS), Parked { waiter, submission, hops, until });
     }
 
     pub(super) fn replied(&mut self, now: Time, call: u64, answer: Arc<Answer>) {
--- a/endivestile_kernel/src/kernel/submit.rs
+++ b/endivestile_kernel/src/kernel/submit.rs
@@ -238,6 +238,11 @@
             self.forward(now, arrival, known.runner.clone(), true);
             return;
         }
+        // A host that was silent for a moment may still run it, or has the answer.
+        if state == HostState::Suspect && Self::may_park(now, &arrival) {
+            self.park(now, arrival);
+            return;
+        }
         let answer = Answer::Failed(Failure::HomeLost);
         self.reply(now, &arrival.waiter, Arc::new(answer));
     }
