--- a/endivestile/tests/promise_config.rs
+++ b/endivestile/tests/promise_config.rs
@@ -29,6 +29,14 @@
     log.iter().filter(|line| line.contains("event=config_refused")).count() >= count
 }
 
+/// Returns the revisions that a host has adopted, in order.
+fn adopted(deployment: &mut Deployment, name: &str) -> Vec<u64> {
+    let log = deployment.host(name).log();
+    let lines = log.iter().filter(|line| line.contains("event=config_adopted"));
+    let revision = |line: &String| line.rsplit("revision=").next()?.trim().parse().ok();
+    lines.filter_map(revision).collect()
+}
+
 // Somebody writes past the operators' tools: first a text that is no
 // configuration, then one with a server that no service can reach, then an
 // older accepted one. Hosts must keep the one in force and go on serving.
@@ -51,7 +59,13 @@
     }
     deployment.store.put(CONFIG, old);
     deployment.store.put(CONFIG, "still none");
-    assert!(wait_for(PATIENCE_S, || has_refused(&mut deployment, "a1", 3)), "all was seen");
+    for name in ["a1", "a2", "b1", "b2"] {
+        let seen = wait_for(PATIENCE_S, || has_refused(&mut deployment, name, 3));
+        assert!(seen, "{name} has seen all");
+        let adopted = adopted(&mut deployment, name);
+        assert_eq!(adopted.last(), Some(&revision), "{name} adopted {adopted:?}");
+        assert!(adopted.is_sorted_by(|a, b| a < b), "{name} went back: {adopted:?}");
+    }
     wait_revision(&mut deployment, revision);
     let works = works("spoilt", 2, 5);
     let reply = persist(&at(&mut deployment, "b2"), &Caller::own_id("spoilt"), &works);
