--- a/endivestile_testkit/tests/mutations/run.sh
+++ b/endivestile_testkit/tests/mutations/run.sh
@@ -4,6 +4,7 @@
 #
 # Usage: run.sh [NAME...]     mutations to try, all without an argument
 # RANDOM_CASES  random sequences per mutation (default 1000)
+# PROCESSES=1   try the tests with real processes too
 # JOBS          cargo's jobs (default 4)
 # SCRATCH       scratch directory (default: a new one, removed at the end)
 set -euo pipefail
@@ -18,12 +19,18 @@
 fi
 export CARGO_TARGET_DIR="$scratch/target"
 copy="$scratch/copy"
+patches="$copy/endivestile_testkit/tests/mutations"
 
 # One snapshot for all mutations: the workspace may change while they are tried.
 rm -rf "$copy"
 mkdir -p "$copy"
 git -C "$root" ls-files -z | tar -C "$root" --null -T - -cf - | tar -C "$copy" -xmf -
 
+processes=()
+for test in "$root"/endivestile/tests/promise_*.rs; do
+    processes+=(--test "$(basename "$test" .rs)")
+done
+
 # Prints caught or missed for one of the test programs.
 try() {
     local what="$1" log="$2"
@@ -45,13 +52,16 @@
 fi
 failed=0
 for name in "${names[@]}"; do
-    patch --quiet --directory="$copy" --strip=1 <"$here/$name.patch"
+    patch --quiet --directory="$copy" --strip=1 <"$patches/$name.patch"
     caught=0 broken=0
     echo "$name"
     try stories "$scratch/$name.stories.log" -p endivestile_testkit --test stories
     try random "$scratch/$name.random.log" -p endivestile_testkit --test random
     try shards "$scratch/$name.shards.log" -p endivestile_kernel --test shards
-    patch --quiet --reverse --directory="$copy" --strip=1 <"$here/$name.patch"
+    if [[ -n "${PROCESSES:-}" ]]; then
+        try processes "$scratch/$name.processes.log" -p endivestile "${processes[@]}"
+    fi
+    patch --quiet --reverse --directory="$copy" --strip=1 <"$patches/$name.patch"
     if [[ $broken -eq 1 || $caught -eq 0 ]]; then failed=$((failed + 1)); fi
 done
 echo "${#names[@]} mutations, $failed not caught"
