Drop the disowning of ids: two remedies for one fault start twice

With both, calls that cross start twice: the old home sends a call on, the new home takes the id over and starts it, while its own call sent back reaches the old home, which starts it too. Ruled out: keeping disowning instead (it needs a second record; sending back needs none). Change: Shards::disown and its use are gone. Conclusion: one remedy, on the side that may start.

--- a/endivestile_kernel/src/kernel/submit.rs
+++ b/endivestile_kernel/src/kernel/submit.rs
@@ -172,13 +172,6 @@
             self.restart(now, id, arrival, ticket);
             return;
         }
-        if let (Admit::Known(known), Waiter::Front(from, _)) = (&admit, &arrival.waiter)
-            && known.runner == *from
-            && known.digest == arrival.submission.digest()
-        {
-            self.admit_disowned(now, id, arrival, ticket);
-            return;
-        }
         self.runs.remove(ticket);
         match admit {
             Admit::Wait => {}
@@ -188,22 +181,6 @@
         }
     }
 
-    /// Admits an id that comes from the one incarnation that may have started it:
-    /// had it done so, it would have attached the call to its own run.
-    fn admit_disowned(&mut self, now: Time, id: &SubmissionId, arrival: Arrival, ticket: u64) {
-        let Waiter::Front(runner, _) = &arrival.waiter else { return };
-        self.shards.disown(id, runner);
-        let digest = arrival.submission.digest();
-        let (view, out) = (self.hosts.view(), &mut self.shard_effects);
-        let admit = self.shards.admit(now, view, id, digest, ticket, out);
-        if let Admit::Known(known) = admit {
-            self.runs.remove(ticket);
-            self.meet_known(now, arrival, &known);
-        } else {
-            self.admitted(now, id, arrival, ticket, admit);
-        }
-    }
-
     /// Starts an id that this incarnation recorded and never started: whatever
     /// it started is in the table of runs for as long as the id may come back.
     /// The witness has to confirm that nobody took the shard over meanwhile.
--- a/endivestile_kernel/src/shard/shards.rs
+++ b/endivestile_kernel/src/shard/shards.rs
@@ -105,22 +105,6 @@
         self.slots.get(self.shard_of(id)).and_then(Slot::owner)
     }
 
-    /// Takes an id for not started, on the word of the incarnation that alone
-    /// may have started it.
-    ///
-    /// A shard that changes hands while an id is being recorded leaves it to the
-    /// new home as one that the old home may have started. The old home sends the
-    /// submission on, which it does only with ids it has not started; without
-    /// this, its caller would be told that the submission failed, though nothing
-    /// stood in its way but a planned stop.
-    pub fn disown(&mut self, id: &SubmissionId, runner: &Peer) {
-        let shard = self.shard_of(id);
-        let Some(slot) = self.slots.get_mut(shard) else { return };
-        if slot.table.get(id).is_some_and(|known| known.runner == *runner) {
-            slot.table.remove(id);
-        }
-    }
-
     /// Returns what this host remembers of an id.
     pub fn known(&self, id: &SubmissionId) -> Option<&Known> {
         self.slots.get(self.shard_of(id)).and_then(|slot| slot.table.get(id))
--- a/endivestile_kernel/src/shard/table.rs
+++ b/endivestile_kernel/src/shard/table.rs
@@ -28,11 +28,6 @@
         self.entries.replace(Entry(known));
     }
 
-    /// Forgets an id that its runner has not started and will not start.
-    pub(crate) fn remove(&mut self, id: &SubmissionId) {
-        self.entries.remove(id);
-    }
-
     /// Forgets every id.
     pub(crate) fn clear(&mut self) {
         self.entries = HashSet::default();
