Keep only digest and answer of a submission that has ended

Ruled out: a shorter window (callers count on it). Change: ended submissions leave the table of runs for one of digest, answer and time, keyed by the id's text; ids are forgotten by the second.

--- a/endivestile_kernel/src/kernel/ask.rs
+++ b/endivestile_kernel/src/kernel/ask.rs
@@ -4,7 +4,7 @@
 
 use crate::kernel::submit::MAX_HOPS;
 use crate::passed::{Forward, What};
-use crate::run::{RunState, Waiter};
+use crate::run::Waiter;
 use crate::{
     Answer, Ask, CallId, Cause, Class, Failure, Form, HostState, Kernel, Msg, Peer, SubmissionId,
     Time,
@@ -23,6 +23,11 @@
             self.answer_ask(now, &waiter, number, ask);
             return;
         }
+        if let Some(ended) = self.runs.past().get(&id) {
+            let answer = ended.answer.clone();
+            self.reply(now, &waiter, answer);
+            return;
+        }
         let owner = match id.form() {
             Form::Minted(issuer, _) => Some(issuer.clone()),
             Form::Dated(_) => match self.shards.known(&id) {
@@ -67,11 +72,6 @@
 
     fn answer_ask(&mut self, now: Time, waiter: &Waiter, number: u64, ask: Ask) {
         let Some(run) = self.runs.get_mut(number) else { return };
-        if let RunState::Ended(answer) = &run.state {
-            let answer = answer.clone();
-            self.reply(now, waiter, answer);
-            return;
-        }
         match ask {
             Ask::Fetch => self.reply(now, waiter, Arc::new(Answer::Running)),
             Ask::Cancel => {
--- a/endivestile_kernel/src/kernel/grant.rs
+++ b/endivestile_kernel/src/kernel/grant.rs
@@ -36,7 +36,7 @@
                 let refusal = self.refusal(now, Class::NotRun, cause);
                 self.finish(now, ticket, Answer::Refused(refusal));
             }
-            RunState::Running | RunState::Ended(_) => {}
+            RunState::Running => {}
         }
     }
 
--- a/endivestile_kernel/src/kernel/submit.rs
+++ b/endivestile_kernel/src/kernel/submit.rs
@@ -91,21 +91,25 @@
     /// Joins a submission that this host runs or ran; gives the arrival back
     /// when there is none, or when it ended without having run.
     fn attach(&mut self, now: Time, id: &SubmissionId, arrival: Arrival) -> Option<Arrival> {
-        let Some(number) = self.runs.by_id(id) else { return Some(arrival) };
-        let run = self.runs.get_mut(number)?;
-        if run.digest != arrival.submission.digest() {
-            self.reply(now, &arrival.waiter, Arc::new(Answer::Conflict));
+        let digest = arrival.submission.digest();
+        if let Some(run) = self.runs.by_id(id).and_then(|number| self.runs.get_mut(number)) {
+            if run.digest == digest {
+                run.waiters.push(arrival.waiter);
+            } else {
+                self.reply(now, &arrival.waiter, Arc::new(Answer::Conflict));
+            }
             return None;
         }
-        let RunState::Ended(answer) = &run.state else {
-            run.waiters.push(arrival.waiter);
+        let Some(ended) = self.runs.past().get(id) else { return Some(arrival) };
+        if ended.digest != digest {
+            self.reply(now, &arrival.waiter, Arc::new(Answer::Conflict));
             return None;
-        };
-        if answer.is_not_run() {
-            self.runs.remove(number);
+        }
+        if ended.answer.is_not_run() {
+            self.runs.past_mut().remove(id);
             return Some(arrival);
         }
-        let answer = answer.clone();
+        let answer = ended.answer.clone();
         self.reply(now, &arrival.waiter, answer);
         None
     }
--- a/endivestile_kernel/src/kernel/task.rs
+++ b/endivestile_kernel/src/kernel/task.rs
@@ -273,9 +273,6 @@
     /// Ends a run: its other tasks are dropped, everyone who waits is answered.
     pub(super) fn finish(&mut self, now: Time, number: u64, answer: Answer) {
         let Some(run) = self.runs.get_mut(number) else { return };
-        if matches!(run.state, RunState::Ended(_)) {
-            return;
-        }
         let waiters = std::mem::take(&mut run.waiters);
         let drops = placed_tasks(number, run);
         let answer = Arc::new(answer);
@@ -300,10 +297,10 @@
 
     /// Gives up, or forgets, what is due.
     pub(super) fn runs_due(&mut self, now: Time) {
+        self.runs.past_mut().forget(now);
         while let Some(number) = self.runs.pop_due(now) {
             let Some(run) = self.runs.get(number) else { return };
             match run.state {
-                RunState::Ended(_) => self.runs.remove(number),
                 RunState::Asking | RunState::Refusing(_) => self.give_up_asking(now, number),
                 RunState::Running => {
                     let answer = if run.untouched() {
--- a/endivestile_kernel/src/lib.rs
+++ b/endivestile_kernel/src/lib.rs
@@ -12,6 +12,7 @@
 mod msg;
 mod order;
 mod passed;
+mod past;
 mod peer;
 mod place;
 mod routes;
--- a/endivestile_kernel/src/run.rs
+++ b/endivestile_kernel/src/run.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use endivestile_config::model::Name;
 
-use crate::{Answer, CallId, Peer, Submission, Time};
+use crate::{CallId, Peer, Submission, Time};
 
 /// Who waits for an answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -48,8 +48,6 @@
     Refusing(crate::Cause),
     /// Its tasks are under way.
     Running,
-    /// Ended with this answer.
-    Ended(Arc<Answer>),
 }
 
 /// A submission at the host that runs it.
--- a/endivestile_kernel/src/runs.rs
+++ b/endivestile_kernel/src/runs.rs
@@ -1,13 +1,11 @@
 //! The table of runs, with what it may forget and when.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
-use crate::run::{Run, RunState};
-use crate::{Answer, Cause, Class, Refusal, SubmissionId, Time};
-
-/// Bytes of results kept for resubmissions at most.
-const KEPT_BYTES: usize = 48 << 20;
+use crate::past::{Ended, Past};
+use crate::run::Run;
+use crate::{Answer, SubmissionId, Time};
 
 /// Runs by number and by id, ordered by what is due.
 #[derive(Debug, Default)]
@@ -15,10 +13,8 @@
     runs: BTreeMap<u64, Run>,
     ids: HashMap<SubmissionId, u64>,
     due: BTreeSet<(Time, u64)>,
-    kept: VecDeque<(u64, usize)>,
-    bytes: usize,
+    past: Past,
     next: u64,
-    active: BTreeSet<u64>,
 }
 
 impl Runs {
@@ -30,7 +26,6 @@
             self.ids.insert(id.clone(), number);
         }
         self.due.insert((run.due, number));
-        self.active.insert(number);
         self.runs.insert(number, run);
         number
     }
@@ -61,36 +56,33 @@
 
     /// Ends a run: its answer is kept while the id may be resubmitted.
     pub(crate) fn end(&mut self, number: u64, answer: Arc<Answer>) {
-        let Some(run) = self.runs.get_mut(&number) else { return };
-        if matches!(run.state, RunState::Ended(_)) {
-            return;
-        }
-        self.active.remove(&number);
-        let keep = run.keep;
-        let size = answer.payload();
-        run.state = RunState::Ended(answer);
-        run.tasks = Vec::new();
-        if run.submission.id.is_none() || keep == Time::ZERO {
-            self.remove(number);
-            return;
+        let Some(run) = self.remove(number) else { return };
+        let Some(id) = &run.submission.id else { return };
+        if run.keep != Time::ZERO {
+            self.past.insert(id, Ended { digest: run.digest, answer, keep: run.keep });
         }
-        self.slim(number);
-        self.postpone(number, keep);
-        self.kept.push_back((number, size));
-        self.bytes += size;
-        self.trim();
     }
 
-    /// Forgets a run.
-    pub(crate) fn remove(&mut self, number: u64) {
-        let Some(run) = self.runs.remove(&number) else { return };
+    /// Takes a run out.
+    pub(crate) fn remove(&mut self, number: u64) -> Option<Run> {
+        let run = self.runs.remove(&number)?;
         self.due.remove(&(run.due, number));
-        self.active.remove(&number);
         if let Some(id) = &run.submission.id
             && self.ids.get(id) == Some(&number)
         {
             self.ids.remove(id);
         }
+        Some(run)
+    }
+
+    /// Returns the submissions that have ended.
+    pub(crate) fn past(&self) -> &Past {
+        &self.past
+    }
+
+    /// Returns the submissions that have ended, to change.
+    pub(crate) fn past_mut(&mut self) -> &mut Past {
+        &mut self.past
     }
 
     /// Returns the next run that is due.
@@ -101,47 +93,23 @@
 
     /// Returns when the next step is due.
     pub(crate) fn deadline(&self) -> Option<Time> {
-        self.due.first().map(|&(due, _)| due)
+        let due = self.due.first().map(|&(due, _)| due);
+        due.into_iter().chain(self.past.deadline()).min()
     }
 
     /// Returns the runs that have not ended.
     pub(crate) fn active(&self) -> usize {
-        self.active.len()
+        self.runs.len()
     }
 
-    /// Returns all runs, ended ones among them.
+    /// Returns all submissions known, ended ones among them.
     pub(crate) fn len(&self) -> usize {
-        self.runs.len()
+        self.runs.len() + self.past.len()
     }
 
     /// Returns the numbers of the runs that have not ended and that `pick` picks.
     pub(crate) fn select(&self, pick: impl Fn(&Run) -> bool) -> Vec<u64> {
-        let picks = |number: &&u64| self.runs.get(number).is_some_and(&pick);
-        self.active.iter().filter(picks).copied().collect()
-    }
-
-    /// Drops the work of an ended run: only its digest and answer are needed.
-    fn slim(&mut self, number: u64) {
-        if let Some(run) = self.runs.get_mut(&number) {
-            let submission = Arc::make_mut(&mut run.submission);
-            submission.tasks = Vec::new();
-            run.waiters = Vec::new();
-        }
-    }
-
-    /// Drops the oldest results beyond the bound. Without it, large answers
-    /// kept for a whole window would exhaust the host's memory; a caller that
-    /// comes back for a dropped one is told that it is no longer held.
-    fn trim(&mut self) {
-        while self.bytes > KEPT_BYTES {
-            let Some((number, size)) = self.kept.pop_front() else { return };
-            self.bytes -= size;
-            let Some(run) = self.runs.get_mut(&number) else { continue };
-            if size > 0 {
-                let refusal =
-                    Refusal { class: Class::Unknown, cause: Cause::Expired, retry: Time::NEVER };
-                run.state = RunState::Ended(Arc::new(Answer::Refused(refusal)));
-            }
-        }
+        let picked = self.runs.iter().filter(|(_, run)| pick(run));
+        picked.map(|(number, _)| *number).collect()
     }
 }
