Ask the other placers when a member's part is full at one

Ruled out: a central count (one more agreement); borrowing parts between hosts (messages without need as long as another placer can simply be asked). Change: on 'limit' a task goes to the best share that has not said so; refused as 'limit' when all have.

--- a/endivestile_kernel/src/kernel/task.rs
+++ b/endivestile_kernel/src/kernel/task.rs
@@ -57,7 +57,7 @@
             if !Placer::can_ever(config, &task.target) {
                 return Err(Cause::NoBackend);
             }
-            let Some(route) = self.route(now, task) else {
+            let Some(route) = self.route(now, task, &[]) else {
                 return Err(if self.leaving { Cause::Stopping } else { Cause::NoBackend });
             };
             // The other tasks of a job end one turn after the other.
@@ -93,13 +93,14 @@
         }
     }
 
-    /// Returns where a task would end first.
-    fn route(&self, now: Time, task: &Task) -> Option<Route> {
+    /// Returns where a task would end first, none of `avoid`.
+    fn route(&self, now: Time, task: &Task, avoid: &[Peer]) -> Option<Route> {
         let config = self.config.as_ref()?;
         let view = self.hosts.view();
         let me = &self.setup.me;
-        let own = self.placer.expected(now, task).map(|end| Route { peer: me.clone(), end });
-        let other = self.routes.best(now, view, &config.rules, &task.target);
+        let own = self.placer.expected(now, task).filter(|_| !avoid.contains(me));
+        let own = own.map(|end| Route { peer: me.clone(), end });
+        let other = self.routes.best(now, view, &config.rules, &task.target, avoid);
         let best = match (own, other) {
             // A share that is only guessed to be slow would never be tried.
             (Some(own), Some(_)) if self.placer.untried(task) => Some(own),
@@ -107,6 +108,9 @@
             (Some(own), _) => Some(own),
             (None, other) => other,
         };
+        if !avoid.is_empty() {
+            return best;
+        }
         best.or_else(|| Routes::fallback(now, view, config, &task.target))
     }
 
@@ -126,8 +130,9 @@
             left: run.left,
             task,
         };
-        let Some(route) = self.route(now, &order.task) else {
-            self.unplaced(now, key, Cause::NoBackend);
+        let Some(route) = self.route(now, &order.task, &run.full) else {
+            let cause = if run.full.is_empty() { Cause::NoBackend } else { Cause::Limit };
+            self.unplaced(now, key, cause);
             return;
         };
         if let Some(run) = self.runs.get_mut(number) {
@@ -193,6 +198,12 @@
                     self.finish(now, key.run, Answer::Complete(results));
                 }
             }
+            Outcome::NotRun(Cause::Limit) => {
+                if !run.full.contains(from) {
+                    run.full.push(from.clone());
+                }
+                self.again(now, key);
+            }
             Outcome::NotRun(cause) => self.not_run(now, key, cause),
             Outcome::Rejected { peer, status } => {
                 run.starts += 1;
--- a/endivestile_kernel/src/routes.rs
+++ b/endivestile_kernel/src/routes.rs
@@ -75,17 +75,21 @@
         }
     }
 
-    /// Returns the best share of another host.
+    /// Returns the best share of another host, none of `avoid`.
     pub(crate) fn best(
         &self,
         now: Time,
         view: &View,
         rules: &Rules,
         target: &Target,
+        avoid: &[Peer],
     ) -> Option<Route> {
         let class = class(target);
         let mut best: Option<(Time, &Peer)> = None;
         for (peer, share) in &self.shares {
+            if avoid.contains(peer) {
+                continue;
+            }
             let Some(near) = share.end(now, rules, &class) else { continue };
             // Looking a host up costs more than the rest, and few shares come into question.
             if best.is_some_and(|(end, _)| end <= near) {
--- a/endivestile_kernel/src/run.rs
+++ b/endivestile_kernel/src/run.rs
@@ -71,6 +71,8 @@
     pub(crate) left: u16,
     /// Where it stands.
     pub(crate) state: RunState,
+    /// Placers at which the member holds as much work as it may.
+    pub(crate) full: Vec<Peer>,
     /// Tasks that may have run and are not under way any more.
     pub(crate) starts: u8,
 }
@@ -90,6 +92,7 @@
             tasks,
             submission,
             state,
+            full: Vec::new(),
             starts: 0,
         }
     }
