--- a/endivestile_kernel/src/kernel/submit.rs
+++ b/endivestile_kernel/src/kernel/submit.rs
@@ -91,21 +91,25 @@
     /// Joins a submission that this host runs or ran; gives the arrival back
     /// when there is none, or when it ended without having run.
     fn attach(&mut self, now: Time, id: &SubmissionId, arrival: Arrival) -> Option<Arrival> {
-        let Some(number) = self.runs.by_id(id) else { return Some(arrival) };
-        let run = self.runs.get_mut(number)?;
-        if run.digest != arrival.submission.digest() {
-            self.reply(now, &arrival.waiter, Arc::new(Answer::Conflict));
+        let digest = arrival.submission.digest();
+        if let Some(run) = self.runs.by_id(id).and_then(|number| self.runs.get_mut(number)) {
+            if run.digest == digest {
+                run.waiters.push(arrival.waiter);
+            } else {
+                self.reply(now, &arrival.waiter, Arc::new(Answer::Conflict));
+            }
             return None;
         }
-        let RunState::Ended(answer) = &run.state else {
-            run.waiters.push(arrival.waiter);
+        let Some(ended) = self.runs.past().get(id) else { return Some(arrival) };
+        if ended.digest != digest {
+            self.reply(now, &arrival.waiter, Arc::new(Answer::Conflict));
             return None;
-        };
-        if answer.is_not_run() {
-            self.runs.remove(number);
+        }
+        if ended.answer.is_not_run() {
+            self.runs.past_mut().remove(id);
             return Some(arrival);
         }
-        let answer = answer.clone();
+        let answer = ended.answer.clone();
         self.reply(now, &arrival.waiter, answer);
         None
     }
@@ -172,13 +176,6 @@
             self.restart(now, id, arrival, ticket);
             return;
         }
-        if let (Admit::Known(known), Waiter::Front(from, _)) = (&admit, &arrival.waiter)
-            && known.runner == *from
-            && known.digest == arrival.submission.digest()
-        {
-            self.admit_disowned(now, id, arrival, ticket);
-            return;
-        }
         self.runs.remove(ticket);
         match admit {
             Admit::Wait => {}
@@ -188,22 +185,6 @@
         }
     }
 
-    /// Admits an id that comes from the one incarnation that may have started it:
-    /// had it done so, it would have attached the call to its own run.
-    fn admit_disowned(&mut self, now: Time, id: &SubmissionId, arrival: Arrival, ticket: u64) {
-        let Waiter::Front(runner, _) = &arrival.waiter else { return };
-        self.shards.disown(id, runner);
-        let digest = arrival.submission.digest();
-        let (view, out) = (self.hosts.view(), &mut self.shard_effects);
-        let admit = self.shards.admit(now, view, id, digest, ticket, out);
-        if let Admit::Known(known) = admit {
-            self.runs.remove(ticket);
-            self.meet_known(now, arrival, &known);
-        } else {
-            self.admitted(now, id, arrival, ticket, admit);
-        }
-    }
-
     /// Starts an id that this incarnation recorded and never started: whatever
     /// it started is in the table of runs for as long as the id may come back.
     /// The witness has to confirm that nobody took the shard over meanwhile.
@@ -238,6 +219,11 @@
             self.forward(now, arrival, known.runner.clone(), true);
             return;
         }
+        // A host that was silent for a moment may still run it, or has the answer.
+        if state == HostState::Suspect && Self::may_park(now, &arrival) {
+            self.park(now, arrival);
+            return;
+        }
         let answer = Answer::Failed(Failure::HomeLost);
         self.reply(now, &arrival.waiter, Arc::new(answer));
     }
--- a/endivestile_kernel/src/kernel/task.rs
+++ b/endivestile_kernel/src/kernel/task.rs
@@ -20,6 +20,8 @@
 const REPLACE_MS: u64 = 10;
 /// Longest such wait, in milliseconds.
 const REPLACE_MAX_MS: u64 = 500;
+/// Time that a placer's word takes besides the distance, in microseconds.
+const WORD_US: u64 = 5_000;
 /// Silence of a placer after which its tasks count as lost, in milliseconds.
 pub(super) const LOST_MS: u64 = 5_000;
 /// Wait that a refusal suggests when the queue says nothing, in milliseconds.
@@ -55,18 +57,28 @@
             if !Placer::can_ever(config, &task.target) {
                 return Err(Cause::NoBackend);
             }
-            let Some(route) = self.route(now, task) else {
+            let Some(route) = self.route(now, task, &[]) else {
                 return Err(if self.leaving { Cause::Stopping } else { Cause::NoBackend });
             };
             // The other tasks of a job end one turn after the other.
             let turn = self.routes.turn_us(self.hosts.view(), &self.load.1, &task.target);
-            if route.end.after_us(turn * (count - 1)) > submission.deadline {
+            let late = route.end.after_us(turn * (count - 1)) > submission.deadline;
+            if late && !self.may_try(now, task, count, submission.deadline) {
                 return Err(Cause::Deadline);
             }
         }
         Ok(())
     }
 
+    /// Returns whether tasks that look too long are tried all the same, so that
+    /// a wrong belief about their run time is corrected.
+    fn may_try(&self, now: Time, task: &Task, count: u64, deadline: Time) -> bool {
+        if count > 1 {
+            return self.placer.untried(task);
+        }
+        self.placer.may_try(now, task, deadline)
+    }
+
     /// Starts every task of a run.
     pub(super) fn start(&mut self, now: Time, number: u64) {
         self.count(Metric::Accepted, 1);
@@ -81,13 +93,14 @@
         }
     }
 
-    /// Returns where a task would end first.
-    fn route(&self, now: Time, task: &Task) -> Option<Route> {
+    /// Returns where a task would end first, none of `avoid`.
+    fn route(&self, now: Time, task: &Task, avoid: &[Peer]) -> Option<Route> {
         let config = self.config.as_ref()?;
         let view = self.hosts.view();
         let me = &self.setup.me;
-        let own = self.placer.expected(now, task).map(|end| Route { peer: me.clone(), end });
-        let other = self.routes.best(now, view, &config.rules, &task.target);
+        let own = self.placer.expected(now, task).filter(|_| !avoid.contains(me));
+        let own = own.map(|end| Route { peer: me.clone(), end });
+        let other = self.routes.best(now, view, &config.rules, &task.target, avoid);
         let best = match (own, other) {
             // A share that is only guessed to be slow would never be tried.
             (Some(own), Some(_)) if self.placer.untried(task) => Some(own),
@@ -95,6 +108,9 @@
             (Some(own), _) => Some(own),
             (None, other) => other,
         };
+        if !avoid.is_empty() {
+            return best;
+        }
         best.or_else(|| Routes::fallback(now, view, config, &task.target))
     }
 
@@ -114,14 +130,28 @@
             left: run.left,
             task,
         };
-        let Some(route) = self.route(now, &order.task) else {
-            self.unplaced(now, key, Cause::NoBackend);
+        let Some(route) = self.route(now, &order.task, &run.full) else {
+            let cause = if run.full.is_empty() { Cause::NoBackend } else { Cause::Limit };
+            self.unplaced(now, key, cause);
             return;
         };
         if let Some(run) = self.runs.get_mut(number) {
             run.tasks[usize::from(index)].state = TaskState::Placed(route.peer.clone());
         }
-        self.hand_over(now, &route.peer, order);
+        let deadline = self.placer_deadline(&route.peer, order.deadline);
+        self.hand_over(now, &route.peer, Order { deadline, ..order });
+    }
+
+    /// Returns when another host's placer has to give a task up: early enough for
+    /// its word that the task never ran to come before this host's own deadline,
+    /// after which it could only say that it may have run.
+    fn placer_deadline(&self, to: &Peer, deadline: Time) -> Time {
+        if *to == self.setup.me {
+            return deadline;
+        }
+        let distance_us = self.config.as_ref().map_or(0, |config| config.rules.distance_us);
+        let early_us = WORD_US + 2 * distance_us;
+        Time::from_micros(deadline.as_micros().saturating_sub(early_us))
     }
 
     fn hand_over(&mut self, now: Time, to: &Peer, order: Order) {
@@ -168,6 +198,12 @@
                     self.finish(now, key.run, Answer::Complete(results));
                 }
             }
+            Outcome::NotRun(Cause::Limit) => {
+                if !run.full.contains(from) {
+                    run.full.push(from.clone());
+                }
+                self.again(now, key);
+            }
             Outcome::NotRun(cause) => self.not_run(now, key, cause),
             Outcome::Rejected { peer, status } => {
                 run.starts += 1;
@@ -248,9 +284,6 @@
     /// Ends a run: its other tasks are dropped, everyone who waits is answered.
     pub(super) fn finish(&mut self, now: Time, number: u64, answer: Answer) {
         let Some(run) = self.runs.get_mut(number) else { return };
-        if matches!(run.state, RunState::Ended(_)) {
-            return;
-        }
         let waiters = std::mem::take(&mut run.waiters);
         let drops = placed_tasks(number, run);
         let answer = Arc::new(answer);
@@ -275,10 +308,10 @@
 
     /// Gives up, or forgets, what is due.
     pub(super) fn runs_due(&mut self, now: Time) {
+        self.runs.past_mut().forget(now);
         while let Some(number) = self.runs.pop_due(now) {
             let Some(run) = self.runs.get(number) else { return };
             match run.state {
-                RunState::Ended(_) => self.runs.remove(number),
                 RunState::Asking | RunState::Refusing(_) => self.give_up_asking(now, number),
                 RunState::Running => {
                     let answer = if run.untouched() {
--- a/endivestile_kernel/src/run.rs
+++ b/endivestile_kernel/src/run.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use endivestile_config::model::Name;
 
-use crate::{Answer, CallId, Peer, Submission, Time};
+use crate::{CallId, Peer, Submission, Time};
 
 /// Who waits for an answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -48,8 +48,6 @@
     Refusing(crate::Cause),
     /// Its tasks are under way.
     Running,
-    /// Ended with this answer.
-    Ended(Arc<Answer>),
 }
 
 /// A submission at the host that runs it.
@@ -73,6 +71,8 @@
     pub(crate) left: u16,
     /// Where it stands.
     pub(crate) state: RunState,
+    /// Placers at which the member holds as much work as it may.
+    pub(crate) full: Vec<Peer>,
     /// Tasks that may have run and are not under way any more.
     pub(crate) starts: u8,
 }
@@ -92,6 +92,7 @@
             tasks,
             submission,
             state,
+            full: Vec::new(),
             starts: 0,
         }
     }
