Refuse new calls once a stopping process has waited for the balancer

Cause: process test stop_under_load hung for 9 minutes: a lone stopping host goes on with its own share, so callers who call again and again kept it for ever. Ruled out: refusing at once (calls that the balancer still sends would be turned away although they could be served). Change: after the 1.5 s for the balancer, new calls hear 'not run' where that is provable and 'unknown, stopping' elsewhere.

--- a/endivestile_kernel/src/kernel/pass.rs
+++ b/endivestile_kernel/src/kernel/pass.rs
@@ -5,6 +5,7 @@
 use crate::kernel::reply::RETRY_MS;
 use crate::kernel::submit::{Arrival, MAX_HOPS, PATIENCE_MS};
 use crate::passed::{Forward, Parked, What};
+use crate::run::Waiter;
 use crate::{Answer, Cause, Class, Failure, Form, HostState, Kernel, Metric, Msg, Peer, Time};
 
 /// Wait before a parked submission is tried again, in milliseconds.
@@ -23,6 +24,10 @@
 
     /// Passes a submission on; `known` says that it is recorded as the receiver's own.
     pub(super) fn forward(&mut self, now: Time, arrival: Arrival, to: Peer, known: bool) {
+        if self.is_closing(now) && matches!(arrival.waiter, Waiter::Call(_)) {
+            self.refuse(now, &arrival.waiter, Class::Unknown, Cause::Stopping);
+            return;
+        }
         let submission = arrival.submission;
         let forward = Forward {
             waiter: arrival.waiter,
--- a/endivestile_kernel/src/kernel/stop.rs
+++ b/endivestile_kernel/src/kernel/stop.rs
@@ -77,6 +77,12 @@
         }
     }
 
+    /// Returns whether new calls are refused: the balancer has had time to notice
+    /// the stop, and callers who go on calling would keep the process for ever.
+    pub(super) fn is_closing(&self, now: Time) -> bool {
+        self.stopping.as_ref().is_some_and(|stopping| stopping.until <= now)
+    }
+
     pub(super) fn drain_due(&self) -> Option<Time> {
         let stopping = self.stopping.as_ref().filter(|_| !self.drained);
         stopping.map(|stopping| stopping.look)
--- a/endivestile_kernel/src/kernel/task.rs
+++ b/endivestile_kernel/src/kernel/task.rs
@@ -44,6 +44,9 @@
     /// Says at once what cannot end in time, so that the caller can turn elsewhere.
     pub(super) fn admission(&self, now: Time, submission: &Submission) -> Result<(), Cause> {
         let Some(config) = &self.config else { return Err(Cause::NoConfig) };
+        if self.is_closing(now) {
+            return Err(Cause::Stopping);
+        }
         if self.runs.active() >= config.rules.queue_limit as usize {
             return Err(Cause::Full);
         }
