Give load and experiments a package of their own

Cause: the experiment and slope tools stood in the test kit, which mixes product and tests. Ruled out: a third binary (the product ships two).

--- a/endivestile_testkit/examples/experiment/main.rs
+++ b/endivestile_lab/examples/experiment/main.rs
@@ -2,7 +2,7 @@
 //! fixed-seed arrival trace, and policies that alternate within one run.
 //!
 //! `cargo build --release -p endivestile` first, then
-//! `cargo run --release -p endivestile_testkit --example experiment -- experiments/pitchfee.ini`.
+//! `cargo run --release -p endivestile_lab --example experiment -- experiments/pitchfee.ini`.
 
 mod fault;
 mod measure;
--- a/endivestile_testkit/examples/experiment/replay.rs
+++ b/endivestile_lab/examples/experiment/replay.rs
@@ -4,7 +4,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use endivestile_testkit::trial::{Item, Kind};
+use endivestile_lab::{Item, Kind};
 use endivestile_testkit::{Caller, Reply, echo};
 
 use crate::fault::{Kind as Trouble, wait};
--- a/endivestile_testkit/examples/experiment/run.rs
+++ b/endivestile_lab/examples/experiment/run.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::Instant;
 
-use endivestile_testkit::trial::{Burst, Item, Load, Mix, ideal_ms, trace};
+use endivestile_lab::{Burst, Item, Load, Mix, ideal_ms, trace};
 use endivestile_testkit::{Caller, Daemon, Deployment, wait_for};
 
 use crate::fault::{self, Kind};
@@ -147,5 +147,5 @@
 fn is_once(work: &str, items: &[Item]) -> bool {
     let index = work.rsplit('-').nth(1).and_then(|text| text.parse::<usize>().ok());
     let item = index.and_then(|index| items.get(index));
-    item.is_none_or(|item| item.kind != endivestile_testkit::trial::Kind::Idempotent)
+    item.is_none_or(|item| item.kind != endivestile_lab::Kind::Idempotent)
 }
--- a/endivestile_testkit/examples/experiment/spec.rs
+++ b/endivestile_lab/examples/experiment/spec.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::str::FromStr;
 
-use endivestile_testkit::trial::{Mix, Park};
+use endivestile_lab::{Mix, Park};
 use endivestile_testkit::{Plan, Spec as Machine};
 use ini::Ini;
 use serde::Serialize;
--- a/endivestile_testkit/examples/experiment/summary.rs
+++ b/endivestile_lab/examples/experiment/summary.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use endivestile_testkit::trial::{median, percentile};
+use endivestile_lab::{median, percentile};
 use serde::Serialize;
 
 use crate::replay::End;
--- a/endivestile_testkit/examples/slopes/main.rs
+++ b/endivestile_lab/examples/slopes/main.rs
@@ -2,7 +2,7 @@
 //! `docs/CAPACITY.md`.
 //!
 //! `cargo build --release -p endivestile` first, then
-//! `cargo run --release -p endivestile_testkit --example slopes -- idle`.
+//! `cargo run --release -p endivestile_lab --example slopes -- idle`.
 
 mod adopt;
 mod burst;
--- a/endivestile_testkit/src/trial/mod.rs
+++ b/endivestile_lab/src/lib.rs
@@ -1,5 +1,5 @@
-//! Pieces of experiments: arrival traces, the ideal they are held against, and
-//! their statistics.
+//! Load and experiments: arrival traces, the ideal they are held against, and
+//! their statistics. The programs that run them are the package's examples.
 
 mod ideal;
 mod stats;
