Drop parameters that nothing reads; one margin for dated ids

Cause: reading as a newcomer: push_alive, reply and others took an instant that nothing used, and the margin by which a caller's date may be ahead stood twice (edge and shards). Ruled out: - Change: the parameters are gone; the edge uses the shards' margin.

--- a/endivestile/src/http/head.rs
+++ b/endivestile/src/http/head.rs
@@ -1,7 +1,7 @@
 //! Headers of a submission.
 
 use endivestile_config::CallSettings;
-use endivestile_kernel::{Form, SubmissionId};
+use endivestile_kernel::{Form, MARGIN_S, SubmissionId};
 use endivestile_wire::call::{DEADLINE_HEADER, ID_HEADER, MEMBER_HEADER};
 use tiny_http::Request;
 
@@ -14,12 +14,6 @@
 pub(crate) const IDEMPOTENT_HEADER: &str = "Idempotent";
 /// Most ids that an answer carries.
 const MAX_WANTED: usize = 16;
-/// Seconds by which a caller's clock may be ahead of this host's.
-///
-/// An id dated far ahead would be remembered until then: a caller with a wrong
-/// clock would fill the hosts' memory. So it is refused at once, by name.
-const AHEAD_S: u64 = 60;
-
 /// Headers of a submission, checked as far as they can be alone.
 #[derive(Debug)]
 pub(crate) struct Head {
@@ -76,9 +70,10 @@
     let Some(text) = header(request, ID_HEADER)? else { return Ok(None) };
     let id = SubmissionId::parse(text).map_err(|e| Invalid::field(ID_HEADER, e.to_string()))?;
     if let Form::Dated(secs) = id.form() {
-        let latest = since_epoch().as_secs() + AHEAD_S;
+        // The table would forget an id dated further ahead while it is still valid.
+        let latest = since_epoch().as_secs() + MARGIN_S;
         if *secs > latest {
-            let reason = format!("dated {} s ahead of this host", secs - latest + AHEAD_S);
+            let reason = format!("dated {} s ahead of this host", secs - latest + MARGIN_S);
             return Err(Invalid::field(ID_HEADER, reason));
         }
     }
--- a/endivestile_kernel/src/hosts.rs
+++ b/endivestile_kernel/src/hosts.rs
@@ -92,7 +92,7 @@
     }
 
     /// Takes in the inventory; a host that is not in it any more is forgotten.
-    pub(crate) fn configure(&mut self, now: Time, config: &Config) -> bool {
+    pub(crate) fn configure(&mut self, now: Time, config: &Config) {
         let me = self.view.me.host.clone();
         self.view.hosts.retain(|name, _| *name == me || config.hosts.contains_key(name));
         for (name, host) in &config.hosts {
@@ -109,7 +109,6 @@
         self.view.inventory = true;
         self.listed = config.hosts.contains_key(&me);
         self.refresh(now);
-        true
     }
 
     /// Notes that the store answers or does not.
--- a/endivestile_kernel/src/kernel/ask.rs
+++ b/endivestile_kernel/src/kernel/ask.rs
@@ -25,7 +25,7 @@
         }
         if let Some(ended) = self.runs.past().get(&id) {
             let answer = ended.answer.clone();
-            self.reply(now, &waiter, answer);
+            self.reply(&waiter, answer);
             return;
         }
         let owner = match id.form() {
@@ -40,13 +40,13 @@
             return;
         };
         if owner == self.setup.me {
-            self.reply(now, &waiter, Arc::new(Answer::NotFound));
+            self.reply(&waiter, Arc::new(Answer::NotFound));
             return;
         }
         match self.hosts.view().state(&owner) {
             HostState::Gone => {
                 let answer = Answer::Failed(Failure::HomeLost);
-                self.reply(now, &waiter, Arc::new(answer));
+                self.reply(&waiter, Arc::new(answer));
             }
             HostState::Live | HostState::Leaving if hops < MAX_HOPS => {
                 self.forward_ask(now, waiter, id, ask, owner, hops + 1);
@@ -73,7 +73,7 @@
     fn answer_ask(&mut self, now: Time, waiter: &Waiter, number: u64, ask: Ask) {
         let Some(run) = self.runs.get_mut(number) else { return };
         match ask {
-            Ask::Fetch => self.reply(now, waiter, Arc::new(Answer::Running)),
+            Ask::Fetch => self.reply(waiter, Arc::new(Answer::Running)),
             Ask::Cancel => {
                 run.waiters.push(waiter.clone());
                 self.shards.withdraw(number);
--- a/endivestile_kernel/src/kernel/link.rs
+++ b/endivestile_kernel/src/kernel/link.rs
@@ -62,7 +62,7 @@
                 let waiter = crate::run::Waiter::Front(from.clone(), call);
                 self.ask(now, waiter, id, ask, hops);
             }
-            Msg::Reply { call, answer } => self.replied(now, call, answer),
+            Msg::Reply { call, answer } => self.replied(call, answer),
             Msg::Place(order) => self.placer.order(now, from, order, &mut self.place_effects),
             Msg::Drop(key) => self.placer.drop_task(now, from, key, &mut self.place_effects),
             Msg::Placed { key, outcome } => self.placed(now, from, key, outcome),
--- a/endivestile_kernel/src/kernel/pass.rs
+++ b/endivestile_kernel/src/kernel/pass.rs
@@ -73,9 +73,9 @@
         self.passed.park(now.after_ms(PARK_MS), Parked { waiter, submission, hops, until });
     }
 
-    pub(super) fn replied(&mut self, now: Time, call: u64, answer: Arc<Answer>) {
+    pub(super) fn replied(&mut self, call: u64, answer: Arc<Answer>) {
         let Some(forward) = self.passed.take(call) else { return };
-        self.reply(now, &forward.waiter, answer);
+        self.reply(&forward.waiter, answer);
     }
 
     /// Takes back what was passed on to hosts that went silent or are gone.
@@ -96,7 +96,7 @@
         };
         let minted = submission.id.as_ref().is_some_and(|id| matches!(id.form(), Form::Minted(..)));
         if minted && gone {
-            self.reply(now, &waiter, Arc::new(Answer::Failed(Failure::HomeLost)));
+            self.reply(&waiter, Arc::new(Answer::Failed(Failure::HomeLost)));
         } else if minted {
             self.refuse(now, &waiter, Class::Unknown, Cause::HomeAway);
         } else {
@@ -116,7 +116,7 @@
             match forward.what {
                 What::Submission(_) => {
                     let answer = Answer::Failed(Failure::Deadline);
-                    self.reply(now, &forward.waiter, Arc::new(answer));
+                    self.reply(&forward.waiter, Arc::new(answer));
                 }
                 What::Ask => {
                     self.refuse(now, &forward.waiter, Class::Unknown, Cause::HomeAway);
--- a/endivestile_kernel/src/kernel/reply.rs
+++ b/endivestile_kernel/src/kernel/reply.rs
@@ -11,10 +11,10 @@
 impl Kernel {
     pub(super) fn refuse(&mut self, now: Time, waiter: &Waiter, class: Class, cause: Cause) {
         let refusal = self.refusal(now, class, cause);
-        self.reply(now, waiter, Arc::new(Answer::Refused(refusal)));
+        self.reply(waiter, Arc::new(Answer::Refused(refusal)));
     }
 
-    pub(super) fn reply(&mut self, now: Time, waiter: &Waiter, answer: Arc<Answer>) {
+    pub(super) fn reply(&mut self, waiter: &Waiter, answer: Arc<Answer>) {
         match waiter {
             Waiter::Call(call) => {
                 self.count_answer(&answer);
@@ -22,7 +22,7 @@
             }
             Waiter::Front(peer, call) => {
                 let msg = Msg::Reply { call: *call, answer };
-                self.push_alive(now, peer, msg);
+                self.push_alive(peer, msg);
             }
         }
     }
--- a/endivestile_kernel/src/kernel/submit.rs
+++ b/endivestile_kernel/src/kernel/submit.rs
@@ -56,7 +56,7 @@
     /// runs until after the id has expired, and no other one ever starts an id
     /// that is recorded.
     fn submit_known(&mut self, now: Time, id: &SubmissionId, arrival: Arrival) {
-        let Some(arrival) = self.attach(now, id, arrival) else { return };
+        let Some(arrival) = self.attach(id, arrival) else { return };
         let window_s = self.config.as_ref().map_or(0, |config| config.rules.window_s);
         let wall_s = self.setup.wall_s + now.as_micros() / 1_000_000;
         match id.form() {
@@ -78,7 +78,7 @@
             self.refuse(now, &arrival.waiter, Class::Unknown, Cause::NoConfig);
             return;
         }
-        let Some(arrival) = self.attach(now, id, arrival) else { return };
+        let Some(arrival) = self.attach(id, arrival) else { return };
         match id.form() {
             Form::Minted(issuer, serial) if *issuer == self.setup.me => {
                 self.submit_minted(now, arrival, *serial);
@@ -90,19 +90,19 @@
 
     /// Joins a submission that this host runs or ran; gives the arrival back
     /// when there is none, or when it ended without having run.
-    fn attach(&mut self, now: Time, id: &SubmissionId, arrival: Arrival) -> Option<Arrival> {
+    fn attach(&mut self, id: &SubmissionId, arrival: Arrival) -> Option<Arrival> {
         let digest = arrival.submission.digest();
         if let Some(run) = self.runs.by_id(id).and_then(|number| self.runs.get_mut(number)) {
             if run.digest == digest {
                 run.waiters.push(arrival.waiter);
             } else {
-                self.reply(now, &arrival.waiter, Arc::new(Answer::Conflict));
+                self.reply(&arrival.waiter, Arc::new(Answer::Conflict));
             }
             return None;
         }
         let Some(ended) = self.runs.past().get(id) else { return Some(arrival) };
         if ended.digest != digest {
-            self.reply(now, &arrival.waiter, Arc::new(Answer::Conflict));
+            self.reply(&arrival.waiter, Arc::new(Answer::Conflict));
             return None;
         }
         if ended.answer.is_not_run() {
@@ -110,7 +110,7 @@
             return Some(arrival);
         }
         let answer = ended.answer.clone();
-        self.reply(now, &arrival.waiter, answer);
+        self.reply(&arrival.waiter, answer);
         None
     }
 
@@ -127,7 +127,7 @@
         match self.hosts.view().state(issuer) {
             HostState::Gone => {
                 let answer = Answer::Failed(Failure::HomeLost);
-                self.reply(now, &arrival.waiter, Arc::new(answer));
+                self.reply(&arrival.waiter, Arc::new(answer));
             }
             HostState::Suspect => {
                 self.refuse(now, &arrival.waiter, Class::Unknown, Cause::HomeAway);
@@ -210,7 +210,7 @@
     /// Meets an id that another incarnation may have started: only that one knows the answer.
     fn meet_known(&mut self, now: Time, arrival: Arrival, known: &Known) {
         if known.digest != arrival.submission.digest() {
-            self.reply(now, &arrival.waiter, Arc::new(Answer::Conflict));
+            self.reply(&arrival.waiter, Arc::new(Answer::Conflict));
             return;
         }
         let state = self.hosts.view().state(&known.runner);
@@ -225,6 +225,6 @@
             return;
         }
         let answer = Answer::Failed(Failure::HomeLost);
-        self.reply(now, &arrival.waiter, Arc::new(answer));
+        self.reply(&arrival.waiter, Arc::new(answer));
     }
 }
--- a/endivestile_kernel/src/kernel/task.rs
+++ b/endivestile_kernel/src/kernel/task.rs
@@ -178,7 +178,7 @@
                 if home == self.setup.me {
                     self.placed(now, &home, key, outcome);
                 } else {
-                    self.push_alive(now, &home, Msg::Placed { key, outcome });
+                    self.push_alive(&home, Msg::Placed { key, outcome });
                 }
             }
             PlaceEffect::Log(note) => self.out.push(Effect::Log(note)),
@@ -296,7 +296,7 @@
             self.drop_task(now, &peer, key);
         }
         for waiter in waiters {
-            self.reply(now, &waiter, answer.clone());
+            self.reply(&waiter, answer.clone());
         }
     }
 
@@ -305,7 +305,7 @@
             let me = self.setup.me.clone();
             self.placer.drop_task(now, &me, key, &mut self.place_effects);
         } else {
-            self.push_alive(now, peer, Msg::Drop(key));
+            self.push_alive(peer, Msg::Drop(key));
         }
     }
 
@@ -365,8 +365,7 @@
     }
 
     /// Pushes a message unless the receiver is gone.
-    pub(super) fn push_alive(&mut self, now: Time, to: &Peer, msg: Msg) {
-        let _ = now;
+    pub(super) fn push_alive(&mut self, to: &Peer, msg: Msg) {
         if self.hosts.view().state(to) != HostState::Gone {
             self.push(to, msg);
         }
