--- a/endivestile_kernel/src/event.rs
+++ b/endivestile_kernel/src/event.rs
@@ -21,7 +21,8 @@
     Live,
     /// Leaving: no new work.
     Leaving,
-    /// Gone for good: the platform has stopped or replaced the machine.
+    /// Gone as the platform sees it. The list lags and a host that is cut off may
+    /// serve on, so this makes a host suspect and proves nothing.
     Gone,
 }
 
