--- a/endivestile/src/error.rs
+++ b/endivestile/src/error.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use endivestile_config::ConfigError;
+use endivestile_config::model::Name;
 use quick_error::quick_error;
 
 quick_error! {
@@ -36,6 +37,10 @@
             display("step={step}: {source}")
             source(source)
         }
+        /// No adapter of this name is built in.
+        Adapter { name: Name } {
+            display("step=choose-adapter name={name}: not built in")
+        }
         /// The loop's actor could not be started.
         Engine {
             display("step=start-engine: the engine did not start")
@@ -47,7 +52,7 @@
     /// Returns the exit code that fits the error.
     pub fn exit(&self) -> Exit {
         match self {
-            Self::Read { .. } | Self::Settings(_) => Exit::Refused,
+            Self::Read { .. } | Self::Settings(_) | Self::Adapter { .. } => Exit::Refused,
             _ => Exit::Failed,
         }
     }
--- /dev/null
+++ b/endivestile/src/fleet/callers.rs
@@ -0,0 +1,143 @@
+//! Takes callers' calls, and sees when a caller goes away.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
+
+use bytes::Bytes;
+use endivestile_kernel::CallId;
+use endivestile_kernel::fleet::{FleetEvent, Limits};
+use http::{Response, StatusCode};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use super::inbox::{HttpCall, Inbox, Input};
+use crate::error::RunError;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// Least buffer for a head that the library accepts, in bytes.
+const MIN_BUFFER: usize = 8_192;
+/// Pause after an accept that failed, in milliseconds: descriptors have run
+/// out, and others are freed meanwhile.
+const ACCEPT_MS: u64 = 20;
+
+/// What all connections share.
+#[derive(Debug, Clone)]
+pub(crate) struct Desk {
+    /// The engine.
+    pub(crate) inbox: Inbox,
+    /// Limits in force.
+    pub(crate) limits: Arc<RwLock<Limits>>,
+    /// Number of the next call.
+    pub(crate) serial: Arc<AtomicU64>,
+}
+
+/// Opens a socket for callers.
+pub(crate) fn bind(address: SocketAddr) -> Result<TcpListener, RunError> {
+    let failed = |e: std::io::Error| RunError::Bind {
+        step: "listen-http",
+        address: address.to_string(),
+        reason: e.to_string(),
+    };
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+    let socket = socket.map_err(failed)?;
+    socket.set_reuseaddr(true).map_err(failed)?;
+    socket.bind(address).map_err(failed)?;
+    socket.listen(BACKLOG).map_err(failed)
+}
+
+/// Accepts connections until the process ends.
+pub(crate) async fn accept(listener: TcpListener, desk: Desk) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(connection(stream, desk.clone()));
+            }
+            Err(e) => {
+                log::warn!("event=accept_failed step=accept error={:?}", e.to_string());
+                tokio::time::sleep(Duration::from_millis(ACCEPT_MS)).await;
+            }
+        }
+    }
+}
+
+/// Serves one connection. The library drops the call that is being served when
+/// the caller closes the connection, and [`Open`] tells the engine.
+async fn connection(stream: TcpStream, desk: Desk) {
+    let _ = stream.set_nodelay(true);
+    let limits = desk.limits();
+    let service = service_fn(move |request| serve(request, desk.clone()));
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.idle_ms))
+        .max_buf_size(limits.head.max(MIN_BUFFER))
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(e) = served {
+        log::debug!("event=connection_ended step=serve error={:?}", e.to_string());
+    }
+}
+
+async fn serve(
+    request: hyper::Request<Incoming>,
+    desk: Desk,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let (head, body) = request.into_parts();
+    let limits = desk.limits();
+    let body = match timeout(
+        Duration::from_millis(limits.head_ms),
+        Limited::new(body, limits.body).collect(),
+    )
+    .await
+    {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+            return Ok(bare(StatusCode::PAYLOAD_TOO_LARGE));
+        }
+        Ok(Err(_)) => return Ok(bare(StatusCode::BAD_REQUEST)),
+        Err(_) => return Ok(bare(StatusCode::REQUEST_TIMEOUT)),
+    };
+    let call = CallId(desk.serial.fetch_add(1, Ordering::Relaxed));
+    let (reply, answer) = oneshot::channel();
+    let mut open = Open { call, inbox: desk.inbox.clone(), answered: false };
+    desk.inbox.post(Input::Call(Box::new(HttpCall { call, head, body, reply })));
+    let answer = answer.await;
+    open.answered = true;
+    Ok(answer.map_or_else(|_| bare(StatusCode::SERVICE_UNAVAILABLE), |say| say.map(Full::new)))
+}
+
+fn bare(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
+
+impl Desk {
+    fn limits(&self) -> Limits {
+        *self.limits.read().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A call that is being served; tells the engine when its caller leaves.
+struct Open {
+    call: CallId,
+    inbox: Inbox,
+    answered: bool,
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.inbox.event(FleetEvent::Hangup(self.call));
+        }
+    }
+}
--- /dev/null
+++ b/endivestile/src/fleet/engine.rs
@@ -0,0 +1,245 @@
+//! The actor that holds the fleet.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
+
+use endivestile_kernel::Time;
+use endivestile_kernel::fleet::{Fleet, FleetEffect, FleetEvent, FleetSetup, Limits};
+use endivestile_wire::adapter::{Adapter, Demand, Say};
+use stakker::{CX, FixedTimerKey, StopCause, after, at};
+use tokio::sync::watch;
+
+use super::inbox::{HttpCall, Inbox, Input};
+use super::line::Line;
+use super::listing::Need;
+use super::reader::Reader;
+use super::store::{self, Wish};
+use super::workers::Workers;
+use crate::clock::Clock;
+use crate::error::Exit;
+use crate::logs::Notes;
+use crate::peers::Links;
+
+/// Time without a call that a stopping host waits for, in milliseconds: the
+/// balancer needs two probes to see that it takes nothing new.
+const QUIET_MS: u64 = 400;
+/// Part of the time until it is killed in which a stopping host has to end, in percent.
+const GRACE_PART: u64 = 85;
+
+/// What an engine is made of.
+pub(crate) struct Parts {
+    /// How the fleet starts.
+    pub(crate) setup: FleetSetup,
+    /// The translation.
+    pub(crate) adapter: &'static Adapter,
+    /// The process's clock.
+    pub(crate) clock: Clock,
+    /// The engine's own channel.
+    pub(crate) inbox: Inbox,
+    /// Links to peers.
+    pub(crate) links: Links,
+    /// Calls to workers.
+    pub(crate) workers: Workers,
+    /// Calls to the store.
+    pub(crate) reader: Reader,
+    /// This host's registration.
+    pub(crate) wish: watch::Sender<Wish>,
+    /// How often the list of workers is needed.
+    pub(crate) need: Need,
+    /// Limits on callers.
+    pub(crate) limits: Arc<RwLock<Limits>>,
+    /// The log.
+    pub(crate) notes: Notes,
+    /// Time from the signal to stop until the process is killed, in milliseconds.
+    pub(crate) grace_ms: u64,
+    /// Where the way the process ends is left.
+    pub(crate) exit: Rc<Cell<Exit>>,
+}
+
+/// The fleet with its open calls and timer.
+pub(crate) struct Engine {
+    fleet: Fleet,
+    line: Line,
+    parts: Parts,
+    effects: Vec<FleetEffect>,
+    timer: Option<(Time, FixedTimerKey)>,
+    stopping: bool,
+    drained: bool,
+    called: Time,
+}
+
+impl Engine {
+    /// Starts the fleet.
+    pub(crate) fn init(_cx: CX![], parts: Parts) -> Option<Self> {
+        Some(Self {
+            fleet: Fleet::new(parts.setup.clone()),
+            line: Line::new(parts.adapter),
+            parts,
+            effects: Vec::new(),
+            timer: None,
+            stopping: false,
+            drained: false,
+            called: Time::ZERO,
+        })
+    }
+
+    /// Takes one input.
+    pub(crate) fn take(&mut self, cx: CX![], input: Input) {
+        let now = self.parts.clock.at(cx.now());
+        match input {
+            Input::Event(event) => {
+                if let FleetEvent::Hangup(call) = &event {
+                    self.line.forget(*call);
+                }
+                self.event(now, event);
+            }
+            Input::Call(call) => self.call(now, *call),
+            Input::Stop => self.stop(cx, now),
+            Input::Reload => log::info!("event=reload outcome=kept"),
+        }
+    }
+
+    /// Ends a batch of inputs.
+    pub(crate) fn settle(&mut self, cx: CX![]) {
+        let now = self.parts.clock.at(cx.now());
+        if self.fleet.deadline() <= now {
+            self.fleet.handle(now, FleetEvent::Tick);
+        }
+        self.fleet.flush(now, &mut self.effects);
+        self.carry(cx, now);
+        self.arm(cx);
+    }
+
+    fn event(&mut self, now: Time, event: FleetEvent) {
+        let table = matches!(event, FleetEvent::Table(_));
+        self.fleet.handle(now, event);
+        if table && let Some(table) = self.fleet.table() {
+            *self.parts.limits.write().unwrap_or_else(PoisonError::into_inner) = table.limits;
+        }
+    }
+
+    /// Serves a caller.
+    fn call(&mut self, now: Time, call: HttpCall) {
+        let table = self.fleet.table().map(AsRef::as_ref);
+        let demand = (self.parts.adapter.demand)(&call.head, &call.body, table, now);
+        let say = match demand {
+            Demand::Submit(job) => {
+                self.called = now;
+                self.line.open(call.call, call.reply);
+                self.fleet.handle(now, FleetEvent::Call { call: call.call, job: *job });
+                return;
+            }
+            Demand::Pending(route) => Say::Pending(self.fleet.pending(&route)),
+            Demand::State(id) => Say::State(self.fleet.find(&id).is_some()),
+            Demand::Cancel(id) => Say::Cancelled(self.cancel(now, &id)),
+            Demand::Ready => Say::Ready(self.ready()),
+            Demand::Refuse(refused) => {
+                log::info!(
+                    "event=call_refused path={} status={} reason={:?}",
+                    call.head.uri.path(),
+                    refused.status.as_u16(),
+                    refused.reason
+                );
+                Say::Refused(refused)
+            }
+        };
+        self.line.say(call.reply, &say);
+    }
+
+    fn cancel(&mut self, now: Time, id: &str) -> bool {
+        let Some(call) = self.fleet.find(id) else { return false };
+        self.fleet.handle(now, FleetEvent::Hangup(call));
+        let reason = endivestile_kernel::fleet::Reason::Cancelled;
+        let end = endivestile_kernel::fleet::JobEnd::Lost(reason);
+        self.line.answer(call, &Say::Ended(end, now));
+        true
+    }
+
+    fn ready(&self) -> bool {
+        !self.stopping && self.fleet.table().is_some()
+    }
+
+    /// Carries out all effects.
+    fn carry(&mut self, cx: CX![], now: Time) {
+        let mut effects = std::mem::take(&mut self.effects);
+        for effect in effects.drain(..) {
+            match effect {
+                FleetEffect::Answer { call, end } => {
+                    self.line.answer(call, &Say::Ended(end, now));
+                }
+                FleetEffect::Send { address, frame } => self.parts.links.send(address, frame),
+                FleetEffect::Redial(address) => self.parts.links.redial(address),
+                FleetEffect::Worker(call) => self.parts.workers.call(call),
+                FleetEffect::Store { token, op } => {
+                    store::call(&self.parts.reader, &self.parts.inbox, token, op);
+                }
+                FleetEffect::Leave => self.parts.wish.send_modify(|wish| {
+                    wish.entry.leaving = true;
+                    wish.stands = wish.stands.map(|(revision, _)| (revision, false));
+                }),
+                FleetEffect::Log(note) => self.parts.notes.note(note),
+                FleetEffect::Drained => {
+                    self.drained = true;
+                    self.linger(cx);
+                }
+            }
+        }
+        self.effects = effects;
+        self.parts.need.set(self.fleet.owns_workers());
+    }
+
+    /// Sets the timer for the fleet's next deadline.
+    fn arm(&mut self, cx: CX![]) {
+        let deadline = self.fleet.deadline();
+        if self.timer.as_ref().is_some_and(|(time, _)| *time == deadline) {
+            return;
+        }
+        if let Some((_, key)) = self.timer.take() {
+            cx.timer_del(key);
+        }
+        if let Some(instant) = self.parts.clock.instant(deadline) {
+            self.timer = Some((deadline, at!(instant, [cx], tick())));
+        }
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        self.timer = None;
+        self.settle(cx);
+    }
+
+    /// Stops gracefully at the first signal, at once at the second.
+    fn stop(&mut self, cx: CX![], now: Time) {
+        if self.stopping {
+            self.end(cx, Exit::Left, "second_signal");
+            return;
+        }
+        self.stopping = true;
+        self.line.close();
+        let limit = self.parts.grace_ms * GRACE_PART / 100;
+        after!(Duration::from_millis(limit), [cx], limit());
+        self.event(now, FleetEvent::Shutdown);
+    }
+
+    fn limit(&mut self, cx: CX![]) {
+        let exit = if self.line.len() == 0 { Exit::Drained } else { Exit::Left };
+        self.end(cx, exit, "stop_limit");
+    }
+
+    /// Ends once no caller has called for a while.
+    fn linger(&mut self, cx: CX![]) {
+        let now = self.parts.clock.at(cx.now());
+        if self.drained && self.line.len() == 0 && self.called.after_ms(QUIET_MS) <= now {
+            self.end(cx, Exit::Drained, "drained");
+        } else {
+            after!(Duration::from_millis(QUIET_MS / 8), [cx], linger());
+        }
+    }
+
+    fn end(&mut self, cx: CX![], exit: Exit, cause: &str) {
+        log::info!("event=stopped cause={cause} open_calls={}", self.line.len());
+        self.parts.exit.set(exit);
+        cx.shutdown(StopCause::Stopped);
+    }
+}
--- /dev/null
+++ b/endivestile/src/fleet/feed.rs
@@ -0,0 +1,106 @@
+//! Keeps up with the keys of a prefix: reads them all, then watches.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use endivestile_kernel::fleet::FleetEvent;
+use endivestile_wire::adapter::{Item, Page, StoreFault};
+use tokio::time::sleep;
+
+use super::inbox::Inbox;
+use super::reader::Reader;
+
+/// Longest wait of one watch, in milliseconds. A connection that has gone
+/// silent delays what it would have told by this and the time for one call, so
+/// that a new configuration is in force within its two seconds.
+const WAIT_MS: u32 = 900;
+/// Pause after a call that failed, in milliseconds.
+const RETRY_MS: u64 = 150;
+/// Longest pause after calls that failed, in milliseconds.
+const RETRY_MAX_MS: u64 = 600;
+
+/// What is done with the keys of a prefix.
+pub(crate) trait Sink: Send + 'static {
+    /// A key has this value now; none once it was deleted.
+    fn tell(&mut self, key: &str, revision: u64, value: Option<Bytes>);
+}
+
+/// Keys as they were last told.
+struct Feed<S> {
+    prefix: String,
+    reader: Reader,
+    inbox: Inbox,
+    sink: S,
+    known: HashMap<String, u64>,
+}
+
+/// Keeps up with a prefix until the process ends.
+pub(crate) async fn run<S: Sink>(prefix: String, reader: Reader, inbox: Inbox, sink: S) {
+    let mut feed = Feed { prefix, reader, inbox, sink, known: HashMap::new() };
+    let mut pause = RETRY_MS;
+    loop {
+        if feed.follow().await {
+            pause = RETRY_MS;
+        }
+        feed.inbox.event(FleetEvent::Store(false));
+        sleep(Duration::from_millis(pause)).await;
+        pause = (pause * 2).min(RETRY_MAX_MS);
+    }
+}
+
+impl<S: Sink> Feed<S> {
+    /// Reads everything and watches until a call fails; says whether one succeeded.
+    async fn follow(&mut self) -> bool {
+        let page = match self.reader.range(&self.prefix, false).await {
+            Ok(page) => page,
+            Err(fault) => {
+                log::debug!("event=store_call_failed step=read-keys fault={fault:?}");
+                return false;
+            }
+        };
+        let mut at = page.at;
+        self.load(page);
+        loop {
+            self.inbox.event(FleetEvent::Store(true));
+            match self.reader.watch(&self.prefix, at, WAIT_MS).await {
+                Ok(page) => {
+                    at = page.at.max(at);
+                    page.items.into_iter().for_each(|item| self.put(item));
+                }
+                // What was missed is read anew.
+                Err(StoreFault::Compacted) => return true,
+                Err(fault) => {
+                    log::debug!("event=store_call_failed step=watch fault={fault:?}");
+                    return true;
+                }
+            }
+        }
+    }
+
+    /// Tells what changed against the whole state. Keys may have been deleted
+    /// while nobody watched; what is missing counts as deleted.
+    fn load(&mut self, page: Page) {
+        let mut gone = self.known.clone();
+        for item in page.items {
+            gone.remove(&item.key);
+            self.put(item);
+        }
+        for key in gone.into_keys() {
+            self.put(Item { key, value: None, revision: page.at });
+        }
+    }
+
+    fn put(&mut self, item: Item) {
+        let known = self.known.get(&item.key).copied().unwrap_or(0);
+        if item.revision <= known {
+            return;
+        }
+        if item.value.is_some() {
+            self.known.insert(item.key.clone(), item.revision);
+        } else {
+            self.known.remove(&item.key);
+        }
+        self.sink.tell(&item.key, item.revision, item.value);
+    }
+}
--- /dev/null
+++ b/endivestile/src/fleet/reader.rs
@@ -0,0 +1,80 @@
+//! Calls to the store.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use endivestile_config::model::Name;
+use endivestile_wire::adapter::{Adapter, Item, Page, StoreFault, Swap};
+use http::{Request, StatusCode};
+use tokio::time::Instant;
+
+use super::client::Client;
+
+/// Pages of one reading at most: five hundred keys each.
+const MAX_PAGES: usize = 64;
+
+/// The store, one call at a time.
+#[derive(Debug, Clone)]
+pub(crate) struct Reader {
+    /// The client.
+    pub(crate) client: Client,
+    /// The translation.
+    pub(crate) adapter: &'static Adapter,
+    /// Address of the store.
+    pub(crate) address: Name,
+    /// Time for one call, in milliseconds.
+    pub(crate) timeout_ms: u64,
+}
+
+impl Reader {
+    /// Reads all keys with a prefix, and the revision from which to watch.
+    pub(crate) async fn range(&self, prefix: &str, stale: bool) -> Result<Page, StoreFault> {
+        let mut whole = Page::default();
+        for _ in 0..MAX_PAGES {
+            let after = whole.items.last().map(|item: &Item| item.key.clone());
+            let request = (self.adapter.range)(prefix, after.as_deref(), stale);
+            let (status, body) = self.call(request, 0).await?;
+            let page = (self.adapter.page)(status, &body)?;
+            // Pages are no snapshot: what changes between two of them shows in
+            // a watch from the revision of the first.
+            if whole.at == 0 {
+                whole.at = page.at;
+            }
+            let more = page.more && !page.items.is_empty();
+            whole.items.extend(page.items);
+            if !more {
+                return Ok(whole);
+            }
+        }
+        log::error!("event=listing_cut step=read-keys prefix={prefix} pages={MAX_PAGES}");
+        Ok(whole)
+    }
+
+    /// Waits for changes after a revision.
+    pub(crate) async fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait_ms: u32,
+    ) -> Result<Page, StoreFault> {
+        let request = (self.adapter.watch)(prefix, after, wait_ms);
+        let (status, body) = self.call(request, u64::from(wait_ms)).await?;
+        (self.adapter.page)(status, &body)
+    }
+
+    /// Changes a key under the condition of its revision.
+    pub(crate) async fn swap(&self, swap: &Swap) -> Result<u64, StoreFault> {
+        let (status, body) = self.call((self.adapter.swap)(swap), 0).await?;
+        (self.adapter.swapped)(status, &body)
+    }
+
+    async fn call(
+        &self,
+        request: Request<Bytes>,
+        wait_ms: u64,
+    ) -> Result<(StatusCode, Bytes), StoreFault> {
+        let due = Instant::now() + Duration::from_millis(wait_ms + self.timeout_ms);
+        let answer = self.client.call(&self.address, request, due).await;
+        answer.map_err(|_| StoreFault::Lost)
+    }
+}
--- /dev/null
+++ b/endivestile/src/fleet/run.rs
@@ -0,0 +1,201 @@
+//! Puts the host together and runs its loop.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, RwLock};
+use std::time::{Duration, Instant};
+
+use endivestile_config::Settings;
+use endivestile_config::model::Name;
+use endivestile_kernel::Peer;
+use endivestile_kernel::fleet::{FleetSetup, HostEntry, Limits};
+use endivestile_wire::adapter::Adapter;
+use stakker::{Actor, Stakker, actor, call, ret_nop};
+use tokio::runtime::{Builder, Runtime};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use super::callers::{self, Desk};
+use super::client::Client;
+use super::config::Configs;
+use super::engine::{Engine, Parts};
+use super::feed;
+use super::inbox::{Inbox, Inlet, Input};
+use super::listing::{self, Need};
+use super::reader::Reader;
+use super::store::{self, Records, Wish};
+use super::workers::Workers;
+use crate::clock::{Clock, since_epoch};
+use crate::counters::Counters;
+use crate::error::{Exit, RunError};
+use crate::logs::Notes;
+use crate::peers::{self, Links};
+
+/// Inputs handled before their effects are carried out.
+const BATCH: usize = 256;
+/// Longest wait for an input, in seconds.
+const WAIT_S: u64 = 60;
+/// Prefix of this system's own keys in the store.
+const OWN_KEYS: &str = "endivestile/";
+/// Time for a call to the store while the settings' is longer, in
+/// milliseconds: a connection that has gone silent must not hold up news.
+const STORE_MS: u64 = 700;
+
+/// Runs the host until it is stopped.
+pub(crate) fn serve(settings: &Settings, adapter: &'static Adapter) -> Result<Exit, RunError> {
+    let failed = |source| RunError::Thread { step: "start-runtime", source };
+    let runtime = Builder::new_current_thread().enable_all().build().map_err(failed)?;
+    let (inbox, inlet) = Inbox::new();
+    let exit = Rc::new(Cell::new(Exit::Failed));
+    let parts = build(&runtime, settings, adapter, &inbox, Rc::clone(&exit))?;
+    runtime.block_on(turn(inlet, parts));
+    Ok(exit.get())
+}
+
+/// Opens the sockets and starts the edges.
+fn build(
+    runtime: &Runtime,
+    settings: &Settings,
+    adapter: &'static Adapter,
+    inbox: &Inbox,
+    exit: Rc<Cell<Exit>>,
+) -> Result<Parts, RunError> {
+    let _context = runtime.enter();
+    let clock = Clock::new();
+    let counters = Counters::default();
+    let limits = Arc::new(RwLock::new(Limits::default()));
+    let desk = Desk {
+        inbox: inbox.clone(),
+        limits: Arc::clone(&limits),
+        serial: Arc::new(AtomicU64::new(0)),
+    };
+    runtime.spawn(callers::accept(callers::bind(settings.host.http)?, desk.clone()));
+    if let Some(ready) = settings.platform.ready {
+        runtime.spawn(callers::accept(callers::bind(ready)?, desk));
+    }
+    let listener = peers::bind(settings.host.peers)?;
+    peers::serve(runtime.handle(), listener, inbox.clone())?;
+    let links = Links::start(runtime.handle(), inbox.clone(), counters.clone());
+    let me = Peer::new(settings.host.name.clone(), since_epoch().as_micros() as u64);
+    let address = Name::from(settings.host.advertised().to_string());
+    let zone = settings.host.zone.clone();
+    log::info!(
+        "event=started host={} birth={:x} zone={zone} http={} peers={address}",
+        me.host,
+        me.birth,
+        settings.host.http
+    );
+    let client = Client::default();
+    let reader = reader(settings, adapter, client.clone());
+    let need = Need::default();
+    let entry = HostEntry {
+        peer: me.clone(),
+        zone: zone.clone(),
+        address: address.clone(),
+        leaving: false,
+    };
+    let wish = follow(runtime, &reader, inbox, need.clone(), entry);
+    signals(runtime, inbox)?;
+    let workers = Workers { client, adapter, inbox: inbox.clone(), clock };
+    let setup = FleetSetup {
+        me,
+        zone,
+        address,
+        worker_lease: settings.platform.worker_lease(),
+        host_lease: settings.platform.host_lease(),
+    };
+    let notes = Notes::start(counters)?;
+    Ok(Parts {
+        setup,
+        adapter,
+        clock,
+        inbox: inbox.clone(),
+        links,
+        workers,
+        reader,
+        wish,
+        need,
+        limits,
+        notes,
+        grace_ms: settings.platform.grace_ms,
+        exit,
+    })
+}
+
+fn reader(settings: &Settings, adapter: &'static Adapter, client: Client) -> Reader {
+    // The settings' check refuses an empty list of addresses.
+    let address = settings.store.addresses.first();
+    let address = address.map(ToString::to_string).unwrap_or_default();
+    let timeout_ms = settings.store.timeout_ms.min(STORE_MS);
+    Reader { client, adapter, address: Name::from(address), timeout_ms }
+}
+
+/// Starts what keeps up with the store.
+fn follow(
+    runtime: &Runtime,
+    reader: &Reader,
+    inbox: &Inbox,
+    need: Need,
+    entry: HostEntry,
+) -> watch::Sender<Wish> {
+    let (wish, wishes) = watch::channel(Wish { entry, stands: None });
+    let configs = Configs { adapter: reader.adapter, inbox: inbox.clone() };
+    let config = reader.adapter.keys.config.to_owned();
+    runtime.spawn(feed::run(config, reader.clone(), inbox.clone(), configs));
+    let records = Records { inbox: inbox.clone(), wish: wish.clone() };
+    runtime.spawn(feed::run(OWN_KEYS.to_owned(), reader.clone(), inbox.clone(), records));
+    runtime.spawn(listing::run(reader.clone(), inbox.clone(), need));
+    runtime.spawn(store::register(reader.clone(), wishes));
+    wish
+}
+
+/// Posts signals to the engine.
+fn signals(runtime: &Runtime, inbox: &Inbox) -> Result<(), RunError> {
+    let failed = |source| RunError::Thread { step: "watch-signals", source };
+    let mut term = signal(SignalKind::terminate()).map_err(failed)?;
+    let mut int = signal(SignalKind::interrupt()).map_err(failed)?;
+    let mut hup = signal(SignalKind::hangup()).map_err(failed)?;
+    let inbox = inbox.clone();
+    runtime.spawn(async move {
+        loop {
+            let input = tokio::select! {
+                _ = term.recv() => Input::Stop,
+                _ = int.recv() => Input::Stop,
+                _ = hup.recv() => Input::Reload,
+            };
+            inbox.post(input);
+        }
+    });
+    Ok(())
+}
+
+/// Runs the loop until the engine ends it.
+async fn turn(mut inlet: Inlet, parts: Parts) {
+    let mut stakker = Stakker::new(Instant::now());
+    let engine = actor!(&mut stakker, Engine::init(parts), ret_nop!());
+    call!([engine], settle());
+    stakker.run(Instant::now(), false);
+    while stakker.not_shutdown() {
+        let wait = stakker.next_wait_max(Instant::now(), Duration::from_secs(WAIT_S), false);
+        drain(&mut inlet, &engine, wait).await;
+        stakker.run(Instant::now(), false);
+    }
+    // Answers that were given last have to leave the process.
+    tokio::time::sleep(Duration::from_millis(LAST_MS)).await;
+}
+
+/// Time for the last answers to reach their sockets, in milliseconds.
+const LAST_MS: u64 = 20;
+
+/// Queues all waiting inputs for the engine, so that their frames share batches.
+async fn drain(inlet: &mut Inlet, engine: &Actor<Engine>, wait: Duration) {
+    let Ok(Some(first)) = timeout(wait, inlet.recv()).await else { return };
+    call!([engine], take(first));
+    for _ in 1..BATCH {
+        let Ok(input) = inlet.try_recv() else { break };
+        call!([engine], take(input));
+    }
+    call!([engine], settle());
+}
--- /dev/null
+++ b/endivestile/src/fleet/store.rs
@@ -0,0 +1,122 @@
+//! This host's own keys in the store: its registration, and the pools' records.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use endivestile_config::model::Name;
+use endivestile_kernel::fleet::{FleetEvent, HOST_KEYS, HostEntry, POOL_KEYS};
+use endivestile_kernel::{StoreOp, Stored};
+use endivestile_wire::adapter::{StoreFault, Swap};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use super::feed::Sink;
+use super::inbox::Inbox;
+use super::reader::Reader;
+
+/// Pause after a registration that failed, in milliseconds.
+const RETRY_MS: u64 = 300;
+
+/// What the registration task has to know: the entry that is to stand, and the
+/// key's revision as the store last told.
+#[derive(Debug, Clone)]
+pub(crate) struct Wish {
+    /// The entry.
+    pub(crate) entry: HostEntry,
+    /// Revision of the key as it was last read, and whether it is our entry.
+    pub(crate) stands: Option<(u64, bool)>,
+}
+
+/// Hands the keys below our prefix to the engine.
+#[derive(Debug)]
+pub(crate) struct Records {
+    /// The engine.
+    pub(crate) inbox: Inbox,
+    /// The registration.
+    pub(crate) wish: watch::Sender<Wish>,
+}
+
+impl Sink for Records {
+    fn tell(&mut self, key: &str, revision: u64, value: Option<Bytes>) {
+        if let Some(zone) = key.strip_prefix(POOL_KEYS) {
+            let value = value.unwrap_or_default();
+            let zone = Name::from(zone);
+            self.inbox.event(FleetEvent::Record { zone, revision, value });
+        } else if let Some(name) = key.strip_prefix(HOST_KEYS) {
+            self.host(name, revision, value);
+        }
+    }
+}
+
+impl Records {
+    fn host(&mut self, name: &str, revision: u64, value: Option<Bytes>) {
+        let entry = match value.as_deref().map(serde_json::from_slice::<HostEntry>) {
+            Some(Err(e)) => {
+                log::error!(
+                    "event=value_refused step=read-host host={name} error={:?}",
+                    e.to_string()
+                );
+                return;
+            }
+            Some(Ok(entry)) => Some(entry),
+            None => None,
+        };
+        let own = *self.wish.borrow().entry.peer.host == *name;
+        if own {
+            self.wish.send_modify(|wish| {
+                let stands = entry.as_ref() == Some(&wish.entry);
+                wish.stands = Some((if entry.is_some() { revision } else { 0 }, stands));
+            });
+        }
+        self.inbox.event(FleetEvent::Host { name: Name::from(name), entry });
+    }
+}
+
+/// Keeps this host registered. The key has no lease: the store may drop leases
+/// unseen, and an entry of a host that is gone harms nobody.
+pub(crate) async fn register(reader: Reader, mut wishes: watch::Receiver<Wish>) {
+    loop {
+        let wish = wishes.borrow_and_update().clone();
+        let revision = match wish.stands {
+            Some((_, true)) => {
+                if wishes.changed().await.is_err() {
+                    return;
+                }
+                continue;
+            }
+            Some((revision, false)) => revision,
+            None => 0,
+        };
+        if let Err(fault) = put(&reader, &wish.entry, revision).await {
+            log::info!("event=registration_failed step=register fault={fault:?}");
+        }
+        // The feed tells what stands; until then the next try waits.
+        let pause = sleep(Duration::from_millis(RETRY_MS));
+        tokio::select! {
+            () = pause => {}
+            changed = wishes.changed() => if changed.is_err() { return },
+        }
+    }
+}
+
+async fn put(reader: &Reader, entry: &HostEntry, revision: u64) -> Result<u64, StoreFault> {
+    let key = Name::from(format!("{HOST_KEYS}{}", entry.peer.host));
+    // A registration is plain data: it cannot fail to be written as JSON.
+    let value = Bytes::from(serde_json::to_vec(entry).unwrap_or_default());
+    reader.swap(&Swap { key, revision, value }).await
+}
+
+/// Carries out a call of the fleet.
+pub(crate) fn call(reader: &Reader, inbox: &Inbox, token: u64, op: StoreOp) {
+    let StoreOp::Swap { key, revision, value } = op else { return };
+    let (reader, inbox) = (reader.clone(), inbox.clone());
+    tokio::spawn(async move {
+        let stored = match reader.swap(&Swap { key, revision, value }).await {
+            Ok(revision) => Stored::Swapped(revision),
+            Err(StoreFault::Raced(_)) => Stored::Raced,
+            // A store that turns calls away is not asked again at once.
+            Err(_) => Stored::Lost,
+        };
+        inbox.event(FleetEvent::Stored { token, stored });
+    });
+}
--- /dev/null
+++ b/endivestile/src/fleet/workers.rs
@@ -0,0 +1,74 @@
+//! Calls to workers.
+
+use endivestile_kernel::fleet::{CallFault, FleetEvent, StartEnd, WorkerCall, worker_call_due};
+use endivestile_wire::adapter::Adapter;
+use tokio::time::Instant;
+
+use super::client::{Client, Fault};
+use super::inbox::Inbox;
+use crate::clock::Clock;
+
+/// Makes calls to workers and tells the engine how they ended.
+#[derive(Debug, Clone)]
+pub(crate) struct Workers {
+    /// The client.
+    pub(crate) client: Client,
+    /// The translation.
+    pub(crate) adapter: &'static Adapter,
+    /// The engine.
+    pub(crate) inbox: Inbox,
+    /// The process's clock.
+    pub(crate) clock: Clock,
+}
+
+impl Workers {
+    /// Makes a call, on a task of its own.
+    pub(crate) fn call(&self, call: WorkerCall) {
+        let due = self.clock.instant(worker_call_due(&call, self.clock.now()));
+        let due = due.map_or_else(Instant::now, Instant::from_std);
+        let workers = self.clone();
+        tokio::spawn(async move {
+            let event = workers.carry(call, due).await;
+            workers.inbox.event(event);
+        });
+    }
+
+    async fn carry(&self, call: WorkerCall, due: Instant) -> FleetEvent {
+        let adapter = self.adapter;
+        match call {
+            WorkerCall::Start(order) => {
+                let answer = self.client.call(&order.address, (adapter.start)(&order), due).await;
+                let end = match answer {
+                    Ok((status, body)) => (adapter.started)(status, &body),
+                    Err(fault) => StartEnd::Fault(fault.into()),
+                };
+                FleetEvent::Started { worker: order.worker, task: order.task, run: order.run, end }
+            }
+            WorkerCall::Stop(order) => {
+                let answer = self.client.call(&order.address, (adapter.stop)(&order), due).await;
+                let end = match answer {
+                    Ok((status, body)) => (adapter.stopped)(status, &body),
+                    Err(fault) => Err(fault.into()),
+                };
+                FleetEvent::Stopped { worker: order.worker, task: order.task, run: order.run, end }
+            }
+            WorkerCall::Hold(number, order) => {
+                let answer = self.client.call(&order.address, (adapter.hold)(&order), due).await;
+                let end = match answer {
+                    Ok((status, body)) => (adapter.held)(status, &body),
+                    Err(fault) => Err(fault.into()),
+                };
+                FleetEvent::Held { worker: order.worker, number, end }
+            }
+        }
+    }
+}
+
+impl From<Fault> for CallFault {
+    fn from(fault: Fault) -> Self {
+        match fault {
+            Fault::Unreachable => Self::Unreachable,
+            Fault::Lost => Self::Lost,
+        }
+    }
+}
--- a/endivestile/src/lib.rs
+++ b/endivestile/src/lib.rs
@@ -12,6 +12,7 @@
 mod edges;
 mod engine;
 mod error;
+mod fleet;
 mod http;
 mod inbox;
 mod logs;
--- a/endivestile/src/peers/links.rs
+++ b/endivestile/src/peers/links.rs
@@ -12,8 +12,8 @@
 use super::VERSION;
 use super::out::carry;
 use super::queue::{Entry, queue};
+use super::uplink::Uplink;
 use crate::counters::{Counters, Tally};
-use crate::inbox::Inbox;
 
 /// Pause before a broken link is dialled again, in milliseconds; frames that
 /// come earlier are dropped, and the kernel sends them again.
@@ -23,24 +23,38 @@
 #[derive(Debug)]
 pub(crate) struct Links {
     /// Frames on their way to the router.
-    frames: UnboundedSender<(Name, Frame)>,
+    frames: UnboundedSender<Errand>,
 }
 
 impl Links {
     /// Starts the router on the runtime.
-    pub(crate) fn start(handle: &Handle, inbox: Inbox, counters: Counters) -> Self {
+    pub(crate) fn start<U: Uplink>(handle: &Handle, inbox: U, counters: Counters) -> Self {
         let (frames, queue) = unbounded_channel();
         let router = Router { links: HashMap::new(), inbox, counters };
         handle.spawn(router.run(queue));
         Self { frames }
     }
 
+    /// Drops the link to an address; the next frame makes a new one.
+    pub(crate) fn redial(&self, address: Name) {
+        let _ = self.frames.send(Errand::Redial(address));
+    }
+
     /// Sends a frame, at most once.
     pub(crate) fn send(&self, address: Name, frame: Frame) {
-        let _ = self.frames.send((address, frame));
+        let _ = self.frames.send(Errand::Send(address, Box::new(frame)));
     }
 }
 
+/// What the router is asked to do.
+#[derive(Debug)]
+enum Errand {
+    /// Send a frame to an address.
+    Send(Name, Box<Frame>),
+    /// Make the link to an address anew.
+    Redial(Name),
+}
+
 /// One link.
 #[derive(Debug)]
 struct Link {
@@ -54,20 +68,25 @@
 
 /// Sorts frames into the links' queues; it never waits for a link.
 #[derive(Debug)]
-struct Router {
+struct Router<U> {
     /// Links by address.
     links: HashMap<Name, Link>,
     /// The engine.
-    inbox: Inbox,
+    inbox: U,
     /// Counts.
     counters: Counters,
 }
 
-impl Router {
+impl<U: Uplink> Router<U> {
     /// Routes frames until the engine ends.
-    async fn run(mut self, mut queue: UnboundedReceiver<(Name, Frame)>) {
-        while let Some((address, frame)) = queue.recv().await {
-            self.route(address, &frame);
+    async fn run(mut self, mut queue: UnboundedReceiver<Errand>) {
+        while let Some(errand) = queue.recv().await {
+            match errand {
+                Errand::Send(address, frame) => self.route(address, &frame),
+                Errand::Redial(address) => {
+                    self.links.remove(&address);
+                }
+            }
         }
     }
 
--- a/endivestile/src/peers/out.rs
+++ b/endivestile/src/peers/out.rs
@@ -3,24 +3,24 @@
 use std::time::Duration;
 
 use endivestile_config::model::Name;
-use endivestile_kernel::{Event, Peer};
+use endivestile_kernel::Peer;
 use endivestile_wire::peer::peers_client::PeersClient;
 use tonic::transport::{Channel, Endpoint};
 
 use super::queue::Frames;
+use super::uplink::Uplink;
 use super::{MAX_FRAME, PROBE_ANSWER_MS, PROBE_MS};
 use crate::counters::{Counters, Tally};
-use crate::inbox::Inbox;
 
 /// Longest time for a connection, in milliseconds.
 const DIAL_MS: u64 = 1_000;
 
 /// Dials a peer, sends its frames, and tells the engine when the link ends.
-pub(crate) async fn carry(
+pub(crate) async fn carry<U: Uplink>(
     address: Name,
     peer: Peer,
     frames: Frames,
-    inbox: Inbox,
+    inbox: U,
     counters: Counters,
 ) {
     let reason = match dial(&address).await {
@@ -29,7 +29,7 @@
     };
     log::info!("event=link_down peer={peer} address={address} {reason}");
     counters.tally(Tally::LinksDown, 1);
-    inbox.event(Event::LinkDown(peer));
+    inbox.broken(peer);
 }
 
 async fn dial(address: &str) -> Result<Channel, tonic::transport::Error> {
--- a/endivestile/src/peers/serve.rs
+++ b/endivestile/src/peers/serve.rs
@@ -3,7 +3,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
-use endivestile_kernel::{Event, Frame};
+use endivestile_kernel::Frame;
 use endivestile_wire::peer as wire;
 use endivestile_wire::peer::peers_server::{Peers, PeersServer};
 use tokio::runtime::Handle;
@@ -11,9 +11,9 @@
 use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status, Streaming};
 
+use super::uplink::Uplink;
 use super::{MAX_FRAME, PROBE_ANSWER_MS, PROBE_MS, VERSION};
 use crate::error::RunError;
-use crate::inbox::Inbox;
 
 /// Opens the peers' socket.
 pub(crate) fn bind(address: SocketAddr) -> Result<TcpListener, RunError> {
@@ -21,7 +21,11 @@
 }
 
 /// Serves peers on the runtime.
-pub(crate) fn serve(handle: &Handle, listener: TcpListener, inbox: Inbox) -> Result<(), RunError> {
+pub(crate) fn serve<U: Uplink>(
+    handle: &Handle,
+    listener: TcpListener,
+    inbox: U,
+) -> Result<(), RunError> {
     let address = listener.local_addr().unwrap_or_else(|_| SocketAddr::from(([0, 0, 0, 0], 0)));
     let _context = handle.enter();
     listener.set_nonblocking(true).map_err(|e| failed(address, &e))?;
@@ -47,13 +51,13 @@
 
 /// Hands frames of all peers to the engine.
 #[derive(Debug)]
-struct Receiver {
+struct Receiver<U> {
     /// The engine.
-    inbox: Inbox,
+    inbox: U,
 }
 
 #[tonic::async_trait]
-impl Peers for Receiver {
+impl<U: Uplink> Peers for Receiver<U> {
     async fn link(
         &self,
         request: Request<Streaming<wire::Frame>>,
@@ -62,7 +66,7 @@
         let mut frames = request.into_inner();
         while let Some(frame) = frames.message().await? {
             match decode(&frame) {
-                Ok(frame) => self.inbox.event(Event::Frame(frame)),
+                Ok(frame) => self.inbox.frame(frame),
                 Err(status) => {
                     log::error!(
                         "event=frame_refused step=decode peer={from} error={:?}",
--- a/endivestile/src/run.rs
+++ b/endivestile/src/run.rs
@@ -12,6 +12,7 @@
 use endivestile_config::Settings;
 use endivestile_config::model::Name;
 use endivestile_kernel::{Peer, Seed, Setup};
+use endivestile_wire::adapter::Adapter;
 use stakker::{Actor, Stakker, actor, call, ret_nop};
 
 use crate::args::Args;
@@ -22,6 +23,7 @@
 use crate::edges::Edges;
 use crate::engine::{Engine, Parts};
 use crate::error::{Exit, RunError};
+use crate::fleet;
 use crate::http::{self, Desk, Say};
 use crate::inbox::{Inbox, Inlet};
 use crate::logs::{self, Notes};
@@ -64,7 +66,9 @@
         return Ok(Exit::Drained);
     }
     let _log = logs::open(&settings.log)?;
-    serve(&settings)
+    let Some(name) = &settings.platform.adapter else { return serve(&settings) };
+    let adapter = Adapter::named(name).ok_or_else(|| RunError::Adapter { name: name.clone() })?;
+    fleet::serve(&settings, adapter)
 }
 
 fn load(args: &Args) -> Result<Settings, RunError> {
--- a/endivestile_config/src/lib.rs
+++ b/endivestile_config/src/lib.rs
@@ -18,6 +18,6 @@
 pub use error::{ConfigError, Place};
 pub use parse::{File, locate, parse, parse_files};
 pub use settings::{
-    BackendSettings, CallSettings, HostSettings, LogSettings, MetricSettings, Settings,
-    StopSettings, StoreSettings,
+    BackendSettings, CallSettings, HostSettings, LogSettings, MetricSettings, PlatformSettings,
+    Settings, StopSettings, StoreSettings,
 };
--- a/endivestile_config/src/settings/mod.rs
+++ b/endivestile_config/src/settings/mod.rs
@@ -5,6 +5,7 @@
 mod host;
 mod log;
 mod metric;
+mod platform;
 mod stop;
 mod store;
 
@@ -21,11 +22,13 @@
 pub use host::HostSettings;
 pub use log::LogSettings;
 pub use metric::MetricSettings;
+pub use platform::PlatformSettings;
 pub use stop::StopSettings;
 pub use store::StoreSettings;
 
 /// Sections of the settings.
-const SECTIONS: [&str; 7] = ["backends", "calls", "host", "log", "metrics", "stop", "store"];
+const SECTIONS: [&str; 8] =
+    ["backends", "calls", "host", "log", "metrics", "platform", "stop", "store"];
 /// How errors name an override of the command line.
 const OVERRIDE: &str = "command line";
 
@@ -44,6 +47,8 @@
     pub log: LogSettings,
     /// Section `metrics`.
     pub metrics: MetricSettings,
+    /// Section `platform`.
+    pub platform: PlatformSettings,
     /// Section `stop`.
     pub stop: StopSettings,
 }
@@ -82,6 +87,7 @@
                 "backends" => fill(&mut settings.backends, &section)?,
                 "log" => fill(&mut settings.log, &section)?,
                 "metrics" => fill(&mut settings.metrics, &section)?,
+                "platform" => fill(&mut settings.platform, &section)?,
                 "stop" => fill(&mut settings.stop, &section)?,
                 kind => return Err(unknown(&section.place, kind)),
             }
@@ -109,6 +115,7 @@
             "backends" => set_key(&mut self.backends, &raw),
             "log" => set_key(&mut self.log, &raw),
             "metrics" => set_key(&mut self.metrics, &raw),
+            "platform" => set_key(&mut self.platform, &raw),
             "stop" => set_key(&mut self.stop, &raw),
             kind => Err(unknown(&raw.place, kind)),
         }
@@ -143,7 +150,8 @@
     /// requests, and their callers would see a closed connection.
     fn check_stop(&self, place: Place) -> Result<(), ConfigError> {
         let least = self.calls.max_deadline_ms.div_ceil(1_000);
-        if self.stop.limit_s >= least {
+        // A platform sets the limit itself, whatever its callers' deadlines are.
+        if self.stop.limit_s >= least || self.platform.adapter.is_some() {
             return Ok(());
         }
         let value = self.stop.limit_s.to_string();
@@ -160,6 +168,7 @@
         write(&mut out, "backends", &self.backends);
         write(&mut out, "log", &self.log);
         write(&mut out, "metrics", &self.metrics);
+        write(&mut out, "platform", &self.platform);
         write(&mut out, "stop", &self.stop);
         out
     }
--- /dev/null
+++ b/endivestile_config/src/settings/platform.rs
@@ -0,0 +1,95 @@
+//! Section `[platform]` of the settings.
+
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+
+use crate::error::ConfigError;
+use crate::keys::{Keys, unknown_key};
+use crate::model::Name;
+use crate::raw::Raw;
+use crate::settings::{optional, socket_or_none};
+
+/// Which platform the host serves on, and the times that it grants.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlatformSettings {
+    /// Adapter that translates; none serves the product's own interface.
+    pub adapter: Option<Name>,
+    /// Address on which the balancer asks whether the host is ready.
+    pub ready: Option<SocketAddr>,
+    /// Time after which a caller without an answer sends its job again, in milliseconds.
+    pub resend_ms: u64,
+    /// Longest lease that a worker grants, in milliseconds.
+    pub hold_ms: u64,
+    /// Time from the signal to stop until the process is killed, in milliseconds.
+    pub grace_ms: u64,
+}
+
+impl Default for PlatformSettings {
+    fn default() -> Self {
+        Self { adapter: None, ready: None, resend_ms: 1_300, hold_ms: 1_000, grace_ms: 6_000 }
+    }
+}
+
+impl PlatformSettings {
+    /// Returns the lease of a worker's runs, in milliseconds: half the time
+    /// after which a caller sends its job again, so that no run of the first
+    /// sending is left when the second comes.
+    pub fn worker_lease(&self) -> u64 {
+        (self.resend_ms / 2).min(self.hold_ms)
+    }
+
+    /// Returns the lease of another host's tasks, in milliseconds. Both leases
+    /// and a tenth of the time for stops and slow clocks fit into that time.
+    pub fn host_lease(&self) -> u64 {
+        self.resend_ms * 2 / 5
+    }
+}
+
+impl Keys for PlatformSettings {
+    const KEYS: &'static [&'static str] = &["adapter", "ready", "resend-ms", "hold-ms", "grace-s"];
+    const REQUIRED: &'static [&'static str] = &[];
+
+    fn set(&mut self, raw: &Raw) -> Result<(), ConfigError> {
+        match raw.place.key.as_str() {
+            "adapter" => self.adapter = Some(raw.name_or_empty()?).filter(|name| !name.is_empty()),
+            "ready" => self.ready = socket_or_none(raw)?,
+            "resend-ms" => set(&mut self.resend_ms, raw, 200.0..=600_000.0, 1.0)?,
+            "hold-ms" => set(&mut self.hold_ms, raw, 100.0..=600_000.0, 1.0)?,
+            "grace-s" => set(&mut self.grace_ms, raw, 0.1..=600.0, 1_000.0)?,
+            _ => return Err(unknown_key::<Self>(raw)),
+        }
+        Ok(())
+    }
+
+    fn get(&self, key: &str) -> String {
+        match key {
+            "adapter" => optional(self.adapter.as_ref()),
+            "ready" => optional(self.ready),
+            "resend-ms" => self.resend_ms.to_string(),
+            "hold-ms" => self.hold_ms.to_string(),
+            _ => (self.grace_ms as f64 / 1_000.0).to_string(),
+        }
+    }
+}
+
+/// Reads a time of the platform's into milliseconds. Its templates leave a value
+/// empty that it does not set, and write fractions: neither keeps a host from
+/// starting.
+fn set(
+    field: &mut u64,
+    raw: &Raw,
+    range: RangeInclusive<f64>,
+    factor: f64,
+) -> Result<(), ConfigError> {
+    if raw.text.is_empty() {
+        return Ok(());
+    }
+    match raw.text.parse::<f64>() {
+        Ok(number) if range.contains(&number) => *field = (number * factor) as u64,
+        _ => {
+            let accepted = format!("numbers from {} to {}", range.start(), range.end());
+            return Err(raw.refuse(accepted));
+        }
+    }
+    Ok(())
+}
--- a/endivestile_kernel/src/channel.rs
+++ b/endivestile_kernel/src/channel.rs
@@ -110,6 +110,11 @@
         self.beat_due = Some(due);
     }
 
+    /// Asks for a frame by `at` unless one leaves or is due before.
+    pub(crate) fn beat_by(&mut self, at: Time) {
+        self.beat_due.get_or_insert(at);
+    }
+
     /// Ends the regular frames of [`Self::beat`].
     pub(crate) fn rest(&mut self) {
         self.beat_due = None;
@@ -184,6 +189,8 @@
             revision: 0,
             leaving: false,
             load: None,
+            echo: Time::ZERO,
+            report: None,
             msgs,
         })
     }
--- /dev/null
+++ b/endivestile_kernel/src/fleet/dispatch.rs
@@ -0,0 +1,205 @@
+//! Which waiting task gets which room.
+
+use std::sync::Arc;
+
+use endivestile_config::model::Name;
+
+use super::drive::{RunId, TaskRef};
+use super::job::{Job, JobEnd, Reason, Step};
+use super::msg::JobMsg;
+use super::queue::Key;
+use super::scheduler::{Out, Scheduler, carries, holds};
+use super::state::TaskState;
+use crate::{Peer, Time};
+
+/// Waiting tasks that find no room before the rest of the queue is left alone:
+/// a small one may fit where a big one does not.
+const MISSES: usize = 6;
+/// How many times longer a task takes away from its data.
+const FAR_FACTOR: f64 = 2.0;
+
+impl Scheduler {
+    /// Starts or lends what can be started or lent.
+    pub(crate) fn dispatch(&mut self, now: Time) {
+        if !std::mem::take(&mut self.dirty) {
+            return;
+        }
+        let services: Vec<Name> = self.queues.keys().cloned().collect();
+        for service in services {
+            self.dispatch_service(now, &service);
+        }
+    }
+
+    fn dispatch_service(&mut self, now: Time, service: &Name) {
+        let mut misses = 0;
+        let mut at: Option<Key> = None;
+        while let Some((key, task)) = self.queues.get(service).and_then(|q| q.after(at)) {
+            if self.settled_otherwise(now, service, key, task) {
+                continue;
+            }
+            if !self.start_somewhere(now, task) && !self.lend(now, task) {
+                misses += 1;
+                at = Some(key);
+                if misses >= MISSES {
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Moves a task back that has turned late, and gives its job up when it
+    /// cannot end in time at all.
+    fn settled_otherwise(&mut self, now: Time, service: &Name, key: Key, task: TaskRef) -> bool {
+        let Some(state) = self.jobs.get(&task.job) else {
+            if let Some(queue) = self.queues.get_mut(service) {
+                queue.remove(&key);
+            }
+            return true;
+        };
+        let step = state.step(task.task as usize);
+        let run_us = self.pace.task_us(&state.job, step.estimate) / 2.0;
+        if now.after_us(run_us as u64) > state.job.deadline {
+            self.hopeless(now, task.job);
+            return true;
+        }
+        let late = self.rank(now, state, task.task as usize).0;
+        if late == key.late {
+            return false;
+        }
+        if let Some(queue) = self.queues.get_mut(service) {
+            queue.remove(&key);
+        }
+        self.enqueue(now, task);
+        true
+    }
+
+    /// Gives up a job that cannot end before its deadline.
+    pub(crate) fn hopeless(&mut self, now: Time, number: u64) {
+        let Some(state) = self.jobs.get(&number) else { return };
+        let started = state.started.is_some();
+        let retry = now.after_ms(1_000);
+        let end = if started {
+            JobEnd::Lost(Reason::Deadline)
+        } else {
+            JobEnd::NotRun { reason: Reason::Overload, retry }
+        };
+        self.close(now, number, end, true);
+    }
+
+    fn start_somewhere(&mut self, now: Time, task: TaskRef) -> bool {
+        let Some(worker) = self.pick(now, task) else { return false };
+        self.start(now, task, &worker)
+    }
+
+    /// Returns the worker where the task is expected to end first, the fullest among equals.
+    fn pick(&self, now: Time, task: TaskRef) -> Option<Name> {
+        let state = self.jobs.get(&task.job)?;
+        let index = task.task as usize;
+        let step = state.step(index);
+        let mut best: Option<(f64, u32, &Name)> = None;
+        for (id, drive) in &self.drives {
+            if drive.entry.service != state.job.service || !drive.usable(now) {
+                continue;
+            }
+            let free = drive.free();
+            if !holds(&free, &step.need) || !carries(&drive.entry, step.label.as_ref()) {
+                continue;
+            }
+            if !self.grudges.allows(now, id) {
+                continue;
+            }
+            if step.spread > 0 && state.beside(index, id) >= usize::from(step.spread) {
+                continue;
+            }
+            let cost = cost(step, &drive.entry.labels) / self.pace.speed(id);
+            let better = best.is_none_or(|(other, left, _)| {
+                cost < other * 0.9 || (cost < other * 1.1 && free.cpu_milli < left)
+            });
+            if better {
+                best = Some((cost, free.cpu_milli, id));
+            }
+        }
+        best.map(|(_, _, id)| id.clone())
+    }
+
+    fn start(&mut self, now: Time, task: TaskRef, worker: &Name) -> bool {
+        let index = task.task as usize;
+        let Some(state) = self.jobs.get_mut(&task.job) else { return false };
+        let Some(drive) = self.drives.get_mut(worker) else { return false };
+        let id = RunId { task: state.task_name(index), run: state.tasks[index].run };
+        let need = state.step(index).need;
+        let Some(call) = drive.start(now, id.clone(), task, need, &state.job.spec) else {
+            return false;
+        };
+        if let TaskState::Waiting(key) = &state.tasks[index].state
+            && let Some(queue) = self.queues.get_mut(&state.job.service)
+        {
+            queue.remove(key);
+        }
+        let slot = &mut state.tasks[index];
+        slot.run += 1;
+        slot.state = TaskState::Running { worker: worker.clone(), id };
+        state.started.get_or_insert(now);
+        state.starts += 1;
+        self.grudges.given(worker);
+        self.out.push(Out::Call(call));
+        true
+    }
+
+    /// Passes a task on to another placer that has room, if this one has none.
+    fn lend(&mut self, now: Time, task: TaskRef) -> bool {
+        let Some(state) = self.jobs.get(&task.job).filter(|state| !state.job.lent) else {
+            return false;
+        };
+        let service = state.job.service.clone();
+        let Some(peer) = self.lender(&service) else { return false };
+        let index = task.task as usize;
+        let job = Arc::new(lent_job(state.job.as_ref(), state.step(index), &state.tasks[index]));
+        let serial = self.lent_number();
+        self.lent.insert(serial, (peer.clone(), task));
+        if let Some(free) = self.others.get_mut(&peer).and_then(|room| room.get_mut(&service)) {
+            *free = free.saturating_sub(1);
+        }
+        let Some(state) = self.jobs.get_mut(&task.job) else { return false };
+        if let TaskState::Waiting(key) = &state.tasks[index].state
+            && let Some(queue) = self.queues.get_mut(&service)
+        {
+            queue.remove(key);
+        }
+        state.tasks[index].state = TaskState::Lent(serial);
+        state.starts += 1;
+        // It may be started from here on, for all that this host can tell.
+        state.started.get_or_insert(now);
+        self.out.push(Out::Tell(peer, JobMsg::Submit { serial, job }));
+        true
+    }
+
+    /// Returns the other placer with the most room.
+    fn lender(&self, service: &Name) -> Option<Peer> {
+        let rooms = self.others.iter().filter_map(|(peer, room)| {
+            let free = room.get(service).copied().unwrap_or(0);
+            (free > 0).then_some((free, peer))
+        });
+        rooms.max_by_key(|(free, _)| *free).map(|(_, peer)| peer.clone())
+    }
+}
+
+fn cost(step: &Step, labels: &[Name]) -> f64 {
+    let near = step.near.as_ref().is_none_or(|near| labels.contains(near));
+    if near { 1.0 } else { FAR_FACTOR }
+}
+
+/// Returns a job of one task, to be run elsewhere under the same name.
+fn lent_job(job: &Job, step: &Step, slot: &super::state::TaskSlot) -> Job {
+    let only = Step {
+        count: 1,
+        first: slot.index,
+        after: Vec::new(),
+        // Its other tasks run elsewhere and cannot be counted there.
+        spread: step.spread,
+        ..step.clone()
+    };
+    // The other placer may start it several times before it gives it back.
+    let base = slot.run + slot.fails;
+    Job { steps: vec![only], base, lent: true, ..job.clone() }
+}
--- /dev/null
+++ b/endivestile_kernel/src/fleet/drive.rs
@@ -0,0 +1,553 @@
+//! One worker as its owner drives it: its lease, its runs and its room.
+//!
+//! An order to a worker may get no answer and still be carried out, also later.
+//! So room is counted as taken from the moment an order is sent until the
+//! worker itself shows that the run is over, or until no lease can cover it
+//! any more. Counting by guesses would overload a worker that starts whatever
+//! it is told to start.
+
+use std::collections::BTreeMap;
+
+use endivestile_config::model::Name;
+
+use super::worker::{
+    CallFault, EndRow, Held, HoldOrder, RunEnd, RunRow, StartEnd, StartOrder, StopOrder,
+    WorkerEntry,
+};
+use crate::{Need, Time};
+
+/// Longest wait of a worker for an end before it answers a hold, in
+/// milliseconds: four renewals fit into one lease, so that two may be lost.
+const HOLD_WAIT_MS: u64 = 150;
+/// Time for the answer to a hold beyond that wait, in milliseconds; a
+/// connection that has gone silent costs one renewal and no lease.
+const HOLD_SLACK_MS: u64 = 120;
+/// Time for the answer to a start or stop, in milliseconds: fifty round trips
+/// between zones.
+const ORDER_MS: u64 = 100;
+/// Pause between two looks at a worker whose room waits for them, in
+/// milliseconds; a stop takes up to fifty.
+const LOOK_MS: u64 = 10;
+/// Pause after a hold that failed, in milliseconds.
+const RETRY_MS: u64 = 60;
+/// Longest pause after holds that failed, in milliseconds.
+const RETRY_MAX_MS: u64 = 500;
+/// Part of the lease, in percent, that a slow clock of a worker adds, and a
+/// reserve for the way of the order.
+const LEASE_RESERVE: u64 = 4;
+/// Age of the last answer from which on nothing new is started there, in
+/// milliseconds: one hold and its slack.
+const QUIET_MS: u64 = HOLD_WAIT_MS + HOLD_SLACK_MS + 60;
+
+/// Names a task of a job at its placer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct TaskRef {
+    /// Number of the job.
+    pub(crate) job: u64,
+    /// Index of the task in the job.
+    pub(crate) task: u32,
+}
+
+/// Names a run at a worker.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct RunId {
+    /// Name of the task.
+    pub(crate) task: Name,
+    /// Number of the run.
+    pub(crate) run: u32,
+}
+
+/// What is known of an order to start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// On its way.
+    Sent,
+    /// The worker has it.
+    Runs,
+    /// No answer came: it may run, or may yet start.
+    Unsure,
+}
+
+/// One run that takes room.
+#[derive(Debug, Clone)]
+pub(crate) struct Run {
+    /// The task that it works for; none once nobody wants it.
+    pub(crate) by: Option<TaskRef>,
+    /// What it takes; nothing is known of a former owner's runs.
+    pub(crate) need: Need,
+    /// When it was ordered.
+    pub(crate) sent: Time,
+    /// How much of its work was done when the worker last told.
+    pub(crate) percent: u8,
+    /// When that grew last.
+    pub(crate) moved: Time,
+    /// Whether it is to be stopped.
+    pub(crate) stopping: bool,
+    phase: Phase,
+    /// On the worker's clock: from here on a late start is refused.
+    until: u64,
+    /// On the worker's clock: when a stop had been carried out.
+    halted: Option<u64>,
+    /// When the stop is sent again.
+    stop_due: Time,
+}
+
+/// Why a run takes no room any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Over {
+    /// The worker listed its end.
+    Ended(RunEnd),
+    /// It never started and never will.
+    Never(StartEnd),
+    /// No lease covers it any more, or the worker lives another life.
+    Vanished,
+}
+
+/// A run that is over.
+#[derive(Debug, Clone)]
+pub(crate) struct Past {
+    /// The run.
+    pub(crate) id: RunId,
+    /// What was known of it.
+    pub(crate) run: Run,
+    /// How it ended.
+    pub(crate) over: Over,
+}
+
+/// How far the owner's token is in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// The worker has not answered under this token.
+    Asking,
+    /// Runs of a former owner are being stopped.
+    Clearing,
+    /// The worker is the owner's alone.
+    Owned,
+    /// Somebody else's higher token is in force.
+    Fenced,
+}
+
+/// A hold on its way.
+#[derive(Debug, Clone, Copy)]
+struct Flight {
+    number: u64,
+    sent: Time,
+}
+
+/// A call to the worker that is to be made now.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Call {
+    /// Start a task.
+    Start(StartOrder),
+    /// Stop a run.
+    Stop(StopOrder),
+    /// Renew the lease and look.
+    Hold(u64, HoldOrder),
+}
+
+/// One worker.
+#[derive(Debug)]
+pub(crate) struct Drive {
+    /// As it registered itself.
+    pub(crate) entry: WorkerEntry,
+    /// Whether its registration stands.
+    pub(crate) listed: bool,
+    /// Whether another host owns it by now: nothing is ordered any more, and
+    /// its runs count until their lease has surely run out.
+    pub(crate) abandoned: bool,
+    /// What takes its room.
+    pub(crate) runs: BTreeMap<RunId, Run>,
+    /// Length of a lease in milliseconds, a setting.
+    lease_ms: u64,
+    token: u64,
+    stage: Stage,
+    clock: Option<(u64, Time)>,
+    born: u64,
+    observed: u64,
+    flight: Option<Flight>,
+    number: u64,
+    due: Time,
+    faults: u32,
+    contact: Option<Time>,
+    covered: Time,
+}
+
+impl Drive {
+    /// Starts to drive a worker under a token.
+    pub(crate) fn new(now: Time, entry: WorkerEntry, token: u64, lease_ms: u64) -> Self {
+        Self {
+            born: entry.born,
+            entry,
+            listed: true,
+            abandoned: false,
+            runs: BTreeMap::new(),
+            lease_ms,
+            token,
+            stage: Stage::Asking,
+            clock: None,
+            observed: 0,
+            flight: None,
+            number: 0,
+            due: now,
+            faults: 0,
+            contact: None,
+            covered: now,
+        }
+    }
+
+    /// Returns the fencing token under which it is driven.
+    pub(crate) fn token(&self) -> u64 {
+        self.token
+    }
+
+    /// Goes on under a later token of the same owner; its own runs stay.
+    pub(crate) fn renew(&mut self, now: Time, token: u64) {
+        self.token = token;
+        self.abandoned = false;
+        self.stage = Stage::Asking;
+        self.flight = None;
+        self.due = now;
+    }
+
+    /// Returns whether a higher token is in force there.
+    pub(crate) fn fenced(&self) -> bool {
+        self.stage == Stage::Fenced
+    }
+
+    /// Returns whether the worker answers.
+    pub(crate) fn answers(&self, now: Time) -> bool {
+        self.contact.is_some_and(|at| at.after_ms(QUIET_MS) > now)
+    }
+
+    /// Returns whether new tasks may be started there.
+    pub(crate) fn usable(&self, now: Time) -> bool {
+        self.listed
+            && !self.abandoned
+            && !self.entry.leaving
+            && self.stage == Stage::Owned
+            && self.answers(now)
+    }
+
+    /// Returns the room that nothing takes.
+    pub(crate) fn free(&self) -> Need {
+        let mut free = self.entry.room;
+        for run in self.runs.values() {
+            free.cpu_milli = free.cpu_milli.saturating_sub(run.need.cpu_milli);
+            free.memory_mb = free.memory_mb.saturating_sub(run.need.memory_mb);
+            free.accelerators = free.accelerators.saturating_sub(run.need.accelerators);
+        }
+        free
+    }
+
+    /// Returns the worker's clock, at most as far as it has come.
+    fn clock_at(&self, now: Time) -> Option<u64> {
+        let (clock, at) = self.clock?;
+        Some(clock + now.since(at).as_millis() as u64)
+    }
+
+    /// Returns the end of a lease that starts now, on the worker's clock.
+    fn lease(&mut self, now: Time) -> Option<u64> {
+        let until = self.clock_at(now)? + self.lease_ms;
+        let longest = self.lease_ms + self.lease_ms * LEASE_RESERVE / 100;
+        self.covered = self.covered.max(now.after_ms(longest));
+        Some(until)
+    }
+
+    /// Orders a start; none while the worker's clock is not known.
+    pub(crate) fn start(
+        &mut self,
+        now: Time,
+        id: RunId,
+        by: TaskRef,
+        need: Need,
+        spec: &Name,
+    ) -> Option<Call> {
+        let until = self.lease(now)?;
+        let order = StartOrder {
+            worker: self.entry.id.clone(),
+            address: self.entry.address.clone(),
+            task: id.task.clone(),
+            run: id.run,
+            spec: spec.clone(),
+            until,
+            token: self.token,
+        };
+        let run = Run {
+            by: Some(by),
+            need,
+            sent: now,
+            percent: 0,
+            moved: now,
+            stopping: false,
+            phase: Phase::Sent,
+            until,
+            halted: None,
+            stop_due: Time::NEVER,
+        };
+        self.runs.insert(id, run);
+        Some(Call::Start(order))
+    }
+
+    /// Takes in how a start ended.
+    pub(crate) fn started(&mut self, now: Time, id: &RunId, end: StartEnd) -> Option<Past> {
+        let run = self.runs.get_mut(id)?;
+        match end {
+            StartEnd::Started(clock) => {
+                if run.phase == Phase::Sent {
+                    run.phase = Phase::Runs;
+                    run.moved = now;
+                }
+                self.tell_clock(now, clock);
+                None
+            }
+            StartEnd::Fault(CallFault::Lost) => {
+                run.phase = Phase::Unsure;
+                run.stopping = true;
+                run.stop_due = now;
+                None
+            }
+            StartEnd::Fault(CallFault::Fenced) => {
+                self.stage = Stage::Fenced;
+                self.over(id, Over::Never(end))
+            }
+            _ => self.over(id, Over::Never(end)),
+        }
+    }
+
+    /// Asks for the end of a run; its room is free once the worker shows it.
+    pub(crate) fn halt(&mut self, now: Time, id: &RunId) {
+        if let Some(run) = self.runs.get_mut(id).filter(|run| !run.stopping) {
+            run.stopping = true;
+            run.stop_due = now;
+        }
+    }
+
+    /// Takes in how a stop ended.
+    pub(crate) fn stopped(&mut self, now: Time, id: &RunId, end: Result<u64, CallFault>) {
+        match end {
+            Ok(clock) => {
+                self.tell_clock(now, clock);
+                if let Some(run) = self.runs.get_mut(id) {
+                    run.halted = Some(clock);
+                    run.stop_due = Time::NEVER;
+                }
+                // The hold on its way may wait for an end that does not come.
+                self.due = self.due.min(now);
+            }
+            Err(CallFault::Fenced) => self.stage = Stage::Fenced,
+            Err(_) => {}
+        }
+    }
+
+    /// Takes in the answer to a hold; returns the runs that are over.
+    pub(crate) fn held(
+        &mut self,
+        now: Time,
+        number: u64,
+        end: Result<Held, CallFault>,
+    ) -> Vec<Past> {
+        let Some(flight) = self.flight.filter(|flight| flight.number == number) else {
+            return Vec::new();
+        };
+        self.flight = None;
+        match end {
+            Ok(held) => self.look(now, flight, held),
+            Err(fault) => self.fault(now, fault),
+        }
+    }
+
+    fn fault(&mut self, now: Time, fault: CallFault) -> Vec<Past> {
+        self.faults += 1;
+        let pause = (RETRY_MS << self.faults.min(4)).min(RETRY_MAX_MS) / 2;
+        self.due = now.after_ms(pause);
+        match fault {
+            CallFault::Fenced => self.stage = Stage::Fenced,
+            // Somebody else answers at the address: this life has ended.
+            CallFault::OtherLife => {
+                self.listed = false;
+                return self.all_over(Over::Vanished);
+            }
+            _ => {}
+        }
+        Vec::new()
+    }
+
+    fn look(&mut self, now: Time, flight: Flight, held: Held) -> Vec<Past> {
+        self.faults = 0;
+        self.contact = Some(now);
+        self.due = now;
+        let mut past = Vec::new();
+        if held.born != 0 && self.born != 0 && held.born != self.born {
+            past = self.all_over(Over::Vanished);
+            self.observed = 0;
+            self.stage = Stage::Asking;
+            self.clock = None;
+        }
+        if held.born != 0 {
+            self.born = held.born;
+        }
+        self.tell_clock(now, held.clock);
+        for row in &held.ended {
+            past.extend(self.ended(row));
+        }
+        for row in &held.running {
+            self.running(now, row);
+        }
+        past.extend(self.absent(flight, &held));
+        self.settle_stage();
+        if self.in_haste() {
+            self.due = now.after_ms(LOOK_MS);
+        }
+        past
+    }
+
+    fn ended(&mut self, row: &EndRow) -> Option<Past> {
+        if row.number <= self.observed {
+            return None;
+        }
+        self.observed = row.number;
+        let id = RunId { task: row.task.clone(), run: row.run };
+        self.over(&id, Over::Ended(row.end))
+    }
+
+    fn running(&mut self, now: Time, row: &RunRow) {
+        let id = RunId { task: row.task.clone(), run: row.run };
+        if let Some(run) = self.runs.get_mut(&id) {
+            if row.percent > run.percent {
+                run.percent = row.percent;
+                run.moved = now;
+            }
+            return;
+        }
+        // A former owner's run: nothing is known of what it takes.
+        let run = Run {
+            by: None,
+            need: self.entry.room,
+            sent: now,
+            percent: row.percent,
+            moved: now,
+            stopping: true,
+            phase: Phase::Runs,
+            until: 0,
+            halted: None,
+            stop_due: now,
+        };
+        self.runs.insert(id, run);
+    }
+
+    /// Drops runs that the worker shows to be over by not listing them: those
+    /// stopped before it looked, those whose start came too late, and those
+    /// that it had before the hold was even sent.
+    fn absent(&mut self, flight: Flight, held: &Held) -> Vec<Past> {
+        let lists =
+            |id: &RunId| held.running.iter().any(|row| row.run == id.run && row.task == id.task);
+        let gone = |id: &RunId, run: &Run| match run.phase {
+            _ if lists(id) => false,
+            _ if run.halted.is_some_and(|clock| held.clock > clock) => true,
+            Phase::Unsure => held.clock > run.until,
+            Phase::Runs => run.moved < flight.sent && run.sent < flight.sent,
+            Phase::Sent => false,
+        };
+        let ids: Vec<RunId> =
+            self.runs.iter().filter(|(id, run)| gone(id, run)).map(|(id, _)| id.clone()).collect();
+        ids.iter().filter_map(|id| self.over(id, Over::Vanished)).collect()
+    }
+
+    fn settle_stage(&mut self) {
+        if self.stage != Stage::Asking && self.stage != Stage::Clearing {
+            return;
+        }
+        let foreign = self.runs.values().any(|run| run.until == 0);
+        self.stage = if foreign { Stage::Clearing } else { Stage::Owned };
+    }
+
+    /// Takes the latest word on the worker's clock. An answer that was overtaken
+    /// makes the estimate too early, which shortens a lease and harms nothing.
+    fn tell_clock(&mut self, now: Time, clock: u64) {
+        self.clock = Some((clock, now));
+    }
+
+    fn over(&mut self, id: &RunId, over: Over) -> Option<Past> {
+        let run = self.runs.remove(id)?;
+        Some(Past { id: id.clone(), run, over })
+    }
+
+    fn all_over(&mut self, over: Over) -> Vec<Past> {
+        let runs = std::mem::take(&mut self.runs);
+        runs.into_iter().map(|(id, run)| Past { id, run, over }).collect()
+    }
+
+    /// Does what is due: renews the lease, repeats stops, gives up runs that no
+    /// lease covers any more.
+    pub(crate) fn tick(&mut self, now: Time, out: &mut Vec<Call>) -> Vec<Past> {
+        let lost = self.abandoned || self.stage == Stage::Fenced;
+        let lapsed = self.covered <= now && !self.runs.is_empty();
+        let past = if lapsed && (lost || !self.answers(now)) {
+            self.all_over(Over::Vanished)
+        } else {
+            Vec::new()
+        };
+        if lost {
+            return past;
+        }
+        self.repeat_stops(now, out);
+        if self.flight.is_none() && self.due <= now {
+            self.hold(now, out);
+        }
+        past
+    }
+
+    fn repeat_stops(&mut self, now: Time, out: &mut Vec<Call>) {
+        let (token, worker, address) = (self.token, &self.entry.id, &self.entry.address);
+        for (id, run) in &mut self.runs {
+            if !run.stopping || run.stop_due > now {
+                continue;
+            }
+            run.stop_due = now.after_ms(ORDER_MS + RETRY_MS);
+            out.push(Call::Stop(StopOrder {
+                worker: worker.clone(),
+                address: address.clone(),
+                task: id.task.clone(),
+                run: id.run,
+                token,
+            }));
+        }
+    }
+
+    fn hold(&mut self, now: Time, out: &mut Vec<Call>) {
+        self.number += 1;
+        self.flight = Some(Flight { number: self.number, sent: now });
+        let clearing = self.stage != Stage::Owned;
+        let until = if clearing { None } else { self.lease(now) };
+        let wait = if self.in_haste() { 0 } else { HOLD_WAIT_MS as u32 };
+        out.push(Call::Hold(
+            self.number,
+            HoldOrder {
+                worker: self.entry.id.clone(),
+                address: self.entry.address.clone(),
+                until,
+                token: self.token,
+                observed: self.observed,
+                wait,
+            },
+        ));
+    }
+
+    /// Returns whether room waits for nothing but the worker's word.
+    fn in_haste(&self) -> bool {
+        self.stage != Stage::Owned || self.runs.values().any(|run| run.halted.is_some())
+    }
+
+    /// Returns whether nothing runs and nothing is expected there any more.
+    pub(crate) fn finished(&self, now: Time) -> bool {
+        self.runs.is_empty() && (self.abandoned || !self.answers(now))
+    }
+}
+
+/// Returns by when a call has to be answered.
+pub fn due(call: &Call, now: Time) -> Time {
+    match call {
+        Call::Hold(_, order) => now.after_ms(u64::from(order.wait) + HOLD_SLACK_MS),
+        Call::Start(_) | Call::Stop(_) => now.after_ms(ORDER_MS),
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/fleet/fleet.rs
@@ -0,0 +1,348 @@
+//! All decisions of one host that serves jobs: takes events in, gives effects out.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use endivestile_config::model::Name;
+
+use super::claim::Probe;
+use super::drive::{Call, RunId};
+use super::front::Front;
+use super::job::{Job, JobEnd};
+use super::members::{HostEntry, Members};
+use super::msg::{JobMsg, Report};
+use super::pools::Pools;
+use super::scheduler::{Out, Scheduler};
+use super::table::RouteTable;
+use super::worker::{CallFault, Held, StartEnd, WorkerEntry};
+use crate::channel::Channel;
+use crate::{CallId, Frame, Level, Note, Peer, StoreOp, Stored, Time};
+
+/// Time between two looks at everything that is due, in milliseconds, while
+/// there is work.
+const TICK_MS: u64 = 15;
+/// The same while there is none.
+const REST_MS: u64 = 60;
+
+/// What a fleet is told once.
+#[derive(Debug, Clone)]
+pub struct FleetSetup {
+    /// This incarnation.
+    pub me: Peer,
+    /// Availability zone of this host.
+    pub zone: Name,
+    /// Address of this host's links, `IP:port`.
+    pub address: Name,
+    /// Lease of a worker's runs, in milliseconds.
+    pub worker_lease: u64,
+    /// Lease of another host's tasks, in milliseconds. Together with that of
+    /// the workers it has to stay below the time after which a caller without
+    /// an answer sends its job again.
+    pub host_lease: u64,
+}
+
+/// Everything that the edges tell the fleet.
+#[derive(Debug, Clone, PartialEq)]
+pub enum FleetEvent {
+    /// A caller hands in a job.
+    Call {
+        /// The open call.
+        call: CallId,
+        /// The job.
+        job: Job,
+    },
+    /// A caller went away, or cancelled its job.
+    Hangup(CallId),
+    /// The operator's routes changed.
+    Table(Arc<RouteTable>),
+    /// All workers as the store lists them.
+    Workers(Vec<WorkerEntry>),
+    /// A host's registration, none when it ended.
+    Host {
+        /// Name of the host.
+        name: Name,
+        /// The registration.
+        entry: Option<HostEntry>,
+    },
+    /// A pool's record.
+    Record {
+        /// Zone of the pool.
+        zone: Name,
+        /// Revision of the record.
+        revision: u64,
+        /// Value; empty when it was deleted.
+        value: Bytes,
+    },
+    /// The store answers again, or does not.
+    Store(bool),
+    /// A change of a record ended.
+    Stored {
+        /// Number of the call.
+        token: u64,
+        /// How.
+        stored: Stored,
+    },
+    /// An order to start ended.
+    Started {
+        /// Worker.
+        worker: Name,
+        /// Name of the task.
+        task: Name,
+        /// Number of the run.
+        run: u32,
+        /// How.
+        end: StartEnd,
+    },
+    /// An order to stop ended.
+    Stopped {
+        /// Worker.
+        worker: Name,
+        /// Name of the task.
+        task: Name,
+        /// Number of the run.
+        run: u32,
+        /// The worker's clock in milliseconds, or the fault.
+        end: Result<u64, CallFault>,
+    },
+    /// A hold ended.
+    Held {
+        /// Worker.
+        worker: Name,
+        /// Number of the hold.
+        number: u64,
+        /// What the worker said.
+        end: Result<Held, CallFault>,
+    },
+    /// A frame arrived.
+    Frame(Box<Frame>),
+    /// The link to a peer broke or could not be made.
+    LinkDown(Peer),
+    /// The process was told to stop gracefully.
+    Shutdown,
+    /// A deadline passed.
+    Tick,
+}
+
+/// Everything that the fleet tells the edges.
+#[derive(Debug, Clone, PartialEq)]
+pub enum FleetEffect {
+    /// Answer a caller.
+    Answer {
+        /// The open call.
+        call: CallId,
+        /// How its job ended.
+        end: JobEnd,
+    },
+    /// Send a frame, at most once.
+    Send {
+        /// Address of the peer's links.
+        address: Name,
+        /// The frame.
+        frame: Frame,
+    },
+    /// Make the link to an address anew: it seems to carry nothing.
+    Redial(Name),
+    /// Call a worker.
+    Worker(Call),
+    /// Call the store.
+    Store {
+        /// Number of the call.
+        token: u64,
+        /// The call.
+        op: StoreOp,
+    },
+    /// Register this host anew, as leaving.
+    Leave,
+    /// Write a log line.
+    Log(Note),
+    /// Everything is drained: the process may end.
+    Drained,
+}
+
+/// All decisions of one host.
+#[derive(Debug)]
+pub struct Fleet {
+    pub(crate) setup: FleetSetup,
+    pub(crate) table: Option<Arc<RouteTable>>,
+    pub(crate) members: Members,
+    pub(crate) channels: BTreeMap<Peer, Channel>,
+    pub(crate) pools: Pools,
+    pub(crate) workers: Vec<WorkerEntry>,
+    pub(crate) front: Front,
+    pub(crate) scheduler: Scheduler,
+    pub(crate) probes: BTreeMap<Name, Probe>,
+    pub(crate) lost_fronts: BTreeSet<Peer>,
+    pub(crate) report: (Time, Arc<Report>),
+    pub(crate) store_up: bool,
+    pub(crate) leaving: bool,
+    pub(crate) drained: bool,
+    pub(crate) due: Time,
+    pub(crate) out: Vec<FleetEffect>,
+}
+
+impl Fleet {
+    /// Starts without a configuration and without workers.
+    pub fn new(setup: FleetSetup) -> Self {
+        let me = setup.me.clone();
+        Self {
+            table: None,
+            members: Members::new(me.clone()),
+            channels: BTreeMap::new(),
+            pools: Pools::default(),
+            workers: Vec::new(),
+            front: Front::default(),
+            scheduler: Scheduler::new(me, setup.worker_lease),
+            probes: BTreeMap::new(),
+            lost_fronts: BTreeSet::new(),
+            report: (Time::ZERO, Arc::default()),
+            store_up: false,
+            leaving: false,
+            drained: false,
+            due: Time::ZERO,
+            out: Vec::new(),
+            setup,
+        }
+    }
+
+    /// Takes one event in. Frames wait for [`Self::flush`].
+    pub fn handle(&mut self, now: Time, event: FleetEvent) {
+        match event {
+            FleetEvent::Call { call, job } => self.call(now, call, job),
+            FleetEvent::Hangup(call) => self.hangup(now, call),
+            FleetEvent::Table(table) => self.adopt(table),
+            FleetEvent::Workers(workers) => self.list_workers(now, workers),
+            FleetEvent::Host { name, entry } => self.register(now, &name, entry.as_ref()),
+            FleetEvent::Record { zone, revision, value } => {
+                self.record(now, &zone, revision, &value);
+            }
+            FleetEvent::Store(up) => self.store(up),
+            FleetEvent::Stored { token, stored } => self.stored(now, token, &stored),
+            FleetEvent::Started { worker, task, run, end } => {
+                self.scheduler.started(now, &worker, &RunId { task, run }, end);
+            }
+            FleetEvent::Stopped { worker, task, run, end } => {
+                self.scheduler.stopped(now, &worker, &RunId { task, run }, end);
+            }
+            FleetEvent::Held { worker, number, end } => self.held(now, &worker, number, end),
+            FleetEvent::Frame(frame) => self.frame(now, *frame),
+            FleetEvent::LinkDown(peer) => {
+                if let Some(channel) = self.channels.get_mut(&peer) {
+                    channel.broken(now);
+                }
+            }
+            FleetEvent::Shutdown => self.shutdown(now),
+            FleetEvent::Tick => self.tick(now),
+        }
+    }
+
+    /// Ends a batch of events: places what can be placed, and sends frames.
+    pub fn flush(&mut self, now: Time, out: &mut Vec<FleetEffect>) {
+        self.scheduler.dispatch(now);
+        self.settle(now);
+        self.send_frames(now);
+        out.append(&mut self.out);
+    }
+
+    /// Returns when the fleet wants [`FleetEvent::Tick`].
+    pub fn deadline(&self) -> Time {
+        self.due
+    }
+
+    /// Returns whether this host owns workers.
+    pub fn owns_workers(&self) -> bool {
+        self.scheduler.owns()
+    }
+
+    /// Returns the routes in force.
+    pub fn table(&self) -> Option<&Arc<RouteTable>> {
+        self.table.as_ref()
+    }
+
+    /// Returns the open call that an id's job was handed in by.
+    pub fn find(&self, id: &str) -> Option<CallId> {
+        self.front.find(id)
+    }
+
+    /// Returns how many jobs this host has open for callers.
+    pub fn open_calls(&self) -> usize {
+        self.front.open.len()
+    }
+
+    /// Returns how many accepted jobs of a route wait with no task started, by
+    /// this host's own count and its peers' latest reports.
+    pub fn pending(&self, route: &str) -> u32 {
+        let own = self.scheduler.pending().get(route).copied().unwrap_or(0);
+        let told = |report: &Report| {
+            let row = report.pending.iter().find(|(name, _)| &**name == route);
+            row.map_or(0, |(_, count)| *count)
+        };
+        own + self.members.all().map(|member| told(&member.report)).sum::<u32>()
+    }
+
+    /// Carries out what the scheduler wants until nothing is left.
+    pub(crate) fn settle(&mut self, now: Time) {
+        while !self.scheduler.out.is_empty() {
+            for out in std::mem::take(&mut self.scheduler.out) {
+                match out {
+                    Out::Call(call) => self.out.push(FleetEffect::Worker(call)),
+                    Out::Tell(peer, msg) => self.tell(now, &peer, msg),
+                    Out::Log(note) => self.out.push(FleetEffect::Log(note)),
+                }
+            }
+        }
+    }
+
+    /// Sends a message about a job; to this host itself it goes at once.
+    pub(crate) fn tell(&mut self, now: Time, peer: &Peer, msg: JobMsg) {
+        if *peer == self.setup.me {
+            self.message(now, &peer.clone(), msg);
+        } else {
+            self.push(peer, msg);
+        }
+    }
+
+    fn adopt(&mut self, table: Arc<RouteTable>) {
+        // A read that lagged may bring an earlier version after a later one.
+        if self.table.as_ref().is_some_and(|own| own.version >= table.version) {
+            return;
+        }
+        let pairs = vec![
+            ("version", table.version.to_string()),
+            ("routes", table.routes.len().to_string()),
+        ];
+        self.note(Level::Info, "config_adopted", pairs);
+        self.table = Some(table);
+    }
+
+    fn store(&mut self, up: bool) {
+        if self.store_up != up {
+            self.store_up = up;
+            let event = if up { "store_up" } else { "store_down" };
+            self.note(Level::Info, event, Vec::new());
+        }
+    }
+
+    fn tick(&mut self, now: Time) {
+        self.watch_members(now);
+        self.claim_pools(now);
+        self.scheduler.tick(now);
+        self.settle(now);
+        self.replace_lost(now);
+        self.pass_deadlines(now);
+        self.check_drained(now);
+        let busy = !self.front.open.is_empty() || !self.scheduler.jobs.is_empty();
+        let pause = if busy { TICK_MS } else { REST_MS };
+        self.due = now.after_ms(pause);
+    }
+
+    /// Writes a line that concerns no job.
+    pub(crate) fn note(
+        &mut self,
+        level: Level,
+        event: &'static str,
+        pairs: Vec<(&'static str, String)>,
+    ) {
+        self.out.push(FleetEffect::Log(Note { level, event, id: None, pairs }));
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/fleet/grudge.rs
@@ -0,0 +1,75 @@
+//! Workers that fail what they start.
+
+use std::collections::HashMap;
+
+use endivestile_config::model::Name;
+
+use crate::Time;
+
+/// Failures in a row that take a worker out; a task that fails by its own
+/// fault fails elsewhere too, and rarely three come to one worker in a row.
+const ROW: u32 = 2;
+/// Time for which it is out at first, in milliseconds; doubled with each
+/// failed probe.
+const OUT_MS: u64 = 400;
+/// Most doublings: it is tried again every 6.4 s at the latest.
+const DOUBLINGS: u32 = 4;
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Record {
+    row: u32,
+    outs: u32,
+    until: Option<Time>,
+    probing: bool,
+}
+
+/// Failures by worker.
+#[derive(Debug, Default)]
+pub(crate) struct Grudges {
+    workers: HashMap<Name, Record>,
+}
+
+impl Grudges {
+    /// Returns whether a worker may be given a task.
+    pub(crate) fn allows(&self, now: Time, worker: &str) -> bool {
+        let Some(record) = self.workers.get(worker) else { return true };
+        record.until.is_none_or(|until| until <= now && !record.probing)
+    }
+
+    /// Notes that a task was given to a worker: one that was out gets just one.
+    pub(crate) fn given(&mut self, worker: &str) {
+        if let Some(record) = self.workers.get_mut(worker) {
+            record.probing = record.until.is_some();
+        }
+    }
+
+    /// Notes a failure; returns whether the worker is to blame rather than the task.
+    pub(crate) fn failed(&mut self, now: Time, worker: &Name) -> bool {
+        let record = self.workers.entry(worker.clone()).or_default();
+        record.row += 1;
+        record.probing = false;
+        if record.row < ROW {
+            return false;
+        }
+        record.until = Some(now.after_ms(OUT_MS << record.outs.min(DOUBLINGS)));
+        record.outs += 1;
+        true
+    }
+
+    /// Notes that a worker did a task.
+    pub(crate) fn did(&mut self, worker: &str) {
+        self.workers.remove(worker);
+    }
+
+    /// Notes that a task given to a worker came to no end there.
+    pub(crate) fn inconclusive(&mut self, worker: &str) {
+        if let Some(record) = self.workers.get_mut(worker) {
+            record.probing = false;
+        }
+    }
+
+    /// Forgets workers that are gone.
+    pub(crate) fn retain(&mut self, known: impl Fn(&Name) -> bool) {
+        self.workers.retain(|worker, _| known(worker));
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/fleet/link.rs
@@ -0,0 +1,189 @@
+//! Frames to and from the other hosts.
+
+use std::sync::Arc;
+
+use super::fleet::{Fleet, FleetEffect};
+use super::members::{BEAT_MS, Heard};
+use super::msg::{JobMsg, Report, RoomFigure};
+use super::serve::LOST_MS;
+use crate::channel::Channel;
+use crate::{Frame, Level, Msg, Peer, Time};
+
+/// Age at which the report of this host is worked out anew, in milliseconds.
+const REPORT_MS: u64 = 15;
+/// Age of a link's last sign of life at which it is made anew, in
+/// milliseconds: three frames.
+const DUMB_MS: u64 = 350;
+/// Time for a new link to show a sign of life, in milliseconds.
+const REDIAL_MS: u64 = 400;
+/// Frames to one peer at a time.
+const MAX_FRAMES: usize = 4;
+
+impl Fleet {
+    pub(super) fn frame(&mut self, now: Time, mut frame: Frame) {
+        if frame.to != self.setup.me {
+            return;
+        }
+        let from = frame.from.clone();
+        let report = frame.report.take();
+        let heard = Heard {
+            from: &from,
+            leaving: frame.leaving,
+            sent: frame.sent,
+            echo: frame.echo,
+            report: report.as_ref(),
+        };
+        let Ok(ended) = self.members.hear(now, &heard) else { return };
+        if let Some(ended) = ended {
+            self.peer_ended(now, &ended);
+        }
+        if let Some(report) = report {
+            self.take_room(&from, &report);
+        }
+        let channel = self.channel(&from);
+        for msg in channel.receive(now, frame) {
+            if let Msg::Job(msg) = msg {
+                self.message(now, &from, msg);
+            }
+        }
+        self.settle(now);
+    }
+
+    /// Remembers what room another placer has. It counts as usable only if it
+    /// does not take what it owns from here.
+    fn take_room(&mut self, from: &Peer, report: &Report) {
+        if report.pools.is_empty() {
+            self.scheduler.others.remove(from);
+            return;
+        }
+        let spare =
+            |room: &RoomFigure| (room.service.clone(), room.free.saturating_sub(room.waiting));
+        let room = report.room.iter().map(spare).collect();
+        self.scheduler.others.insert(from.clone(), room);
+        self.scheduler.dirty = true;
+    }
+
+    pub(super) fn push(&mut self, to: &Peer, msg: JobMsg) {
+        self.channel(to).push(Msg::Job(msg));
+    }
+
+    fn channel(&mut self, peer: &Peer) -> &mut Channel {
+        self.channels.entry(peer.clone()).or_insert_with(|| Channel::new(peer.clone()))
+    }
+
+    /// An incarnation is known to have ended: what it was lent is taken back
+    /// when its workers' leases have run out, and its own jobs are stopped.
+    pub(super) fn peer_ended(&mut self, now: Time, peer: &Peer) {
+        self.note(Level::Info, "peer_ended", vec![("peer", peer.to_string())]);
+        self.channels.remove(peer);
+        self.scheduler.lose_front(now, peer);
+        self.scheduler.others.remove(peer);
+    }
+
+    /// Looks at every peer: asks for beats, makes dumb links anew, gives up
+    /// what depends on peers that cannot be heard.
+    pub(super) fn watch_members(&mut self, now: Time) {
+        let own = self.scheduler.owns();
+        let mut dumb = Vec::new();
+        for member in self.members.all_mut() {
+            if !own && !member.owns() {
+                continue;
+            }
+            let channel = self.channels.entry(member.peer.clone());
+            let channel = channel.or_insert_with(|| Channel::new(member.peer.clone()));
+            channel.beat_by(now.after_ms(BEAT_MS));
+            let quiet = member.echoed.after_ms(DUMB_MS) <= now
+                || member.heard.is_none_or(|at| at.after_ms(DUMB_MS) <= now);
+            if quiet && member.redialled.after_ms(REDIAL_MS) <= now {
+                member.redialled = now;
+                dumb.push(member.address.clone());
+            }
+        }
+        self.out.extend(dumb.into_iter().map(FleetEffect::Redial));
+        self.lose_silent(now);
+    }
+
+    /// Stops what runs for hosts that have not had our frames for a lease, and
+    /// takes back what was lent to hosts that must have stopped it.
+    fn lose_silent(&mut self, now: Time) {
+        let lease = self.setup.host_lease;
+        let sure = lease + self.setup.worker_lease + 100;
+        let fronts: Vec<Peer> = self.scheduler.fronts();
+        for peer in fronts {
+            let echoed = self.members.get(&peer).map(|member| member.echoed);
+            let lost = echoed.is_none_or(|at| at.after_ms(lease) <= now);
+            if lost && self.lost_fronts.insert(peer.clone()) {
+                self.note(Level::Info, "front_lost", vec![("peer", peer.to_string())]);
+            }
+            if lost {
+                self.scheduler.lose_front(now, &peer);
+            } else {
+                self.lost_fronts.remove(&peer);
+            }
+        }
+        let others: Vec<Peer> = self.scheduler.others.keys().cloned().collect();
+        for peer in others {
+            if !self.members.answers(now, &peer, LOST_MS) {
+                self.scheduler.others.remove(&peer);
+            }
+        }
+        for peer in self.scheduler.lenders() {
+            if !self.members.answers(now, &peer, sure) {
+                self.scheduler.lose_lender(now, &peer);
+            }
+        }
+        self.settle(now);
+    }
+
+    /// Sends what is due to every peer.
+    pub(super) fn send_frames(&mut self, now: Time) {
+        let wanting = self.channels.iter().filter(|(_, channel)| channel.wants_frame(now));
+        let peers: Vec<Peer> = wanting.map(|(peer, _)| peer.clone()).collect();
+        if peers.is_empty() {
+            return;
+        }
+        let report = self.current_report(now);
+        for peer in peers {
+            for _ in 0..MAX_FRAMES {
+                if !self.send_frame(now, &peer, &report) {
+                    break;
+                }
+            }
+        }
+    }
+
+    fn send_frame(&mut self, now: Time, peer: &Peer, report: &Arc<Report>) -> bool {
+        let Some(member) = self.members.get(peer) else { return false };
+        let Some(channel) = self.channels.get_mut(peer) else { return false };
+        let Some(mut frame) = channel.frame(now, &self.setup.me) else { return false };
+        frame.leaving = self.leaving;
+        frame.echo = member.theirs;
+        frame.report = Some(report.clone());
+        frame.revision = self.table.as_ref().map_or(0, |table| table.version);
+        let more = !frame.msgs.is_empty();
+        self.out.push(FleetEffect::Send { address: member.address.clone(), frame });
+        more
+    }
+
+    /// Returns what this host tells of itself.
+    fn current_report(&mut self, now: Time) -> Arc<Report> {
+        if self.report.0 > now {
+            return self.report.1.clone();
+        }
+        let me = &self.setup.me;
+        let owned = self.pools.by_zone.iter().filter(|(_, pool)| pool.owned_by(me));
+        let pools = owned.map(|(zone, pool)| (zone.clone(), pool.token())).collect();
+        let rooms = self.scheduler.rooms(now).into_iter();
+        let report = Report {
+            zone: self.setup.zone.clone(),
+            address: self.setup.address.clone(),
+            pools,
+            room: rooms
+                .map(|(service, (free, waiting))| RoomFigure { service, free, waiting })
+                .collect(),
+            pending: self.scheduler.pending().into_iter().collect(),
+        };
+        self.report = (now.after_ms(REPORT_MS), Arc::new(report));
+        self.report.1.clone()
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/fleet/mod.rs
@@ -0,0 +1,35 @@
+//! Jobs on workers that are driven by start, stop and hold under fencing
+//! tokens, with hosts that find each other in the store.
+
+mod claim;
+mod dispatch;
+mod drive;
+mod fleet;
+mod front;
+mod grudge;
+mod job;
+mod link;
+mod members;
+mod msg;
+mod outcome;
+mod pace;
+mod pools;
+mod queue;
+mod scheduler;
+mod serve;
+mod state;
+mod table;
+mod watchdog;
+mod worker;
+
+pub use drive::{Call as WorkerCall, due as worker_call_due};
+pub use fleet::{Fleet, FleetEffect, FleetEvent, FleetSetup};
+pub use job::{Job, JobEnd, Reason, Step};
+pub use members::HostEntry;
+pub use msg::{JobMsg, Report, RoomFigure};
+pub use pools::{HOST_KEYS, POOL_KEYS};
+pub use table::{Limits, Route, RouteTable, ServiceRule};
+pub use worker::{
+    CallFault, EndRow, Held, HoldOrder, RunEnd, RunRow, StartEnd, StartOrder, StopOrder,
+    WorkerEntry,
+};
--- /dev/null
+++ b/endivestile_kernel/src/fleet/msg.rs
@@ -0,0 +1,78 @@
+//! Messages between hosts that serve jobs.
+
+use std::sync::Arc;
+
+use endivestile_config::model::Name;
+use serde::{Deserialize, Serialize};
+
+use super::job::{Job, JobEnd};
+use crate::Time;
+
+/// A message about one job; `serial` is the asking host's number for it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobMsg {
+    /// Run this.
+    Submit {
+        /// Number.
+        serial: u64,
+        /// The job.
+        job: Arc<Job>,
+    },
+    /// Nobody waits for it any more; answered with [`Self::Ended`] once nothing of it runs.
+    Cancel {
+        /// Number.
+        serial: u64,
+    },
+    /// It ended, and nothing of it runs.
+    Ended {
+        /// Number.
+        serial: u64,
+        /// How.
+        end: JobEnd,
+    },
+}
+
+impl JobMsg {
+    /// Returns the bytes of work that the message carries.
+    pub(crate) fn payload(&self) -> usize {
+        match self {
+            Self::Submit { job, .. } => job.spec.len(),
+            _ => 0,
+        }
+    }
+
+    /// Moves every instant from a clock that reads `theirs` to one that reads `ours`.
+    pub(crate) fn rebase(&mut self, theirs: Time, ours: Time) {
+        match self {
+            Self::Submit { job, .. } => Arc::make_mut(job).rebase(theirs, ours),
+            Self::Ended { end, .. } => end.rebase(theirs, ours),
+            Self::Cancel { .. } => {}
+        }
+    }
+}
+
+/// Room of a host's workers for one service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoomFigure {
+    /// Service.
+    pub service: Name,
+    /// Usual tasks for which there is room now.
+    pub free: u32,
+    /// Tasks that wait.
+    pub waiting: u32,
+}
+
+/// What a host tells its peers of itself with every frame.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Report {
+    /// Availability zone.
+    pub zone: Name,
+    /// Address of its links.
+    pub address: Name,
+    /// Zones whose workers it owns, with the epochs.
+    pub pools: Vec<(Name, u64)>,
+    /// Room for each service.
+    pub room: Vec<RoomFigure>,
+    /// Jobs that wait with no task started, by route.
+    pub pending: Vec<(Name, u32)>,
+}
--- /dev/null
+++ b/endivestile_kernel/src/fleet/outcome.rs
@@ -0,0 +1,221 @@
+//! What follows when a run or a lent task ends.
+
+use endivestile_config::model::Name;
+
+use super::drive::{Over, Past, RunId, TaskRef};
+use super::job::{JobEnd, Reason};
+use super::scheduler::Scheduler;
+use super::state::TaskState;
+use super::worker::{CallFault, Held, RunEnd, StartEnd};
+use crate::{Level, Peer, Time};
+
+/// Runs that another placer may have used up on a task it gave back.
+const LENT_RUNS: u32 = 8;
+/// How far the next run is numbered above one that a worker refused as outrun.
+const RUN_JUMP: u32 = 64;
+
+impl Scheduler {
+    /// Takes in how a start ended.
+    pub(crate) fn started(&mut self, now: Time, worker: &Name, id: &RunId, end: StartEnd) {
+        if let StartEnd::Fault(fault) = end {
+            self.note_order(worker, id, fault.label());
+        }
+        let past = self.drives.get_mut(worker).and_then(|drive| drive.started(now, id, end));
+        self.take_past(now, worker, past.into_iter().collect());
+        if end == StartEnd::Fault(CallFault::Lost) {
+            self.unsure(now, worker, id);
+        }
+    }
+
+    /// Takes in how a stop ended.
+    pub(crate) fn stopped(
+        &mut self,
+        now: Time,
+        worker: &Name,
+        id: &RunId,
+        end: Result<u64, CallFault>,
+    ) {
+        if let Some(drive) = self.drives.get_mut(worker) {
+            drive.stopped(now, id, end);
+        }
+    }
+
+    /// Takes in the answer to a hold.
+    pub(crate) fn held(
+        &mut self,
+        now: Time,
+        worker: &Name,
+        number: u64,
+        end: Result<Held, CallFault>,
+    ) {
+        let Some(drive) = self.drives.get_mut(worker) else { return };
+        let usable = drive.usable(now);
+        let past = drive.held(now, number, end);
+        let changed = usable != drive.usable(now);
+        if changed || !past.is_empty() {
+            self.dirty = true;
+        }
+        self.take_past(now, worker, past);
+    }
+
+    /// Handles runs that are over.
+    pub(crate) fn take_past(&mut self, now: Time, worker: &Name, past: Vec<Past>) {
+        for past in past {
+            self.dirty = true;
+            let Some(task) = past.run.by else { continue };
+            if self.runs_as(task, &past.id) {
+                self.run_over(now, worker, task, &past);
+            }
+        }
+    }
+
+    fn runs_as(&self, task: TaskRef, id: &RunId) -> bool {
+        let slot = self.jobs.get(&task.job).and_then(|job| job.tasks.get(task.task as usize));
+        slot.is_some_and(
+            |slot| matches!(&slot.state, TaskState::Running { id: own, .. } if own == id),
+        )
+    }
+
+    fn run_over(&mut self, now: Time, worker: &Name, task: TaskRef, past: &Past) {
+        match past.over {
+            Over::Ended(RunEnd::Done) => self.task_done(now, worker, task, past),
+            Over::Ended(RunEnd::Failed) => self.task_failed(now, worker, task),
+            Over::Never(StartEnd::Outrun) => {
+                if let Some(state) = self.jobs.get_mut(&task.job) {
+                    state.tasks[task.task as usize].run += RUN_JUMP;
+                }
+                self.again(now, task);
+            }
+            Over::Never(StartEnd::Fault(CallFault::Unhealthy | CallFault::Refused)) => {
+                self.grudges.failed(now, worker);
+                self.again(now, task);
+            }
+            _ => {
+                self.grudges.inconclusive(worker);
+                self.again(now, task);
+            }
+        }
+    }
+
+    fn task_done(&mut self, now: Time, worker: &Name, task: TaskRef, past: &Past) {
+        self.grudges.did(worker);
+        let Some(state) = self.jobs.get_mut(&task.job) else { return };
+        let index = task.task as usize;
+        let estimate = state.step(index).estimate;
+        let took = now.since(past.run.sent).as_micros() as f64;
+        self.pace.learn(&state.job, estimate, worker, took);
+        self.end_task(now, task);
+    }
+
+    /// Notes that a task has ended well.
+    fn end_task(&mut self, now: Time, task: TaskRef) {
+        let Some(state) = self.jobs.get_mut(&task.job) else { return };
+        let index = task.task as usize;
+        let step = state.tasks[index].step;
+        state.tasks[index].state = TaskState::Done;
+        state.left[step] -= 1;
+        if state.ending.is_some() {
+            self.finish(now, task.job);
+        } else if state.done() {
+            self.close(now, task.job, JobEnd::Done, true);
+        } else if state.left[step] == 0 {
+            self.unblock(now, task.job);
+        }
+    }
+
+    /// Counts a failure against the task, unless its worker fails everything.
+    fn task_failed(&mut self, now: Time, worker: &Name, task: TaskRef) {
+        let blamed = self.grudges.failed(now, worker);
+        let Some(state) = self.jobs.get_mut(&task.job) else { return };
+        let slot = &mut state.tasks[task.task as usize];
+        slot.fails += 1;
+        let (fails, attempts) = (slot.fails, state.job.attempts.max(1));
+        let more = [
+            ("worker", worker.to_string()),
+            ("task", task.task.to_string()),
+            ("fails", fails.to_string()),
+            ("worker_out", blamed.to_string()),
+        ];
+        self.note_job(Level::Info, "task_failed", task.job, &more);
+        if fails >= attempts {
+            self.fail(now, task);
+        } else {
+            self.again(now, task);
+        }
+    }
+
+    fn fail(&mut self, now: Time, task: TaskRef) {
+        if let Some(state) = self.jobs.get_mut(&task.job) {
+            state.tasks[task.task as usize].state = TaskState::Blocked;
+        }
+        self.close(now, task.job, JobEnd::Failed(Reason::Attempts), true);
+    }
+
+    /// Queues a task again of which nothing runs any more, unless its job is closed.
+    pub(crate) fn again(&mut self, now: Time, task: TaskRef) {
+        let Some(state) = self.jobs.get_mut(&task.job) else { return };
+        state.tasks[task.task as usize].state = TaskState::Blocked;
+        if state.ending.is_some() {
+            self.finish(now, task.job);
+        } else {
+            self.enqueue(now, task);
+        }
+    }
+
+    /// A start got no answer. Its task waits until the run is known to be over.
+    fn unsure(&mut self, now: Time, worker: &Name, id: &RunId) {
+        if let Some(drive) = self.drives.get_mut(worker) {
+            drive.halt(now, id);
+        }
+    }
+
+    /// Takes in how a lent task ended.
+    pub(crate) fn lent_ended(&mut self, now: Time, from: &Peer, serial: u64, end: JobEnd) {
+        let Some((_, task)) = self.lent.remove(&serial) else { return };
+        let Some(state) = self.jobs.get_mut(&task.job) else { return };
+        let slot = &mut state.tasks[task.task as usize];
+        if slot.state != TaskState::Lent(serial) {
+            return;
+        }
+        slot.run += LENT_RUNS + slot.fails;
+        let service = state.job.service.clone();
+        match end {
+            JobEnd::Done => self.end_task(now, task),
+            JobEnd::Failed(_) => self.fail(now, task),
+            JobEnd::NotRun { .. } | JobEnd::Lost(_) => {
+                // It has no room after all: until its next report nothing more
+                // is sent there.
+                if let Some(free) = self.others.get_mut(from).and_then(|r| r.get_mut(&service)) {
+                    *free = 0;
+                }
+                self.again(now, task);
+            }
+        }
+    }
+
+    /// Takes back what was lent to a host that has surely stopped it by now.
+    pub(crate) fn lose_lender(&mut self, now: Time, peer: &Peer) {
+        self.others.remove(peer);
+        let of = |(serial, (at, _)): (&u64, &(Peer, TaskRef))| (at == peer).then_some(*serial);
+        let serials: Vec<u64> = self.lent.iter().filter_map(of).collect();
+        for serial in serials {
+            let retry = now;
+            let end = JobEnd::NotRun { reason: Reason::PlacerLost, retry };
+            self.lent_ended(now, peer, serial, end);
+        }
+    }
+
+    fn note_order(&mut self, worker: &Name, id: &RunId, fault: &str) {
+        let note = crate::Note {
+            level: Level::Info,
+            event: "start_failed",
+            id: Some(id.task.clone()),
+            pairs: vec![
+                ("run", id.run.to_string()),
+                ("worker", worker.to_string()),
+                ("fault", fault.to_owned()),
+            ],
+        };
+        self.out.push(super::scheduler::Out::Log(note));
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/fleet/pace.rs
@@ -0,0 +1,107 @@
+//! How long tasks take, and how fast workers are, as learnt from ends.
+
+use std::collections::HashMap;
+
+use endivestile_config::model::Name;
+
+use super::job::Job;
+use crate::Time;
+
+/// Weight of one task's duration in the mean of its route: some thirty tasks
+/// count, a second or less of traffic.
+const ROUTE_WEIGHT: f64 = 0.03;
+/// Weight of one task's duration in the speed of its worker: some eight tasks
+/// count, so that a worker that has turned slow is known after a second.
+const SPEED_WEIGHT: f64 = 0.12;
+/// Tasks of a route before its mean says more than the callers' estimates.
+const ENOUGH: u32 = 10;
+/// Longest factor that one task moves a mean by, as a logarithm: a task that
+/// stood still says little of the next.
+const STEP: f64 = 1.6;
+/// Part of a worker's slowness that is forgiven each second: without it a
+/// worker that nobody uses would count as slow for ever.
+const FORGIVEN: f64 = 0.05;
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Mean {
+    ln: f64,
+    count: u32,
+}
+
+impl Mean {
+    fn learn(&mut self, ln: f64, weight: f64) {
+        self.count = self.count.saturating_add(1);
+        let weight = weight.max(1.0 / f64::from(self.count));
+        self.ln += weight * (ln - self.ln).clamp(-STEP, STEP);
+    }
+}
+
+/// Durations by route and speeds by worker.
+#[derive(Debug, Default)]
+pub(crate) struct Pace {
+    /// Logarithm of the true duration at speed 1 over the declared one.
+    declared: HashMap<Name, Mean>,
+    /// Logarithm of the duration at speed 1, in microseconds.
+    routes: HashMap<Name, Mean>,
+    /// Logarithm of the speed.
+    speeds: HashMap<Name, Mean>,
+    forgiven: Time,
+}
+
+impl Pace {
+    /// Returns the expected duration of a task at speed 1, in microseconds.
+    ///
+    /// Estimates of callers and the mean of the route scatter about as much
+    /// around the truth, so the middle of both scatters less than either.
+    pub(crate) fn task_us(&self, job: &Job, estimate_ms: u32) -> f64 {
+        let declared = f64::from(estimate_ms.max(1)) * 1_000.0;
+        let bias = self.declared.get(&job.route).map_or(0.0, |mean| mean.ln);
+        let told = declared.ln() + bias;
+        match self.routes.get(&job.route).filter(|mean| mean.count >= ENOUGH) {
+            Some(mean) => f64::midpoint(told, mean.ln).exp(),
+            None => told.exp(),
+        }
+    }
+
+    /// Returns the speed of a worker, 1 for one of which nothing is known.
+    pub(crate) fn speed(&self, worker: &str) -> f64 {
+        self.speeds.get(worker).map_or(1.0, |mean| mean.ln.exp())
+    }
+
+    /// Takes in the duration of a task that ended well.
+    pub(crate) fn learn(&mut self, job: &Job, estimate_ms: u32, worker: &Name, took_us: f64) {
+        let took = took_us.max(1_000.0).ln();
+        let expected = self.task_us(job, estimate_ms).ln();
+        let speed = self.speeds.entry(worker.clone()).or_default();
+        let known = if speed.count > 0 { speed.ln } else { 0.0 };
+        speed.learn(expected - took, SPEED_WEIGHT);
+        let base = took + known;
+        self.routes.entry(job.route.clone()).or_default().learn(base, ROUTE_WEIGHT);
+        let declared = (f64::from(estimate_ms.max(1)) * 1_000.0).ln();
+        self.declared.entry(job.route.clone()).or_default().learn(base - declared, ROUTE_WEIGHT);
+    }
+
+    /// Takes in that a worker does a task this many times slower than expected.
+    pub(crate) fn slowed(&mut self, worker: &Name, factor: f64) {
+        let speed = self.speeds.entry(worker.clone()).or_default();
+        let ln = -factor.max(1.0).ln();
+        speed.ln = speed.ln.min(ln.max(-2.0 * STEP));
+        speed.count = speed.count.max(1);
+    }
+
+    /// Forgives slowness as time passes.
+    pub(crate) fn tick(&mut self, now: Time) {
+        if self.forgiven.after_ms(1_000) > now {
+            return;
+        }
+        self.forgiven = now;
+        for mean in self.speeds.values_mut().filter(|mean| mean.ln < 0.0) {
+            mean.ln *= 1.0 - FORGIVEN;
+        }
+    }
+
+    /// Forgets workers that are gone.
+    pub(crate) fn retain(&mut self, known: impl Fn(&Name) -> bool) {
+        self.speeds.retain(|worker, _| known(worker));
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/fleet/pools.rs
@@ -0,0 +1,170 @@
+//! Who owns the workers of a zone.
+//!
+//! The owner stands in a record of the store that is changed only under the
+//! condition of its revision. The record carries no lease: the store may drop
+//! leases unseen, and an owner that cannot reach the store must go on serving.
+//! Each change raises the epoch, and the epoch is the high part of the fencing
+//! token; so a former owner's orders are refused by every worker that a later
+//! one has spoken to.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use endivestile_config::model::Name;
+use serde::{Deserialize, Serialize};
+
+use crate::{Peer, Stored, Time};
+
+/// Prefix of the records' keys.
+pub const POOL_KEYS: &str = "endivestile/pools/";
+/// Prefix of the keys of hosts' registrations.
+pub const HOST_KEYS: &str = "endivestile/hosts/";
+/// Bits of the fencing token below the epoch.
+const EPOCH_SHIFT: u32 = 20;
+/// Pause before a change of a record is tried again that got no answer, in milliseconds.
+const SWAP_RETRY_MS: u64 = 400;
+
+/// Record of a pool in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct PoolRecord {
+    /// The owner.
+    pub(crate) owner: Peer,
+    /// Grows with every change.
+    pub(crate) epoch: u64,
+}
+
+/// A change of a record on its way.
+#[derive(Debug, Clone)]
+struct Swap {
+    token: u64,
+    record: PoolRecord,
+    due: Time,
+}
+
+/// What is known of one pool.
+#[derive(Debug, Default)]
+pub(crate) struct Pool {
+    /// Revision of the record, 0 for none.
+    pub(crate) revision: u64,
+    /// The record.
+    pub(crate) record: Option<PoolRecord>,
+    /// Since when its owner is looked for in vain.
+    pub(crate) vacant: Option<Time>,
+    /// A worker showed a higher token than that of the record.
+    pub(crate) deposed: bool,
+    /// When this host began to hand it on, and to whom.
+    pub(crate) yielding: Option<(Time, Peer)>,
+    swap: Option<Swap>,
+}
+
+impl Pool {
+    /// Returns whether a peer owns it.
+    pub(crate) fn owned_by(&self, peer: &Peer) -> bool {
+        !self.deposed && self.record.as_ref().is_some_and(|record| record.owner == *peer)
+    }
+
+    /// Returns the fencing token of the record's epoch.
+    pub(crate) fn token(&self) -> u64 {
+        self.record.as_ref().map_or(0, |record| record.epoch << EPOCH_SHIFT)
+    }
+
+    /// Returns whether a change of the record is on its way.
+    pub(crate) fn changing(&self, now: Time) -> bool {
+        self.swap.as_ref().is_some_and(|swap| swap.due > now)
+    }
+}
+
+/// A change of a record to be made in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Change {
+    /// Number of the call.
+    pub(crate) token: u64,
+    /// Zone of the pool.
+    pub(crate) zone: Name,
+    /// Revision on which it depends.
+    pub(crate) revision: u64,
+    /// The new record.
+    pub(crate) value: Bytes,
+}
+
+/// All pools, by zone.
+#[derive(Debug, Default)]
+pub(crate) struct Pools {
+    /// Pools.
+    pub(crate) by_zone: BTreeMap<Name, Pool>,
+    token: u64,
+}
+
+impl Pools {
+    /// Takes in a record as the store has it; returns whether that is news.
+    pub(crate) fn record(
+        &mut self,
+        zone: &Name,
+        revision: u64,
+        value: &[u8],
+    ) -> Result<bool, serde_json::Error> {
+        let pool = self.by_zone.entry(zone.clone()).or_default();
+        if revision <= pool.revision {
+            return Ok(false);
+        }
+        pool.revision = revision;
+        let record: Option<PoolRecord> =
+            if value.is_empty() { None } else { Some(serde_json::from_slice(value)?) };
+        let changed = record != pool.record;
+        if changed {
+            pool.vacant = None;
+            pool.deposed = false;
+            pool.yielding = None;
+        }
+        pool.record = record;
+        Ok(changed)
+    }
+
+    /// Starts a change that makes `owner` the owner of a zone's workers.
+    pub(crate) fn change(&mut self, now: Time, zone: &Name, owner: &Peer) -> Option<Change> {
+        let pool = self.by_zone.get_mut(zone)?;
+        self.token += 1;
+        let epoch = pool.record.as_ref().map_or(0, |record| record.epoch) + 1;
+        let record = PoolRecord { owner: owner.clone(), epoch };
+        let value = serde_json::to_vec(&record).ok()?;
+        pool.swap = Some(Swap { token: self.token, record, due: now.after_ms(SWAP_RETRY_MS) });
+        let revision = pool.revision;
+        Some(Change { token: self.token, zone: zone.clone(), revision, value: value.into() })
+    }
+
+    /// Takes in how a change ended; returns the zone and whether it took effect.
+    ///
+    /// A change without an answer may have taken effect or may yet do so. The
+    /// store's record tells in time: a record that names an incarnation makes it
+    /// the owner, however it came to stand there.
+    pub(crate) fn stored(&mut self, token: u64, stored: &Stored) -> Option<(Name, bool)> {
+        let found = self
+            .by_zone
+            .iter_mut()
+            .find(|(_, pool)| pool.swap.as_ref().is_some_and(|swap| swap.token == token));
+        let (zone, pool) = found?;
+        let swap = pool.swap.take()?;
+        match stored {
+            Stored::Swapped(revision) if *revision > pool.revision => {
+                pool.revision = *revision;
+                pool.record = Some(swap.record);
+                pool.vacant = None;
+                pool.deposed = false;
+                pool.yielding = None;
+                Some((zone.clone(), true))
+            }
+            // The next try waits for its due time; the watch brings the record.
+            Stored::Lost => {
+                pool.swap = Some(swap);
+                Some((zone.clone(), false))
+            }
+            _ => Some((zone.clone(), false)),
+        }
+    }
+
+    /// Returns the owner of a zone's workers by the store's record.
+    pub(crate) fn owner(&self, zone: &str) -> Option<&Peer> {
+        let pool = self.by_zone.get(zone)?;
+        pool.record.as_ref().map(|record| &record.owner)
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/fleet/queue.rs
@@ -0,0 +1,56 @@
+//! Tasks that wait for room, in the order in which they are served.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+
+use super::drive::TaskRef;
+use crate::Time;
+
+/// Place of a task in the queue; the lowest goes first.
+///
+/// A job that can still be served well goes before one that cannot: under
+/// load, serving the late ones first makes every job late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Key {
+    /// Whether its job can no longer be served well.
+    pub(crate) late: bool,
+    /// Among these, the job that comes first: by the instant at which it has
+    /// to start, or by priority and arrival once it is late.
+    pub(crate) rank: (u32, Time),
+    /// Among equals, the one that came first.
+    pub(crate) seq: u64,
+}
+
+/// Queue of one service.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    tasks: BTreeMap<Key, TaskRef>,
+    seq: u64,
+}
+
+impl Queue {
+    /// Queues a task; returns its place.
+    pub(crate) fn push(&mut self, late: bool, rank: (u32, Time), task: TaskRef) -> Key {
+        self.seq += 1;
+        let key = Key { late, rank, seq: self.seq };
+        self.tasks.insert(key, task);
+        key
+    }
+
+    /// Takes a task out.
+    pub(crate) fn remove(&mut self, key: &Key) {
+        self.tasks.remove(key);
+    }
+
+    /// Returns the first task behind a place, or the first of all.
+    pub(crate) fn after(&self, key: Option<Key>) -> Option<(Key, TaskRef)> {
+        let from = key.map_or(Bound::Unbounded, Bound::Excluded);
+        let first = self.tasks.range((from, Bound::Unbounded)).next();
+        first.map(|(key, task)| (*key, *task))
+    }
+
+    /// Returns how many tasks wait.
+    pub(crate) fn len(&self) -> usize {
+        self.tasks.len()
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/fleet/scheduler.rs
@@ -0,0 +1,441 @@
+//! The tasks and workers of one placer.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+use endivestile_config::model::Name;
+
+use super::drive::{Call, Drive, TaskRef};
+use super::grudge::Grudges;
+use super::job::{Job, JobEnd, Reason};
+use super::msg::JobMsg;
+use super::pace::Pace;
+use super::queue::Queue;
+use super::state::{JobState, TaskState};
+use super::worker::WorkerEntry;
+use crate::{Level, Need, Note, Peer, Time};
+
+/// Reserve before a caller's deadline within which the answer has to reach the
+/// caller, in milliseconds.
+const ANSWER_MS: u64 = 20;
+/// Weight of one task in the mean of what tasks take.
+const NEED_WEIGHT: f64 = 0.05;
+
+/// What a scheduler wants done.
+#[derive(Debug)]
+pub(crate) enum Out {
+    /// Call a worker.
+    Call(Call),
+    /// Tell a host about a job.
+    Tell(Peer, JobMsg),
+    /// Write a log line.
+    Log(Note),
+}
+
+/// Room of another placer's workers, by its last word less what was lent since.
+pub(crate) type OtherRoom = BTreeMap<Name, u32>;
+
+/// Places the tasks of jobs on the workers of the pools that this host owns.
+#[derive(Debug)]
+pub(crate) struct Scheduler {
+    pub(crate) me: Peer,
+    pub(crate) lease_ms: u64,
+    pub(crate) drives: BTreeMap<Name, Drive>,
+    pub(crate) jobs: BTreeMap<u64, JobState>,
+    pub(crate) origins: HashMap<(Peer, u64), u64>,
+    pub(crate) names: HashMap<Name, u64>,
+    pub(crate) deadlines: BTreeSet<(Time, u64)>,
+    pub(crate) queues: BTreeMap<Name, Queue>,
+    pub(crate) others: BTreeMap<Peer, OtherRoom>,
+    pub(crate) lent: HashMap<u64, (Peer, TaskRef)>,
+    pub(crate) pace: Pace,
+    pub(crate) grudges: Grudges,
+    pub(crate) usual: HashMap<Name, f64>,
+    pub(crate) dirty: bool,
+    pub(crate) out: Vec<Out>,
+    next_job: u64,
+    next_lent: u64,
+}
+
+impl Scheduler {
+    /// Starts without workers.
+    pub(crate) fn new(me: Peer, lease_ms: u64) -> Self {
+        Self {
+            me,
+            lease_ms,
+            drives: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            origins: HashMap::new(),
+            names: HashMap::new(),
+            deadlines: BTreeSet::new(),
+            queues: BTreeMap::new(),
+            others: BTreeMap::new(),
+            lent: HashMap::new(),
+            pace: Pace::default(),
+            grudges: Grudges::default(),
+            usual: HashMap::new(),
+            dirty: false,
+            out: Vec::new(),
+            next_job: 0,
+            // Numbers of lent tasks never meet those of a front on the same host.
+            next_lent: 1 << 63,
+        }
+    }
+
+    /// Takes a job in.
+    pub(crate) fn submit(&mut self, now: Time, from: &Peer, serial: u64, job: Arc<Job>) {
+        let origin = (from.clone(), serial);
+        if self.origins.contains_key(&origin) {
+            return;
+        }
+        if let Some(reason) = self.refusal(now, &job) {
+            let end = JobEnd::NotRun { reason, retry: now.after_ms(1_000) };
+            self.tell(from, serial, end);
+            return;
+        }
+        let number = self.next_job;
+        self.next_job += 1;
+        let objective = self.objective(&job);
+        self.learn_need(&job);
+        let name = job_name(&job);
+        // A caller that lost its answer sends the job again, also to another
+        // host. The earlier one is stopped first: two runs of one task at a
+        // time would do its work twice at once.
+        let earlier = self.names.insert(name, number);
+        self.origins.insert(origin, number);
+        self.deadlines.insert((job.deadline, number));
+        let state = JobState::new(now, from.clone(), serial, job, objective);
+        self.jobs.insert(number, state);
+        match earlier.filter(|earlier| self.jobs.contains_key(earlier)) {
+            Some(earlier) => {
+                self.note_job(Level::Info, "job_again", number, &[("before", earlier.to_string())]);
+                self.close(now, earlier, JobEnd::Lost(Reason::Cancelled), false);
+            }
+            None => self.unblock(now, number),
+        }
+    }
+
+    /// Returns why a job cannot be served.
+    fn refusal(&self, now: Time, job: &Job) -> Option<Reason> {
+        if !self.owns() {
+            return Some(Reason::NoPlacer);
+        }
+        if job.deadline <= now.after_ms(ANSWER_MS) {
+            return Some(Reason::Deadline);
+        }
+        let fits = |step: &super::job::Step| {
+            self.drives.values().any(|drive| {
+                drive.entry.service == job.service
+                    && holds(&drive.entry.room, &step.need)
+                    && carries(&drive.entry, step.label.as_ref())
+            })
+        };
+        (!job.steps.iter().all(fits)).then_some(Reason::NoWorker)
+    }
+
+    /// Returns until when a job's caller is served well.
+    fn objective(&self, job: &Job) -> Time {
+        let chain_us = self.chain_us(job);
+        let stretched = chain_us * f64::from(job.stretch) / 1_000.0;
+        job.arrived.after_ms(u64::from(job.allowance)).after_us(stretched as u64)
+    }
+
+    /// Returns the expected duration of the longest chain of steps, in microseconds.
+    fn chain_us(&self, job: &Job) -> f64 {
+        let mut ends: Vec<f64> = Vec::with_capacity(job.steps.len());
+        for step in &job.steps {
+            let before = step.after.iter().filter_map(|at| ends.get(usize::from(*at)));
+            let start = before.copied().fold(0.0, f64::max);
+            ends.push(start + self.pace.task_us(job, step.estimate));
+        }
+        ends.into_iter().fold(0.0, f64::max)
+    }
+
+    fn learn_need(&mut self, job: &Job) {
+        let Some(step) = job.steps.first() else { return };
+        let cpu = f64::from(step.need.cpu_milli.max(1));
+        let usual = self.usual.entry(job.service.clone()).or_insert(cpu);
+        *usual += NEED_WEIGHT * (cpu - *usual);
+    }
+
+    /// Takes in that nobody waits for a job any more.
+    pub(crate) fn cancel(&mut self, now: Time, from: &Peer, serial: u64) {
+        if let Some(&number) = self.origins.get(&(from.clone(), serial)) {
+            self.close(now, number, JobEnd::Lost(Reason::Cancelled), false);
+        } else {
+            // Its end crossed the cancelling; the asking host may wait for this.
+            self.tell(from, serial, JobEnd::Lost(Reason::Cancelled));
+        }
+    }
+
+    /// Stops all jobs of a host that cannot be heard any more: whoever waited
+    /// there sends them again elsewhere, and they must not run twice at once.
+    pub(crate) fn lose_front(&mut self, now: Time, from: &Peer) {
+        let of = |(number, state): (&u64, &JobState)| (state.from == *from).then_some(*number);
+        let numbers: Vec<u64> = self.jobs.iter().filter_map(of).collect();
+        for number in numbers {
+            self.close(now, number, JobEnd::Lost(Reason::PlacerLost), false);
+        }
+    }
+
+    /// Ends all jobs because this host has lost its workers: their hosts place
+    /// them anew as soon as nothing of them runs here.
+    pub(crate) fn give_up(&mut self, now: Time) {
+        let numbers: Vec<u64> = self.jobs.keys().copied().collect();
+        for number in numbers {
+            self.close(now, number, JobEnd::Lost(Reason::PlacerLost), false);
+        }
+    }
+
+    /// Ends a job: what waits is dropped, what runs is stopped. With `at_once` its host
+    /// is told now, otherwise once nothing of it runs any more.
+    pub(crate) fn close(&mut self, now: Time, number: u64, end: JobEnd, at_once: bool) {
+        let Some(state) = self.jobs.get_mut(&number) else { return };
+        if state.ending.is_none() {
+            let started = state.started.is_some();
+            state.ending = Some(end);
+            self.stop_tasks(now, number);
+            self.note_end(now, number, end, started);
+        }
+        let Some(state) = self.jobs.get_mut(&number) else { return };
+        if at_once && !state.told {
+            state.told = true;
+            let (from, serial) = (state.from.clone(), state.serial);
+            self.tell(&from, serial, end);
+        }
+        self.finish(now, number);
+    }
+
+    fn stop_tasks(&mut self, now: Time, number: u64) {
+        let Some(state) = self.jobs.get_mut(&number) else { return };
+        let mut cancels = Vec::new();
+        for slot in &mut state.tasks {
+            match &slot.state {
+                TaskState::Waiting(key) => {
+                    if let Some(queue) = self.queues.get_mut(&state.job.service) {
+                        queue.remove(key);
+                    }
+                    slot.state = TaskState::Blocked;
+                }
+                TaskState::Running { worker, id } => {
+                    if let Some(drive) = self.drives.get_mut(worker) {
+                        drive.halt(now, id);
+                    }
+                }
+                TaskState::Lent(serial) => cancels.push(*serial),
+                TaskState::Blocked | TaskState::Done => {}
+            }
+        }
+        for serial in cancels {
+            if let Some((peer, _)) = self.lent.get(&serial) {
+                self.out.push(Out::Tell(peer.clone(), JobMsg::Cancel { serial }));
+            }
+        }
+    }
+
+    /// Forgets a job that has ended and of which nothing runs.
+    pub(crate) fn finish(&mut self, now: Time, number: u64) {
+        let Some(state) = self.jobs.get(&number) else { return };
+        let Some(end) = state.ending.filter(|_| !state.busy()) else { return };
+        let Some(state) = self.jobs.remove(&number) else { return };
+        self.deadlines.remove(&(state.job.deadline, number));
+        self.origins.remove(&(state.from.clone(), state.serial));
+        if !state.told {
+            self.tell(&state.from, state.serial, end);
+        }
+        let name = job_name(&state.job);
+        match self.names.get(&name) {
+            Some(latest) if *latest == number => {
+                self.names.remove(&name);
+            }
+            // A later job of the same id waited for this one.
+            Some(latest) => {
+                let latest = *latest;
+                self.unblock(now, latest);
+            }
+            None => {}
+        }
+    }
+
+    /// Queues the tasks whose earlier steps have ended.
+    pub(crate) fn unblock(&mut self, now: Time, number: u64) {
+        let Some(state) = self.jobs.get(&number) else { return };
+        for task in state.unblocked() {
+            self.enqueue(now, TaskRef { job: number, task: task as u32 });
+        }
+    }
+
+    /// Queues a task.
+    pub(crate) fn enqueue(&mut self, now: Time, task: TaskRef) {
+        let Some(state) = self.jobs.get(&task.job) else { return };
+        let (late, rank) = self.rank(now, state, task.task as usize);
+        let service = state.job.service.clone();
+        let key = self.queues.entry(service).or_default().push(late, rank, task);
+        if let Some(state) = self.jobs.get_mut(&task.job) {
+            state.tasks[task.task as usize].state = TaskState::Waiting(key);
+        }
+        self.dirty = true;
+    }
+
+    /// Returns whether a task can no longer make its objective, and its rank.
+    pub(crate) fn rank(&self, now: Time, state: &JobState, task: usize) -> (bool, (u32, Time)) {
+        let step = state.step(task);
+        let run_us = self.pace.task_us(&state.job, step.estimate) as u64;
+        let late = now.after_us(run_us) > state.objective;
+        if late {
+            return (true, (state.job.priority, state.job.arrived));
+        }
+        let latest = state.objective.as_micros().saturating_sub(run_us);
+        (false, (0, Time::from_micros(latest)))
+    }
+
+    /// Returns the room for usual tasks by service, and what waits.
+    pub(crate) fn rooms(&self, now: Time) -> BTreeMap<Name, (u32, u32)> {
+        let mut rooms: BTreeMap<Name, (u32, u32)> = BTreeMap::new();
+        for drive in self.drives.values().filter(|drive| drive.usable(now)) {
+            let service = &drive.entry.service;
+            let usual = self.usual.get(service).copied().unwrap_or(1_000.0).max(1.0);
+            let places = (f64::from(drive.free().cpu_milli) / usual) as u32;
+            let room = rooms.entry(service.clone()).or_default();
+            if self.grudges.allows(now, &drive.entry.id) {
+                room.0 += places;
+            }
+        }
+        for (service, queue) in &self.queues {
+            rooms.entry(service.clone()).or_default().1 = queue.len() as u32;
+        }
+        rooms
+    }
+
+    /// Returns how many jobs of each route wait with no task started.
+    pub(crate) fn pending(&self) -> BTreeMap<Name, u32> {
+        let mut pending: BTreeMap<Name, u32> = BTreeMap::new();
+        let waiting = |state: &&JobState| {
+            state.started.is_none() && state.ending.is_none() && !state.job.lent
+        };
+        for state in self.jobs.values().filter(waiting) {
+            *pending.entry(state.job.route.clone()).or_default() += 1;
+        }
+        pending
+    }
+
+    /// Returns the number of the next task that is lent.
+    pub(crate) fn lent_number(&mut self) -> u64 {
+        self.next_lent += 1;
+        self.next_lent
+    }
+
+    /// Tells a host how its job ended.
+    pub(crate) fn tell(&mut self, to: &Peer, serial: u64, end: JobEnd) {
+        self.out.push(Out::Tell(to.clone(), JobMsg::Ended { serial, end }));
+    }
+
+    /// Writes a line about a job.
+    pub(crate) fn note_job(
+        &mut self,
+        level: Level,
+        event: &'static str,
+        number: u64,
+        more: &[(&'static str, String)],
+    ) {
+        let Some(state) = self.jobs.get(&number) else { return };
+        let mut pairs = vec![("front", state.from.to_string())];
+        pairs.extend(more.iter().cloned());
+        let id = Some(state.job.id.clone());
+        self.out.push(Out::Log(Note { level, event, id, pairs }));
+    }
+
+    fn note_end(&mut self, now: Time, number: u64, end: JobEnd, started: bool) {
+        let Some(state) = self.jobs.get(&number) else { return };
+        let waited = state.started.unwrap_or(now).since(state.came).as_millis();
+        let more = [
+            ("end", end.label().to_owned()),
+            ("reason", end.reason().map_or("", Reason::label).to_owned()),
+            ("started", started.to_string()),
+            ("starts", state.starts.to_string()),
+            ("waited_ms", waited.to_string()),
+            ("ms", now.since(state.came).as_millis().to_string()),
+        ];
+        let level = if end == JobEnd::Done { Level::Debug } else { Level::Info };
+        self.note_job(level, "placed_job_ended", number, &more);
+    }
+
+    /// Takes over the listed workers of the zones that this host owns, each
+    /// with its token. Workers of other zones are let go; jobs are given back
+    /// when none is left.
+    pub(crate) fn set_workers(
+        &mut self,
+        now: Time,
+        workers: &[(WorkerEntry, u64)],
+        zones: &BTreeSet<Name>,
+    ) {
+        let known: BTreeSet<&Name> = workers.iter().map(|(entry, _)| &entry.id).collect();
+        for drive in self.drives.values_mut() {
+            drive.listed = known.contains(&drive.entry.id);
+            drive.abandoned = !zones.contains(&drive.entry.zone);
+        }
+        for (entry, token) in workers {
+            self.set_worker(now, entry, *token);
+        }
+        self.dirty = true;
+        if self.drives.values().all(|drive| drive.abandoned) && !self.jobs.is_empty() {
+            self.give_up(now);
+        }
+    }
+
+    /// Returns whether this host owns workers.
+    pub(crate) fn owns(&self) -> bool {
+        self.drives.values().any(|drive| !drive.abandoned)
+    }
+
+    /// Returns the zones of which a worker refused our token.
+    pub(crate) fn fenced_zones(&self) -> BTreeSet<Name> {
+        let fenced = self.drives.values().filter(|drive| drive.fenced() && !drive.abandoned);
+        fenced.map(|drive| drive.entry.zone.clone()).collect()
+    }
+
+    /// Returns the other hosts for which jobs are held.
+    pub(crate) fn fronts(&self) -> Vec<Peer> {
+        let others = self.jobs.values().filter(|state| state.from != self.me);
+        let peers: BTreeSet<&Peer> = others.map(|state| &state.from).collect();
+        peers.into_iter().cloned().collect()
+    }
+
+    /// Returns the hosts to which tasks are lent.
+    pub(crate) fn lenders(&self) -> Vec<Peer> {
+        let peers: BTreeSet<&Peer> = self.lent.values().map(|(peer, _)| peer).collect();
+        peers.into_iter().cloned().collect()
+    }
+
+    fn set_worker(&mut self, now: Time, entry: &WorkerEntry, token: u64) {
+        if let Some(drive) = self.drives.get_mut(&entry.id) {
+            drive.entry = entry.clone();
+            if drive.token() != token {
+                drive.renew(now, token);
+            }
+            return;
+        }
+        let drive = Drive::new(now, entry.clone(), token, self.lease_ms);
+        self.drives.insert(entry.id.clone(), drive);
+    }
+}
+
+/// Returns whether `room` holds `need`.
+pub(crate) fn holds(room: &Need, need: &Need) -> bool {
+    room.cpu_milli >= need.cpu_milli
+        && room.memory_mb >= need.memory_mb
+        && room.accelerators >= need.accelerators
+}
+
+/// Returns whether a worker carries a label.
+pub(crate) fn carries(entry: &WorkerEntry, label: Option<&Name>) -> bool {
+    label.is_none_or(|label| entry.labels.contains(label))
+}
+
+/// Returns what tells a job, or a task passed on alone, from all others.
+fn job_name(job: &Job) -> Name {
+    match job.steps.first().filter(|_| job.lent) {
+        Some(step) => Name::from(format!("{}.{}.{}", job.id, step.number, step.first)),
+        None => job.id.clone(),
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/fleet/serve.rs
@@ -0,0 +1,202 @@
+//! Callers' jobs on their way to a placer and back.
+
+use std::sync::Arc;
+
+use super::fleet::{Fleet, FleetEffect};
+use super::front::placeable;
+use super::job::{Job, JobEnd, Reason};
+use super::msg::JobMsg;
+use crate::{CallId, Level, Note, Peer, Time};
+
+/// Silence after which a placer counts as lost, in milliseconds: five frames.
+pub(crate) const LOST_MS: u64 = 600;
+/// Reserve over a host's lease before its tasks surely are stopped, in
+/// milliseconds: the way of the stops.
+const STOP_RESERVE_MS: u64 = 80;
+/// When to come back after a refusal that no better time is known for, in milliseconds.
+const RETRY_MS: u64 = 1_000;
+
+impl Fleet {
+    pub(super) fn call(&mut self, now: Time, call: CallId, job: Job) {
+        let serial = self.front.add(now, call, job);
+        self.place(now, serial);
+    }
+
+    /// Sends a job to a placer if one is in reach; otherwise it waits.
+    fn place(&mut self, now: Time, serial: u64) {
+        let Some(to) = self.placer(now) else { return };
+        let Some((serial, job)) = self.front.send(now, serial, &to) else { return };
+        self.note_sent(&job, &to, serial);
+        self.tell(now, &to, JobMsg::Submit { serial, job });
+    }
+
+    /// Returns the placer for a new job: the owner of this zone's workers, or
+    /// else any other that answers, with the most room first.
+    fn placer(&self, now: Time) -> Option<Peer> {
+        let own = self.pools.owner(&self.setup.zone);
+        let answers = |peer: &&Peer| {
+            if **peer == self.setup.me {
+                self.scheduler.owns() && !self.leaving
+            } else {
+                let member = self.members.get(peer);
+                member.is_some_and(|member| member.answers(now, LOST_MS) && member.owns())
+            }
+        };
+        if let Some(owner) = own.filter(answers) {
+            return Some(owner.clone());
+        }
+        let others = self
+            .members
+            .all()
+            .filter(|member| member.owns() && !member.leaving && member.answers(now, LOST_MS));
+        let room = |free: &[super::msg::RoomFigure]| free.iter().map(|room| room.free).sum::<u32>();
+        let best = others.max_by_key(|member| room(&member.report.room));
+        best.map(|member| member.peer.clone())
+    }
+
+    pub(super) fn hangup(&mut self, now: Time, call: CallId) {
+        let Some(serial) = self.front.serial(call) else { return };
+        let Some(open) = self.front.end(serial) else { return };
+        self.note_job("caller_left", &open.job, &[("ms", ms(now, open.job.arrived))]);
+        if let Some(to) = open.to {
+            self.tell(now, &to, JobMsg::Cancel { serial });
+        }
+        self.settle(now);
+    }
+
+    /// Takes in a message about a job.
+    pub(super) fn message(&mut self, now: Time, from: &Peer, msg: JobMsg) {
+        match msg {
+            JobMsg::Submit { serial, job } => {
+                let refused = self.leaving && *from != self.setup.me;
+                if refused {
+                    let reason = Reason::NoPlacer;
+                    let end = JobEnd::NotRun { reason, retry: now.after_ms(RETRY_MS) };
+                    self.tell(now, from, JobMsg::Ended { serial, end });
+                } else {
+                    self.scheduler.submit(now, from, serial, job);
+                }
+            }
+            JobMsg::Cancel { serial } => self.scheduler.cancel(now, from, serial),
+            JobMsg::Ended { serial, end } => {
+                if self.front.open.contains_key(&serial) {
+                    self.job_ended(now, serial, end);
+                } else {
+                    self.scheduler.lent_ended(now, from, serial, end);
+                }
+            }
+        }
+    }
+
+    fn job_ended(&mut self, now: Time, serial: u64, end: JobEnd) {
+        if placeable(&end) {
+            self.front.unplace(now, serial);
+            return;
+        }
+        self.answer(now, serial, end);
+    }
+
+    fn answer(&mut self, now: Time, serial: u64, end: JobEnd) {
+        let Some(open) = self.front.end(serial) else { return };
+        let more = [
+            ("end", end.label().to_owned()),
+            ("reason", end.reason().map_or("", Reason::label).to_owned()),
+            ("route", open.job.route.to_string()),
+            ("placer", open.to.as_ref().map_or(String::new(), ToString::to_string)),
+            ("tries", open.tries.to_string()),
+            ("ms", ms(now, open.job.arrived)),
+        ];
+        self.note_job("job_answered", &open.job, &more);
+        self.out.push(FleetEffect::Answer { call: open.call, end });
+    }
+
+    /// Places jobs anew whose placer is lost, once nothing of them can run there.
+    pub(super) fn replace_lost(&mut self, now: Time) {
+        let serials: Vec<u64> = self.front.open.keys().copied().collect();
+        for serial in serials {
+            let Some(open) = self.front.open.get_mut(&serial) else { continue };
+            let member = open.to.as_ref().and_then(|to| self.members.get(to));
+            if let Some(heard) = member.and_then(|member| member.heard) {
+                open.contact = open.contact.max(heard);
+            }
+            let (contact, patience) = (open.contact, open.patience);
+            match open.to.clone() {
+                None if patience <= now => {
+                    let retry = now.after_ms(RETRY_MS);
+                    self.answer(now, serial, JobEnd::NotRun { reason: Reason::NoPlacer, retry });
+                }
+                None => self.place(now, serial),
+                Some(to) if self.surely_stopped(now, &to, contact) => {
+                    let Some(open) = self.front.open.get(&serial) else { continue };
+                    let job = open.job.clone();
+                    self.note_job("placer_lost", &job, &[("placer", to.to_string())]);
+                    self.front.unplace(now, serial);
+                    self.place(now, serial);
+                }
+                Some(_) => {}
+            }
+        }
+        self.settle(now);
+    }
+
+    /// Returns whether a peer has been silent for so long that everything it
+    /// did for this host has ended.
+    ///
+    /// The peer stops what it runs for us when our frames stop reaching it; a
+    /// peer that is frozen stops nothing, but the leases of its workers run out.
+    fn surely_stopped(&self, now: Time, peer: &Peer, last: Time) -> bool {
+        if *peer == self.setup.me {
+            return false;
+        }
+        let lease = self.setup.host_lease + STOP_RESERVE_MS;
+        // A later owner of the same workers stops everything there before it
+        // starts anything.
+        let fenced = self.pools.owner(&self.setup.zone).is_some_and(|owner| owner != peer);
+        let span = if fenced { lease } else { lease + self.setup.worker_lease };
+        last.after_ms(span) <= now
+    }
+
+    /// Answers callers whose deadline passes though their placer has not told.
+    pub(super) fn pass_deadlines(&mut self, now: Time) {
+        let over = |(serial, open): (&u64, &super::front::Open)| {
+            (open.job.deadline <= now).then_some(*serial)
+        };
+        let serials: Vec<u64> = self.front.open.iter().filter_map(over).collect();
+        for serial in serials {
+            let to = self.front.open.get(&serial).and_then(|open| open.to.clone());
+            let retry = now.after_ms(RETRY_MS);
+            let end = match &to {
+                None => JobEnd::NotRun { reason: Reason::NoPlacer, retry },
+                Some(_) => JobEnd::Lost(Reason::Deadline),
+            };
+            self.answer(now, serial, end);
+            if let Some(to) = to {
+                self.tell(now, &to, JobMsg::Cancel { serial });
+            }
+        }
+        self.settle(now);
+    }
+
+    fn note_sent(&mut self, job: &Arc<Job>, to: &Peer, serial: u64) {
+        let version = self.table.as_ref().map_or(0, |table| table.version);
+        let more = [
+            ("request", job.request.to_string()),
+            ("route", job.route.to_string()),
+            ("version", version.to_string()),
+            ("placer", to.to_string()),
+            ("tasks", job.tasks().to_string()),
+            ("serial", serial.to_string()),
+        ];
+        self.note_job("job_sent", job, &more);
+    }
+
+    fn note_job(&mut self, event: &'static str, job: &Job, more: &[(&'static str, String)]) {
+        let id = Some(job.id.clone());
+        let note = Note { level: Level::Info, event, id, pairs: more.to_vec() };
+        self.out.push(FleetEffect::Log(note));
+    }
+}
+
+fn ms(now: Time, since: Time) -> String {
+    now.since(since).as_millis().to_string()
+}
--- /dev/null
+++ b/endivestile_kernel/src/fleet/state.rs
@@ -0,0 +1,161 @@
+//! A job as its placer holds it.
+
+use std::sync::Arc;
+
+use endivestile_config::model::Name;
+
+use super::drive::RunId;
+use super::job::{Job, JobEnd, Step};
+use super::queue::Key;
+use crate::{Peer, Time};
+
+/// Where a task stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum TaskState {
+    /// Earlier steps have not ended, or the job is being closed.
+    Blocked,
+    /// In the queue.
+    Waiting(Key),
+    /// Ordered at a worker.
+    Running {
+        /// The worker.
+        worker: Name,
+        /// The run.
+        id: RunId,
+    },
+    /// Passed on to another placer, under this number.
+    Lent(u64),
+    /// Ended well.
+    Done,
+}
+
+/// One task.
+#[derive(Debug)]
+pub(crate) struct TaskSlot {
+    /// Index of its step.
+    pub(crate) step: usize,
+    /// Number within the step.
+    pub(crate) index: u16,
+    /// Where it stands.
+    pub(crate) state: TaskState,
+    /// Runs that failed by the task's own fault, as far as can be told.
+    pub(crate) fails: u32,
+    /// Number of the next run.
+    pub(crate) run: u32,
+}
+
+impl TaskSlot {
+    /// Returns whether something may run for it.
+    fn busy(&self) -> bool {
+        matches!(self.state, TaskState::Running { .. } | TaskState::Lent(_))
+    }
+}
+
+/// One job.
+#[derive(Debug)]
+pub(crate) struct JobState {
+    /// The host that wants its end.
+    pub(crate) from: Peer,
+    /// That host's number for it.
+    pub(crate) serial: u64,
+    /// The job.
+    pub(crate) job: Arc<Job>,
+    /// Its tasks, step by step.
+    pub(crate) tasks: Vec<TaskSlot>,
+    /// Tasks of each step that have not ended.
+    pub(crate) left: Vec<u16>,
+    /// When its caller is served well at the latest.
+    pub(crate) objective: Time,
+    /// When its first task was ordered.
+    pub(crate) started: Option<Time>,
+    /// Orders of tasks.
+    pub(crate) starts: u32,
+    /// How it ended, while something of it may still run.
+    pub(crate) ending: Option<JobEnd>,
+    /// Whether its host has been told.
+    pub(crate) told: bool,
+    /// When it came here.
+    pub(crate) came: Time,
+}
+
+impl JobState {
+    /// Takes a job in, with the tasks of its first steps ready to be queued.
+    pub(crate) fn new(now: Time, from: Peer, serial: u64, job: Arc<Job>, objective: Time) -> Self {
+        let slots = job
+            .steps
+            .iter()
+            .enumerate()
+            .flat_map(|(at, step)| (0..step.count).map(move |index| (at, step.first + index)));
+        let tasks = slots
+            .map(|(step, index)| TaskSlot {
+                step,
+                index,
+                state: TaskState::Blocked,
+                fails: 0,
+                run: job.base + 1,
+            })
+            .collect();
+        let left = job.steps.iter().map(|step| step.count).collect();
+        Self {
+            from,
+            serial,
+            job,
+            tasks,
+            left,
+            objective,
+            started: None,
+            starts: 0,
+            ending: None,
+            told: false,
+            came: now,
+        }
+    }
+
+    /// Returns the step of a task.
+    pub(crate) fn step(&self, task: usize) -> &Step {
+        &self.job.steps[self.tasks[task].step]
+    }
+
+    /// Returns the name by which workers know a task.
+    pub(crate) fn task_name(&self, task: usize) -> Name {
+        let number = self.step(task).number;
+        Name::from(format!("{}.0.{number}.{}", self.job.id, self.tasks[task].index))
+    }
+
+    /// Returns whether all tasks of the steps before have ended.
+    fn ready(&self, step: usize) -> bool {
+        self.job.steps[step].after.iter().all(|at| self.left[usize::from(*at)] == 0)
+    }
+
+    /// Returns the blocked tasks that may be queued now.
+    pub(crate) fn unblocked(&self) -> Vec<usize> {
+        if self.ending.is_some() {
+            return Vec::new();
+        }
+        let blocked = |task: &usize| {
+            let slot = &self.tasks[*task];
+            slot.state == TaskState::Blocked && self.ready(slot.step)
+        };
+        (0..self.tasks.len()).filter(blocked).collect()
+    }
+
+    /// Returns whether something of it may run.
+    pub(crate) fn busy(&self) -> bool {
+        self.tasks.iter().any(TaskSlot::busy)
+    }
+
+    /// Returns whether all tasks have ended well.
+    pub(crate) fn done(&self) -> bool {
+        self.left.iter().all(|left| *left == 0)
+    }
+
+    /// Returns how many tasks of a task's step run on a worker.
+    pub(crate) fn beside(&self, task: usize, worker: &str) -> usize {
+        let step = self.tasks[task].step;
+        let there = |slot: &&TaskSlot| {
+            slot.step == step
+                && matches!(&slot.state, TaskState::Running { worker: at, .. } if &**at == worker)
+        };
+        self.tasks.iter().filter(there).count()
+    }
+}
--- /dev/null
+++ b/endivestile_kernel/src/fleet/watchdog.rs
@@ -0,0 +1,125 @@
+//! What time alone brings about: deadlines, stalled runs, lent tasks that wait.
+
+use endivestile_config::model::Name;
+
+use super::drive::{Call, RunId, TaskRef};
+use super::job::{JobEnd, Reason};
+use super::scheduler::{Out, Scheduler};
+use super::state::TaskState;
+use crate::{Level, Time};
+
+/// Longest wait of a lent task for room, in milliseconds: the host that lent it
+/// may know better by then.
+const LENT_WAIT_MS: u64 = 15;
+/// Age of a run from which on its progress is judged, in milliseconds: one
+/// hold's wait, so that the worker has told it at least once.
+const JUDGED_MS: u64 = 160;
+/// How many times longer than expected a run has to look before it is started
+/// elsewhere: what it has done is thrown away.
+const STALLED: f64 = 2.5;
+/// Time before a deadline at which a job is given up, in milliseconds; the
+/// answer has to reach its caller in time.
+const RESERVE_MS: u64 = 25;
+
+impl Scheduler {
+    /// Does what is due.
+    pub(crate) fn tick(&mut self, now: Time) {
+        self.pace.tick(now);
+        self.tick_drives(now);
+        self.pass_deadlines(now);
+        self.return_lent(now);
+        self.judge_runs(now);
+        self.dirty |= self.queues.values().any(|queue| queue.len() > 0);
+    }
+
+    fn tick_drives(&mut self, now: Time) {
+        let mut calls: Vec<Call> = Vec::new();
+        let workers: Vec<Name> = self.drives.keys().cloned().collect();
+        for worker in workers {
+            let Some(drive) = self.drives.get_mut(&worker) else { continue };
+            let past = drive.tick(now, &mut calls);
+            if (!drive.listed || drive.abandoned) && drive.finished(now) {
+                self.drives.remove(&worker);
+                self.grudges.did(&worker);
+            }
+            self.take_past(now, &worker, past);
+        }
+        self.out.extend(calls.into_iter().map(Out::Call));
+        let drives = &self.drives;
+        self.pace.retain(|worker| drives.contains_key(worker));
+        self.grudges.retain(|worker| drives.contains_key(worker));
+    }
+
+    fn pass_deadlines(&mut self, now: Time) {
+        while let Some(&(deadline, number)) = self.deadlines.first() {
+            if deadline > now.after_ms(RESERVE_MS) {
+                return;
+            }
+            self.deadlines.pop_first();
+            let Some(state) = self.jobs.get(&number).filter(|state| state.ending.is_none()) else {
+                continue;
+            };
+            let retry = now.after_ms(1_000);
+            let end = match state.started {
+                Some(_) => JobEnd::Lost(Reason::Deadline),
+                None => JobEnd::NotRun { reason: Reason::Overload, retry },
+            };
+            self.close(now, number, end, true);
+        }
+    }
+
+    /// Gives lent tasks back that found no room.
+    fn return_lent(&mut self, now: Time) {
+        let waits = |(number, state): (&u64, &super::state::JobState)| {
+            let long = state.came.after_ms(LENT_WAIT_MS) <= now;
+            let waiting =
+                state.tasks.iter().any(|slot| matches!(slot.state, TaskState::Waiting(_)));
+            (state.job.lent && long && waiting && state.ending.is_none()).then_some(*number)
+        };
+        let numbers: Vec<u64> = self.jobs.iter().filter_map(waits).collect();
+        for number in numbers {
+            let end = JobEnd::NotRun { reason: Reason::Overload, retry: now };
+            self.close(now, number, end, false);
+        }
+    }
+
+    /// Stops runs that make so little progress that a new one elsewhere would
+    /// end earlier. A worker that hangs looks healthy otherwise.
+    fn judge_runs(&mut self, now: Time) {
+        let mut stalled: Vec<(Name, RunId, TaskRef, f64)> = Vec::new();
+        for (worker, drive) in &self.drives {
+            for (id, run) in &drive.runs {
+                let Some(task) = run.by.filter(|_| !run.stopping) else { continue };
+                let age_us = now.since(run.sent).as_micros() as f64;
+                if age_us < (JUDGED_MS * 1_000) as f64 {
+                    continue;
+                }
+                let Some(state) = self.jobs.get(&task.job) else { continue };
+                let estimate = state.step(task.task as usize).estimate;
+                let expected = self.pace.task_us(&state.job, estimate);
+                let seen_us = run.moved.since(run.sent).as_micros() as f64;
+                let whole = if run.percent > 0 {
+                    // What it took so far, or would have if it had gone on since.
+                    (seen_us.max(age_us * 0.5)) * 100.0 / f64::from(run.percent)
+                } else {
+                    age_us * 4.0
+                };
+                if whole > expected * STALLED && whole - age_us > expected * 1.2 {
+                    stalled.push((worker.clone(), id.clone(), task, whole / expected));
+                }
+            }
+        }
+        for (worker, id, task, factor) in stalled {
+            self.pace.slowed(&worker, factor);
+            let more = [
+                ("worker", worker.to_string()),
+                ("task", task.task.to_string()),
+                ("slower", format!("{factor:.1}")),
+            ];
+            self.note_job(Level::Info, "run_stalled", task.job, &more);
+            if let Some(drive) = self.drives.get_mut(&worker) {
+                drive.halt(now, &id);
+            }
+        }
+    }
+}
--- a/endivestile_kernel/src/kernel/link.rs
+++ b/endivestile_kernel/src/kernel/link.rs
@@ -68,6 +68,8 @@
             Msg::Placed { key, outcome } => self.placed(now, from, key, outcome),
             Msg::WantConfig(revision) => self.give_config(from, revision),
             Msg::Config { text, .. } => self.out.push(Effect::Offer(text)),
+            // Hosts of this kind serve no jobs of that kind.
+            Msg::Job(_) => {}
             Msg::Record { .. }
             | Msg::Recorded { .. }
             | Msg::Fenced { .. }
--- a/endivestile_kernel/src/lib.rs
+++ b/endivestile_kernel/src/lib.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod channel;
 mod event;
+pub mod fleet;
 mod hosts;
 mod id;
 mod kernel;
--- a/endivestile_kernel/src/msg.rs
+++ b/endivestile_kernel/src/msg.rs
@@ -6,6 +6,7 @@
 use endivestile_config::model::Name;
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::{JobMsg, Report};
 use crate::{Answer, Figure, Order, Outcome, Peer, Submission, SubmissionId, TaskKey, Time};
 
 /// One id as a shard's home and witness keep it.
@@ -134,6 +135,8 @@
         /// Text.
         text: Bytes,
     },
+    /// Between hosts that serve jobs.
+    Job(JobMsg),
 }
 
 impl Msg {
@@ -147,6 +150,7 @@
             Self::Placed { outcome: Outcome::Done(result), .. } => result.len(),
             Self::Reply { answer, .. } => answer.payload(),
             Self::Config { text, .. } => text.len(),
+            Self::Job(msg) => msg.payload(),
             _ => 0,
         }
     }
@@ -172,6 +176,7 @@
                     known.forget = known.forget.rebase(theirs, ours);
                 }
             }
+            Self::Job(msg) => msg.rebase(theirs, ours),
             _ => {}
         }
     }
@@ -199,6 +204,11 @@
     pub leaving: bool,
     /// Load of the sender's share, when it changed enough to tell.
     pub load: Option<Arc<[Figure]>>,
+    /// Receiver's clock at the sending of the latest of its frames that the
+    /// sender has had; zero when it echoes none.
+    pub echo: Time,
+    /// What a sender that serves jobs tells of itself.
+    pub report: Option<Arc<Report>>,
     /// The messages.
     pub msgs: Vec<Msg>,
 }
--- a/endivestile_wire/src/lib.rs
+++ b/endivestile_wire/src/lib.rs
@@ -1,6 +1,7 @@
 //! Messages on the wire: links between entry hosts, calls to the platform's
 //! store, and the bodies that callers exchange with an entry host.
 
+pub mod adapter;
 pub mod call;
 pub mod key;
 
