Judge runs by what the worker last told, and take a first duration whole

Cause: stalled runs were judged by their age instead of the instant of the worker's word, and the first duration of a route was clamped to a factor of five around a microsecond, so that every estimate was thousands of times too low and nearly every run looked stalled. A lent task that was given up was told as over while it still ran: run twice. Ruled out: the worker's percent being a share of its pace (rows printed: it is progress). Change: Run::seen, Mean::learn, a job's own first task as yardstick, no early word on lent tasks that run.

--- a/endivestile_kernel/src/fleet/claim.rs
+++ b/endivestile_kernel/src/fleet/claim.rs
@@ -46,7 +46,7 @@
 
     /// Takes in a pool's record.
     pub(super) fn record(&mut self, now: Time, zone: &Name, revision: u64, value: &[u8]) {
-        match self.pools.record(zone, revision, value) {
+        match self.pools.record(now, zone, revision, value) {
             Ok(true) => self.owners_changed(now, zone),
             Ok(false) => {}
             Err(e) => {
@@ -58,7 +58,7 @@
 
     /// Takes in how a change of a record ended.
     pub(super) fn stored(&mut self, now: Time, token: u64, stored: &Stored) {
-        let Some((zone, done)) = self.pools.stored(token, stored) else { return };
+        let Some((zone, done)) = self.pools.stored(now, token, stored) else { return };
         let pairs = vec![("zone", zone.to_string()), ("outcome", format!("{stored:?}"))];
         self.note(Level::Info, "claim_ended", pairs);
         if done {
@@ -180,7 +180,8 @@
             Some(record) => {
                 let member = self.members.named(&record.owner.host);
                 let alive = member.is_some_and(|member| {
-                    let fresh = member.heard.is_none() && member.since.after_ms(LOST_MS) > now;
+                    let known = member.since.max(pool.changed);
+                    let fresh = member.heard.is_none() && known.after_ms(LOST_MS) > now;
                     member.peer == record.owner && (fresh || member.answers(now, LOST_MS))
                 });
                 if alive {
--- a/endivestile_kernel/src/fleet/drive.rs
+++ b/endivestile_kernel/src/fleet/drive.rs
@@ -79,8 +79,8 @@
     pub(crate) sent: Time,
     /// How much of its work was done when the worker last told.
     pub(crate) percent: u8,
-    /// When that grew last.
-    pub(crate) moved: Time,
+    /// When the worker last told.
+    pub(crate) seen: Time,
     /// Whether it is to be stopped.
     pub(crate) stopping: bool,
     phase: Phase,
@@ -277,7 +277,7 @@
             need,
             sent: now,
             percent: 0,
-            moved: now,
+            seen: now,
             stopping: false,
             phase: Phase::Sent,
             until,
@@ -295,7 +295,7 @@
             StartEnd::Started(clock) => {
                 if run.phase == Phase::Sent {
                     run.phase = Phase::Runs;
-                    run.moved = now;
+                    run.seen = now;
                 }
                 self.tell_clock(now, clock);
                 None
@@ -413,10 +413,8 @@
     fn running(&mut self, now: Time, row: &RunRow) {
         let id = RunId { task: row.task.clone(), run: row.run };
         if let Some(run) = self.runs.get_mut(&id) {
-            if row.percent > run.percent {
-                run.percent = row.percent;
-                run.moved = now;
-            }
+            run.percent = row.percent;
+            run.seen = now;
             return;
         }
         // A former owner's run: nothing is known of what it takes.
@@ -425,7 +423,7 @@
             need: self.entry.room,
             sent: now,
             percent: row.percent,
-            moved: now,
+            seen: now,
             stopping: true,
             phase: Phase::Runs,
             until: 0,
@@ -445,7 +443,7 @@
             _ if lists(id) => false,
             _ if run.halted.is_some_and(|clock| held.clock > clock) => true,
             Phase::Unsure => held.clock > run.until,
-            Phase::Runs => run.moved < flight.sent && run.sent < flight.sent,
+            Phase::Runs => run.seen < flight.sent && run.sent < flight.sent,
             Phase::Sent => false,
         };
         let ids: Vec<RunId> =
--- a/endivestile_kernel/src/fleet/outcome.rs
+++ b/endivestile_kernel/src/fleet/outcome.rs
@@ -103,6 +103,7 @@
         let index = task.task as usize;
         let estimate = state.step(index).estimate;
         let took = now.since(past.run.sent).as_micros() as f64;
+        state.work.get_or_insert(took * self.pace.speed(worker));
         self.pace.learn(&state.job, estimate, worker, took);
         self.end_task(now, task);
     }
--- a/endivestile_kernel/src/fleet/pace.rs
+++ b/endivestile_kernel/src/fleet/pace.rs
@@ -15,6 +15,8 @@
 const SPEED_WEIGHT: f64 = 0.12;
 /// Tasks of a route before its mean says more than the callers' estimates.
 const ENOUGH: u32 = 10;
+/// Tasks at the usual speed that a worker is taken to have done at first.
+const FIRST: u32 = 3;
 /// Longest factor that one task moves a mean by, as a logarithm: a task that
 /// stood still says little of the next.
 const STEP: f64 = 1.6;
@@ -31,6 +33,10 @@
 impl Mean {
     fn learn(&mut self, ln: f64, weight: f64) {
         self.count = self.count.saturating_add(1);
+        if self.count == 1 {
+            self.ln = ln;
+            return;
+        }
         let weight = weight.max(1.0 / f64::from(self.count));
         self.ln += weight * (ln - self.ln).clamp(-STEP, STEP);
     }
@@ -73,7 +79,10 @@
         let took = took_us.max(1_000.0).ln();
         let expected = self.task_us(job, estimate_ms).ln();
         let speed = self.speeds.entry(worker.clone()).or_default();
-        let known = if speed.count > 0 { speed.ln } else { 0.0 };
+        let known = speed.ln;
+        // A single task says little of its worker: the first ones count as if
+        // others at the usual speed had gone before.
+        speed.count = speed.count.max(FIRST);
         speed.learn(expected - took, SPEED_WEIGHT);
         let base = took + known;
         self.routes.entry(job.route.clone()).or_default().learn(base, ROUTE_WEIGHT);
--- a/endivestile_kernel/src/fleet/pools.rs
+++ b/endivestile_kernel/src/fleet/pools.rs
@@ -48,6 +48,8 @@
     pub(crate) revision: u64,
     /// The record.
     pub(crate) record: Option<PoolRecord>,
+    /// When the record last changed, as far as is known here.
+    pub(crate) changed: Time,
     /// Since when its owner is looked for in vain.
     pub(crate) vacant: Option<Time>,
     /// A worker showed a higher token than that of the record.
@@ -99,6 +101,7 @@
     /// Takes in a record as the store has it; returns whether that is news.
     pub(crate) fn record(
         &mut self,
+        now: Time,
         zone: &Name,
         revision: u64,
         value: &[u8],
@@ -112,6 +115,7 @@
             if value.is_empty() { None } else { Some(serde_json::from_slice(value)?) };
         let changed = record != pool.record;
         if changed {
+            pool.changed = now;
             pool.vacant = None;
             pool.deposed = false;
             pool.yielding = None;
@@ -137,7 +141,12 @@
     /// A change without an answer may have taken effect or may yet do so. The
     /// store's record tells in time: a record that names an incarnation makes it
     /// the owner, however it came to stand there.
-    pub(crate) fn stored(&mut self, token: u64, stored: &Stored) -> Option<(Name, bool)> {
+    pub(crate) fn stored(
+        &mut self,
+        now: Time,
+        token: u64,
+        stored: &Stored,
+    ) -> Option<(Name, bool)> {
         let found = self
             .by_zone
             .iter_mut()
@@ -148,6 +157,7 @@
             Stored::Swapped(revision) if *revision > pool.revision => {
                 pool.revision = *revision;
                 pool.record = Some(swap.record);
+                pool.changed = now;
                 pool.vacant = None;
                 pool.deposed = false;
                 pool.yielding = None;
--- a/endivestile_kernel/src/fleet/scheduler.rs
+++ b/endivestile_kernel/src/fleet/scheduler.rs
@@ -198,6 +198,9 @@
             self.note_end(now, number, end, started);
         }
         let Some(state) = self.jobs.get_mut(&number) else { return };
+        // The host that lent a task starts it anew when it hears of its end: not
+        // before nothing of it runs here.
+        let at_once = at_once && !(state.job.lent && state.busy());
         if at_once && !state.told {
             state.told = true;
             let (from, serial) = (state.from.clone(), state.serial);
--- a/endivestile_kernel/src/fleet/state.rs
+++ b/endivestile_kernel/src/fleet/state.rs
@@ -76,6 +76,9 @@
     pub(crate) told: bool,
     /// When it came here.
     pub(crate) came: Time,
+    /// Duration at speed 1 of the task that ended first, in microseconds:
+    /// tasks of one job are much alike.
+    pub(crate) work: Option<f64>,
 }
 
 impl JobState {
@@ -108,6 +111,7 @@
             ending: None,
             told: false,
             came: now,
+            work: None,
         }
     }
 
--- a/endivestile_kernel/src/fleet/watchdog.rs
+++ b/endivestile_kernel/src/fleet/watchdog.rs
@@ -2,7 +2,7 @@
 
 use endivestile_config::model::Name;
 
-use super::drive::{Call, RunId, TaskRef};
+use super::drive::{Call, Run, RunId, TaskRef};
 use super::job::{JobEnd, Reason};
 use super::scheduler::{Out, Scheduler};
 use super::state::TaskState;
@@ -15,8 +15,11 @@
 /// hold's wait, so that the worker has told it at least once.
 const JUDGED_MS: u64 = 160;
 /// How many times longer than expected a run has to look before it is started
-/// elsewhere: what it has done is thrown away.
-const STALLED: f64 = 2.5;
+/// elsewhere, since what it has done is thrown away. Estimates scatter by a
+/// factor of two; a worker in trouble is slower by four and more.
+const STALLED: f64 = 4.0;
+/// The same where another task of the job has shown what its tasks take.
+const STALLED_JOB: f64 = 2.5;
 /// Time before a deadline at which a job is given up, in milliseconds; the
 /// answer has to reach its caller in time.
 const RESERVE_MS: u64 = 25;
@@ -90,22 +93,8 @@
         for (worker, drive) in &self.drives {
             for (id, run) in &drive.runs {
                 let Some(task) = run.by.filter(|_| !run.stopping) else { continue };
-                let age_us = now.since(run.sent).as_micros() as f64;
-                if age_us < (JUDGED_MS * 1_000) as f64 {
-                    continue;
-                }
-                let Some(state) = self.jobs.get(&task.job) else { continue };
-                let estimate = state.step(task.task as usize).estimate;
-                let expected = self.pace.task_us(&state.job, estimate);
-                let seen_us = run.moved.since(run.sent).as_micros() as f64;
-                let whole = if run.percent > 0 {
-                    // What it took so far, or would have if it had gone on since.
-                    (seen_us.max(age_us * 0.5)) * 100.0 / f64::from(run.percent)
-                } else {
-                    age_us * 4.0
-                };
-                if whole > expected * STALLED && whole - age_us > expected * 1.2 {
-                    stalled.push((worker.clone(), id.clone(), task, whole / expected));
+                if let Some(factor) = self.slowness(worker, task, run) {
+                    stalled.push((worker.clone(), id.clone(), task, factor));
                 }
             }
         }
@@ -122,4 +111,21 @@
             }
         }
     }
+
+    /// Returns how many times slower than expected a run goes on, if that is so
+    /// slow that a new run elsewhere would end earlier.
+    fn slowness(&self, worker: &Name, task: TaskRef, run: &Run) -> Option<f64> {
+        let age_us = run.seen.since(run.sent).as_micros() as f64;
+        if age_us < (JUDGED_MS * 1_000) as f64 {
+            return None;
+        }
+        let state = self.jobs.get(&task.job)?;
+        let estimate = state.step(task.task as usize).estimate;
+        let guess = self.pace.task_us(&state.job, estimate);
+        let (work, limit) = state.work.map_or((guess, STALLED), |work| (work, STALLED_JOB));
+        let whole = age_us * 100.0 / f64::from(run.percent.max(1));
+        let expected = work / self.pace.speed(worker).min(1.0);
+        let factor = whole / expected;
+        (factor > limit && whole - age_us > work * limit / 2.0).then_some(factor)
+    }
 }
