Do not say that a job has not run after a placer that had it was lost

Ruled out: refusals of the second placer alone. Change: an open job remembers that a lost placer may have started it; its refusal is told as unknown (504).

--- a/endivestile_kernel/src/fleet/front.rs
+++ b/endivestile_kernel/src/fleet/front.rs
@@ -28,6 +28,9 @@
     pub(crate) tries: u32,
     /// Until when it may wait for a placer.
     pub(crate) patience: Time,
+    /// Whether tasks of it may have been started by a placer that was lost: to
+    /// say that it has not run would be a guess from then on.
+    pub(crate) touched: bool,
 }
 
 /// All open jobs, by this host's number.
@@ -45,7 +48,7 @@
         self.serial += 1;
         let patience = now.after_ms(PLACER_WAIT_MS);
         let job = Arc::new(job);
-        let open = Open { job, call, to: None, contact: now, tries: 0, patience };
+        let open = Open { job, call, to: None, contact: now, tries: 0, patience, touched: false };
         self.open.insert(self.serial, open);
         self.calls.insert(call, self.serial);
         self.serial
@@ -70,10 +73,12 @@
         Some((self.serial, job))
     }
 
-    /// Notes that a job's placer is lost or gave it back.
-    pub(crate) fn unplace(&mut self, now: Time, serial: u64) {
+    /// Notes that a job's placer is lost or gave it back; `touched` unless that
+    /// placer has told that it started nothing.
+    pub(crate) fn unplace(&mut self, now: Time, serial: u64, touched: bool) {
         if let Some(open) = self.open.get_mut(&serial) {
             open.to = None;
+            open.touched |= touched;
             open.patience = now.after_ms(PLACER_WAIT_MS);
         }
     }
--- a/endivestile_kernel/src/fleet/serve.rs
+++ b/endivestile_kernel/src/fleet/serve.rs
@@ -90,7 +90,8 @@
 
     fn job_ended(&mut self, now: Time, serial: u64, end: JobEnd) {
         if placeable(&end) {
-            self.front.unplace(now, serial);
+            let touched = !matches!(end, JobEnd::NotRun { .. });
+            self.front.unplace(now, serial, touched);
             return;
         }
         self.answer(now, serial, end);
@@ -98,6 +99,10 @@
 
     fn answer(&mut self, now: Time, serial: u64, end: JobEnd) {
         let Some(open) = self.front.end(serial) else { return };
+        let end = match end {
+            JobEnd::NotRun { reason, .. } if open.touched => JobEnd::Lost(reason),
+            end => end,
+        };
         let more = [
             ("end", end.label().to_owned()),
             ("reason", end.reason().map_or("", Reason::label).to_owned()),
@@ -130,7 +135,7 @@
                     let Some(open) = self.front.open.get(&serial) else { continue };
                     let job = open.job.clone();
                     self.note_job("placer_lost", &job, &[("placer", to.to_string())]);
-                    self.front.unplace(now, serial);
+                    self.front.unplace(now, serial, true);
                     self.place(now, serial);
                 }
                 Some(_) => {}
