Place lost jobs anew only when nothing of them can run; answer everybody at a stop

Cause: (1) a job whose placer was lost went to other workers while the first ones' leases still ran: the shortcut for the heir of the same workers was taken for any placer, the heir used workers before all were cleared, and tasks lent to a host that was restarted were taken back at once. (2) a worker whose stop got no answer kept its lease, since holds for its other runs renew it. (3) a stopping host took calls to the end of its grace and broke them off. Ruled out: slow clocks of workers (leases end within 2%). Change: only the heir itself may go early, and parks such jobs until its workers are cleared or their leases over; lent tasks come back a whole lease after the peer ended; an unanswered stop ends the renewal; a stopping host refuses new calls after 40% of the grace and answers what is open at 92%.

--- a/endivestile/src/fleet/callers.rs
+++ b/endivestile/src/fleet/callers.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
@@ -16,7 +17,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::time::timeout;
 
 use super::inbox::{HttpCall, Inbox, Input};
@@ -39,6 +40,8 @@
     pub(crate) limits: Arc<RwLock<Limits>>,
     /// Number of the next call.
     pub(crate) serial: Arc<AtomicU64>,
+    /// Set when open connections are to be closed.
+    pub(crate) closing: watch::Receiver<bool>,
 }
 
 /// Opens a socket for callers.
@@ -75,14 +78,26 @@
 async fn connection(stream: TcpStream, desk: Desk) {
     let _ = stream.set_nodelay(true);
     let limits = desk.limits();
+    let mut closing = desk.closing.clone();
     let service = service_fn(move |request| serve(request, desk.clone()));
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.idle_ms))
         .max_buf_size(limits.head.max(MIN_BUFFER))
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
-    if let Err(e) = served {
+        .serve_connection(TokioIo::new(stream), service);
+    let mut served = pin!(served);
+    let ended = tokio::select! {
+        ended = &mut served => Some(ended),
+        _ = closing.changed() => None,
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            served.as_mut().graceful_shutdown();
+            served.await
+        }
+    };
+    if let Err(e) = ended {
         log::debug!("event=connection_ended step=serve error={:?}", e.to_string());
     }
 }
--- a/endivestile/src/fleet/client.rs
+++ b/endivestile/src/fleet/client.rs
@@ -105,11 +105,6 @@
             senders.push(sender);
         }
     }
-
-    /// Closes the idle connections to an address that is not used any more.
-    pub(crate) fn forget(&self, address: &str) {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(address);
-    }
 }
 
 async fn dial(address: &str) -> Option<Sender> {
--- a/endivestile/src/fleet/engine.rs
+++ b/endivestile/src/fleet/engine.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use endivestile_kernel::Time;
-use endivestile_kernel::fleet::{Fleet, FleetEffect, FleetEvent, FleetSetup, Limits};
+use endivestile_kernel::fleet::{
+    Fleet, FleetEffect, FleetEvent, FleetSetup, JobEnd, Limits, Reason,
+};
 use endivestile_wire::adapter::{Adapter, Demand, Say};
 use stakker::{CX, FixedTimerKey, StopCause, after, at};
 use tokio::sync::watch;
@@ -25,8 +27,15 @@
 /// Time without a call that a stopping host waits for, in milliseconds: the
 /// balancer needs two probes to see that it takes nothing new.
 const QUIET_MS: u64 = 400;
-/// Part of the time until it is killed in which a stopping host has to end, in percent.
-const GRACE_PART: u64 = 85;
+/// Part of the time until it is killed after which a stopping host refuses new
+/// calls, in percent. Connections stay open and carry calls until the end; one
+/// that came later might not be answered before the process is killed.
+const REFUSE_PART: u64 = 40;
+/// Part of that time in which it has to end, in percent; what is still open
+/// then is told so, since a closed connection tells its caller nothing.
+const GRACE_PART: u64 = 92;
+/// Time for open connections to close and for last answers, in milliseconds.
+const CLOSE_MS: u64 = 40;
 
 /// What an engine is made of.
 pub(crate) struct Parts {
@@ -50,6 +59,8 @@
     pub(crate) need: Need,
     /// Limits on callers.
     pub(crate) limits: Arc<RwLock<Limits>>,
+    /// Set to close callers' connections.
+    pub(crate) closing: watch::Sender<bool>,
     /// The log.
     pub(crate) notes: Notes,
     /// Time from the signal to stop until the process is killed, in milliseconds.
@@ -66,6 +77,7 @@
     effects: Vec<FleetEffect>,
     timer: Option<(Time, FixedTimerKey)>,
     stopping: bool,
+    refusing: bool,
     drained: bool,
     called: Time,
 }
@@ -80,6 +92,7 @@
             effects: Vec::new(),
             timer: None,
             stopping: false,
+            refusing: false,
             drained: false,
             called: Time::ZERO,
         })
@@ -125,6 +138,11 @@
         let table = self.fleet.table().map(AsRef::as_ref);
         let demand = (self.parts.adapter.demand)(&call.head, &call.body, table, now);
         let say = match demand {
+            Demand::Submit(_) if self.refusing => {
+                let reason = Reason::NoPlacer;
+                log::info!("event=call_refused path={} reason=stopping", call.head.uri.path());
+                Say::Ended(JobEnd::NotRun { reason, retry: now }, now)
+            }
             Demand::Submit(job) => {
                 self.called = now;
                 self.line.open(call.call, call.reply);
@@ -151,9 +169,7 @@
     fn cancel(&mut self, now: Time, id: &str) -> bool {
         let Some(call) = self.fleet.find(id) else { return false };
         self.fleet.handle(now, FleetEvent::Hangup(call));
-        let reason = endivestile_kernel::fleet::Reason::Cancelled;
-        let end = endivestile_kernel::fleet::JobEnd::Lost(reason);
-        self.line.answer(call, &Say::Ended(end, now));
+        self.line.answer(call, &Say::Ended(JobEnd::Lost(Reason::Cancelled), now));
         true
     }
 
@@ -217,26 +233,51 @@
         }
         self.stopping = true;
         self.line.close();
-        let limit = self.parts.grace_ms * GRACE_PART / 100;
-        after!(Duration::from_millis(limit), [cx], limit());
+        let part = |percent: u64| Duration::from_millis(self.parts.grace_ms * percent / 100);
+        after!(part(REFUSE_PART), [cx], refuse());
+        after!(part(GRACE_PART), [cx], limit());
         self.event(now, FleetEvent::Shutdown);
     }
 
+    fn refuse(&mut self, _cx: CX![]) {
+        self.refusing = true;
+    }
+
+    /// The time to stop is nearly over: tells everybody who still waits.
     fn limit(&mut self, cx: CX![]) {
-        let exit = if self.line.len() == 0 { Exit::Drained } else { Exit::Left };
-        self.end(cx, exit, "stop_limit");
+        let now = self.parts.clock.at(cx.now());
+        let open = self.line.len();
+        for call in self.line.calls() {
+            self.fleet.handle(now, FleetEvent::Hangup(call));
+            self.line.answer(call, &Say::Ended(JobEnd::Lost(Reason::Deadline), now));
+        }
+        self.settle(cx);
+        log::info!("event=stop_limit open_calls={open}");
+        self.close(cx);
     }
 
-    /// Ends once no caller has called for a while.
+    /// Closes up once no caller has called for a while.
     fn linger(&mut self, cx: CX![]) {
         let now = self.parts.clock.at(cx.now());
         if self.drained && self.line.len() == 0 && self.called.after_ms(QUIET_MS) <= now {
-            self.end(cx, Exit::Drained, "drained");
+            self.close(cx);
         } else {
             after!(Duration::from_millis(QUIET_MS / 8), [cx], linger());
         }
     }
 
+    /// Closes the connections that nobody uses, and ends shortly after.
+    fn close(&mut self, cx: CX![]) {
+        self.refusing = true;
+        self.parts.closing.send_replace(true);
+        after!(Duration::from_millis(CLOSE_MS), [cx], finish());
+    }
+
+    fn finish(&mut self, cx: CX![]) {
+        let exit = if self.line.len() == 0 { Exit::Drained } else { Exit::Left };
+        self.end(cx, exit, "drained");
+    }
+
     fn end(&mut self, cx: CX![], exit: Exit, cause: &str) {
         log::info!("event=stopped cause={cause} open_calls={}", self.line.len());
         self.parts.exit.set(exit);
--- a/endivestile/src/fleet/line.rs
+++ b/endivestile/src/fleet/line.rs
@@ -54,6 +54,11 @@
         self.closing = true;
     }
 
+    /// Returns the calls of all callers that wait.
+    pub(crate) fn calls(&self) -> Vec<CallId> {
+        self.calls.keys().copied().collect()
+    }
+
     /// Returns how many callers wait.
     pub(crate) fn len(&self) -> usize {
         self.calls.len()
--- a/endivestile/src/fleet/run.rs
+++ b/endivestile/src/fleet/run.rs
@@ -66,10 +66,12 @@
     let clock = Clock::new();
     let counters = Counters::default();
     let limits = Arc::new(RwLock::new(Limits::default()));
+    let (closing, closed) = watch::channel(false);
     let desk = Desk {
         inbox: inbox.clone(),
         limits: Arc::clone(&limits),
         serial: Arc::new(AtomicU64::new(0)),
+        closing: closed,
     };
     runtime.spawn(callers::accept(callers::bind(settings.host.http)?, desk.clone()));
     if let Some(ready) = settings.platform.ready {
@@ -118,6 +120,7 @@
         wish,
         need,
         limits,
+        closing,
         notes,
         grace_ms: settings.platform.grace_ms,
         exit,
--- a/endivestile_kernel/src/fleet/drive.rs
+++ b/endivestile_kernel/src/fleet/drive.rs
@@ -25,6 +25,9 @@
 /// Time for the answer to a start or stop, in milliseconds: fifty round trips
 /// between zones.
 const ORDER_MS: u64 = 100;
+/// Time for the answer to a stop before the worker's lease is not renewed any
+/// more, in milliseconds: a run that cannot be told to stop has to lapse.
+const STOP_LIMIT_MS: u64 = 2 * ORDER_MS;
 /// Pause between two looks at a worker whose room waits for them, in
 /// milliseconds; a stop takes up to fifty.
 const LOOK_MS: u64 = 10;
@@ -90,6 +93,18 @@
     halted: Option<u64>,
     /// When the stop is sent again.
     stop_due: Time,
+    /// From when on an unanswered stop holds back the lease of the whole worker.
+    stop_limit: Time,
+}
+
+impl Run {
+    fn halt(&mut self, now: Time) {
+        if !self.stopping {
+            self.stopping = true;
+            self.stop_due = now;
+            self.stop_limit = now.after_ms(STOP_LIMIT_MS);
+        }
+    }
 }
 
 /// Why a run takes no room any more.
@@ -160,6 +175,8 @@
     /// Length of a lease in milliseconds, a setting.
     lease_ms: u64,
     token: u64,
+    /// Since when it is driven under this token.
+    since: Time,
     stage: Stage,
     clock: Option<(u64, Time)>,
     born: u64,
@@ -183,6 +200,7 @@
             runs: BTreeMap::new(),
             lease_ms,
             token,
+            since: now,
             stage: Stage::Asking,
             clock: None,
             observed: 0,
@@ -203,6 +221,7 @@
     /// Goes on under a later token of the same owner; its own runs stay.
     pub(crate) fn renew(&mut self, now: Time, token: u64) {
         self.token = token;
+        self.since = now;
         self.abandoned = false;
         self.stage = Stage::Asking;
         self.flight = None;
@@ -226,6 +245,7 @@
             && !self.entry.leaving
             && self.stage == Stage::Owned
             && self.answers(now)
+            && !self.must_lapse(now)
     }
 
     /// Returns the room that nothing takes.
@@ -248,8 +268,7 @@
     /// Returns the end of a lease that starts now, on the worker's clock.
     fn lease(&mut self, now: Time) -> Option<u64> {
         let until = self.clock_at(now)? + self.lease_ms;
-        let longest = self.lease_ms + self.lease_ms * LEASE_RESERVE / 100;
-        self.covered = self.covered.max(now.after_ms(longest));
+        self.covered = self.covered.max(now.after_ms(self.longest()));
         Some(until)
     }
 
@@ -283,6 +302,7 @@
             until,
             halted: None,
             stop_due: Time::NEVER,
+            stop_limit: Time::NEVER,
         };
         self.runs.insert(id, run);
         Some(Call::Start(order))
@@ -302,8 +322,7 @@
             }
             StartEnd::Fault(CallFault::Lost) => {
                 run.phase = Phase::Unsure;
-                run.stopping = true;
-                run.stop_due = now;
+                run.halt(now);
                 None
             }
             StartEnd::Fault(CallFault::Fenced) => {
@@ -316,9 +335,8 @@
 
     /// Asks for the end of a run; its room is free once the worker shows it.
     pub(crate) fn halt(&mut self, now: Time, id: &RunId) {
-        if let Some(run) = self.runs.get_mut(id).filter(|run| !run.stopping) {
-            run.stopping = true;
-            run.stop_due = now;
+        if let Some(run) = self.runs.get_mut(id) {
+            run.halt(now);
         }
     }
 
@@ -330,6 +348,7 @@
                 if let Some(run) = self.runs.get_mut(id) {
                     run.halted = Some(clock);
                     run.stop_due = Time::NEVER;
+                    run.stop_limit = Time::NEVER;
                 }
                 // The hold on its way may wait for an end that does not come.
                 self.due = self.due.min(now);
@@ -429,6 +448,7 @@
             until: 0,
             halted: None,
             stop_due: now,
+            stop_limit: now.after_ms(STOP_LIMIT_MS),
         };
         self.runs.insert(id, run);
     }
@@ -516,7 +536,8 @@
         self.number += 1;
         self.flight = Some(Flight { number: self.number, sent: now });
         let clearing = self.stage != Stage::Owned;
-        let until = if clearing { None } else { self.lease(now) };
+        let lapse = clearing || self.must_lapse(now);
+        let until = if lapse { None } else { self.lease(now) };
         let wait = if self.in_haste() { 0 } else { HOLD_WAIT_MS as u32 };
         out.push(Call::Hold(
             self.number,
@@ -531,6 +552,22 @@
         ));
     }
 
+    /// Returns whether a run there could not be told to stop.
+    fn must_lapse(&self, now: Time) -> bool {
+        self.runs.values().any(|run| run.stop_limit <= now)
+    }
+
+    /// Returns whether nothing that a former owner ordered can run there: it
+    /// has been cleared, or every lease from before has run out.
+    pub(crate) fn settled(&self, now: Time) -> bool {
+        self.stage == Stage::Owned || self.since.after_ms(self.longest()) <= now
+    }
+
+    /// Returns how long a lease may last by our clock, in milliseconds.
+    fn longest(&self) -> u64 {
+        self.lease_ms + self.lease_ms * LEASE_RESERVE / 100
+    }
+
     /// Returns whether room waits for nothing but the worker's word.
     fn in_haste(&self) -> bool {
         self.stage != Stage::Owned || self.runs.values().any(|run| run.halted.is_some())
--- a/endivestile_kernel/src/fleet/fleet.rs
+++ b/endivestile_kernel/src/fleet/fleet.rs
@@ -173,6 +173,8 @@
     pub(crate) scheduler: Scheduler,
     pub(crate) probes: BTreeMap<Name, Probe>,
     pub(crate) lost_fronts: BTreeSet<Peer>,
+    /// Incarnations that have ended, and when that was noticed.
+    pub(crate) ended: BTreeMap<Peer, Time>,
     pub(crate) report: (Time, Arc<Report>),
     pub(crate) store_up: bool,
     pub(crate) leaving: bool,
@@ -195,6 +197,7 @@
             scheduler: Scheduler::new(me, setup.worker_lease),
             probes: BTreeMap::new(),
             lost_fronts: BTreeSet::new(),
+            ended: BTreeMap::new(),
             report: (Time::ZERO, Arc::default()),
             store_up: false,
             leaving: false,
--- a/endivestile_kernel/src/fleet/link.rs
+++ b/endivestile_kernel/src/fleet/link.rs
@@ -75,6 +75,8 @@
     /// when its workers' leases have run out, and its own jobs are stopped.
     pub(super) fn peer_ended(&mut self, now: Time, peer: &Peer) {
         self.note(Level::Info, "peer_ended", vec![("peer", peer.to_string())]);
+        // Workers that it drove may run on for their leases' time.
+        self.ended.insert(peer.clone(), now);
         self.channels.remove(peer);
         self.scheduler.lose_front(now, peer);
         self.scheduler.others.remove(peer);
@@ -127,8 +129,9 @@
                 self.scheduler.others.remove(&peer);
             }
         }
+        self.ended.retain(|_, at| at.after_ms(sure) > now);
         for peer in self.scheduler.lenders() {
-            if !self.members.answers(now, &peer, sure) {
+            if !self.members.answers(now, &peer, sure) && !self.ended.contains_key(&peer) {
                 self.scheduler.lose_lender(now, &peer);
             }
         }
--- a/endivestile_kernel/src/fleet/scheduler.rs
+++ b/endivestile_kernel/src/fleet/scheduler.rs
@@ -104,7 +104,8 @@
         let earlier = self.names.insert(name, number);
         self.origins.insert(origin, number);
         self.deadlines.insert((job.deadline, number));
-        let state = JobState::new(now, from.clone(), serial, job, objective);
+        let mut state = JobState::new(now, from.clone(), serial, job, objective);
+        state.parked = state.job.base > 0 && !state.job.lent && !self.settled(now);
         self.jobs.insert(number, state);
         match earlier.filter(|earlier| self.jobs.contains_key(earlier)) {
             Some(earlier) => {
@@ -391,6 +392,30 @@
         self.drives.values().any(|drive| !drive.abandoned)
     }
 
+    /// Returns whether nothing that a former owner ordered can run any more.
+    ///
+    /// A job that is sent again because its placer was lost must wait for that:
+    /// its tasks may still run on a worker that has not been cleared yet.
+    fn settled(&self, now: Time) -> bool {
+        let own = self.drives.values().filter(|drive| !drive.abandoned);
+        own.into_iter().all(|drive| drive.settled(now))
+    }
+
+    /// Lets jobs go on that waited for workers to be cleared.
+    pub(crate) fn unpark(&mut self, now: Time) {
+        let parked = |(number, state): (&u64, &JobState)| state.parked.then_some(*number);
+        let numbers: Vec<u64> = self.jobs.iter().filter_map(parked).collect();
+        if numbers.is_empty() || !self.settled(now) {
+            return;
+        }
+        for number in numbers {
+            if let Some(state) = self.jobs.get_mut(&number) {
+                state.parked = false;
+            }
+            self.unblock(now, number);
+        }
+    }
+
     /// Returns the zones of which a worker refused our token.
     pub(crate) fn fenced_zones(&self) -> BTreeSet<Name> {
         let fenced = self.drives.values().filter(|drive| drive.fenced() && !drive.abandoned);
--- a/endivestile_kernel/src/fleet/serve.rs
+++ b/endivestile_kernel/src/fleet/serve.rs
@@ -24,25 +24,38 @@
 
     /// Sends a job to a placer if one is in reach; otherwise it waits.
     fn place(&mut self, now: Time, serial: u64) {
-        let Some(to) = self.placer(now) else { return };
-        let Some((serial, job)) = self.front.send(now, serial, &to) else { return };
-        self.note_sent(&job, &to, serial);
-        self.tell(now, &to, JobMsg::Submit { serial, job });
+        if let Some(to) = self.placer(now) {
+            self.place_at(now, serial, &to);
+        }
+    }
+
+    fn place_at(&mut self, now: Time, serial: u64, to: &Peer) {
+        let single = self.owns_only_here(to);
+        let Some((serial, job)) = self.front.send(now, serial, to, single) else { return };
+        self.note_sent(&job, to, serial);
+        self.tell(now, to, JobMsg::Submit { serial, job });
+    }
+
+    /// Returns whether a peer owns the workers of this host's zone and no others.
+    fn owns_only_here(&self, peer: &Peer) -> bool {
+        let zones = self.pools.by_zone.iter().filter(|(_, pool)| pool.owned_by(peer));
+        zones.map(|(zone, _)| zone).eq([&self.setup.zone])
+    }
+
+    /// Returns whether a peer is in reach and owns workers.
+    fn places(&self, now: Time, peer: &Peer) -> bool {
+        if *peer == self.setup.me {
+            return self.scheduler.owns() && !self.leaving;
+        }
+        let member = self.members.get(peer);
+        member.is_some_and(|member| member.answers(now, LOST_MS) && member.owns())
     }
 
     /// Returns the placer for a new job: the owner of this zone's workers, or
     /// else any other that answers, with the most room first.
     fn placer(&self, now: Time) -> Option<Peer> {
         let own = self.pools.owner(&self.setup.zone);
-        let answers = |peer: &&Peer| {
-            if **peer == self.setup.me {
-                self.scheduler.owns() && !self.leaving
-            } else {
-                let member = self.members.get(peer);
-                member.is_some_and(|member| member.answers(now, LOST_MS) && member.owns())
-            }
-        };
-        if let Some(owner) = own.filter(answers) {
+        if let Some(owner) = own.filter(|owner| self.places(now, owner)) {
             return Some(owner.clone());
         }
         let others = self
@@ -131,34 +144,40 @@
                     self.answer(now, serial, JobEnd::NotRun { reason: Reason::NoPlacer, retry });
                 }
                 None => self.place(now, serial),
-                Some(to) if self.surely_stopped(now, &to, contact) => {
-                    let Some(open) = self.front.open.get(&serial) else { continue };
-                    let job = open.job.clone();
-                    self.note_job("placer_lost", &job, &[("placer", to.to_string())]);
-                    self.front.unplace(now, serial, true);
-                    self.place(now, serial);
-                }
+                Some(to) if to != self.setup.me => self.replace(now, serial, &to, contact),
                 Some(_) => {}
             }
         }
         self.settle(now);
     }
 
-    /// Returns whether a peer has been silent for so long that everything it
-    /// did for this host has ended.
+    /// Places a job anew whose placer has been silent for so long that
+    /// everything it did for this host has ended.
     ///
     /// The peer stops what it runs for us when our frames stop reaching it; a
     /// peer that is frozen stops nothing, but the leases of its workers run out.
-    fn surely_stopped(&self, now: Time, peer: &Peer, last: Time) -> bool {
-        if *peer == self.setup.me {
-            return false;
-        }
+    /// The later owner of the same workers need not wait for those: it stops
+    /// everything there before it starts a job that was sent before.
+    fn replace(&mut self, now: Time, serial: u64, lost: &Peer, last: Time) {
         let lease = self.setup.host_lease + STOP_RESERVE_MS;
-        // A later owner of the same workers stops everything there before it
-        // starts anything.
-        let fenced = self.pools.owner(&self.setup.zone).is_some_and(|owner| owner != peer);
-        let span = if fenced { lease } else { lease + self.setup.worker_lease };
-        last.after_ms(span) <= now
+        if last.after_ms(lease) > now {
+            return;
+        }
+        let lapsed = last.after_ms(lease + self.setup.worker_lease) <= now;
+        let heir = self.pools.owner(&self.setup.zone).filter(|owner| *owner != lost).cloned();
+        let heir = heir.filter(|owner| self.places(now, owner));
+        let Some(open) = self.front.open.get(&serial) else { return };
+        let heir = heir.filter(|_| open.single);
+        if heir.is_none() && !lapsed {
+            return;
+        }
+        let job = open.job.clone();
+        self.note_job("placer_lost", &job, &[("placer", lost.to_string())]);
+        self.front.unplace(now, serial, true);
+        match heir {
+            Some(heir) => self.place_at(now, serial, &heir),
+            None => self.place(now, serial),
+        }
     }
 
     /// Answers callers whose deadline passes though their placer has not told.
--- a/endivestile_kernel/src/fleet/state.rs
+++ b/endivestile_kernel/src/fleet/state.rs
@@ -76,6 +76,8 @@
     pub(crate) told: bool,
     /// When it came here.
     pub(crate) came: Time,
+    /// Whether it waits until nothing of an earlier try can run.
+    pub(crate) parked: bool,
     /// Duration at speed 1 of the task that ended first, in microseconds:
     /// tasks of one job are much alike.
     pub(crate) work: Option<f64>,
@@ -111,6 +113,7 @@
             ending: None,
             told: false,
             came: now,
+            parked: false,
             work: None,
         }
     }
@@ -133,7 +136,7 @@
 
     /// Returns the blocked tasks that may be queued now.
     pub(crate) fn unblocked(&self) -> Vec<usize> {
-        if self.ending.is_some() {
+        if self.ending.is_some() || self.parked {
             return Vec::new();
         }
         let blocked = |task: &usize| {
--- a/endivestile_kernel/src/fleet/watchdog.rs
+++ b/endivestile_kernel/src/fleet/watchdog.rs
@@ -32,6 +32,7 @@
         self.pass_deadlines(now);
         self.return_lent(now);
         self.judge_runs(now);
+        self.unpark(now);
         self.dirty |= self.queues.values().any(|queue| queue.len() > 0);
     }
 
