Stand in for the platform in virtual time; refuse jobs held up for a lease

Random sequences over the new stand-in found: a worker that starts again under its id while an order is on its way (runs of the new life counted as gone); a lent task that arrives after a cut has healed, though its host has taken it back (run twice). Ruled out: late orders that outlive the worker that held them back: the stand-in drops them with the worker's process.

--- a/endivestile/tests/hostile_frames.rs
+++ b/endivestile/tests/hostile_frames.rs
@@ -146,6 +146,8 @@
         revision: 1,
         leaving: false,
         load: None,
+        echo: Time::ZERO,
+        report: None,
         msgs,
     }
 }
--- a/endivestile_kernel/src/fleet/claim.rs
+++ b/endivestile_kernel/src/fleet/claim.rs
@@ -4,8 +4,8 @@
 
 use endivestile_config::model::Name;
 
+use super::core::{Fleet, FleetEffect};
 use super::drive::Call;
-use super::fleet::{Fleet, FleetEffect};
 use super::members::{HostEntry, rank};
 use super::pools::POOL_KEYS;
 use super::serve::LOST_MS;
--- a/endivestile_kernel/src/fleet/dispatch.rs
+++ b/endivestile_kernel/src/fleet/dispatch.rs
@@ -170,7 +170,7 @@
         state.starts += 1;
         // It may be started from here on, for all that this host can tell.
         state.started.get_or_insert(now);
-        self.out.push(Out::Tell(peer, JobMsg::Submit { serial, job }));
+        self.out.push(Out::Tell(peer, JobMsg::Submit { serial, job, echo: Time::ZERO }));
         true
     }
 
--- a/endivestile_kernel/src/fleet/drive.rs
+++ b/endivestile_kernel/src/fleet/drive.rs
@@ -397,10 +397,7 @@
         self.due = now;
         let mut past = Vec::new();
         if held.born != 0 && self.born != 0 && held.born != self.born {
-            past = self.all_over(Over::Vanished);
-            self.observed = 0;
-            self.stage = Stage::Asking;
-            self.clock = None;
+            self.reborn(now);
         }
         if held.born != 0 {
             self.born = held.born;
@@ -420,6 +417,19 @@
         past
     }
 
+    /// The worker has started again under its id. Runs that it does not list
+    /// are gone with its former life, but an order that was sent before this
+    /// was known may run in the new one.
+    fn reborn(&mut self, now: Time) {
+        self.observed = 0;
+        self.stage = Stage::Asking;
+        for run in self.runs.values_mut().filter(|run| run.stopping) {
+            // The new life knows nothing of a stop that the former one answered.
+            run.halted = None;
+            run.stop_due = now;
+        }
+    }
+
     fn ended(&mut self, row: &EndRow) -> Option<Past> {
         if row.number <= self.observed {
             return None;
--- a/endivestile_kernel/src/fleet/link.rs
+++ b/endivestile_kernel/src/fleet/link.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use super::fleet::{Fleet, FleetEffect};
+use super::core::{Fleet, FleetEffect};
+use super::job::{JobEnd, Reason};
 use super::members::{BEAT_MS, Heard};
 use super::msg::{JobMsg, Report, RoomFigure};
 use super::serve::LOST_MS;
@@ -40,15 +41,30 @@
         if let Some(report) = report {
             self.take_room(&from, &report);
         }
+        let lease = self.setup.host_lease;
         let channel = self.channel(&from);
         for msg in channel.receive(now, frame) {
-            if let Msg::Job(msg) = msg {
-                self.message(now, &from, msg);
+            match msg {
+                Msg::Job(JobMsg::Submit { serial, echo, .. }) if echo.after_ms(lease) <= now => {
+                    self.refuse_stale(now, &from, serial);
+                }
+                Msg::Job(msg) => self.message(now, &from, msg),
+                _ => {}
             }
         }
         self.settle(now);
     }
 
+    /// Refuses a job that was held up for a lease on its way, in a cut or in a
+    /// broken link: by now its host may have placed it elsewhere, and it would
+    /// run twice.
+    fn refuse_stale(&mut self, now: Time, from: &Peer, serial: u64) {
+        let pairs = vec![("front", from.to_string()), ("serial", serial.to_string())];
+        self.note(Level::Info, "job_stale", pairs);
+        let end = JobEnd::NotRun { reason: Reason::NoPlacer, retry: now };
+        self.tell(now, from, JobMsg::Ended { serial, end });
+    }
+
     /// Remembers what room another placer has. It counts as usable only if it
     /// does not take what it owns from here.
     fn take_room(&mut self, from: &Peer, report: &Report) {
@@ -63,7 +79,10 @@
         self.scheduler.dirty = true;
     }
 
-    pub(super) fn push(&mut self, to: &Peer, msg: JobMsg) {
+    pub(super) fn push(&mut self, to: &Peer, mut msg: JobMsg) {
+        if let JobMsg::Submit { echo, .. } = &mut msg {
+            *echo = self.members.get(to).map_or(Time::ZERO, |member| member.theirs);
+        }
         self.channel(to).push(Msg::Job(msg));
     }
 
--- a/endivestile_kernel/src/fleet/mod.rs
+++ b/endivestile_kernel/src/fleet/mod.rs
@@ -2,9 +2,9 @@
 //! tokens, with hosts that find each other in the store.
 
 mod claim;
+mod core;
 mod dispatch;
 mod drive;
-mod fleet;
 mod front;
 mod grudge;
 mod job;
@@ -22,8 +22,8 @@
 mod watchdog;
 mod worker;
 
+pub use core::{Fleet, FleetEffect, FleetEvent, FleetSetup};
 pub use drive::{Call as WorkerCall, due as worker_call_due};
-pub use fleet::{Fleet, FleetEffect, FleetEvent, FleetSetup};
 pub use job::{Job, JobEnd, Reason, Step};
 pub use members::HostEntry;
 pub use msg::{JobMsg, Report, RoomFigure};
--- a/endivestile_kernel/src/fleet/msg.rs
+++ b/endivestile_kernel/src/fleet/msg.rs
@@ -17,6 +17,9 @@
         serial: u64,
         /// The job.
         job: Arc<Job>,
+        /// Receiver's clock at its latest frame that the sender had when it
+        /// handed the job over; the receiver takes no job by an old one.
+        echo: Time,
     },
     /// Nobody waits for it any more; answered with [`Self::Ended`] once nothing of it runs.
     Cancel {
--- a/endivestile_kernel/src/fleet/serve.rs
+++ b/endivestile_kernel/src/fleet/serve.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::fleet::{Fleet, FleetEffect};
+use super::core::{Fleet, FleetEffect};
 use super::front::placeable;
 use super::job::{Job, JobEnd, Reason};
 use super::msg::JobMsg;
@@ -33,7 +33,7 @@
         let single = self.owns_only_here(to);
         let Some((serial, job)) = self.front.send(now, serial, to, single) else { return };
         self.note_sent(&job, to, serial);
-        self.tell(now, to, JobMsg::Submit { serial, job });
+        self.tell(now, to, JobMsg::Submit { serial, job, echo: Time::ZERO });
     }
 
     /// Returns whether a peer owns the workers of this host's zone and no others.
@@ -80,7 +80,7 @@
     /// Takes in a message about a job.
     pub(super) fn message(&mut self, now: Time, from: &Peer, msg: JobMsg) {
         match msg {
-            JobMsg::Submit { serial, job } => {
+            JobMsg::Submit { serial, job, .. } => {
                 let refused = self.leaving && *from != self.setup.me;
                 if refused {
                     let reason = Reason::NoPlacer;
--- a/endivestile_kernel/tests/channel.rs
+++ b/endivestile_kernel/tests/channel.rs
@@ -67,6 +67,8 @@
             revision: 1,
             leaving: false,
             load: None,
+            echo: Time::ZERO,
+            report: None,
             msgs: Vec::new(),
         }));
     }
--- a/endivestile_lab/examples/slopes/rig.rs
+++ b/endivestile_lab/examples/slopes/rig.rs
@@ -126,6 +126,8 @@
             revision: 1,
             leaving: false,
             load: Some(Arc::from([figure])),
+            echo: Time::ZERO,
+            report: None,
             msgs: Vec::new(),
         }));
     }
--- /dev/null
+++ b/endivestile_testkit/src/fleet/check.rs
@@ -0,0 +1,78 @@
+//! What must hold, as seen from callers and workers.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use endivestile_config::model::Name;
+use endivestile_kernel::fleet::{JobEnd, StartOrder};
+
+use super::world::FleetWorld;
+
+/// What was seen so far.
+#[derive(Debug, Default)]
+pub(crate) struct Seen {
+    /// Ids of which a task was started.
+    pub(crate) ids: BTreeSet<Name>,
+    /// Starts by worker.
+    pub(crate) starts: BTreeMap<Name, u64>,
+    /// Breaches, in the order in which they were seen.
+    pub(crate) breaches: Vec<String>,
+}
+
+impl Seen {
+    /// Notes a start.
+    pub(crate) fn started(&mut self, order: &StartOrder) {
+        let id = order.task.split('.').next().unwrap_or_default();
+        self.ids.insert(Name::from(id));
+        *self.starts.entry(order.worker.clone()).or_default() += 1;
+    }
+}
+
+impl FleetWorld {
+    /// Looks at a worker after each order: its room, and whether a task runs
+    /// anywhere else at the same time.
+    pub(crate) fn check_worker(&mut self, name: &Name) {
+        let Some(worker) = self.workers.get(name) else { return };
+        let taken: u32 = worker.runs.values().map(|run| run.need.cpu_milli).sum();
+        let mut breaches = Vec::new();
+        if taken > worker.entry.room.cpu_milli {
+            breaches.push(format!("{} ms: {name} is over its room", self.now / 1_000));
+        }
+        for (task, run) in worker.runs.keys() {
+            for (other, state) in &self.workers {
+                let twin = state
+                    .runs
+                    .keys()
+                    .find(|(twin, number)| twin == task && (other != name || number != run));
+                if let Some((_, number)) = twin {
+                    breaches.push(format!(
+                        "{} ms: {task} runs at {name} as {run} and at {other} as {number}",
+                        self.now / 1_000
+                    ));
+                }
+            }
+        }
+        self.seen.breaches.extend(breaches);
+    }
+
+    /// Returns everything that was broken so far.
+    pub fn breaches(&self) -> Vec<String> {
+        let mut breaches = self.seen.breaches.clone();
+        let mut ends: BTreeMap<&Name, Vec<bool>> = BTreeMap::new();
+        for call in self.calls.values() {
+            let refused = matches!(call.ended, Some((_, Some(JobEnd::NotRun { .. }))));
+            ends.entry(&call.id).or_default().push(refused);
+        }
+        for (id, refused) in ends {
+            if refused.iter().all(|refused| *refused) && self.seen.ids.contains(id) {
+                breaches.push(format!("{id} was refused as not run, and a task of it ran"));
+            }
+        }
+        breaches
+    }
+
+    /// Returns the names of the calls that have no answer.
+    pub fn unanswered(&self) -> Vec<String> {
+        let open = self.calls.values().filter(|call| call.ended.is_none());
+        open.map(|call| call.name.clone()).collect()
+    }
+}
--- /dev/null
+++ b/endivestile_testkit/src/fleet/host.rs
@@ -0,0 +1,272 @@
+//! Hosts in the world: fleets that start, pause and end.
+
+use endivestile_config::model::Name;
+use endivestile_kernel::fleet::{
+    Fleet, FleetEffect, FleetEvent, FleetSetup, HOST_KEYS, HostEntry, POOL_KEYS, WorkerCall,
+    worker_call_due,
+};
+use endivestile_kernel::{Peer, Time};
+
+use super::world::{FleetWorld, Happening};
+
+/// Lease of workers in the worlds, in milliseconds.
+const WORKER_LEASE_MS: u64 = 650;
+/// Lease of other hosts' tasks, in milliseconds.
+const HOST_LEASE_MS: u64 = 520;
+/// Wait before frames are sent, in microseconds: what comes together shares them.
+const FLUSH_US: u64 = 50;
+
+/// A host.
+#[derive(Debug)]
+pub(crate) struct Host {
+    /// Availability zone.
+    pub(crate) zone: Name,
+    /// Its fleet, none while it is dead.
+    pub(crate) fleet: Option<Fleet>,
+    /// Incarnation.
+    pub(crate) birth: u64,
+    /// When this incarnation's clock read zero.
+    pub(crate) zero: u64,
+    /// Events that came while it was paused.
+    pub(crate) paused: Option<Vec<FleetEvent>>,
+    /// Time for which its clock stood still while paused.
+    pub(crate) flushing: bool,
+    /// When it next wakes.
+    pub(crate) wake: u64,
+}
+
+impl Host {
+    /// Returns the host's clock.
+    pub(crate) fn time(&self, now: u64) -> Time {
+        Time::from_micros(now - self.zero)
+    }
+}
+
+impl FleetWorld {
+    /// Starts a host's process.
+    pub fn start(&mut self, name: &Name) {
+        let (now, birth) = (self.now, self.births + 1);
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        if host.fleet.is_some() {
+            return;
+        }
+        self.births = birth;
+        let peer = Peer::new(name.clone(), birth);
+        let setup = FleetSetup {
+            me: peer.clone(),
+            zone: host.zone.clone(),
+            address: name.clone(),
+            worker_lease: WORKER_LEASE_MS,
+            host_lease: HOST_LEASE_MS,
+        };
+        host.fleet = Some(Fleet::new(setup));
+        host.birth = birth;
+        host.zero = now;
+        host.paused = None;
+        host.flushing = false;
+        host.wake = now;
+        let entry =
+            HostEntry { peer, zone: host.zone.clone(), address: name.clone(), leaving: false };
+        self.at(now, Happening::Wake { host: name.clone(), birth });
+        self.at(now + 5_000, Happening::Register { entry });
+        self.at(now + 8_000, Happening::Read { host: name.clone(), birth });
+    }
+
+    /// Kills a host's process; callers lose their connections.
+    pub fn kill(&mut self, name: &Name) {
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        host.fleet = None;
+        host.paused = None;
+        let birth = host.birth;
+        self.connections_end(name, birth);
+    }
+
+    /// Freezes a host's process.
+    pub fn pause(&mut self, name: &Name) {
+        if let Some(host) = self.hosts.get_mut(name).filter(|host| host.fleet.is_some()) {
+            host.paused.get_or_insert_default();
+        }
+    }
+
+    /// Lets a frozen process go on; what came meanwhile comes first.
+    pub fn resume(&mut self, name: &Name) {
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        let birth = host.birth;
+        for event in host.paused.take().unwrap_or_default() {
+            self.at(self.now, Happening::Event { host: name.clone(), birth, event });
+        }
+        self.at(self.now, Happening::Wake { host: name.clone(), birth });
+    }
+
+    /// Tells a host to stop gracefully.
+    pub fn stop(&mut self, name: &Name) {
+        let birth = self.hosts.get(name).map_or(0, |host| host.birth);
+        self.deliver(name, birth, FleetEvent::Shutdown);
+    }
+
+    pub(crate) fn deliver(&mut self, name: &Name, birth: u64, event: FleetEvent) {
+        let now = self.now;
+        let Some(host) = self.hosts.get_mut(name).filter(|host| host.birth == birth) else {
+            return;
+        };
+        if let Some(paused) = &mut host.paused {
+            paused.push(event);
+            return;
+        }
+        let time = host.time(now);
+        let Some(fleet) = &mut host.fleet else { return };
+        fleet.handle(time, event);
+        if !host.flushing {
+            host.flushing = true;
+            self.at(now + FLUSH_US, Happening::Flush { host: name.clone(), birth });
+        }
+    }
+
+    pub(crate) fn flush(&mut self, name: &Name, birth: u64) {
+        let now = self.now;
+        let Some(host) = self.hosts.get_mut(name).filter(|host| host.birth == birth) else {
+            return;
+        };
+        host.flushing = false;
+        if host.paused.is_some() {
+            return;
+        }
+        let time = host.time(now);
+        let zero = host.zero;
+        let Some(fleet) = &mut host.fleet else { return };
+        let mut effects = Vec::new();
+        if fleet.deadline() <= time {
+            fleet.handle(time, FleetEvent::Tick);
+        }
+        fleet.flush(time, &mut effects);
+        let wake = zero + fleet.deadline().as_micros();
+        if wake != host.wake {
+            host.wake = wake;
+            self.at(wake, Happening::Wake { host: name.clone(), birth });
+        }
+        for effect in effects {
+            self.carry(name, birth, effect);
+        }
+    }
+
+    pub(crate) fn wake(&mut self, name: &Name, birth: u64) {
+        let Some(host) = self.hosts.get(name).filter(|host| host.birth == birth) else { return };
+        if host.paused.is_none() {
+            self.flush(name, birth);
+        }
+    }
+
+    fn carry(&mut self, name: &Name, birth: u64, effect: FleetEffect) {
+        match effect {
+            FleetEffect::Answer { call, end } => self.answered(call.0, end),
+            FleetEffect::Send { address, frame } => {
+                if self.net.reaches(name, &address) && !self.net.loses(&mut self.rng) {
+                    let delay = self.net.delay_us(name, &address, &mut self.rng);
+                    let to = frame.to.birth;
+                    let event = FleetEvent::Frame(Box::new(frame));
+                    self.at(self.now + delay, Happening::Event { host: address, birth: to, event });
+                } else if let Some(host) = self.hosts.get(&address) {
+                    let peer = Peer::new(address.clone(), host.birth);
+                    let event = FleetEvent::LinkDown(peer);
+                    let host = name.clone();
+                    self.at(self.now + 1_000, Happening::Event { host, birth, event });
+                }
+            }
+            FleetEffect::Worker(call) => self.call(name, birth, call),
+            FleetEffect::Store { token, op } => {
+                self.at(
+                    self.now + self.store.delay_us / 2,
+                    Happening::Store { host: name.clone(), birth, token, op },
+                );
+            }
+            FleetEffect::Leave => {
+                let zone = self.hosts.get(name).map(|host| host.zone.clone());
+                let peer = Peer::new(name.clone(), birth);
+                let zone = zone.unwrap_or_else(|| Name::from(""));
+                let entry = HostEntry { peer, zone, address: name.clone(), leaving: true };
+                self.at(self.now + 1_000, Happening::Register { entry });
+            }
+            FleetEffect::Drained => {
+                self.at(self.now, Happening::Drained { host: name.clone(), birth });
+            }
+            FleetEffect::Log(note) => {
+                if self.traced {
+                    self.trace.push(format!(
+                        "{:>9} {name} {} {:?} {:?}",
+                        self.now / 1_000,
+                        note.event,
+                        note.id,
+                        note.pairs
+                    ));
+                }
+            }
+            FleetEffect::Redial(_) => {}
+        }
+    }
+
+    /// Sends a call to a worker.
+    fn call(&mut self, name: &Name, birth: u64, call: WorkerCall) {
+        let worker = match &call {
+            WorkerCall::Start(order) => order.worker.clone(),
+            WorkerCall::Stop(order) => order.worker.clone(),
+            WorkerCall::Hold(_, order) => order.worker.clone(),
+        };
+        let due = worker_call_due(&call, Time::from_micros(self.now)).as_micros();
+        self.visits += 1;
+        let visit = self.visits;
+        self.open_visits.insert(visit, (name.clone(), birth, call));
+        self.at(due, Happening::Expire { visit });
+        if self.net.reaches(name, &worker) {
+            let delay = self.net.delay_us(name, &worker, &mut self.rng);
+            self.at(self.now + delay, Happening::Arrive { visit, worker });
+        }
+    }
+
+    /// Tells every host that can hear the store of a key.
+    pub(crate) fn publish(&mut self, key: &Name) {
+        let hosts: Vec<(Name, u64)> =
+            self.hosts.iter().map(|(name, host)| (name.clone(), host.birth)).collect();
+        for (host, birth) in hosts {
+            self.tell_key(&host, birth, key);
+        }
+    }
+
+    fn tell_key(&mut self, host: &Name, birth: u64, key: &Name) {
+        let Some((revision, value)) = self.store.keys.get(key).cloned() else { return };
+        if self.store.down || !self.net.reaches(host, crate::world::net::STORE) {
+            return;
+        }
+        let event = if let Some(zone) = key.strip_prefix(POOL_KEYS) {
+            FleetEvent::Record { zone: Name::from(zone), revision, value }
+        } else if let Some(name) = key.strip_prefix(HOST_KEYS) {
+            let entry = serde_json::from_slice(&value).ok();
+            FleetEvent::Host { name: Name::from(name), entry }
+        } else {
+            return;
+        };
+        let at = self.now + self.store.delay_us;
+        self.at(at, Happening::Event { host: host.clone(), birth, event });
+    }
+
+    /// Reads the whole store for a host, as after each break of its watch.
+    pub(crate) fn read_all(&mut self, name: &Name, birth: u64) {
+        if !self.hosts.get(name).is_some_and(|host| host.birth == birth && host.fleet.is_some()) {
+            return;
+        }
+        let again = Happening::Read { host: name.clone(), birth };
+        self.at(self.now + 500_000, again);
+        if self.store.down || !self.net.reaches(name, crate::world::net::STORE) {
+            return;
+        }
+        let keys: Vec<Name> = self.store.keys.keys().cloned().collect();
+        for key in keys {
+            self.tell_key(name, birth, &key);
+        }
+        let workers = self.workers.values().filter(|worker| !worker.unlisted());
+        let entries = workers.map(|worker| worker.entry.clone()).collect();
+        let at = self.now + self.store.delay_us;
+        for event in [FleetEvent::Table(self.table.clone()), FleetEvent::Workers(entries)] {
+            self.at(at, Happening::Event { host: name.clone(), birth, event });
+        }
+    }
+}
--- /dev/null
+++ b/endivestile_testkit/src/fleet/mod.rs
@@ -0,0 +1,12 @@
+//! Fleets of a whole deployment in virtual time, over fakes of the store and of
+//! workers with leases, fences and room.
+
+mod check;
+mod host;
+mod store;
+mod story;
+mod worker;
+mod world;
+
+pub use story::tell_fleet;
+pub use world::FleetWorld;
--- /dev/null
+++ b/endivestile_testkit/src/fleet/store.rs
@@ -0,0 +1,43 @@
+//! The store as fleets see it: keys changed under a condition, and hosts that
+//! are told of each change unless they are cut off.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use endivestile_config::model::Name;
+use endivestile_kernel::{StoreOp, Stored};
+
+/// The store.
+#[derive(Debug, Default)]
+pub(crate) struct Store {
+    /// Values with the revisions of their last change.
+    pub(crate) keys: BTreeMap<Name, (u64, Bytes)>,
+    /// Whether it answers nobody.
+    pub(crate) down: bool,
+    /// Time for an answer, in microseconds.
+    pub(crate) delay_us: u64,
+    /// Answers that will be lost after the change took effect.
+    pub(crate) losing: u32,
+    pub(crate) revision: u64,
+}
+
+impl Store {
+    /// Carries out a change.
+    pub(crate) fn swap(&mut self, op: &StoreOp) -> (Stored, Option<Name>) {
+        let StoreOp::Swap { key, revision, value } = op else {
+            return (Stored::Lost, None);
+        };
+        let held = self.keys.get(key).map_or(0, |(revision, _)| *revision);
+        if held != *revision {
+            return (Stored::Raced, None);
+        }
+        self.put(key, value.clone());
+        (Stored::Swapped(self.revision), Some(key.clone()))
+    }
+
+    /// Writes a key whatever stands there.
+    pub(crate) fn put(&mut self, key: &Name, value: Bytes) {
+        self.revision += 1;
+        self.keys.insert(key.clone(), (self.revision, value));
+    }
+}
--- /dev/null
+++ b/endivestile_testkit/src/fleet/story.rs
@@ -0,0 +1,262 @@
+//! Stories of fleets: scripted scenarios, one step a line.
+//!
+//! `docs/SCENARIOS.md` lists the steps.
+
+use std::fmt::Write;
+
+use endivestile_config::model::Name;
+use endivestile_kernel::fleet::{Job, JobEnd, RouteTable, Step as JobStep};
+use endivestile_kernel::{Need, Time};
+
+use super::worker::Mood;
+use super::world::FleetWorld;
+use crate::step::{Step, span_ms};
+
+/// Milliseconds in which the hosts of a new world find each other.
+const SETTLE_MS: u64 = 3_000;
+/// Milliseconds until a job's deadline, unless the story says otherwise.
+const DEADLINE_MS: u64 = 3_000;
+
+struct Story {
+    world: FleetWorld,
+    out: String,
+}
+
+/// Tells a story of fleets and returns what it printed.
+///
+/// # Errors
+/// Names the first line that is no step.
+pub fn tell_fleet(text: &str) -> Result<String, String> {
+    let mut lines = text.lines().map(str::trim).filter(|line| !line.is_empty());
+    let first = Step::read(lines.next().unwrap_or_default());
+    if first.words.first() != Some(&"world") {
+        return Err(format!("a story starts with `world`: {}", first.line));
+    }
+    let zones: Vec<&str> = first.pairs.get("zones").copied().unwrap_or("a").split(',').collect();
+    let cpu = first.number("cpu", 32_000)? as u32;
+    let (hosts, workers) = (first.number("hosts", 2)?, first.number("workers", 2)?);
+    let mut world = FleetWorld::new(&zones, hosts, workers, cpu, first.number("seed", 1)?);
+    world.traced = first.pairs.contains_key("trace");
+    world.run(SETTLE_MS);
+    let mut story = Story { world, out: String::new() };
+    for line in lines {
+        let step = Step::read(line);
+        story.step(&step).map_err(|error| format!("{line}: {error}"))?;
+    }
+    Ok(story.out)
+}
+
+impl Story {
+    fn step(&mut self, step: &Step<'_>) -> Result<(), String> {
+        match step.words[0] {
+            "run" => self.world.run(span_ms(step.word(1)?)?),
+            "submit" => self.submit(step)?,
+            "leave" => self.world.leave(step.word(1)?),
+            "answers" => self.answers(),
+            "counts" => self.counts(),
+            "owners" => self.owners(),
+            "hosts" => self.hosts(),
+            "starts" => self.starts(),
+            "check" => self.check(),
+            "settled" => self.settled(),
+            "trace" => self.out.push_str(&self.world.trace.join("\n")),
+            _ => self.fault(step)?,
+        }
+        Ok(())
+    }
+
+    fn fault(&mut self, step: &Step<'_>) -> Result<(), String> {
+        let name = |at: usize| step.word(at).map(Name::from);
+        match step.words[0] {
+            "kill" => self.world.kill(&name(1)?),
+            "start" => self.world.start(&name(1)?),
+            "pause" => self.world.pause(&name(1)?),
+            "resume" => {
+                let name = name(1)?;
+                let all: Vec<Name> = self.world.hosts.keys().cloned().collect();
+                let named = all.into_iter().filter(|host| &*name == "all" || *host == name);
+                named.for_each(|host| self.world.resume(&host));
+            }
+            "stop" => self.world.stop(&name(1)?),
+            "cut" => self.world.net.cut(step.word(1)?, step.word(2)?),
+            "heal" => self.world.net.heal(),
+            "lose" => self.world.net.loss = step.parse(1)?,
+            "jitter" => self.world.net.jitter_us = span_ms(step.word(1)?)? * 1_000,
+            "store" => self.store(step)?,
+            "worker" => self.worker(step)?,
+            "config" => {
+                let version = self.world.table.version + 1;
+                self.world.table = RouteTable { version, ..RouteTable::default() }.into();
+            }
+            verb => return Err(format!("no step `{verb}`")),
+        }
+        Ok(())
+    }
+
+    fn store(&mut self, step: &Step<'_>) -> Result<(), String> {
+        let store = &mut self.world.store;
+        match step.word(1)? {
+            "down" => store.down = true,
+            "up" => store.down = false,
+            "slow" => store.delay_us = span_ms(step.word(2)?)? * 1_000,
+            "loses" => store.losing = step.parse(2)?,
+            word => return Err(format!("down, up, slow or loses, not `{word}`")),
+        }
+        Ok(())
+    }
+
+    fn worker(&mut self, step: &Step<'_>) -> Result<(), String> {
+        let (name, now) = (Name::from(step.word(1)?), self.world.now);
+        let worker = self.world.workers.get_mut(&name).ok_or("no such worker")?;
+        worker.advance(now);
+        match step.word(2)? {
+            "good" => {
+                worker.mood = Mood::Good;
+                worker.dark = false;
+            }
+            "dark" => worker.dark = true,
+            "errors" => worker.mood = Mood::Errors,
+            "hangs" => worker.mood = Mood::Hangs,
+            "slow" => worker.mood = Mood::Slow(step.parse(3)?),
+            "late" => worker.mood = Mood::Late(span_ms(step.word(3)?)?),
+            "speed" => worker.speed = step.parse(3)?,
+            "crash" => worker.reborn(now),
+            "drains" => worker.entry.leaving = true,
+            "gone" => worker.entry.address = Name::from(""),
+            word => return Err(format!("no behaviour `{word}`")),
+        }
+        self.world.schedule(&name);
+        Ok(())
+    }
+
+    fn submit(&mut self, step: &Step<'_>) -> Result<(), String> {
+        let times = step.number("times", 1)?;
+        let every = step.span("every", 0)?;
+        for turn in 0..times {
+            let suffix = if times == 1 { String::new() } else { format!("-{turn}") };
+            self.submit_one(step, &suffix)?;
+            self.world.run(every);
+        }
+        Ok(())
+    }
+
+    fn submit_one(&mut self, step: &Step<'_>, suffix: &str) -> Result<(), String> {
+        let name = format!("{}{suffix}", step.word(1)?);
+        let at = Name::from(step.pairs.get("at").copied().ok_or("at is missing")?);
+        let id = step.pairs.get("id").map_or_else(|| name.clone(), |id| format!("{id}{suffix}"));
+        let work = step.number("ms", 100)?;
+        let deadline = step.span("deadline", DEADLINE_MS)?;
+        let need =
+            Need { cpu_milli: step.number("cpu", 14_000)? as u32, memory_mb: 64, accelerators: 0 };
+        let steps = (0..step.number("steps", 1)?).map(|number| JobStep {
+            count: step.pairs.get("tasks").map_or(1, |tasks| tasks.parse().unwrap_or(1)),
+            first: 0,
+            number: number as u16,
+            need,
+            estimate: work as u32,
+            after: (0..number as u16).collect(),
+            label: step.pairs.get("label").map(|label| Name::from(*label)),
+            near: None,
+            spread: step.pairs.get("spread").map_or(0, |most| most.parse().unwrap_or(0)),
+        });
+        let job = Job {
+            id: Name::from(id),
+            request: Name::from(name.as_str()),
+            spec: Name::from("work"),
+            steps: steps.collect(),
+            service: Name::from("service"),
+            route: Name::from("route"),
+            priority: 0,
+            attempts: step.number("attempts", 3)? as u32,
+            stretch: 1_600,
+            allowance: 60,
+            arrived: Time::ZERO,
+            deadline: Time::ZERO.after_ms(deadline),
+            base: 0,
+            lent: false,
+        };
+        self.world.submit(&name, &at, job, work, step.number("again", 1)? == 1);
+        Ok(())
+    }
+
+    fn answers(&mut self) {
+        for call in self.world.calls.values() {
+            let answer = match &call.ended {
+                None => String::from("waits"),
+                Some((_, None)) => String::from("connection ended"),
+                Some((at, Some(end))) => {
+                    let ms = (at - call.made) / 1_000;
+                    format!("{} {ms} ms", told(end))
+                }
+            };
+            let _ = writeln!(self.out, "{} {answer}", call.name);
+        }
+    }
+
+    /// Prints how many calls ended in each way.
+    fn counts(&mut self) {
+        let mut counts = std::collections::BTreeMap::<String, u32>::new();
+        for call in self.world.calls.values() {
+            let answer = match &call.ended {
+                None => String::from("waits"),
+                Some((_, None)) => String::from("connection ended"),
+                Some((_, Some(end))) => told(end),
+            };
+            *counts.entry(answer).or_default() += 1;
+        }
+        for (answer, count) in counts {
+            let _ = writeln!(self.out, "{answer}: {count}");
+        }
+    }
+
+    fn owners(&mut self) {
+        for (key, (_, value)) in &self.world.store.keys {
+            if let Some(zone) = key.strip_prefix(endivestile_kernel::fleet::POOL_KEYS) {
+                let _ = writeln!(self.out, "{zone} {}", String::from_utf8_lossy(value));
+            }
+        }
+    }
+
+    fn hosts(&mut self) {
+        for (name, host) in &self.world.hosts {
+            let state = match (&host.fleet, &host.paused) {
+                (None, _) => "ended",
+                (Some(_), Some(_)) => "paused",
+                (Some(_), None) => "running",
+            };
+            let _ = writeln!(self.out, "{name} {state}");
+        }
+    }
+
+    fn starts(&mut self) {
+        for (worker, count) in &self.world.seen.starts {
+            let _ = writeln!(self.out, "{worker} {count}");
+        }
+    }
+
+    fn check(&mut self) {
+        for breach in self.world.breaches() {
+            let _ = writeln!(self.out, "{breach}");
+        }
+        if self.world.breaches().is_empty() {
+            self.out.push_str("every promise kept\n");
+        }
+    }
+
+    fn settled(&mut self) {
+        let open = self.world.unanswered();
+        match open.as_slice() {
+            [] => self.out.push_str("every call answered\n"),
+            open => {
+                let _ = writeln!(self.out, "no answer: {}", open.join(" "));
+            }
+        }
+    }
+}
+
+fn told(end: &JobEnd) -> String {
+    match end.reason() {
+        None => end.label().to_owned(),
+        Some(reason) => format!("{} {}", end.label(), reason.label()),
+    }
+}
--- /dev/null
+++ b/endivestile_testkit/src/fleet/worker.rs
@@ -0,0 +1,232 @@
+//! A worker that keeps leases, refuses lower fencing tokens and starts what it
+//! is told to start, whether it has room or not.
+
+use std::collections::BTreeMap;
+
+use endivestile_config::model::Name;
+use endivestile_kernel::Need;
+use endivestile_kernel::fleet::{
+    CallFault, EndRow, Held, HoldOrder, RunEnd, RunRow, StartEnd, StartOrder, StopOrder,
+    WorkerEntry,
+};
+
+/// Longest lease that it grants, in milliseconds.
+const MAX_LEASE_MS: u64 = 1_000;
+
+/// How a worker behaves.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Mood {
+    /// As it should.
+    Good,
+    /// Fails all that it starts.
+    Errors,
+    /// Makes no progress.
+    Hangs,
+    /// Takes so many times longer.
+    Slow(f64),
+    /// Leaves orders unanswered and carries them out so many milliseconds later.
+    Late(u64),
+}
+
+/// A run at a worker.
+#[derive(Debug, Clone)]
+pub(crate) struct Run {
+    /// What it takes.
+    pub(crate) need: Need,
+    /// Work left, in microseconds at speed 1.
+    left_us: f64,
+    /// Work in all.
+    whole_us: f64,
+    /// When the work was last brought up to date.
+    at: u64,
+    /// When it fails, if it does.
+    fails_at: Option<u64>,
+}
+
+/// One worker.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    /// Its registration.
+    pub(crate) entry: WorkerEntry,
+    /// How it behaves.
+    pub(crate) mood: Mood,
+    /// Whether it answers at all.
+    pub(crate) dark: bool,
+    /// Its speed.
+    pub(crate) speed: f64,
+    /// What runs.
+    pub(crate) runs: BTreeMap<(Name, u32), Run>,
+    /// Virtual time at which its clock read zero.
+    zero: u64,
+    token: u64,
+    until_ms: u64,
+    highest: BTreeMap<Name, u32>,
+    ends: Vec<EndRow>,
+    number: u64,
+}
+
+impl Worker {
+    /// Starts a worker at `now`.
+    pub(crate) fn new(now: u64, entry: WorkerEntry, speed: f64) -> Self {
+        Self {
+            entry,
+            mood: Mood::Good,
+            dark: false,
+            speed,
+            runs: BTreeMap::new(),
+            zero: now,
+            token: 0,
+            until_ms: 0,
+            highest: BTreeMap::new(),
+            ends: Vec::new(),
+            number: 0,
+        }
+    }
+
+    /// Crashes and starts again, knowing nothing.
+    pub(crate) fn reborn(&mut self, now: u64) {
+        let mut entry = self.entry.clone();
+        entry.born += 1;
+        *self = Self::new(now, entry, self.speed);
+    }
+
+    fn clock_ms(&self, now: u64) -> u64 {
+        (now - self.zero) / 1_000
+    }
+
+    fn rate(&self) -> f64 {
+        match self.mood {
+            Mood::Hangs => 0.0,
+            Mood::Slow(times) => self.speed / times,
+            _ => self.speed,
+        }
+    }
+
+    /// Returns when something happens here by itself.
+    pub(crate) fn next(&self) -> Option<u64> {
+        let rate = self.rate();
+        let ends = self.runs.values().flat_map(|run| {
+            let done = (rate > 0.0).then(|| run.at + (run.left_us / rate).ceil() as u64);
+            done.into_iter().chain(run.fails_at)
+        });
+        let lapse = (!self.runs.is_empty()).then(|| self.zero + self.until_ms * 1_000);
+        ends.chain(lapse).min()
+    }
+
+    /// Brings runs up to date: some end, or lapse with the lease.
+    pub(crate) fn advance(&mut self, now: u64) -> Vec<(Name, u32, RunEnd)> {
+        let rate = self.rate();
+        let lapsed = self.zero + self.until_ms * 1_000 <= now;
+        let mut over = Vec::new();
+        for ((task, number), run) in &mut self.runs {
+            run.left_us -= (now - run.at) as f64 * rate;
+            run.at = now;
+            if run.left_us < 1.0 {
+                over.push((task.clone(), *number, RunEnd::Done));
+            } else if run.fails_at.is_some_and(|at| at <= now) {
+                over.push((task.clone(), *number, RunEnd::Failed));
+            } else if lapsed {
+                over.push((task.clone(), *number, RunEnd::Lapsed));
+            }
+        }
+        for (task, number, end) in &over {
+            self.end(task, *number, *end);
+        }
+        over
+    }
+
+    fn end(&mut self, task: &Name, run: u32, end: RunEnd) {
+        self.runs.remove(&(task.clone(), run));
+        self.raise(task, run);
+        self.number += 1;
+        self.ends.push(EndRow { number: self.number, task: task.clone(), run, end });
+    }
+
+    fn raise(&mut self, task: &Name, run: u32) {
+        let highest = self.highest.entry(task.clone()).or_default();
+        *highest = (*highest).max(run);
+    }
+
+    fn fenced(&mut self, token: u64) -> bool {
+        let fenced = token < self.token;
+        self.token = self.token.max(token);
+        fenced
+    }
+
+    fn lease(&mut self, now: u64, until_ms: u64) {
+        let longest = self.clock_ms(now) + MAX_LEASE_MS;
+        self.until_ms = self.until_ms.max(until_ms.min(longest));
+    }
+
+    /// Carries out an order to start a task of this work.
+    pub(crate) fn start(
+        &mut self,
+        now: u64,
+        order: &StartOrder,
+        need: Need,
+        work_us: f64,
+    ) -> StartEnd {
+        let id = (order.task.clone(), order.run);
+        if self.fenced(order.token) {
+            return StartEnd::Fault(CallFault::Fenced);
+        }
+        if self.runs.contains_key(&id) {
+            return StartEnd::Started(self.clock_ms(now));
+        }
+        if self.highest.get(&order.task).is_some_and(|highest| *highest >= order.run) {
+            return StartEnd::Outrun;
+        }
+        if order.until <= self.clock_ms(now) {
+            return StartEnd::Late;
+        }
+        self.lease(now, order.until);
+        let fails_at = (self.mood == Mood::Errors).then_some(now + 5_000);
+        let run = Run { need, left_us: work_us, whole_us: work_us, at: now, fails_at };
+        self.runs.insert(id, run);
+        StartEnd::Started(self.clock_ms(now))
+    }
+
+    /// Carries out an order to stop.
+    pub(crate) fn stop(&mut self, now: u64, order: &StopOrder) -> Result<u64, CallFault> {
+        if self.fenced(order.token) {
+            return Err(CallFault::Fenced);
+        }
+        if self.runs.contains_key(&(order.task.clone(), order.run)) {
+            self.end(&order.task.clone(), order.run, RunEnd::Stopped);
+        }
+        self.raise(&order.task.clone(), order.run);
+        Ok(self.clock_ms(now))
+    }
+
+    /// Takes a hold; returns whether there is something to tell at once.
+    pub(crate) fn hold(&mut self, now: u64, order: &HoldOrder) -> Result<bool, CallFault> {
+        if self.fenced(order.token) {
+            return Err(CallFault::Fenced);
+        }
+        if let Some(until) = order.until {
+            self.lease(now, until);
+        }
+        self.ends.retain(|end| end.number > order.observed);
+        Ok(!self.ends.is_empty() || order.wait == 0)
+    }
+
+    /// Returns what a hold is answered.
+    pub(crate) fn held(&self, now: u64) -> Held {
+        let running = self.runs.iter().map(|((task, run), state)| RunRow {
+            task: task.clone(),
+            run: *run,
+            percent: (100.0 * (1.0 - state.left_us / state.whole_us)) as u8,
+        });
+        Held {
+            clock: self.clock_ms(now),
+            born: self.entry.born,
+            running: running.collect(),
+            ended: self.ends.clone(),
+        }
+    }
+
+    /// Returns whether there are ends to tell.
+    pub(crate) fn has_ends(&self) -> bool {
+        !self.ends.is_empty()
+    }
+}
--- a/endivestile_testkit/src/lib.rs
+++ b/endivestile_testkit/src/lib.rs
@@ -5,15 +5,18 @@
 
 mod caller;
 mod deploy;
+mod fleet;
 mod lock;
 mod machine;
 mod net;
+mod step;
 mod store;
 mod timer;
 mod world;
 
 pub use caller::{Caller, Reply};
 pub use deploy::{Daemon, Deployment, HostProcess, Plan, wait_for};
+pub use fleet::{FleetWorld, tell_fleet};
 pub use machine::{BackendStandIn, Fault, Spec, Start, WorkerStandIn, echo};
 pub use store::{Counts, StoreStandIn};
 pub use world::{CallLog, Mode, Started, Submit, WALL_S, World, tell};
--- a/endivestile_testkit/src/world.rs
+++ b/endivestile_testkit/src/world.rs
@@ -9,7 +9,7 @@
 mod effect;
 mod faults;
 mod host;
-mod net;
+pub(crate) mod net;
 mod platform;
 mod story;
 
--- a/endivestile_testkit/src/world/net.rs
+++ b/endivestile_testkit/src/world/net.rs
@@ -9,48 +9,47 @@
 /// One-way delay inside a zone, in microseconds.
 const NEAR_US: u64 = 150;
 /// Name under which the platform's store is cut off.
-pub(super) const STORE: &str = "store";
+pub(crate) const STORE: &str = "store";
 
 /// Who reaches whom, and how fast.
 #[derive(Debug)]
-pub(super) struct Net {
+pub(crate) struct Net {
     zones: BTreeMap<Name, Name>,
     far_us: u64,
     cuts: BTreeSet<(Name, Name)>,
     /// Frames lost, in percent.
-    pub(super) loss: u32,
+    pub(crate) loss: u32,
     /// Frames delayed by up to this much more, in microseconds.
-    pub(super) jitter_us: u64,
+    pub(crate) jitter_us: u64,
 }
 
 impl Net {
     /// Connects everything in the configuration.
-    pub(super) fn new(config: &Config) -> Self {
+    pub(crate) fn new(config: &Config) -> Self {
         let hosts = config.hosts.iter().map(|(name, host)| (name.clone(), host.zone.clone()));
         let servers = config.servers.iter().map(|(name, it)| (name.clone(), it.zone.clone()));
         let workers = config.workers.iter().map(|(name, it)| (name.clone(), it.zone.clone()));
-        Self {
-            zones: hosts.chain(servers).chain(workers).collect(),
-            far_us: config.rules.distance_us,
-            cuts: BTreeSet::new(),
-            loss: 0,
-            jitter_us: 0,
-        }
+        Self::zoned(hosts.chain(servers).chain(workers).collect(), config.rules.distance_us)
+    }
+
+    /// Connects things by their zones.
+    pub(crate) fn zoned(zones: BTreeMap<Name, Name>, far_us: u64) -> Self {
+        Self { zones, far_us, cuts: BTreeSet::new(), loss: 0, jitter_us: 0 }
     }
 
     /// Cuts two from each other: hosts, back ends, zones or the store.
-    pub(super) fn cut(&mut self, a: &str, b: &str) {
+    pub(crate) fn cut(&mut self, a: &str, b: &str) {
         self.cuts.insert((Name::from(a), Name::from(b)));
         self.cuts.insert((Name::from(b), Name::from(a)));
     }
 
     /// Mends every cut.
-    pub(super) fn heal(&mut self) {
+    pub(crate) fn heal(&mut self) {
         self.cuts.clear();
     }
 
     /// Returns whether one reaches the other.
-    pub(super) fn reaches(&self, a: &str, b: &str) -> bool {
+    pub(crate) fn reaches(&self, a: &str, b: &str) -> bool {
         let names = |name: &str| {
             let zone = self.zones.get(name).cloned();
             [Some(Name::from(name)), zone]
@@ -63,14 +62,14 @@
     }
 
     /// Returns the one-way delay in microseconds.
-    pub(super) fn delay_us(&self, a: &str, b: &str, rng: &mut SmallRng) -> u64 {
+    pub(crate) fn delay_us(&self, a: &str, b: &str, rng: &mut SmallRng) -> u64 {
         let near = self.zones.get(a) == self.zones.get(b);
         let base = if near { NEAR_US } else { self.far_us + NEAR_US };
         base + if self.jitter_us == 0 { 0 } else { rng.random_range(0..self.jitter_us) }
     }
 
     /// Returns whether a frame gets lost.
-    pub(super) fn loses(&self, rng: &mut SmallRng) -> bool {
+    pub(crate) fn loses(&self, rng: &mut SmallRng) -> bool {
         self.loss > 0 && rng.random_range(0..100) < self.loss
     }
 }
--- a/endivestile_testkit/src/world/story.rs
+++ b/endivestile_testkit/src/world/story.rs
@@ -11,6 +11,7 @@
 
 use super::call::millis;
 use super::{Mode, Submit, WALL_S, World};
+use crate::step::{Step, span_ms};
 
 /// Milliseconds until a submission's deadline, unless the story says otherwise.
 const DEADLINE_MS: u64 = 30_000;
@@ -26,13 +27,6 @@
     counted: u64,
 }
 
-/// One step: a verb, plain words and `key=value` pairs.
-struct Step<'a> {
-    line: &'a str,
-    words: Vec<&'a str>,
-    pairs: BTreeMap<&'a str, &'a str>,
-}
-
 /// Tells a story and returns what it printed.
 ///
 /// # Errors
@@ -324,41 +318,7 @@
     }
 }
 
-impl<'a> Step<'a> {
-    fn read(line: &'a str) -> Self {
-        let mut words = Vec::new();
-        let mut pairs = BTreeMap::new();
-        for part in line.split_whitespace() {
-            match part.split_once('=') {
-                Some((key, value)) => {
-                    pairs.insert(key, value);
-                }
-                None => words.push(part),
-            }
-        }
-        if words.is_empty() {
-            words.push("");
-        }
-        Self { line, words, pairs }
-    }
-
-    fn word(&self, at: usize) -> Result<&'a str, String> {
-        self.words.get(at).copied().ok_or_else(|| format!("word {at} is missing"))
-    }
-
-    fn parse<T: std::str::FromStr>(&self, at: usize) -> Result<T, String> {
-        self.word(at)?.parse().map_err(|_| format!("word {at} is no number"))
-    }
-
-    fn number(&self, key: &str, default: u64) -> Result<u64, String> {
-        let Some(text) = self.pairs.get(key) else { return Ok(default) };
-        text.parse().map_err(|_| format!("{key} is no number"))
-    }
-
-    fn span(&self, key: &str, default: u64) -> Result<u64, String> {
-        self.pairs.get(key).map_or(Ok(default), |text| span_ms(text))
-    }
-
+impl Step<'_> {
     /// Returns what `times=` adds to each name: nothing for a single call.
     fn suffixes(&self) -> Result<Vec<String>, String> {
         let times = self.number("times", 1)?;
@@ -427,15 +387,6 @@
     }
 }
 
-fn span_ms(text: &str) -> Result<u64, String> {
-    let (number, unit) = match text.strip_suffix("ms") {
-        Some(number) => (number, 1),
-        None => (text.strip_suffix('s').ok_or("a span ends with ms or s")?, 1_000),
-    };
-    let count: u64 = number.parse().map_err(|_| String::from("a span is a number and a unit"))?;
-    Ok(count * unit)
-}
-
 fn platform_state(word: &str) -> Result<PlatformState, String> {
     match word {
         "live" => Ok(PlatformState::Live),
--- /dev/null
+++ b/endivestile_testkit/tests/fleet_random.rs
@@ -0,0 +1,123 @@
+//! Random sequences of steps over fleets: jobs, faults and heals in virtual
+//! time, with every promise checked after each step. Callers that get no
+//! answer send their job again, as on the platform.
+//!
+//! A failing case is shrunk and printed as a story; it is kept unchanged as a
+//! file under `fleet/`. `RANDOM_CASES` sets how many are drawn, `RANDOM_SEED`
+//! draws others.
+
+use std::env;
+
+use endivestile_testkit::tell_fleet;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+/// Cases that CI draws.
+const CASES: u32 = 300;
+/// Most steps of one case.
+const STEPS: usize = 22;
+/// Steps that mend everything and wait until all must have been answered.
+const ENDING: &str =
+    "resume all\nheal\nlose 0\nstore up\nstore slow 4ms\nrun 12s\ncheck\nsettled\n";
+
+#[test]
+fn fleet_promises_random() {
+    let number = |key: &str| env::var(key).ok().and_then(|text| text.parse::<u64>().ok());
+    let cases = number("RANDOM_CASES").map_or(CASES, |cases| cases as u32);
+    let config = Config { cases, failure_persistence: None, ..Config::default() };
+    let mut seed = [7; 32];
+    seed[..8].copy_from_slice(&number("RANDOM_SEED").unwrap_or(1).to_le_bytes());
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &seed);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let stories = (world(), prop::collection::vec(step(), 1..STEPS));
+    let result = runner.run(&stories, |(world, steps)| {
+        // No two callers use one id, whatever the case is shrunk to.
+        let named = steps.iter().enumerate();
+        let named: String = named.map(|(at, step)| step.replace('?', &at.to_string())).collect();
+        let story = format!("{world}{named}{ENDING}");
+        let told = tell_fleet(&story).map_err(TestCaseError::fail)?;
+        let kept = |line: &str| line == "every promise kept" || line == "every call answered";
+        let breach = told.lines().find(|line| !kept(line));
+        prop_assert!(breach.is_none(), "{}\nin story\n{story}", breach.unwrap_or_default());
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
+
+fn world() -> impl Strategy<Value = String> {
+    let zones = prop::sample::select(vec!["a", "a,b", "a,b,c"]);
+    (zones, 1..3u32, 1..4u32, 0..1_000u32).prop_map(|(zones, hosts, workers, seed)| {
+        format!("world zones={zones} hosts={hosts} workers={workers} seed={seed}\n")
+    })
+}
+
+fn host() -> impl Strategy<Value = &'static str> {
+    prop::sample::select(vec!["a1", "a2", "b1", "b2", "c1"])
+}
+
+fn worker() -> impl Strategy<Value = &'static str> {
+    prop::sample::select(vec!["a-w1", "a-w2", "b-w1", "b-w2"])
+}
+
+fn place() -> impl Strategy<Value = &'static str> {
+    prop::sample::select(vec!["a1", "a2", "b1", "a", "b", "c", "store", "a-w1", "b-w1"])
+}
+
+fn span() -> impl Strategy<Value = &'static str> {
+    prop::sample::select(vec!["1ms", "20ms", "100ms", "400ms", "700ms", "1s", "3s"])
+}
+
+fn step() -> impl Strategy<Value = String> {
+    prop_oneof![
+        6 => submit(),
+        6 => span().prop_map(|span| format!("run {span}\ncheck\n")),
+        6 => fault(),
+        2 => behaviour(),
+    ]
+}
+
+fn submit() -> impl Strategy<Value = String> {
+    let work = prop::sample::select(vec![20, 200, 900]);
+    let deadline = prop::sample::select(vec!["400ms", "2s", "5s"]);
+    let times = prop::sample::select(vec![1, 1, 6]);
+    (host(), 1..5u32, 1..3u32, work, deadline, times).prop_map(
+        |(host, tasks, steps, work, deadline, times)| {
+            format!(
+                "submit c? at={host} tasks={tasks} steps={steps} ms={work} \
+                 deadline={deadline} times={times} every=10ms\n"
+            )
+        },
+    )
+}
+
+fn fault() -> impl Strategy<Value = String> {
+    prop_oneof![
+        host().prop_map(|host| format!("kill {host}\n")),
+        host().prop_map(|host| format!("kill {host}\nrun 500ms\nstart {host}\n")),
+        host().prop_map(|host| format!("start {host}\n")),
+        host().prop_map(|host| format!("pause {host}\n")),
+        Just(String::from("resume all\n")),
+        host().prop_map(|host| format!("stop {host}\n")),
+        (place(), place()).prop_map(|(a, b)| format!("cut {a} {b}\n")),
+        Just(String::from("heal\n")),
+        (5..40u32).prop_map(|percent| format!("lose {percent}\n")),
+        prop::sample::select(vec!["1ms", "60ms"]).prop_map(|span| format!("jitter {span}\n")),
+        Just(String::from("store down\n")),
+        Just(String::from("store up\n")),
+        (1..4u32).prop_map(|calls| format!("store loses {calls}\n")),
+        Just(String::from("store slow 300ms\n")),
+    ]
+}
+
+fn behaviour() -> impl Strategy<Value = String> {
+    let moods =
+        vec!["good", "dark", "errors", "hangs", "slow 6", "late 3s", "crash", "drains", "speed 2"];
+    (worker(), prop::sample::select(moods)).prop_map(|(worker, mood)| {
+        // The smallest worlds have no such worker.
+        let worker = if worker.ends_with('2') { "a-w1" } else { worker };
+        let worker = if worker.starts_with('b') { "a-w1" } else { worker };
+        format!("worker {worker} {mood}\n")
+    })
+}
