Ask an owner in the record whether it lives before its workers are claimed

Cause: at the end of a zone cut the hosts inside claimed the other zones at once (their owners had been silent for them), raced each other every 15 ms by an old revision, and two hosts cut from each other alone would take each other's workers in turns; idle hosts took each other's links for dumb, since ticks of 60 ms delayed the beats. Ruled out: the store's watch being late (it was back within 100 ms). Change: a claimant writes its doubt into the record, an owner that reaches its workers takes it out, and only without that the claim follows; no claim within 600 ms of the store's return; a raced change waits for the record; beats have deadlines of their own; a registration waits for the first reading.

--- a/endivestile/src/fleet/engine.rs
+++ b/endivestile/src/fleet/engine.rs
@@ -117,9 +117,6 @@
     /// Ends a batch of inputs.
     pub(crate) fn settle(&mut self, cx: CX![]) {
         let now = self.parts.clock.at(cx.now());
-        if self.fleet.deadline() <= now {
-            self.fleet.handle(now, FleetEvent::Tick);
-        }
         self.fleet.flush(now, &mut self.effects);
         self.carry(cx, now);
         self.arm(cx);
--- a/endivestile/src/fleet/feed.rs
+++ b/endivestile/src/fleet/feed.rs
@@ -16,14 +16,17 @@
 /// that a new configuration is in force within its two seconds.
 const WAIT_MS: u32 = 900;
 /// Pause after a call that failed, in milliseconds.
-const RETRY_MS: u64 = 150;
+const RETRY_MS: u64 = 100;
 /// Longest pause after calls that failed, in milliseconds.
-const RETRY_MAX_MS: u64 = 600;
+const RETRY_MAX_MS: u64 = 300;
 
 /// What is done with the keys of a prefix.
 pub(crate) trait Sink: Send + 'static {
     /// A key has this value now; none once it was deleted.
     fn tell(&mut self, key: &str, revision: u64, value: Option<Bytes>);
+
+    /// All keys have been told as they stood at one time.
+    fn loaded(&mut self) {}
 }
 
 /// Keys as they were last told.
@@ -89,6 +92,7 @@
         for key in gone.into_keys() {
             self.put(Item { key, value: None, revision: page.at });
         }
+        self.sink.loaded();
     }
 
     fn put(&mut self, item: Item) {
--- a/endivestile/src/fleet/store.rs
+++ b/endivestile/src/fleet/store.rs
@@ -46,6 +46,13 @@
             self.host(name, revision, value);
         }
     }
+
+    /// The registration waits until it is known what stands under its key.
+    fn loaded(&mut self) {
+        if self.wish.borrow().stands.is_none() {
+            self.wish.send_modify(|wish| wish.stands = Some((0, false)));
+        }
+    }
 }
 
 impl Records {
@@ -84,8 +91,13 @@
                 }
                 continue;
             }
+            None => {
+                if wishes.changed().await.is_err() {
+                    return;
+                }
+                continue;
+            }
             Some((revision, false)) => revision,
-            None => 0,
         };
         if let Err(fault) = put(&reader, &wish.entry, revision).await {
             log::info!("event=registration_failed step=register fault={fault:?}");
--- a/endivestile_kernel/src/fleet/claim.rs
+++ b/endivestile_kernel/src/fleet/claim.rs
@@ -20,6 +20,11 @@
 /// Wait of hosts of other zones, in milliseconds: a host of the zone that was
 /// killed is back by then.
 const OUTSIDE_MS: u64 = 900;
+/// Time for an owner that is asked whether it lives, in milliseconds.
+const ANSWER_MS: u64 = 120;
+/// How many times longer than the question the answer takes at most: the owner
+/// hears of it, and writes.
+const STORE_CALLS: u64 = 4;
 /// Wait for the store's word on who deposed this host, in milliseconds.
 const DEPOSED_MS: u64 = 2_000;
 /// Members of the zone that may go first at most: registrations of hosts that
@@ -137,23 +142,89 @@
 
     /// Claims the pools whose owner is lost, if it is this host's turn.
     pub(super) fn claim_pools(&mut self, now: Time) {
+        // A host that was cut off itself sees everybody silent: it has to hear
+        // of the others before it takes anything from them.
+        let connected = self.store_since.is_some_and(|since| since.after_ms(LOST_MS) <= now);
         if self.leaving {
             return;
         }
         let zones: BTreeSet<Name> = self.workers.iter().map(|entry| entry.zone.clone()).collect();
         for zone in zones {
-            self.pools.by_zone.entry(zone.clone()).or_default();
-            if self.wants(now, &zone) {
-                let me = self.setup.me.clone();
-                self.change_owner(now, &zone, &me);
+            let pool = self.pools.by_zone.entry(zone.clone()).or_default();
+            if pool.changing(now) {
+                continue;
+            }
+            if pool.owned_by(&self.setup.me) {
+                self.vouch(now, &zone);
+            } else if self.named_before(&zone) || (connected && self.wants(now, &zone)) {
+                self.claim(now, &zone);
             }
         }
     }
 
+    /// Answers a host that asks in the record whether this owner lives.
+    fn vouch(&mut self, now: Time, zone: &Name) {
+        let doubted = self.pools.by_zone.get(zone).is_some_and(super::pools::Pool::doubted);
+        if doubted && self.scheduler.reaches(now, zone) {
+            let change = self.pools.ask(now, zone, None);
+            self.write(change, "vouch");
+        }
+    }
+
+    /// Returns whether the record names an earlier life of this host.
+    fn named_before(&self, zone: &Name) -> bool {
+        let me = &self.setup.me;
+        let record = self.pools.by_zone.get(zone).and_then(|pool| pool.record.as_ref());
+        record.is_some_and(|record| record.owner.host == me.host && record.owner != *me)
+    }
+
+    /// Takes a pool, after its owner was asked in the record and did not answer.
+    ///
+    /// A host that cannot hear the owner may be the one that is cut off. Without
+    /// the question two hosts that are cut from each other, but not from store
+    /// and workers, would take the pool from each other again and again.
+    fn claim(&mut self, now: Time, zone: &Name) {
+        let me = self.setup.me.clone();
+        let Some(pool) = self.pools.by_zone.get(zone) else { return };
+        let lives = pool.record.as_ref().is_some_and(|record| {
+            record.owner.host != me.host && self.members.get(&record.owner).is_some()
+        });
+        if !lives || self.left(pool.record.as_ref().map(|record| &record.owner)) {
+            let change = self.pools.change(now, zone, &me);
+            return self.write(change, "claim");
+        }
+        match pool.asked {
+            None => {
+                let change = self.pools.ask(now, zone, Some(me));
+                self.write(change, "doubt");
+            }
+            Some((at, took)) if at.after_ms(ANSWER_MS.max(took * STORE_CALLS)) <= now => {
+                let change = self.pools.change(now, zone, &me);
+                self.write(change, "claim");
+            }
+            Some(_) => {}
+        }
+    }
+
+    /// Returns whether a host has said that it is stopping.
+    fn left(&self, peer: Option<&Peer>) -> bool {
+        let member = peer.and_then(|peer| self.members.get(peer));
+        member.is_some_and(|member| member.leaving)
+    }
+
     fn change_owner(&mut self, now: Time, zone: &Name, owner: &Peer) {
-        let Some(change) = self.pools.change(now, zone, owner) else { return };
-        let pairs = vec![("zone", zone.to_string()), ("owner", owner.to_string())];
-        self.note(Level::Info, "claim", pairs);
+        let change = self.pools.change(now, zone, owner);
+        self.write(change, "hand_on");
+    }
+
+    fn write(&mut self, change: Option<super::pools::Change>, event: &'static str) {
+        let Some(change) = change else { return };
+        let pairs = vec![
+            ("zone", change.zone.to_string()),
+            ("revision", change.revision.to_string()),
+            ("record", String::from_utf8_lossy(&change.value).into_owned()),
+        ];
+        self.note(Level::Info, event, pairs);
         let key = Name::from(format!("{POOL_KEYS}{}", change.zone));
         let op = StoreOp::Swap { key, revision: change.revision, value: change.value };
         self.out.push(FleetEffect::Store { token: change.token, op });
@@ -163,9 +234,6 @@
     fn wants(&mut self, now: Time, zone: &Name) -> bool {
         let wait = self.turn(now, zone);
         let Some(pool) = self.pools.by_zone.get_mut(zone) else { return false };
-        if pool.changing(now) {
-            return false;
-        }
         let me = &self.setup.me;
         let first = match &pool.record {
             None => FIRST_MS,
@@ -175,8 +243,6 @@
                 let since = *pool.vacant.get_or_insert(now);
                 return pool.deposed && since.after_ms(DEPOSED_MS) <= now;
             }
-            // The record names an earlier life of this host.
-            Some(record) if record.owner.host == me.host => return true,
             Some(record) => {
                 let member = self.members.named(&record.owner.host);
                 let alive = member.is_some_and(|member| {
@@ -184,7 +250,7 @@
                     let fresh = member.heard.is_none() && known.after_ms(LOST_MS) > now;
                     member.peer == record.owner && (fresh || member.answers(now, LOST_MS))
                 });
-                if alive {
+                if alive || pool.vouched > now {
                     pool.vacant = None;
                     return false;
                 }
--- a/endivestile_kernel/src/fleet/core.rs
+++ b/endivestile_kernel/src/fleet/core.rs
@@ -120,8 +120,6 @@
     LinkDown(Peer),
     /// The process was told to stop gracefully.
     Shutdown,
-    /// A deadline passed.
-    Tick,
 }
 
 /// Everything that the fleet tells the edges.
@@ -176,7 +174,8 @@
     /// Incarnations that have ended, and when that was noticed.
     pub(crate) ended: BTreeMap<Peer, Time>,
     pub(crate) report: (Time, Arc<Report>),
-    pub(crate) store_up: bool,
+    /// Since when the store answers.
+    pub(crate) store_since: Option<Time>,
     pub(crate) leaving: bool,
     pub(crate) drained: bool,
     pub(crate) due: Time,
@@ -199,7 +198,7 @@
             lost_fronts: BTreeSet::new(),
             ended: BTreeMap::new(),
             report: (Time::ZERO, Arc::default()),
-            store_up: false,
+            store_since: None,
             leaving: false,
             drained: false,
             due: Time::ZERO,
@@ -219,7 +218,7 @@
             FleetEvent::Record { zone, revision, value } => {
                 self.record(now, &zone, revision, &value);
             }
-            FleetEvent::Store(up) => self.store(up),
+            FleetEvent::Store(up) => self.store(now, up),
             FleetEvent::Stored { token, stored } => self.stored(now, token, &stored),
             FleetEvent::Started { worker, task, run, end } => {
                 self.scheduler.started(now, &worker, &RunId { task, run }, end);
@@ -235,21 +234,25 @@
                 }
             }
             FleetEvent::Shutdown => self.shutdown(now),
-            FleetEvent::Tick => self.tick(now),
         }
     }
 
-    /// Ends a batch of events: places what can be placed, and sends frames.
+    /// Ends a batch of events, or is called when the deadline has passed: does
+    /// what is due, places what can be placed, and sends frames.
     pub fn flush(&mut self, now: Time, out: &mut Vec<FleetEffect>) {
+        if self.due <= now {
+            self.tick(now);
+        }
         self.scheduler.dispatch(now);
         self.settle(now);
         self.send_frames(now);
         out.append(&mut self.out);
     }
 
-    /// Returns when the fleet wants [`FleetEvent::Tick`].
+    /// Returns when the fleet wants [`Self::flush`] without an event.
     pub fn deadline(&self) -> Time {
-        self.due
+        let channels = self.channels.values().filter_map(Channel::deadline).min();
+        channels.map_or(self.due, |due| due.min(self.due))
     }
 
     /// Returns whether this host owns workers.
@@ -318,9 +321,12 @@
         self.table = Some(table);
     }
 
-    fn store(&mut self, up: bool) {
-        if self.store_up != up {
-            self.store_up = up;
+    fn store(&mut self, now: Time, up: bool) {
+        if self.store_since.is_some() != up {
+            self.store_since = up.then_some(now);
+            for pool in self.pools.by_zone.values_mut() {
+                pool.vacant = None;
+            }
             let event = if up { "store_up" } else { "store_down" };
             self.note(Level::Info, event, Vec::new());
         }
--- a/endivestile_kernel/src/fleet/link.rs
+++ b/endivestile_kernel/src/fleet/link.rs
@@ -14,7 +14,7 @@
 const REPORT_MS: u64 = 15;
 /// Age of a link's last sign of life at which it is made anew, in
 /// milliseconds: three frames.
-const DUMB_MS: u64 = 350;
+const DUMB_MS: u64 = 400;
 /// Time for a new link to show a sign of life, in milliseconds.
 const REDIAL_MS: u64 = 400;
 /// Frames to one peer at a time.
@@ -178,6 +178,9 @@
         let Some(member) = self.members.get(peer) else { return false };
         let Some(channel) = self.channels.get_mut(peer) else { return false };
         let Some(mut frame) = channel.frame(now, &self.setup.me) else { return false };
+        if member.owns() || self.scheduler.owns() {
+            channel.beat_by(now.after_ms(BEAT_MS));
+        }
         frame.leaving = self.leaving;
         frame.echo = member.theirs;
         frame.report = Some(report.clone());
--- a/endivestile_kernel/src/fleet/pools.rs
+++ b/endivestile_kernel/src/fleet/pools.rs
@@ -21,16 +21,23 @@
 pub const HOST_KEYS: &str = "endivestile/hosts/";
 /// Bits of the fencing token below the epoch.
 const EPOCH_SHIFT: u32 = 20;
-/// Pause before a change of a record is tried again that got no answer, in milliseconds.
+/// Pause before a change of a record is tried again that got no answer or found
+/// another record, in milliseconds.
 const SWAP_RETRY_MS: u64 = 400;
+/// Time for which an owner's word counts that it lives, in milliseconds.
+const VOUCHED_MS: u64 = 2_000;
 
 /// Record of a pool in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct PoolRecord {
     /// The owner.
     pub(crate) owner: Peer,
-    /// Grows with every change.
+    /// Grows with every change of the owner.
     pub(crate) epoch: u64,
+    /// A host that cannot hear the owner and asks whether it lives; an owner
+    /// that does takes this out again.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) doubt: Option<Peer>,
 }
 
 /// A change of a record on its way.
@@ -38,6 +45,7 @@
 struct Swap {
     token: u64,
     record: PoolRecord,
+    sent: Time,
     due: Time,
 }
 
@@ -54,12 +62,45 @@
     pub(crate) vacant: Option<Time>,
     /// A worker showed a higher token than that of the record.
     pub(crate) deposed: bool,
-    /// When this host began to hand it on, and to whom.
-    pub(crate) yielding: Option<(Time, Peer)>,
+    /// Until when the owner's own word counts that it lives.
+    pub(crate) vouched: Time,
+    /// When this host asked in the record whether the owner lives, and how long
+    /// the store took for that, in milliseconds.
+    pub(crate) asked: Option<(Time, u64)>,
     swap: Option<Swap>,
 }
 
 impl Pool {
+    /// Takes the record over; returns whether its owner or epoch changed.
+    fn take(&mut self, now: Time, record: Option<PoolRecord>) -> bool {
+        let owner = |record: &Option<PoolRecord>| {
+            record.as_ref().map(|record| (record.owner.clone(), record.epoch))
+        };
+        let changed = owner(&record) != owner(&self.record);
+        let doubted = self.record.as_ref().is_some_and(|record| record.doubt.is_some());
+        let cleared = record.as_ref().is_some_and(|record| record.doubt.is_none());
+        if changed {
+            self.changed = now;
+            self.vacant = None;
+            self.deposed = false;
+        } else if doubted && cleared {
+            // Only the owner takes a doubt out.
+            self.vouched = now.after_ms(VOUCHED_MS);
+            self.vacant = None;
+        }
+        if cleared {
+            self.asked = None;
+        }
+        self.record = record;
+        self.swap = self.swap.take().filter(|swap| swap.due > now && !changed);
+        changed
+    }
+
+    /// Returns whether the owner is asked whether it lives.
+    pub(crate) fn doubted(&self) -> bool {
+        self.record.as_ref().is_some_and(|record| record.doubt.is_some())
+    }
+
     /// Returns whether a peer owns it.
     pub(crate) fn owned_by(&self, peer: &Peer) -> bool {
         !self.deposed && self.record.as_ref().is_some_and(|record| record.owner == *peer)
@@ -113,25 +154,27 @@
         pool.revision = revision;
         let record: Option<PoolRecord> =
             if value.is_empty() { None } else { Some(serde_json::from_slice(value)?) };
-        let changed = record != pool.record;
-        if changed {
-            pool.changed = now;
-            pool.vacant = None;
-            pool.deposed = false;
-            pool.yielding = None;
-        }
-        pool.record = record;
-        Ok(changed)
+        Ok(pool.take(now, record))
     }
 
     /// Starts a change that makes `owner` the owner of a zone's workers.
     pub(crate) fn change(&mut self, now: Time, zone: &Name, owner: &Peer) -> Option<Change> {
+        let epoch = self.by_zone.get(zone)?.record.as_ref().map_or(0, |record| record.epoch) + 1;
+        self.write(now, zone, PoolRecord { owner: owner.clone(), epoch, doubt: None })
+    }
+
+    /// Starts a change that asks the owner whether it lives, or that answers.
+    pub(crate) fn ask(&mut self, now: Time, zone: &Name, doubt: Option<Peer>) -> Option<Change> {
+        let record = self.by_zone.get(zone)?.record.clone()?;
+        self.write(now, zone, PoolRecord { doubt, ..record })
+    }
+
+    fn write(&mut self, now: Time, zone: &Name, record: PoolRecord) -> Option<Change> {
         let pool = self.by_zone.get_mut(zone)?;
         self.token += 1;
-        let epoch = pool.record.as_ref().map_or(0, |record| record.epoch) + 1;
-        let record = PoolRecord { owner: owner.clone(), epoch };
         let value = serde_json::to_vec(&record).ok()?;
-        pool.swap = Some(Swap { token: self.token, record, due: now.after_ms(SWAP_RETRY_MS) });
+        let due = now.after_ms(SWAP_RETRY_MS);
+        pool.swap = Some(Swap { token: self.token, record, sent: now, due });
         let revision = pool.revision;
         Some(Change { token: self.token, zone: zone.clone(), revision, value: value.into() })
     }
@@ -156,15 +199,16 @@
         match stored {
             Stored::Swapped(revision) if *revision > pool.revision => {
                 pool.revision = *revision;
-                pool.record = Some(swap.record);
-                pool.changed = now;
-                pool.vacant = None;
-                pool.deposed = false;
-                pool.yielding = None;
-                Some((zone.clone(), true))
+                let doubt = swap.record.doubt.is_some();
+                let changed = pool.take(now, Some(swap.record));
+                if doubt {
+                    pool.asked = Some((now, now.since(swap.sent).as_millis() as u64));
+                }
+                Some((zone.clone(), changed))
             }
-            // The next try waits for its due time; the watch brings the record.
-            Stored::Lost => {
+            // The next try waits for its due time; the watch brings the record
+            // that stood in the way, or the change itself.
+            Stored::Lost | Stored::Raced => {
                 pool.swap = Some(swap);
                 Some((zone.clone(), false))
             }
--- a/endivestile_kernel/src/fleet/scheduler.rs
+++ b/endivestile_kernel/src/fleet/scheduler.rs
@@ -416,6 +416,12 @@
         }
     }
 
+    /// Returns whether any worker of a zone answers this host as its owner.
+    pub(crate) fn reaches(&self, now: Time, zone: &Name) -> bool {
+        let mut own = self.drives.values().filter(|drive| drive.entry.zone == *zone);
+        own.any(|drive| !drive.abandoned && drive.answers(now))
+    }
+
     /// Returns the zones of which a worker refused our token.
     pub(crate) fn fenced_zones(&self) -> BTreeSet<Name> {
         let fenced = self.drives.values().filter(|drive| drive.fenced() && !drive.abandoned);
--- a/endivestile_testkit/src/fleet/host.rs
+++ b/endivestile_testkit/src/fleet/host.rs
@@ -135,9 +135,6 @@
         let zero = host.zero;
         let Some(fleet) = &mut host.fleet else { return };
         let mut effects = Vec::new();
-        if fleet.deadline() <= time {
-            fleet.handle(time, FleetEvent::Tick);
-        }
         fleet.flush(time, &mut effects);
         let wake = zero + fleet.deadline().as_micros();
         if wake != host.wake {
@@ -256,7 +253,7 @@
         let again = Happening::Read { host: name.clone(), birth };
         self.at(self.now + 500_000, again);
         if self.store.down || !self.net.reaches(name, crate::world::net::STORE) {
-            return;
+            return self.deliver(name, birth, FleetEvent::Store(false));
         }
         let keys: Vec<Name> = self.store.keys.keys().cloned().collect();
         for key in keys {
@@ -265,7 +262,8 @@
         let workers = self.workers.values().filter(|worker| !worker.unlisted());
         let entries = workers.map(|worker| worker.entry.clone()).collect();
         let at = self.now + self.store.delay_us;
-        for event in [FleetEvent::Table(self.table.clone()), FleetEvent::Workers(entries)] {
+        let (table, workers) = (self.table.clone(), FleetEvent::Workers(entries));
+        for event in [FleetEvent::Store(true), FleetEvent::Table(table), workers] {
             self.at(at, Happening::Event { host: name.clone(), birth, event });
         }
     }
--- a/endivestile_testkit/src/fleet/world.rs
+++ b/endivestile_testkit/src/fleet/world.rs
@@ -295,12 +295,13 @@
                 return;
             }
         }
-        let event = self.carry_out(&call);
-        self.reply(visit, &host, worker, event);
+        if let Some(event) = self.carry_out(&call) {
+            self.reply(visit, &host, worker, event);
+        }
     }
 
     /// Carries an order out; returns what the worker answers.
-    fn carry_out(&mut self, call: &WorkerCall) -> FleetEvent {
+    fn carry_out(&mut self, call: &WorkerCall) -> Option<FleetEvent> {
         let now = self.now;
         let worker = match call {
             WorkerCall::Start(order) => &order.worker,
@@ -308,9 +309,7 @@
             WorkerCall::Hold(_, order) => &order.worker,
         };
         self.advance(worker);
-        let Some(state) = self.workers.get_mut(worker) else {
-            return FleetEvent::Tick;
-        };
+        let state = self.workers.get_mut(worker)?;
         let event = match call {
             WorkerCall::Start(order) => {
                 let id = order.task.split('.').next().unwrap_or_default();
@@ -345,7 +344,7 @@
         self.check_worker(&worker);
         self.schedule(&worker);
         self.tell_ends(&worker);
-        event
+        Some(event)
     }
 
     fn belated(&mut self, call: &WorkerCall, worker: &Name, born: u64) {
