Log to standard output without waiting for it; serve counts and latencies; read settings again

Cause: the users read logs on standard output and metrics on an address; SIGHUP did nothing on the platform. Ruled out: flexi_logger's own writers (they write on the calling thread and wait for a full pipe). Change: one bounded queue and thread for all lines, drops counted and logged; a page of counts and quantiles (hdrhistogram) on [metrics] page; SIGHUP puts level, leases and grace of the new settings in force.

--- a/endivestile/src/args.rs
+++ b/endivestile/src/args.rs
@@ -8,7 +8,7 @@
 ///
 /// Exit codes: 0 drained or settings in order, 1 a socket or thread could not
 /// be had, 2 settings or command line refused, 3 stopped with work left.
-#[derive(Debug, Parser)]
+#[derive(Debug, Clone, Parser)]
 #[command(name = "endivestile", version)]
 pub struct Args {
     /// Settings file in INI.
--- a/endivestile/src/counters.rs
+++ b/endivestile/src/counters.rs
@@ -42,7 +42,7 @@
     "watch_calls",
     "lease_calls",
     "store_errors",
-    "notes_dropped",
+    "lines_dropped",
 ];
 
 /// What the edges count themselves.
@@ -67,7 +67,7 @@
     /// Calls to the store without an answer.
     StoreErrors,
     /// Log lines dropped because the log was too slow.
-    NotesDropped,
+    LinesDropped,
 }
 
 impl Counters {
@@ -81,6 +81,11 @@
         self.counts[tally as usize].fetch_add(count, Ordering::Relaxed);
     }
 
+    /// Returns one count of an edge.
+    pub(crate) fn get(&self, tally: Tally) -> u64 {
+        self.counts[tally as usize].load(Ordering::Relaxed)
+    }
+
     /// Returns all counts with their names.
     pub(crate) fn all(&self) -> impl Iterator<Item = (&'static str, u64)> {
         let counts = self.counts.iter().map(|count| count.load(Ordering::Relaxed));
--- a/endivestile/src/edges.rs
+++ b/endivestile/src/edges.rs
@@ -6,7 +6,7 @@
 use crate::configs::Checker;
 use crate::counters::Counters;
 use crate::http::Voice;
-use crate::logs::Notes;
+use crate::logs;
 use crate::peers::Links;
 use crate::store::Store;
 
@@ -23,8 +23,6 @@
     pub(crate) checker: Checker,
     /// Replies to callers.
     pub(crate) voice: Voice,
-    /// The log.
-    pub(crate) notes: Notes,
     /// Counts.
     pub(crate) counters: Counters,
 }
@@ -41,7 +39,7 @@
             Effect::Store { token, op } => self.store.call(token, op),
             Effect::Offer(text) => self.checker.offer("peer", text),
             Effect::Register { leaving } => self.store.register(leaving),
-            Effect::Log(note) => self.notes.note(note),
+            Effect::Log(note) => logs::note(&note),
             Effect::Count(metric, count) => self.counters.metric(metric, count),
             Effect::Answer { .. } | Effect::Drained => return Some(effect),
         }
--- a/endivestile/src/fleet/callers.rs
+++ b/endivestile/src/fleet/callers.rs
@@ -21,6 +21,7 @@
 use tokio::time::timeout;
 
 use super::inbox::{HttpCall, Inbox, Input};
+use super::page::Measures;
 use crate::error::RunError;
 
 /// Connections that may wait to be accepted.
@@ -31,6 +32,22 @@
 /// out, and others are freed meanwhile.
 const ACCEPT_MS: u64 = 20;
 
+/// Answers every request on a socket with the page of counts and latencies.
+pub(crate) async fn show(listener: TcpListener, measures: Measures) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(ACCEPT_MS)).await;
+            continue;
+        };
+        let measures = measures.clone();
+        let service = service_fn(move |_: hyper::Request<Incoming>| {
+            let page = measures.page().map(Full::new);
+            async move { Ok::<_, Infallible>(page) }
+        });
+        tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+    }
+}
+
 /// What all connections share.
 #[derive(Debug, Clone)]
 pub(crate) struct Desk {
--- a/endivestile/src/fleet/engine.rs
+++ b/endivestile/src/fleet/engine.rs
@@ -16,13 +16,15 @@
 use super::inbox::{HttpCall, Inbox, Input};
 use super::line::Line;
 use super::listing::Need;
+use super::page::Measures;
 use super::reader::Reader;
 use super::store::{self, Wish};
 use super::workers::Workers;
 use crate::clock::Clock;
 use crate::error::Exit;
-use crate::logs::Notes;
+use crate::logs;
 use crate::peers::Links;
+use crate::run::Reload;
 
 /// Time without a call that a stopping host waits for, in milliseconds: the
 /// balancer needs two probes to see that it takes nothing new.
@@ -61,8 +63,10 @@
     pub(crate) limits: Arc<RwLock<Limits>>,
     /// Set to close callers' connections.
     pub(crate) closing: watch::Sender<bool>,
-    /// The log.
-    pub(crate) notes: Notes,
+    /// Counts and latencies.
+    pub(crate) measures: Measures,
+    /// Reads the settings again.
+    pub(crate) reload: Reload,
     /// Time from the signal to stop until the process is killed, in milliseconds.
     pub(crate) grace_ms: u64,
     /// Where the way the process ends is left.
@@ -110,7 +114,7 @@
             }
             Input::Call(call) => self.call(now, *call),
             Input::Stop => self.stop(cx, now),
-            Input::Reload => log::info!("event=reload outcome=kept"),
+            Input::Reload => self.reload(),
         }
     }
 
@@ -130,6 +134,21 @@
         }
     }
 
+    /// Reads the settings again. What binds sockets or names the host stays as
+    /// it is until the next start; settings that are refused change nothing.
+    fn reload(&mut self) {
+        match self.parts.reload.settings() {
+            Ok(settings) => {
+                self.parts.grace_ms = settings.platform.grace_ms;
+                let (worker, host) =
+                    (settings.platform.worker_lease(), settings.platform.host_lease());
+                self.fleet.set_leases(worker, host);
+                log::info!("event=reload outcome=applied worker_lease={worker} host_lease={host}");
+            }
+            Err(e) => log::error!("event=reload outcome=refused {e}"),
+        }
+    }
+
     /// Serves a caller.
     fn call(&mut self, now: Time, call: HttpCall) {
         let table = self.fleet.table().map(AsRef::as_ref);
@@ -192,7 +211,9 @@
                     wish.entry.leaving = true;
                     wish.stands = wish.stands.map(|(revision, _)| (revision, false));
                 }),
-                FleetEffect::Log(note) => self.parts.notes.note(note),
+                FleetEffect::Log(note) => logs::note(&note),
+                FleetEffect::Count(count) => self.parts.measures.count(count),
+                FleetEffect::Time(span, took) => self.parts.measures.time(span, took),
                 FleetEffect::Drained => {
                     self.drained = true;
                     self.linger(cx);
--- a/endivestile/src/fleet/mod.rs
+++ b/endivestile/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod inbox;
 mod line;
 mod listing;
+mod page;
 mod reader;
 mod run;
 mod store;
--- a/endivestile/src/fleet/run.rs
+++ b/endivestile/src/fleet/run.rs
@@ -24,14 +24,15 @@
 use super::feed;
 use super::inbox::{Inbox, Inlet, Input};
 use super::listing::{self, Need};
+use super::page::Measures;
 use super::reader::Reader;
 use super::store::{self, Records, Wish};
 use super::workers::Workers;
 use crate::clock::{Clock, since_epoch};
 use crate::counters::Counters;
 use crate::error::{Exit, RunError};
-use crate::logs::Notes;
 use crate::peers::{self, Links};
+use crate::run::Reload;
 
 /// Inputs handled before their effects are carried out.
 const BATCH: usize = 256;
@@ -44,27 +45,44 @@
 const STORE_MS: u64 = 700;
 
 /// Runs the host until it is stopped.
-pub(crate) fn serve(settings: &Settings, adapter: &'static Adapter) -> Result<Exit, RunError> {
+pub(crate) fn serve(
+    settings: &Settings,
+    adapter: &'static Adapter,
+    counters: &Counters,
+    reload: Reload,
+) -> Result<Exit, RunError> {
     let failed = |source| RunError::Thread { step: "start-runtime", source };
     let runtime = Builder::new_current_thread().enable_all().build().map_err(failed)?;
     let (inbox, inlet) = Inbox::new();
     let exit = Rc::new(Cell::new(Exit::Failed));
-    let parts = build(&runtime, settings, adapter, &inbox, Rc::clone(&exit))?;
+    let edges = Edges { settings, adapter, counters, inbox: &inbox };
+    let parts = build(&runtime, &edges, Rc::clone(&exit), reload)?;
     runtime.block_on(turn(inlet, parts));
     Ok(exit.get())
 }
 
+/// What the edges are made from.
+struct Edges<'a> {
+    settings: &'a Settings,
+    adapter: &'static Adapter,
+    counters: &'a Counters,
+    inbox: &'a Inbox,
+}
+
 /// Opens the sockets and starts the edges.
 fn build(
     runtime: &Runtime,
-    settings: &Settings,
-    adapter: &'static Adapter,
-    inbox: &Inbox,
+    edges: &Edges<'_>,
     exit: Rc<Cell<Exit>>,
+    reload: Reload,
 ) -> Result<Parts, RunError> {
+    let &Edges { settings, adapter, counters, inbox } = edges;
     let _context = runtime.enter();
     let clock = Clock::new();
-    let counters = Counters::default();
+    let measures = Measures::new(counters.clone());
+    if let Some(page) = settings.metrics.page {
+        runtime.spawn(callers::show(callers::bind(page)?, measures.clone()));
+    }
     let limits = Arc::new(RwLock::new(Limits::default()));
     let (closing, closed) = watch::channel(false);
     let desk = Desk {
@@ -108,7 +126,6 @@
         worker_lease: settings.platform.worker_lease(),
         host_lease: settings.platform.host_lease(),
     };
-    let notes = Notes::start(counters)?;
     Ok(Parts {
         setup,
         adapter,
@@ -121,7 +138,8 @@
         need,
         limits,
         closing,
-        notes,
+        measures,
+        reload,
         grace_ms: settings.platform.grace_ms,
         exit,
     })
--- a/endivestile/src/run.rs
+++ b/endivestile/src/run.rs
@@ -13,6 +13,7 @@
 use endivestile_config::model::Name;
 use endivestile_kernel::{Peer, Seed, Setup};
 use endivestile_wire::adapter::Adapter;
+use flexi_logger::LoggerHandle;
 use stakker::{Actor, Stakker, actor, call, ret_nop};
 
 use crate::args::Args;
@@ -26,7 +27,7 @@
 use crate::fleet;
 use crate::http::{self, Desk, Say};
 use crate::inbox::{Inbox, Inlet};
-use crate::logs::{self, Notes};
+use crate::logs;
 use crate::net::Net;
 use crate::peers::{self, Links};
 use crate::store::{self, Store};
@@ -65,10 +66,29 @@
         println!("settings are in order");
         return Ok(Exit::Drained);
     }
-    let _log = logs::open(&settings.log)?;
-    let Some(name) = &settings.platform.adapter else { return serve(&settings) };
+    let counters = Counters::default();
+    let log = logs::open(&settings.log, counters.clone())?;
+    let Some(name) = &settings.platform.adapter else {
+        return serve(&settings, counters);
+    };
     let adapter = Adapter::named(name).ok_or_else(|| RunError::Adapter { name: name.clone() })?;
-    fleet::serve(&settings, adapter)
+    let reload = Reload { args: args.clone(), log };
+    fleet::serve(&settings, adapter, &counters, reload)
+}
+
+/// Reads the settings again while the host runs.
+pub(crate) struct Reload {
+    args: Args,
+    log: LoggerHandle,
+}
+
+impl Reload {
+    /// Reads the settings and puts the log's level in force.
+    pub(crate) fn settings(&self) -> Result<Settings, RunError> {
+        let settings = load(&self.args)?;
+        logs::set_level(&self.log, &settings.log)?;
+        Ok(settings)
+    }
 }
 
 fn load(args: &Args) -> Result<Settings, RunError> {
@@ -81,9 +101,8 @@
 }
 
 /// Starts all edges, then the loop.
-fn serve(settings: &Settings) -> Result<Exit, RunError> {
+fn serve(settings: &Settings, counters: Counters) -> Result<Exit, RunError> {
     let clock = Clock::new();
-    let counters = Counters::default();
     let adopted = Adopted::default();
     let (inbox, inlet) = Inbox::new();
     let net = Net::start()?;
@@ -124,8 +143,7 @@
     metrics::start(&settings.metrics, &settings.host, counters.clone(), inbox.clone())?;
     signals::watch(inbox.clone())?;
     http::serve(callers, &desk)?;
-    let notes = Notes::start(counters.clone())?;
-    let edges = Edges { backends, links, store: store.clone(), checker, voice, notes, counters };
+    let edges = Edges { backends, links, store: store.clone(), checker, voice, counters };
     let wall_s = since_epoch().as_secs();
     let seed = me.birth;
     let seeds = settings.host.seeds.iter();
--- a/endivestile/tests/common/mod.rs
+++ b/endivestile/tests/common/mod.rs
@@ -88,9 +88,9 @@
             command.args(["--set", set]);
         }
         let mut child =
-            command.stdout(Stdio::null()).stderr(Stdio::piped()).spawn().expect("daemon");
+            command.stdout(Stdio::piped()).stderr(Stdio::null()).spawn().expect("daemon");
         let lines = Arc::new(Mutex::new(Vec::new()));
-        let (output, kept) = (child.stderr.take().expect("stderr"), Arc::clone(&lines));
+        let (output, kept) = (child.stdout.take().expect("stdout"), Arc::clone(&lines));
         thread::spawn(move || {
             for line in BufReader::new(output).lines().map_while(Result::ok) {
                 kept.lock().expect("lines").push(line);
--- a/endivestile_config/src/settings/metric.rs
+++ b/endivestile_config/src/settings/metric.rs
@@ -14,22 +14,25 @@
     pub statsd: Option<SocketAddr>,
     /// Time between two sends, in milliseconds.
     pub interval_ms: u64,
+    /// Address of the page with counters and latencies; none serves no page.
+    pub page: Option<SocketAddr>,
 }
 
 impl Default for MetricSettings {
     fn default() -> Self {
-        Self { statsd: None, interval_ms: 10_000 }
+        Self { statsd: None, interval_ms: 10_000, page: None }
     }
 }
 
 impl Keys for MetricSettings {
-    const KEYS: &'static [&'static str] = &["statsd", "interval-ms"];
+    const KEYS: &'static [&'static str] = &["statsd", "interval-ms", "page"];
     const REQUIRED: &'static [&'static str] = &[];
 
     fn set(&mut self, raw: &Raw) -> Result<(), ConfigError> {
         match raw.place.key.as_str() {
             "statsd" => self.statsd = socket_or_none(raw)?,
             "interval-ms" => self.interval_ms = raw.number(100..=600_000)?,
+            "page" => self.page = socket_or_none(raw)?,
             _ => return Err(unknown_key::<Self>(raw)),
         }
         Ok(())
@@ -38,7 +41,8 @@
     fn get(&self, key: &str) -> String {
         match key {
             "statsd" => optional(self.statsd),
-            _ => self.interval_ms.to_string(),
+            "interval-ms" => self.interval_ms.to_string(),
+            _ => optional(self.page),
         }
     }
 }
--- a/endivestile_kernel/src/fleet/claim.rs
+++ b/endivestile_kernel/src/fleet/claim.rs
@@ -6,6 +6,7 @@
 
 use super::core::{Fleet, FleetEffect};
 use super::drive::Call;
+use super::measure::Count;
 use super::members::{HostEntry, rank};
 use super::pools::POOL_KEYS;
 use super::serve::LOST_MS;
@@ -135,6 +136,7 @@
             }
             pool.deposed = true;
             pool.vacant = None;
+            self.out.push(FleetEffect::Count(Count::Deposed));
             self.note(Level::Warn, "deposed", vec![("zone", zone.to_string())]);
             self.take_workers(now);
         }
@@ -225,6 +227,7 @@
             ("record", String::from_utf8_lossy(&change.value).into_owned()),
         ];
         self.note(Level::Info, event, pairs);
+        self.out.push(FleetEffect::Count(Count::RecordChanges));
         let key = Name::from(format!("{POOL_KEYS}{}", change.zone));
         let op = StoreOp::Swap { key, revision: change.revision, value: change.value };
         self.out.push(FleetEffect::Store { token: change.token, op });
--- a/endivestile_kernel/src/fleet/core.rs
+++ b/endivestile_kernel/src/fleet/core.rs
@@ -10,6 +10,7 @@
 use super::drive::{Call, RunId};
 use super::front::Front;
 use super::job::{Job, JobEnd};
+use super::measure::{Count, Span};
 use super::members::{HostEntry, Members};
 use super::msg::{JobMsg, Report};
 use super::pools::Pools;
@@ -154,6 +155,10 @@
     Leave,
     /// Write a log line.
     Log(Note),
+    /// Count an event.
+    Count(Count),
+    /// Note how long something took, in microseconds.
+    Time(Span, u64),
     /// Everything is drained: the process may end.
     Drained,
 }
@@ -255,6 +260,13 @@
         channels.map_or(self.due, |due| due.min(self.due))
     }
 
+    /// Puts other leases in force, in milliseconds, for orders from now on.
+    pub fn set_leases(&mut self, worker: u64, host: u64) {
+        self.setup.worker_lease = worker;
+        self.setup.host_lease = host;
+        self.scheduler.set_lease(worker);
+    }
+
     /// Returns whether this host owns workers.
     pub fn owns_workers(&self) -> bool {
         self.scheduler.owns()
@@ -294,6 +306,8 @@
                     Out::Call(call) => self.out.push(FleetEffect::Worker(call)),
                     Out::Tell(peer, msg) => self.tell(now, &peer, msg),
                     Out::Log(note) => self.out.push(FleetEffect::Log(note)),
+                    Out::Count(count) => self.out.push(FleetEffect::Count(count)),
+                    Out::Time(span, took) => self.out.push(FleetEffect::Time(span, took)),
                 }
             }
         }
--- a/endivestile_kernel/src/fleet/dispatch.rs
+++ b/endivestile_kernel/src/fleet/dispatch.rs
@@ -6,6 +6,7 @@
 
 use super::drive::{RunId, TaskRef};
 use super::job::{Job, JobEnd, Reason, Step};
+use super::measure::{Count, Span};
 use super::msg::JobMsg;
 use super::queue::Key;
 use super::scheduler::{Out, Scheduler, carries, holds};
@@ -139,9 +140,13 @@
         let slot = &mut state.tasks[index];
         slot.run += 1;
         slot.state = TaskState::Running { worker: worker.clone(), id };
-        state.started.get_or_insert(now);
+        if state.started.replace(state.started.unwrap_or(now)).is_none() {
+            let waited = now.since(state.came).as_micros() as u64;
+            self.out.push(Out::Time(Span::FirstStart, waited));
+        }
         state.starts += 1;
         self.grudges.given(worker);
+        self.out.push(Out::Count(Count::Starts));
         self.out.push(Out::Call(call));
         true
     }
@@ -170,6 +175,7 @@
         state.starts += 1;
         // It may be started from here on, for all that this host can tell.
         state.started.get_or_insert(now);
+        self.out.push(Out::Count(Count::TasksLent));
         self.out.push(Out::Tell(peer, JobMsg::Submit { serial, job, echo: Time::ZERO }));
         true
     }
--- a/endivestile_kernel/src/fleet/drive.rs
+++ b/endivestile_kernel/src/fleet/drive.rs
@@ -173,7 +173,7 @@
     /// What takes its room.
     pub(crate) runs: BTreeMap<RunId, Run>,
     /// Length of a lease in milliseconds, a setting.
-    lease_ms: u64,
+    pub(crate) lease_ms: u64,
     token: u64,
     /// Since when it is driven under this token.
     since: Time,
--- a/endivestile_kernel/src/fleet/link.rs
+++ b/endivestile_kernel/src/fleet/link.rs
@@ -4,6 +4,7 @@
 
 use super::core::{Fleet, FleetEffect};
 use super::job::{JobEnd, Reason};
+use super::measure::Count;
 use super::members::{BEAT_MS, Heard};
 use super::msg::{JobMsg, Report, RoomFigure};
 use super::serve::LOST_MS;
@@ -61,6 +62,7 @@
     fn refuse_stale(&mut self, now: Time, from: &Peer, serial: u64) {
         let pairs = vec![("front", from.to_string()), ("serial", serial.to_string())];
         self.note(Level::Info, "job_stale", pairs);
+        self.out.push(FleetEffect::Count(Count::JobsStale));
         let end = JobEnd::NotRun { reason: Reason::NoPlacer, retry: now };
         self.tell(now, from, JobMsg::Ended { serial, end });
     }
--- a/endivestile_kernel/src/fleet/outcome.rs
+++ b/endivestile_kernel/src/fleet/outcome.rs
@@ -4,7 +4,8 @@
 
 use super::drive::{Over, Past, RunId, TaskRef};
 use super::job::{JobEnd, Reason};
-use super::scheduler::Scheduler;
+use super::measure::{Count, Span};
+use super::scheduler::{Out, Scheduler};
 use super::state::TaskState;
 use super::worker::{CallFault, Held, RunEnd, StartEnd};
 use crate::{Level, Peer, Time};
@@ -103,6 +104,7 @@
         let index = task.task as usize;
         let estimate = state.step(index).estimate;
         let took = now.since(past.run.sent).as_micros() as f64;
+        self.out.push(Out::Time(Span::TaskRun, took as u64));
         state.work.get_or_insert(took * self.pace.speed(worker));
         self.pace.learn(&state.job, estimate, worker, took);
         self.end_task(now, task);
@@ -127,6 +129,7 @@
     /// Counts a failure against the task, unless its worker fails everything.
     fn task_failed(&mut self, now: Time, worker: &Name, task: TaskRef) {
         let blamed = self.grudges.failed(now, worker);
+        self.out.push(Out::Count(Count::TasksFailed));
         let Some(state) = self.jobs.get_mut(&task.job) else { return };
         let slot = &mut state.tasks[task.task as usize];
         slot.fails += 1;
@@ -184,6 +187,7 @@
             JobEnd::Done => self.end_task(now, task),
             JobEnd::Failed(_) => self.fail(now, task),
             JobEnd::NotRun { .. } | JobEnd::Lost(_) => {
+                self.out.push(Out::Count(Count::LentReturned));
                 // It has no room after all: until its next report nothing more
                 // is sent there.
                 if let Some(free) = self.others.get_mut(from).and_then(|r| r.get_mut(&service)) {
@@ -217,6 +221,7 @@
                 ("fault", fault.to_owned()),
             ],
         };
-        self.out.push(super::scheduler::Out::Log(note));
+        self.out.push(Out::Count(Count::StartFaults));
+        self.out.push(Out::Log(note));
     }
 }
--- a/endivestile_kernel/src/fleet/scheduler.rs
+++ b/endivestile_kernel/src/fleet/scheduler.rs
@@ -8,6 +8,7 @@
 use super::drive::{Call, Drive, TaskRef};
 use super::grudge::Grudges;
 use super::job::{Job, JobEnd, Reason};
+use super::measure::{Count, Span};
 use super::msg::JobMsg;
 use super::pace::Pace;
 use super::queue::Queue;
@@ -30,6 +31,10 @@
     Tell(Peer, JobMsg),
     /// Write a log line.
     Log(Note),
+    /// Count an event.
+    Count(Count),
+    /// Note how long something took, in microseconds.
+    Time(Span, u64),
 }
 
 /// Room of another placer's workers, by its last word less what was lent since.
@@ -416,6 +421,14 @@
         }
     }
 
+    /// Puts another lease of workers in force, in milliseconds.
+    pub(crate) fn set_lease(&mut self, lease_ms: u64) {
+        self.lease_ms = lease_ms;
+        for drive in self.drives.values_mut() {
+            drive.lease_ms = lease_ms;
+        }
+    }
+
     /// Returns whether any worker of a zone answers this host as its owner.
     pub(crate) fn reaches(&self, now: Time, zone: &Name) -> bool {
         let mut own = self.drives.values().filter(|drive| drive.entry.zone == *zone);
--- a/endivestile_kernel/src/fleet/serve.rs
+++ b/endivestile_kernel/src/fleet/serve.rs
@@ -5,6 +5,7 @@
 use super::core::{Fleet, FleetEffect};
 use super::front::placeable;
 use super::job::{Job, JobEnd, Reason};
+use super::measure::{Count, Span};
 use super::msg::JobMsg;
 use crate::{CallId, Level, Note, Peer, Time};
 
@@ -33,6 +34,7 @@
         let single = self.owns_only_here(to);
         let Some((serial, job)) = self.front.send(now, serial, to, single) else { return };
         self.note_sent(&job, to, serial);
+        self.out.push(FleetEffect::Count(Count::JobsSent));
         self.tell(now, to, JobMsg::Submit { serial, job, echo: Time::ZERO });
     }
 
@@ -70,6 +72,7 @@
     pub(super) fn hangup(&mut self, now: Time, call: CallId) {
         let Some(serial) = self.front.serial(call) else { return };
         let Some(open) = self.front.end(serial) else { return };
+        self.out.push(FleetEffect::Count(Count::CallersLeft));
         self.note_job("caller_left", &open.job, &[("ms", ms(now, open.job.arrived))]);
         if let Some(to) = open.to {
             self.tell(now, &to, JobMsg::Cancel { serial });
@@ -125,9 +128,21 @@
             ("ms", ms(now, open.job.arrived)),
         ];
         self.note_job("job_answered", &open.job, &more);
+        self.measure_end(now, &open.job, end);
         self.out.push(FleetEffect::Answer { call: open.call, end });
     }
 
+    fn measure_end(&mut self, now: Time, job: &Job, end: JobEnd) {
+        let (count, span) = match end {
+            JobEnd::Done => (Count::JobsDone, Span::JobDone),
+            JobEnd::Failed(_) => (Count::JobsFailed, Span::JobOther),
+            JobEnd::NotRun { .. } => (Count::JobsRefused, Span::JobOther),
+            JobEnd::Lost(_) => (Count::JobsLost, Span::JobOther),
+        };
+        let took = now.since(job.arrived).as_micros() as u64;
+        self.out.extend([FleetEffect::Count(count), FleetEffect::Time(span, took)]);
+    }
+
     /// Places jobs anew whose placer is lost, once nothing of them can run there.
     pub(super) fn replace_lost(&mut self, now: Time) {
         let serials: Vec<u64> = self.front.open.keys().copied().collect();
@@ -172,6 +187,7 @@
             return;
         }
         let job = open.job.clone();
+        self.out.push(FleetEffect::Count(Count::PlacersLost));
         self.note_job("placer_lost", &job, &[("placer", lost.to_string())]);
         self.front.unplace(now, serial, true);
         match heir {
--- a/endivestile_kernel/src/fleet/watchdog.rs
+++ b/endivestile_kernel/src/fleet/watchdog.rs
@@ -4,6 +4,7 @@
 
 use super::drive::{Call, Run, RunId, TaskRef};
 use super::job::{JobEnd, Reason};
+use super::measure::Count;
 use super::scheduler::{Out, Scheduler};
 use super::state::TaskState;
 use crate::{Level, Time};
@@ -101,6 +102,7 @@
         }
         for (worker, id, task, factor) in stalled {
             self.pace.slowed(&worker, factor);
+            self.out.push(Out::Count(Count::RunsStalled));
             let more = [
                 ("worker", worker.to_string()),
                 ("task", task.task.to_string()),
--- a/endivestile_testkit/src/deploy/process.rs
+++ b/endivestile_testkit/src/deploy/process.rs
@@ -37,7 +37,7 @@
         for setting in settings {
             command.arg("--set").arg(setting);
         }
-        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn()
+        command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::null()).spawn()
     }
 }
 
@@ -192,10 +192,10 @@
 
 /// Collects what a process logs.
 fn follow(mut child: Child, log: &Arc<Mutex<Vec<String>>>) -> Child {
-    if let Some(stderr) = child.stderr.take() {
+    if let Some(output) = child.stdout.take() {
         let log = Arc::clone(log);
         thread::spawn(move || {
-            for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
                 lock(&log).push(line);
             }
         });
--- a/endivestile_testkit/src/fleet/host.rs
+++ b/endivestile_testkit/src/fleet/host.rs
@@ -197,7 +197,7 @@
                     ));
                 }
             }
-            FleetEffect::Redial(_) => {}
+            FleetEffect::Redial(_) | FleetEffect::Count(_) | FleetEffect::Time(..) => {}
         }
     }
 
