Test the adapter over real sockets and message by message; refuse only what cannot end in time

The first process test found: one short job taught a ratio of true to declared time by its round trip alone, and every longer job was refused as too long for its deadline. Ruled out: the deadline header being lost (the log shows it).

--- /dev/null
+++ b/endivestile/tests/platform_path.rs
@@ -0,0 +1,291 @@
+//! The whole path on the users' platform, as processes over real sockets:
+//! callers, entry hosts, the platform's store and its workers.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panic")]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use endivestile_testkit::{PlatformStandIn, WorkerFault};
+use serde_json::{Value, json};
+use test_case::test_case;
+
+/// Longest wait for a condition; reached only by a fault.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// An entry host's process; dropping it kills the process.
+struct Host {
+    child: Child,
+    http: String,
+    page: String,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+/// Returns a port that was free a moment ago.
+fn port() -> u16 {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+}
+
+impl Host {
+    fn start(platform: &PlatformStandIn, name: &str, zone: &str) -> Self {
+        let (http, peers, page) = (port(), port(), port());
+        let mut child = Command::new(env!("CARGO_BIN_EXE_endivestile"))
+            .args(["--set", &format!("host.name={name}")])
+            .args(["--set", &format!("host.zone={zone}")])
+            .args(["--set", &format!("host.http=127.0.0.1:{http}")])
+            .args(["--set", &format!("host.peers=127.0.0.1:{peers}")])
+            .args(["--set", &format!("store.addresses={}", platform.store())])
+            .args(["--set", &format!("metrics.page=127.0.0.1:{page}")])
+            .args(["--set", "platform.adapter=fenced-workers"])
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let lines = Arc::new(Mutex::new(Vec::new()));
+        let (output, kept) = (child.stdout.take().unwrap(), Arc::clone(&lines));
+        thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                kept.lock().unwrap().push(line);
+            }
+        });
+        let http = format!("127.0.0.1:{http}");
+        let page = format!("127.0.0.1:{page}");
+        let host = Self { child, http, page, lines };
+        until("the host listens", || TcpStream::connect(&host.http).is_ok());
+        host
+    }
+
+    /// Makes a call and returns its status and body.
+    fn call(&self, method: &str, path: &str, body: &str) -> (u16, Value) {
+        call(&self.http, method, path, body)
+    }
+
+    fn logged(&self, part: &str) -> Option<String> {
+        self.lines.lock().unwrap().iter().find(|line| line.contains(part)).cloned()
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        if thread::panicking() {
+            let lines = self.lines.lock().unwrap();
+            for line in lines.iter().rev().take(30).rev() {
+                eprintln!("{line}");
+            }
+        }
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn until(what: &str, condition: impl Fn() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(Instant::now() < end, "waited in vain until {what}");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// Opens a connection and sends a request.
+fn send(address: &str, method: &str, path: &str, body: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(address).unwrap();
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: jobs.example\r\nX-Deadline-Ms: 5000\r\n\
+         Request-Id: r1\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    stream
+}
+
+/// Makes a call and returns its status and body.
+fn call(address: &str, method: &str, path: &str, body: &str) -> (u16, Value) {
+    let mut stream = send(address, method, path, body);
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    let status = text.split(' ').nth(1).and_then(|word| word.parse().ok()).unwrap_or(0);
+    let body = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    (status, serde_json::from_str(body).unwrap_or(Value::Null))
+}
+
+/// A job of so many tasks that each take `ms` milliseconds; it says so up to
+/// half a second, since a job that cannot end in time is refused.
+fn job(tasks: u32, ms: u32) -> String {
+    let estimate = ms.min(500);
+    let step =
+        json!({"Count": tasks, "Cpu": 14_000, "MemoryRequestMb": 64, "EstimatedMs": estimate});
+    json!({"Spec": ms.to_string(), "Steps": [step], "BestEffort": true}).to_string()
+}
+
+/// Waits until a host runs jobs.
+fn until_serving(host: &Host) {
+    until("a job is served", || host.call("POST", "/jobs/00000000000000aa", &job(1, 1)).0 == 200);
+}
+
+fn platform() -> PlatformStandIn {
+    let platform = PlatformStandIn::start(&["a"], 2);
+    platform.configure(1);
+    platform
+}
+
+#[test]
+fn job_completed() {
+    let platform = platform();
+    // Entries of other writers name no worker to use.
+    platform.write("servers/other", b"\xff\xfe");
+    platform.write("servers/half", br#"{"Service":"service","State":"ready"}"#);
+    let host = Host::start(&platform, "a1", "a");
+    until_serving(&host);
+    let (status, body) = host.call("POST", "/jobs/00000000000000ab", &job(4, 30));
+    assert_eq!((status, body["State"].as_str()), (200, Some("completed")));
+    assert_eq!(host.call("GET", "/jobs/", "").1["Pending"], 0);
+    assert_eq!(host.call("GET", "/jobs/00000000000000ab", "").0, 410);
+    assert_eq!(host.call("GET", "/readiness", "").0, 200);
+    assert_eq!(platform.breaches(), Vec::<String>::new());
+    until("the page counts the job", || {
+        let mut stream = send(&host.page, "GET", "/metrics", "");
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        text.contains("endivestile_job_done_us_count") && !text.contains("endivestile_jobs_done 0")
+    });
+}
+
+#[test_case("POST", "/other/00000000000000ab", r#"{"Steps":[{"Count":1}]}"#, 404; "no_route")]
+#[test_case("POST", "/jobs/short", r#"{"Steps":[{"Count":1}]}"#, 400; "id_not_hex")]
+#[test_case("POST", "/jobs/00000000000000ab", "{", 400; "body_unreadable")]
+#[test_case("POST", "/jobs/00000000000000ab", r#"{"BestEffort":true,"Steps":[]}"#, 400; "no_steps")]
+#[test_case("POST", "/jobs/00000000000000ab", r#"{"BestEffort":true,"Steps":[{"Count":0}]}"#, 400; "count_zero")]
+#[test_case("POST", "/jobs/00000000000000ab", r#"{"BestEffort":true,"Steps":[{"Count":99999}]}"#, 400; "count_huge")]
+#[test_case("POST", "/jobs/00000000000000ab", r#"{"BestEffort":true,"Steps":[{"Count":1,"After":[0]}]}"#, 400; "after_itself")]
+#[test_case("POST", "/jobs/00000000000000ab", r#"{"BestEffort":true,"Steps":[{"Count":1,"Cpu":99000}]}"#, 422; "fits_no_worker")]
+#[test_case("POST", "/jobs/00000000000000ab", r#"{"Steps":[{"Count":1}]}"#, 503; "must_be_kept")]
+fn job_refused(method: &str, path: &str, body: &str, status: u16) {
+    let platform = platform();
+    let host = Host::start(&platform, "a1", "a");
+    until_serving(&host);
+    let before = platform.starts();
+    assert_eq!(host.call(method, path, body).0, status);
+    assert_eq!(platform.starts(), before);
+}
+
+#[test]
+fn job_body_too_long() {
+    let platform = platform();
+    let host = Host::start(&platform, "a1", "a");
+    until_serving(&host);
+    let body = format!("{{\"Spec\":\"{}\"}}", "x".repeat(5_000));
+    assert_eq!(host.call("POST", "/jobs/00000000000000ab", &body).0, 413);
+}
+
+/// A host starts before the operator has written any configuration. Whether a
+/// route exists cannot be told yet: a caller that got 404 would believe that
+/// its queue is gone, so it is told to come back.
+#[test]
+fn config_missing_says_come_back() {
+    let platform = PlatformStandIn::start(&["a"], 1);
+    let host = Host::start(&platform, "a1", "a");
+    assert_eq!(host.call("POST", "/jobs/00000000000000ab", &job(1, 1)).0, 503);
+    assert_eq!(host.call("GET", "/readiness", "").0, 503);
+    platform.configure(1);
+    until_serving(&host);
+}
+
+/// A caller closes its connection while its job runs. Nobody wants the work any
+/// more; without a stop it would take the room of others until it ends.
+#[test]
+fn hangup_stops_work() {
+    let platform = platform();
+    let host = Host::start(&platform, "a1", "a");
+    until_serving(&host);
+    let stream = send(&host.http, "POST", "/jobs/00000000000000ab", &job(2, 60_000));
+    until("both tasks run", || platform.running() == 2);
+    drop(stream);
+    until("nothing runs", || platform.running() == 0);
+    until_serving(&host);
+}
+
+/// A worker stops answering while a job runs there. Its lease runs out, and
+/// the job is run elsewhere; the caller waits longer and gets its whole answer.
+#[test]
+fn worker_silent_job_completed() {
+    let platform = platform();
+    let host = Host::start(&platform, "a1", "a");
+    until_serving(&host);
+    platform.fault("a-w1", WorkerFault::Silent);
+    for id in 0..4 {
+        let (status, _) = host.call("POST", &format!("/jobs/00000000000001a{id}"), &job(2, 20));
+        assert_eq!(status, 200);
+    }
+    assert_eq!(platform.breaches(), Vec::<String>::new());
+}
+
+/// The host that owns the workers is killed while its callers' jobs run. The
+/// other host takes the workers over, stops what runs there, and serves: callers
+/// that send again wait for about a second, and no task runs twice at a time.
+#[test]
+fn owner_killed_other_serves() {
+    let platform = platform();
+    let mut hosts = vec![Host::start(&platform, "a1", "a"), Host::start(&platform, "a2", "a")];
+    hosts.iter().for_each(until_serving);
+    let owner = |host: &Host| host.logged("event=claim_ended").is_some();
+    let at = hosts.iter().position(owner).unwrap();
+    let killed = hosts.remove(at);
+    let _open = send(&killed.http, "POST", "/jobs/00000000000000ab", &job(2, 60_000));
+    until("both tasks run", || platform.running() == 2);
+    drop(killed);
+    until_serving(&hosts[0]);
+    let (status, _) = hosts[0].call("POST", "/jobs/00000000000000ab", &job(2, 20));
+    assert_eq!((status, platform.breaches()), (200, Vec::new()));
+}
+
+/// A host is told to stop while a caller's job runs. The caller gets its whole
+/// answer before the process ends by itself.
+#[test]
+fn stop_answers_open_calls() {
+    let platform = platform();
+    let mut host = Host::start(&platform, "a1", "a");
+    until_serving(&host);
+    let mut open = send(&host.http, "POST", "/jobs/00000000000000ab", &job(2, 700));
+    until("both tasks run", || platform.running() == 2);
+    host.signal("-TERM");
+    let mut text = String::new();
+    open.read_to_string(&mut text).unwrap();
+    assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+    assert!(host.child.wait().unwrap().success());
+}
+
+/// The store turns every call away for a while. The owner of the workers goes
+/// on under its token, and callers notice nothing.
+#[test]
+fn store_busy_serves_on() {
+    let platform = platform();
+    let host = Host::start(&platform, "a1", "a");
+    until_serving(&host);
+    platform.refuse(true);
+    until("the host notices", || host.logged("event=store_down").is_some());
+    assert_eq!(host.call("POST", "/jobs/00000000000000ab", &job(4, 20)).0, 200);
+    platform.refuse(false);
+    until("the host notices", || {
+        let lines = host.lines.lock().unwrap();
+        lines.iter().filter(|line| line.contains("event=store_up")).count() > 1
+    });
+}
+
+/// The settings file changes and the host is told so by a signal.
+#[test]
+fn reload_applied() {
+    let platform = platform();
+    let host = Host::start(&platform, "a1", "a");
+    until_serving(&host);
+    host.signal("-HUP");
+    until("the host reads its settings", || host.logged("event=reload outcome=applied").is_some());
+    assert_eq!(host.call("POST", "/jobs/00000000000000ab", &job(1, 1)).0, 200);
+}
--- a/endivestile_kernel/src/fleet/dispatch.rs
+++ b/endivestile_kernel/src/fleet/dispatch.rs
@@ -58,8 +58,8 @@
             return true;
         };
         let step = state.step(task.task as usize);
-        let run_us = self.pace.task_us(&state.job, step.estimate) / 2.0;
-        if now.after_us(run_us as u64) > state.job.deadline {
+        let least = self.pace.least_us(&state.job, step.estimate);
+        if now.after_us(least as u64) > state.job.deadline {
             self.hopeless(now, task.job);
             return true;
         }
--- a/endivestile_kernel/src/fleet/pace.rs
+++ b/endivestile_kernel/src/fleet/pace.rs
@@ -61,7 +61,8 @@
     /// around the truth, so the middle of both scatters less than either.
     pub(crate) fn task_us(&self, job: &Job, estimate_ms: u32) -> f64 {
         let declared = f64::from(estimate_ms.max(1)) * 1_000.0;
-        let bias = self.declared.get(&job.route).map_or(0.0, |mean| mean.ln);
+        let bias = self.declared.get(&job.route).filter(|mean| mean.count >= ENOUGH);
+        let bias = bias.map_or(0.0, |mean| mean.ln);
         let told = declared.ln() + bias;
         match self.routes.get(&job.route).filter(|mean| mean.count >= ENOUGH) {
             Some(mean) => f64::midpoint(told, mean.ln).exp(),
@@ -69,6 +70,16 @@
         }
     }
 
+    /// Returns a duration that the task hardly stays below, in microseconds.
+    ///
+    /// Jobs are given up by this one: an estimate that is far too long would
+    /// refuse them all, and nothing would ever correct it.
+    pub(crate) fn least_us(&self, job: &Job, estimate_ms: u32) -> f64 {
+        let declared = f64::from(estimate_ms) * 1_000.0;
+        let learnt = self.routes.get(&job.route).filter(|mean| mean.count >= ENOUGH);
+        learnt.map_or(declared, |mean| mean.ln.exp().min(declared)) / 2.0
+    }
+
     /// Returns the speed of a worker, 1 for one of which nothing is known.
     pub(crate) fn speed(&self, worker: &str) -> f64 {
         self.speeds.get(worker).map_or(1.0, |mean| mean.ln.exp())
--- /dev/null
+++ b/endivestile_testkit/src/platform/mod.rs
@@ -0,0 +1,127 @@
+//! A stand-in for the users' platform over real sockets: its store and its
+//! workers, speaking their protocol on loopback.
+
+mod server;
+mod store;
+mod workers;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+use serde_json::json;
+use tokio::runtime::Builder;
+
+pub use workers::WorkerFault;
+
+use crate::lock::lock;
+use store::Keys;
+use workers::Fleet;
+
+/// State that all connections share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) keys: Mutex<Keys>,
+    pub(crate) workers: Mutex<Fleet>,
+}
+
+/// The stand-in; it lives until the test's process ends.
+#[derive(Debug)]
+pub struct PlatformStandIn {
+    shared: Arc<Shared>,
+    store: SocketAddr,
+}
+
+impl PlatformStandIn {
+    /// Starts a store and so many workers, of 32 cores each, in each zone.
+    pub fn start(zones: &[&str], workers: usize) -> Self {
+        let shared = Arc::new(Shared { keys: Mutex::default(), workers: Mutex::default() });
+        let store = server::listen(&shared, None);
+        let stand_in = Self { shared, store };
+        for zone in zones {
+            for index in 1..=workers {
+                stand_in.add_worker(zone, index);
+            }
+        }
+        stand_in
+    }
+
+    /// Returns the store's address.
+    pub fn store(&self) -> SocketAddr {
+        self.store
+    }
+
+    /// Puts a configuration with one route in force: any path below `/jobs/`.
+    pub fn configure(&self, version: u64) {
+        let config = json!({
+            "Version": version,
+            "Routes": [{
+                "Name": "jobs", "Host": "jobs.example", "Prefix": "/jobs/", "Kind": "unsafe",
+                "TimeoutMs": 3000, "TargetCompletionMs": 60, "Priority": 0,
+                "Service": "service", "MaxAttempts": 2, "Stretch": 1.6,
+            }],
+            "Services": [{"Name": "service", "MaxConnections": 64}],
+            "Limits": {
+                "MaxHeaderBytes": 16384, "MaxBodyBytes": 4096,
+                "HeaderTimeoutMs": 1000, "IdleTimeoutMs": 15000,
+            },
+        });
+        lock(&self.shared.keys).put("op/config", config.to_string().into_bytes());
+    }
+
+    /// Writes a key as another writer of the store would.
+    pub fn write(&self, key: &str, value: &[u8]) {
+        lock(&self.shared.keys).put(key, value.to_vec());
+    }
+
+    /// Returns the value of a key.
+    pub fn read(&self, key: &str) -> Option<Vec<u8>> {
+        lock(&self.shared.keys).get(key)
+    }
+
+    /// Turns every call to the store away, or serves them again.
+    pub fn refuse(&self, refuse: bool) {
+        lock(&self.shared.keys).refusing = refuse;
+    }
+
+    /// Makes a worker misbehave, or behave again.
+    pub fn fault(&self, worker: &str, fault: WorkerFault) {
+        lock(&self.shared.workers).fault(worker, fault);
+    }
+
+    /// Returns how many runs each worker has started.
+    pub fn starts(&self) -> Vec<(String, u64)> {
+        lock(&self.shared.workers).starts()
+    }
+
+    /// Returns how many runs go on at all workers.
+    pub fn running(&self) -> usize {
+        lock(&self.shared.workers).running()
+    }
+
+    /// Returns everything that workers saw broken: room, or a task run twice at once.
+    pub fn breaches(&self) -> Vec<String> {
+        lock(&self.shared.workers).breaches.clone()
+    }
+
+    fn add_worker(&self, zone: &str, index: usize) {
+        let id = format!("{zone}-w{index}");
+        let address = server::listen(&self.shared, Some(id.clone()));
+        lock(&self.shared.workers).add(zone, &id, address);
+        let entry = json!({
+            "Service": "service", "Address": address.to_string(), "Zone": zone,
+            "Version": "v1", "Slots": 8, "State": "ready", "ColdRemainingMs": 0,
+            "Capacity": {"Cpu": 32000, "MemoryRequestMb": 65536, "Gpu": 0},
+            "Labels": ["a", format!("{zone}-r1")], "ClockMs": 0, "Sequence": 1, "born": 1,
+        });
+        lock(&self.shared.keys).put(&format!("servers/{id}"), entry.to_string().into_bytes());
+    }
+}
+
+/// Runs a future on a thread of its own until the process ends.
+pub(crate) fn spawn(work: impl Future<Output = ()> + Send + 'static) {
+    thread::spawn(move || {
+        let runtime = Builder::new_current_thread().enable_all().build();
+        runtime.expect("a runtime of one thread").block_on(work);
+    });
+}
--- /dev/null
+++ b/endivestile_testkit/src/platform/store.rs
@@ -0,0 +1,130 @@
+//! The platform's store: keys with revisions, pages, watches, conditions.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+use super::Shared;
+use super::server::{Answer, Call};
+use crate::lock::lock;
+
+/// Pause between two looks of a watch, in milliseconds.
+const LOOK_MS: u64 = 3;
+/// Keys of one page.
+const PAGE: usize = 500;
+
+/// The keys.
+#[derive(Debug, Default)]
+pub(crate) struct Keys {
+    items: BTreeMap<String, (u64, Vec<u8>)>,
+    revision: u64,
+    /// Whether every call is turned away.
+    pub(crate) refusing: bool,
+}
+
+impl Keys {
+    /// Writes a key.
+    pub(crate) fn put(&mut self, key: &str, value: Vec<u8>) {
+        self.revision += 1;
+        self.items.insert(key.to_owned(), (self.revision, value));
+    }
+
+    /// Reads a key.
+    pub(crate) fn get(&self, key: &str) -> Option<Vec<u8>> {
+        self.items.get(key).map(|(_, value)| value.clone())
+    }
+
+    fn below<'a>(&'a self, prefix: &'a str, after: &'a str) -> impl Iterator<Item = Value> + 'a {
+        let items = self
+            .items
+            .iter()
+            .filter(move |(key, _)| key.starts_with(prefix) && key.as_str() > after);
+        items.map(|(key, (revision, value))| item(key, *revision, value))
+    }
+
+    fn changes(&self, prefix: &str, after: u64) -> Vec<Value> {
+        let new = |(key, (revision, _)): &(&String, &(u64, Vec<u8>))| {
+            key.starts_with(prefix) && *revision > after
+        };
+        let mut items: Vec<_> = self.items.iter().filter(new).collect();
+        items.sort_by_key(|(_, (revision, _))| *revision);
+        items.into_iter().map(|(key, (revision, value))| item(key, *revision, value)).collect()
+    }
+
+    fn swap(&mut self, body: &Value) -> (u16, Value) {
+        let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+        let held = |key: &str| self.items.get(key).map_or(0, |(revision, _)| *revision);
+        let failed: Vec<Value> = rows("Precondition")
+            .iter()
+            .filter_map(|row| {
+                let key = row["Key"].as_str()?;
+                let revision = held(key);
+                (Some(revision) != row["Revision"].as_u64())
+                    .then(|| json!({"Key": key, "Revision": revision}))
+            })
+            .collect();
+        if !failed.is_empty() {
+            return (412, json!({"items": failed}));
+        }
+        for row in rows("Writes") {
+            let (key, value) = (row["Key"].as_str(), row["Value"].as_str());
+            let value = value.and_then(|value| STANDARD.decode(value).ok());
+            match (key, value) {
+                (Some(key), Some(value)) => self.put(key, value),
+                _ => return (400, Value::Null),
+            }
+        }
+        (200, json!({"Revision": self.revision}))
+    }
+}
+
+fn item(key: &str, revision: u64, value: &[u8]) -> Value {
+    json!({
+        "Key": key, "Value": STANDARD.encode(value), "Revision": revision,
+        "Created": revision, "Lease": 0,
+    })
+}
+
+/// Answers a call.
+pub(crate) async fn answer(shared: &Arc<Shared>, call: &Call) -> Answer {
+    if lock(&shared.keys).refusing {
+        return Some((503, Value::Null));
+    }
+    let prefix = call.get("Prefix").unwrap_or_default();
+    match call.path.as_str() {
+        "/kv-range" => {
+            let keys = lock(&shared.keys);
+            let mut items: Vec<Value> =
+                keys.below(prefix, call.get("After").unwrap_or_default()).collect();
+            let more = items.len() > PAGE;
+            items.truncate(PAGE);
+            Some((200, json!({"items": items, "HasMore": more, "At": keys.revision})))
+        }
+        "/kv-watch" => Some(watch(shared, prefix, call).await),
+        "/kv-txn" => Some(lock(&shared.keys).swap(&call.body)),
+        _ => Some((404, Value::Null)),
+    }
+}
+
+async fn watch(shared: &Arc<Shared>, prefix: &str, call: &Call) -> (u16, Value) {
+    let after = call.number("After");
+    let end = Instant::now() + Duration::from_millis(call.number("WaitMs"));
+    loop {
+        {
+            let keys = lock(&shared.keys);
+            if keys.refusing {
+                return (503, Value::Null);
+            }
+            let events = keys.changes(prefix, after);
+            if !events.is_empty() || Instant::now() >= end {
+                return (200, json!({"events": events, "At": keys.revision}));
+            }
+        }
+        sleep(Duration::from_millis(LOOK_MS)).await;
+    }
+}
