--- a/endivestile/src/fleet/engine.rs
+++ b/endivestile/src/fleet/engine.rs
@@ -14,11 +14,11 @@
 use tokio::sync::watch;
 
 use super::inbox::{HttpCall, Inbox, Input};
-use super::line::Line;
 use super::listing::Need;
 use super::page::Measures;
 use super::reader::Reader;
 use super::store::{self, Wish};
+use super::waiting::Waiting;
 use super::workers::Workers;
 use crate::clock::Clock;
 use crate::error::Exit;
@@ -76,7 +76,7 @@
 /// The fleet with its open calls and timer.
 pub(crate) struct Engine {
     fleet: Fleet,
-    line: Line,
+    waiting: Waiting,
     parts: Parts,
     effects: Vec<FleetEffect>,
     timer: Option<(Time, FixedTimerKey)>,
@@ -91,7 +91,7 @@
     pub(crate) fn init(_cx: CX![], parts: Parts) -> Option<Self> {
         Some(Self {
             fleet: Fleet::new(parts.setup.clone()),
-            line: Line::new(parts.adapter),
+            waiting: Waiting::new(parts.adapter),
             parts,
             effects: Vec::new(),
             timer: None,
@@ -108,7 +108,7 @@
         match input {
             Input::Event(event) => {
                 if let FleetEvent::Hangup(call) = &event {
-                    self.line.forget(*call);
+                    self.waiting.forget(*call);
                 }
                 self.event(now, event);
             }
@@ -161,7 +161,7 @@
             }
             Demand::Submit(job) => {
                 self.called = now;
-                self.line.open(call.call, call.reply);
+                self.waiting.open(call.call, call.reply);
                 self.fleet.handle(now, FleetEvent::Call { call: call.call, job: *job });
                 return;
             }
@@ -179,13 +179,13 @@
                 Say::Refused(refused)
             }
         };
-        self.line.say(call.reply, &say);
+        self.waiting.say(call.reply, &say);
     }
 
     fn cancel(&mut self, now: Time, id: &str) -> bool {
         let Some(call) = self.fleet.find(id) else { return false };
         self.fleet.handle(now, FleetEvent::Hangup(call));
-        self.line.answer(call, &Say::Ended(JobEnd::Lost(Reason::Cancelled), now));
+        self.waiting.answer(call, &Say::Ended(JobEnd::Lost(Reason::Cancelled), now));
         true
     }
 
@@ -199,7 +199,7 @@
         for effect in effects.drain(..) {
             match effect {
                 FleetEffect::Answer { call, end } => {
-                    self.line.answer(call, &Say::Ended(end, now));
+                    self.waiting.answer(call, &Say::Ended(end, now));
                 }
                 FleetEffect::Send { address, frame } => self.parts.links.send(address, frame),
                 FleetEffect::Redial(address) => self.parts.links.redial(address),
@@ -250,7 +250,7 @@
             return;
         }
         self.stopping = true;
-        self.line.close();
+        self.waiting.close();
         let part = |percent: u64| Duration::from_millis(self.parts.grace_ms * percent / 100);
         after!(part(REFUSE_PART), [cx], refuse());
         after!(part(GRACE_PART), [cx], limit());
@@ -264,10 +264,10 @@
     /// The time to stop is nearly over: tells everybody who still waits.
     fn limit(&mut self, cx: CX![]) {
         let now = self.parts.clock.at(cx.now());
-        let open = self.line.len();
-        for call in self.line.calls() {
+        let open = self.waiting.len();
+        for call in self.waiting.calls() {
             self.fleet.handle(now, FleetEvent::Hangup(call));
-            self.line.answer(call, &Say::Ended(JobEnd::Lost(Reason::Deadline), now));
+            self.waiting.answer(call, &Say::Ended(JobEnd::Lost(Reason::Deadline), now));
         }
         self.settle(cx);
         log::info!("event=stop_limit open_calls={open}");
@@ -277,7 +277,7 @@
     /// Closes up once no caller has called for a while.
     fn linger(&mut self, cx: CX![]) {
         let now = self.parts.clock.at(cx.now());
-        if self.drained && self.line.len() == 0 && self.called.after_ms(QUIET_MS) <= now {
+        if self.drained && self.waiting.len() == 0 && self.called.after_ms(QUIET_MS) <= now {
             self.close(cx);
         } else {
             after!(Duration::from_millis(QUIET_MS / 8), [cx], linger());
@@ -292,12 +292,12 @@
     }
 
     fn finish(&mut self, cx: CX![]) {
-        let exit = if self.line.len() == 0 { Exit::Drained } else { Exit::Left };
+        let exit = if self.waiting.len() == 0 { Exit::Drained } else { Exit::Left };
         self.end(cx, exit, "drained");
     }
 
     fn end(&mut self, cx: CX![], exit: Exit, cause: &str) {
-        log::info!("event=stopped cause={cause} open_calls={}", self.line.len());
+        log::info!("event=stopped cause={cause} open_calls={}", self.waiting.len());
         self.parts.exit.set(exit);
         cx.shutdown(StopCause::Stopped);
     }
--- a/endivestile/src/fleet/mod.rs
+++ b/endivestile/src/fleet/mod.rs
@@ -9,12 +9,12 @@
 mod engine;
 mod feed;
 mod inbox;
-mod line;
 mod listing;
 mod page;
 mod reader;
 mod run;
 mod store;
+mod waiting;
 mod workers;
 
 pub(crate) use run::serve;
--- a/endivestile/src/fleet/line.rs
+++ b/endivestile/src/fleet/waiting.rs
@@ -11,13 +11,13 @@
 
 /// Open calls with the ways back.
 #[derive(Debug)]
-pub(crate) struct Line {
+pub(crate) struct Waiting {
     adapter: &'static Adapter,
     calls: HashMap<CallId, Sender<Response<Bytes>>>,
     closing: bool,
 }
 
-impl Line {
+impl Waiting {
     /// Starts with no call.
     pub(crate) fn new(adapter: &'static Adapter) -> Self {
         Self { adapter, calls: HashMap::new(), closing: false }
--- a/endivestile/tests/platform_path.rs
+++ b/endivestile/tests/platform_path.rs
@@ -235,7 +235,7 @@
     let platform = platform();
     let mut hosts = vec![Host::start(&platform, "a1", "a"), Host::start(&platform, "a2", "a")];
     hosts.iter().for_each(until_serving);
-    let owner = |host: &Host| host.logged("event=claim_ended").is_some();
+    let owner = |host: &Host| host.logged("event=owner_change_ended").is_some();
     let at = hosts.iter().position(owner).unwrap();
     let killed = hosts.remove(at);
     let _open = send(&killed.http, "POST", "/jobs/00000000000000ab", &job(2, 60_000));
--- a/endivestile_kernel/src/fleet/claim.rs
+++ b/endivestile_kernel/src/fleet/claim.rs
@@ -5,7 +5,7 @@
 use endivestile_config::model::Name;
 
 use super::core::{Fleet, FleetEffect};
-use super::drive::Call;
+use super::driver::Call;
 use super::measure::Count;
 use super::members::{HostEntry, rank};
 use super::pools::POOL_KEYS;
@@ -66,7 +66,7 @@
     pub(super) fn stored(&mut self, now: Time, token: u64, stored: &Stored) {
         let Some((zone, done)) = self.pools.stored(now, token, stored) else { return };
         let pairs = vec![("zone", zone.to_string()), ("outcome", format!("{stored:?}"))];
-        self.note(Level::Info, "claim_ended", pairs);
+        self.note(Level::Info, "owner_change_ended", pairs);
         if done {
             self.owners_changed(now, &zone);
         }
@@ -78,7 +78,7 @@
         let token = pool.map_or(0, super::pools::Pool::token);
         let pairs =
             vec![("zone", zone.to_string()), ("owner", owner), ("token", token.to_string())];
-        self.note(Level::Info, "owner", pairs);
+        self.note(Level::Info, "owner_known", pairs);
         self.take_workers(now);
     }
 
@@ -157,7 +157,7 @@
                 continue;
             }
             if pool.owned_by(&self.setup.me) {
-                self.vouch(now, &zone);
+                self.confirm(now, &zone);
             } else if self.named_before(&zone) || (connected && self.wants(now, &zone)) {
                 self.claim(now, &zone);
             }
@@ -165,11 +165,11 @@
     }
 
     /// Answers a host that asks in the record whether this owner lives.
-    fn vouch(&mut self, now: Time, zone: &Name) {
-        let doubted = self.pools.by_zone.get(zone).is_some_and(super::pools::Pool::doubted);
-        if doubted && self.scheduler.reaches(now, zone) {
+    fn confirm(&mut self, now: Time, zone: &Name) {
+        let challenged = self.pools.by_zone.get(zone).is_some_and(super::pools::Pool::challenged);
+        if challenged && self.scheduler.reaches(now, zone) {
             let change = self.pools.ask(now, zone, None);
-            self.write(change, "vouch");
+            self.write(change, "owner_confirmed");
         }
     }
 
@@ -193,16 +193,16 @@
         });
         if !lives || self.left(pool.record.as_ref().map(|record| &record.owner)) {
             let change = self.pools.change(now, zone, &me);
-            return self.write(change, "claim");
+            return self.write(change, "owner_claimed");
         }
         match pool.asked {
             None => {
                 let change = self.pools.ask(now, zone, Some(me));
-                self.write(change, "doubt");
+                self.write(change, "owner_challenged");
             }
             Some((at, took)) if at.after_ms(ANSWER_MS.max(took * STORE_CALLS)) <= now => {
                 let change = self.pools.change(now, zone, &me);
-                self.write(change, "claim");
+                self.write(change, "owner_claimed");
             }
             Some(_) => {}
         }
@@ -216,7 +216,7 @@
 
     fn change_owner(&mut self, now: Time, zone: &Name, owner: &Peer) {
         let change = self.pools.change(now, zone, owner);
-        self.write(change, "hand_on");
+        self.write(change, "owner_handover");
     }
 
     fn write(&mut self, change: Option<super::pools::Change>, event: &'static str) {
@@ -253,7 +253,7 @@
                     let fresh = member.heard.is_none() && known.after_ms(LOST_MS) > now;
                     member.peer == record.owner && (fresh || member.answers(now, LOST_MS))
                 });
-                if alive || pool.vouched > now {
+                if alive || pool.confirmed > now {
                     pool.vacant = None;
                     return false;
                 }
--- a/endivestile_kernel/src/fleet/core.rs
+++ b/endivestile_kernel/src/fleet/core.rs
@@ -7,7 +7,7 @@
 use endivestile_config::model::Name;
 
 use super::claim::Probe;
-use super::drive::{Call, RunId};
+use super::driver::{Call, RunId};
 use super::front::Front;
 use super::job::{Job, JobEnd};
 use super::measure::{Count, Span};
--- a/endivestile_kernel/src/fleet/dispatch.rs
+++ b/endivestile_kernel/src/fleet/dispatch.rs
@@ -4,7 +4,7 @@
 
 use endivestile_config::model::Name;
 
-use super::drive::{RunId, TaskRef};
+use super::driver::{RunId, TaskRef};
 use super::job::{Job, JobEnd, Reason, Step};
 use super::measure::{Count, Span};
 use super::msg::JobMsg;
@@ -20,7 +20,7 @@
 const FAR_FACTOR: f64 = 2.0;
 
 impl Scheduler {
-    /// Starts or lends what can be started or lent.
+    /// Starts or forwards what can be started or forwarded.
     pub(crate) fn dispatch(&mut self, now: Time) {
         if !std::mem::take(&mut self.dirty) {
             return;
@@ -38,7 +38,7 @@
             if self.settled_otherwise(now, service, key, task) {
                 continue;
             }
-            if !self.start_somewhere(now, task) && !self.lend(now, task) {
+            if !self.start_somewhere(now, task) && !self.forward(now, task) {
                 misses += 1;
                 at = Some(key);
                 if misses >= MISSES {
@@ -58,7 +58,7 @@
             return true;
         };
         let step = state.step(task.task as usize);
-        let least = self.pace.least_us(&state.job, step.estimate);
+        let least = self.durations.least_us(&state.job, step.estimate);
         if now.after_us(least as u64) > state.job.deadline {
             self.hopeless(now, task.job);
             return true;
@@ -98,21 +98,21 @@
         let index = task.task as usize;
         let step = state.step(index);
         let mut best: Option<(f64, u32, &Name)> = None;
-        for (id, drive) in &self.drives {
-            if drive.entry.service != state.job.service || !drive.usable(now) {
+        for (id, driver) in &self.drivers {
+            if driver.entry.service != state.job.service || !driver.usable(now) {
                 continue;
             }
-            let free = drive.free();
-            if !holds(&free, &step.need) || !carries(&drive.entry, step.label.as_ref()) {
+            let free = driver.free();
+            if !holds(&free, &step.need) || !carries(&driver.entry, step.label.as_ref()) {
                 continue;
             }
-            if !self.grudges.allows(now, id) {
+            if !self.health.allows(now, id) {
                 continue;
             }
             if step.spread > 0 && state.beside(index, id) >= usize::from(step.spread) {
                 continue;
             }
-            let cost = cost(step, &drive.entry.labels) / self.pace.speed(id);
+            let cost = cost(step, &driver.entry.labels) / self.durations.speed(id);
             let better = best.is_none_or(|(other, left, _)| {
                 cost < other * 0.9 || (cost < other * 1.1 && free.cpu_milli < left)
             });
@@ -126,10 +126,10 @@
     fn start(&mut self, now: Time, task: TaskRef, worker: &Name) -> bool {
         let index = task.task as usize;
         let Some(state) = self.jobs.get_mut(&task.job) else { return false };
-        let Some(drive) = self.drives.get_mut(worker) else { return false };
+        let Some(driver) = self.drivers.get_mut(worker) else { return false };
         let id = RunId { task: state.task_name(index), run: state.tasks[index].run };
         let need = state.step(index).need;
-        let Some(call) = drive.start(now, id.clone(), task, need, &state.job.spec) else {
+        let Some(call) = driver.start(now, id.clone(), task, need, &state.job.spec) else {
             return false;
         };
         if let TaskState::Waiting(key) = &state.tasks[index].state
@@ -145,23 +145,24 @@
             self.out.push(Out::Time(Span::FirstStart, waited));
         }
         state.starts += 1;
-        self.grudges.given(worker);
+        self.health.given(worker);
         self.out.push(Out::Count(Count::Starts));
         self.out.push(Out::Call(call));
         true
     }
 
     /// Passes a task on to another placer that has room, if this one has none.
-    fn lend(&mut self, now: Time, task: TaskRef) -> bool {
-        let Some(state) = self.jobs.get(&task.job).filter(|state| !state.job.lent) else {
+    fn forward(&mut self, now: Time, task: TaskRef) -> bool {
+        let Some(state) = self.jobs.get(&task.job).filter(|state| !state.job.forwarded) else {
             return false;
         };
         let service = state.job.service.clone();
-        let Some(peer) = self.lender(&service) else { return false };
+        let Some(peer) = self.target(&service) else { return false };
         let index = task.task as usize;
-        let job = Arc::new(lent_job(state.job.as_ref(), state.step(index), &state.tasks[index]));
-        let serial = self.lent_number();
-        self.lent.insert(serial, (peer.clone(), task));
+        let job =
+            Arc::new(forwarded_job(state.job.as_ref(), state.step(index), &state.tasks[index]));
+        let serial = self.forward_number();
+        self.forwards.insert(serial, (peer.clone(), task));
         if let Some(free) = self.others.get_mut(&peer).and_then(|room| room.get_mut(&service)) {
             *free = free.saturating_sub(1);
         }
@@ -171,17 +172,17 @@
         {
             queue.remove(key);
         }
-        state.tasks[index].state = TaskState::Lent(serial);
+        state.tasks[index].state = TaskState::Forwarded(serial);
         state.starts += 1;
         // It may be started from here on, for all that this host can tell.
         state.started.get_or_insert(now);
-        self.out.push(Out::Count(Count::TasksLent));
+        self.out.push(Out::Count(Count::TasksForwarded));
         self.out.push(Out::Tell(peer, JobMsg::Submit { serial, job, echo: Time::ZERO }));
         true
     }
 
     /// Returns the other placer with the most room.
-    fn lender(&self, service: &Name) -> Option<Peer> {
+    fn target(&self, service: &Name) -> Option<Peer> {
         let rooms = self.others.iter().filter_map(|(peer, room)| {
             let free = room.get(service).copied().unwrap_or(0);
             (free > 0).then_some((free, peer))
@@ -196,7 +197,7 @@
 }
 
 /// Returns a job of one task, to be run elsewhere under the same name.
-fn lent_job(job: &Job, step: &Step, slot: &super::state::TaskSlot) -> Job {
+fn forwarded_job(job: &Job, step: &Step, slot: &super::state::TaskSlot) -> Job {
     let only = Step {
         count: 1,
         first: slot.index,
@@ -207,5 +208,5 @@
     };
     // The other placer may start it several times before it gives it back.
     let base = slot.run + slot.fails;
-    Job { steps: vec![only], base, lent: true, ..job.clone() }
+    Job { steps: vec![only], base, forwarded: true, ..job.clone() }
 }
--- a/endivestile_kernel/src/fleet/drive.rs
+++ b/endivestile_kernel/src/fleet/driver.rs
@@ -1,4 +1,4 @@
-//! One worker as its owner drives it: its lease, its runs and its room.
+//! One worker as its owner drivers it: its lease, its runs and its room.
 //!
 //! An order to a worker may get no answer and still be carried out, also later.
 //! So room is counted as taken from the moment an order is sent until the
@@ -109,7 +109,7 @@
 
 /// Why a run takes no room any more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Over {
+pub(crate) enum Outcome {
     /// The worker listed its end.
     Ended(RunEnd),
     /// It never started and never will.
@@ -120,13 +120,13 @@
 
 /// A run that is over.
 #[derive(Debug, Clone)]
-pub(crate) struct Past {
+pub(crate) struct EndedRun {
     /// The run.
     pub(crate) id: RunId,
     /// What was known of it.
     pub(crate) run: Run,
     /// How it ended.
-    pub(crate) over: Over,
+    pub(crate) over: Outcome,
 }
 
 /// How far the owner's token is in force.
@@ -162,7 +162,7 @@
 
 /// One worker.
 #[derive(Debug)]
-pub(crate) struct Drive {
+pub(crate) struct Driver {
     /// As it registered itself.
     pub(crate) entry: WorkerEntry,
     /// Whether its registration stands.
@@ -189,8 +189,8 @@
     covered: Time,
 }
 
-impl Drive {
-    /// Starts to drive a worker under a token.
+impl Driver {
+    /// Starts to driver a worker under a token.
     pub(crate) fn new(now: Time, entry: WorkerEntry, token: u64, lease_ms: u64) -> Self {
         Self {
             born: entry.born,
@@ -309,7 +309,7 @@
     }
 
     /// Takes in how a start ended.
-    pub(crate) fn started(&mut self, now: Time, id: &RunId, end: StartEnd) -> Option<Past> {
+    pub(crate) fn started(&mut self, now: Time, id: &RunId, end: StartEnd) -> Option<EndedRun> {
         let run = self.runs.get_mut(id)?;
         match end {
             StartEnd::Started(clock) => {
@@ -327,9 +327,9 @@
             }
             StartEnd::Fault(CallFault::Fenced) => {
                 self.stage = Stage::Fenced;
-                self.over(id, Over::Never(end))
+                self.over(id, Outcome::Never(end))
             }
-            _ => self.over(id, Over::Never(end)),
+            _ => self.over(id, Outcome::Never(end)),
         }
     }
 
@@ -364,7 +364,7 @@
         now: Time,
         number: u64,
         end: Result<Held, CallFault>,
-    ) -> Vec<Past> {
+    ) -> Vec<EndedRun> {
         let Some(flight) = self.flight.filter(|flight| flight.number == number) else {
             return Vec::new();
         };
@@ -375,7 +375,7 @@
         }
     }
 
-    fn fault(&mut self, now: Time, fault: CallFault) -> Vec<Past> {
+    fn fault(&mut self, now: Time, fault: CallFault) -> Vec<EndedRun> {
         self.faults += 1;
         let pause = (RETRY_MS << self.faults.min(4)).min(RETRY_MAX_MS) / 2;
         self.due = now.after_ms(pause);
@@ -384,14 +384,14 @@
             // Somebody else answers at the address: this life has ended.
             CallFault::OtherLife => {
                 self.listed = false;
-                return self.all_over(Over::Vanished);
+                return self.all_over(Outcome::Vanished);
             }
             _ => {}
         }
         Vec::new()
     }
 
-    fn look(&mut self, now: Time, flight: Flight, held: Held) -> Vec<Past> {
+    fn look(&mut self, now: Time, flight: Flight, held: Held) -> Vec<EndedRun> {
         self.faults = 0;
         self.contact = Some(now);
         self.due = now;
@@ -430,13 +430,13 @@
         }
     }
 
-    fn ended(&mut self, row: &EndRow) -> Option<Past> {
+    fn ended(&mut self, row: &EndRow) -> Option<EndedRun> {
         if row.number <= self.observed {
             return None;
         }
         self.observed = row.number;
         let id = RunId { task: row.task.clone(), run: row.run };
-        self.over(&id, Over::Ended(row.end))
+        self.over(&id, Outcome::Ended(row.end))
     }
 
     fn running(&mut self, now: Time, row: &RunRow) {
@@ -466,7 +466,7 @@
     /// Drops runs that the worker shows to be over by not listing them: those
     /// stopped before it looked, those whose start came too late, and those
     /// that it had before the hold was even sent.
-    fn absent(&mut self, flight: Flight, held: &Held) -> Vec<Past> {
+    fn absent(&mut self, flight: Flight, held: &Held) -> Vec<EndedRun> {
         let lists =
             |id: &RunId| held.running.iter().any(|row| row.run == id.run && row.task == id.task);
         let gone = |id: &RunId, run: &Run| match run.phase {
@@ -478,7 +478,7 @@
         };
         let ids: Vec<RunId> =
             self.runs.iter().filter(|(id, run)| gone(id, run)).map(|(id, _)| id.clone()).collect();
-        ids.iter().filter_map(|id| self.over(id, Over::Vanished)).collect()
+        ids.iter().filter_map(|id| self.over(id, Outcome::Vanished)).collect()
     }
 
     fn settle_stage(&mut self) {
@@ -495,23 +495,23 @@
         self.clock = Some((clock, now));
     }
 
-    fn over(&mut self, id: &RunId, over: Over) -> Option<Past> {
+    fn over(&mut self, id: &RunId, over: Outcome) -> Option<EndedRun> {
         let run = self.runs.remove(id)?;
-        Some(Past { id: id.clone(), run, over })
+        Some(EndedRun { id: id.clone(), run, over })
     }
 
-    fn all_over(&mut self, over: Over) -> Vec<Past> {
+    fn all_over(&mut self, over: Outcome) -> Vec<EndedRun> {
         let runs = std::mem::take(&mut self.runs);
-        runs.into_iter().map(|(id, run)| Past { id, run, over }).collect()
+        runs.into_iter().map(|(id, run)| EndedRun { id, run, over }).collect()
     }
 
     /// Does what is due: renews the lease, repeats stops, gives up runs that no
     /// lease covers any more.
-    pub(crate) fn tick(&mut self, now: Time, out: &mut Vec<Call>) -> Vec<Past> {
+    pub(crate) fn tick(&mut self, now: Time, out: &mut Vec<Call>) -> Vec<EndedRun> {
         let lost = self.abandoned || self.stage == Stage::Fenced;
         let lapsed = self.covered <= now && !self.runs.is_empty();
         let past = if lapsed && (lost || !self.answers(now)) {
-            self.all_over(Over::Vanished)
+            self.all_over(Outcome::Vanished)
         } else {
             Vec::new()
         };
--- a/endivestile_kernel/src/fleet/pace.rs
+++ b/endivestile_kernel/src/fleet/durations.rs
@@ -44,7 +44,7 @@
 
 /// Durations by route and speeds by worker.
 #[derive(Debug, Default)]
-pub(crate) struct Pace {
+pub(crate) struct Durations {
     /// Logarithm of the true duration at speed 1 over the declared one.
     declared: HashMap<Name, Mean>,
     /// Logarithm of the duration at speed 1, in microseconds.
@@ -54,7 +54,7 @@
     forgiven: Time,
 }
 
-impl Pace {
+impl Durations {
     /// Returns the expected duration of a task at speed 1, in microseconds.
     ///
     /// Estimates of callers and the mean of the route scatter about as much
--- a/endivestile_kernel/src/fleet/grudge.rs
+++ b/endivestile_kernel/src/fleet/health.rs
@@ -25,11 +25,11 @@
 
 /// Failures by worker.
 #[derive(Debug, Default)]
-pub(crate) struct Grudges {
+pub(crate) struct Health {
     workers: HashMap<Name, Record>,
 }
 
-impl Grudges {
+impl Health {
     /// Returns whether a worker may be given a task.
     pub(crate) fn allows(&self, now: Time, worker: &str) -> bool {
         let Some(record) = self.workers.get(worker) else { return true };
--- a/endivestile_kernel/src/fleet/job.rs
+++ b/endivestile_kernel/src/fleet/job.rs
@@ -60,7 +60,7 @@
     /// that is not above every run of the task that ended there.
     pub base: u32,
     /// Whether another placer passed it on; it is not passed on again.
-    pub lent: bool,
+    pub forwarded: bool,
 }
 
 impl Job {
--- a/endivestile_kernel/src/fleet/link.rs
+++ b/endivestile_kernel/src/fleet/link.rs
@@ -92,7 +92,7 @@
         self.channels.entry(peer.clone()).or_insert_with(|| Channel::new(peer.clone()))
     }
 
-    /// An incarnation is known to have ended: what it was lent is taken back
+    /// An incarnation is known to have ended: what it was forwarded is taken back
     /// when its workers' leases have run out, and its own jobs are stopped.
     pub(super) fn peer_ended(&mut self, now: Time, peer: &Peer) {
         self.note(Level::Info, "peer_ended", vec![("peer", peer.to_string())]);
@@ -127,7 +127,7 @@
     }
 
     /// Stops what runs for hosts that have not had our frames for a lease, and
-    /// takes back what was lent to hosts that must have stopped it.
+    /// takes back what was forwarded to hosts that must have stopped it.
     fn lose_silent(&mut self, now: Time) {
         let lease = self.setup.host_lease;
         let sure = lease + self.setup.worker_lease + 100;
@@ -151,9 +151,9 @@
             }
         }
         self.ended.retain(|_, at| at.after_ms(sure) > now);
-        for peer in self.scheduler.lenders() {
+        for peer in self.scheduler.targets() {
             if !self.members.answers(now, &peer, sure) && !self.ended.contains_key(&peer) {
-                self.scheduler.lose_lender(now, &peer);
+                self.scheduler.lose_target(now, &peer);
             }
         }
         self.settle(now);
--- a/endivestile_kernel/src/fleet/measure.rs
+++ b/endivestile_kernel/src/fleet/measure.rs
@@ -24,9 +24,9 @@
     /// Orders to start that brought no task to run.
     StartFaults,
     /// Tasks passed on to another placer.
-    TasksLent,
-    /// Lent tasks that came back unrun.
-    LentReturned,
+    TasksForwarded,
+    /// Forwarded tasks that came back unrun.
+    ForwardsReturned,
     /// Runs that failed.
     TasksFailed,
     /// Runs stopped because they made no progress.
@@ -50,8 +50,8 @@
         Self::JobsStale,
         Self::Starts,
         Self::StartFaults,
-        Self::TasksLent,
-        Self::LentReturned,
+        Self::TasksForwarded,
+        Self::ForwardsReturned,
         Self::TasksFailed,
         Self::RunsStalled,
         Self::RecordChanges,
@@ -71,8 +71,8 @@
             Self::JobsStale => "jobs_stale",
             Self::Starts => "starts",
             Self::StartFaults => "start_faults",
-            Self::TasksLent => "tasks_lent",
-            Self::LentReturned => "lent_returned",
+            Self::TasksForwarded => "tasks_forwarded",
+            Self::ForwardsReturned => "forwards_returned",
             Self::TasksFailed => "tasks_failed",
             Self::RunsStalled => "runs_stalled",
             Self::RecordChanges => "record_changes",
--- a/endivestile_kernel/src/fleet/mod.rs
+++ b/endivestile_kernel/src/fleet/mod.rs
@@ -4,16 +4,16 @@
 mod claim;
 mod core;
 mod dispatch;
-mod drive;
+mod driver;
+mod durations;
 mod front;
-mod grudge;
+mod health;
 mod job;
 mod link;
 mod measure;
 mod members;
 mod msg;
 mod outcome;
-mod pace;
 mod pools;
 mod queue;
 mod scheduler;
@@ -24,7 +24,7 @@
 mod worker;
 
 pub use core::{Fleet, FleetEffect, FleetEvent, FleetSetup};
-pub use drive::{Call as WorkerCall, due as worker_call_due};
+pub use driver::{Call as WorkerCall, due as worker_call_due};
 pub use job::{Job, JobEnd, Reason, Step};
 pub use measure::{Count, Span};
 pub use members::HostEntry;
--- a/endivestile_kernel/src/fleet/outcome.rs
+++ b/endivestile_kernel/src/fleet/outcome.rs
@@ -1,8 +1,8 @@
-//! What follows when a run or a lent task ends.
+//! What follows when a run or a forwarded task ends.
 
 use endivestile_config::model::Name;
 
-use super::drive::{Over, Past, RunId, TaskRef};
+use super::driver::{EndedRun, Outcome, RunId, TaskRef};
 use super::job::{JobEnd, Reason};
 use super::measure::{Count, Span};
 use super::scheduler::{Out, Scheduler};
@@ -11,7 +11,7 @@
 use crate::{Level, Peer, Time};
 
 /// Runs that another placer may have used up on a task it gave back.
-const LENT_RUNS: u32 = 8;
+const FORWARD_RUNS: u32 = 8;
 /// How far the next run is numbered above one that a worker refused as outrun.
 const RUN_JUMP: u32 = 64;
 
@@ -21,8 +21,8 @@
         if let StartEnd::Fault(fault) = end {
             self.note_order(worker, id, fault.label());
         }
-        let past = self.drives.get_mut(worker).and_then(|drive| drive.started(now, id, end));
-        self.take_past(now, worker, past.into_iter().collect());
+        let past = self.drivers.get_mut(worker).and_then(|driver| driver.started(now, id, end));
+        self.take_ended(now, worker, past.into_iter().collect());
         if end == StartEnd::Fault(CallFault::Lost) {
             self.unsure(now, worker, id);
         }
@@ -36,8 +36,8 @@
         id: &RunId,
         end: Result<u64, CallFault>,
     ) {
-        if let Some(drive) = self.drives.get_mut(worker) {
-            drive.stopped(now, id, end);
+        if let Some(driver) = self.drivers.get_mut(worker) {
+            driver.stopped(now, id, end);
         }
     }
 
@@ -49,18 +49,18 @@
         number: u64,
         end: Result<Held, CallFault>,
     ) {
-        let Some(drive) = self.drives.get_mut(worker) else { return };
-        let usable = drive.usable(now);
-        let past = drive.held(now, number, end);
-        let changed = usable != drive.usable(now);
+        let Some(driver) = self.drivers.get_mut(worker) else { return };
+        let usable = driver.usable(now);
+        let past = driver.held(now, number, end);
+        let changed = usable != driver.usable(now);
         if changed || !past.is_empty() {
             self.dirty = true;
         }
-        self.take_past(now, worker, past);
+        self.take_ended(now, worker, past);
     }
 
     /// Handles runs that are over.
-    pub(crate) fn take_past(&mut self, now: Time, worker: &Name, past: Vec<Past>) {
+    pub(crate) fn take_ended(&mut self, now: Time, worker: &Name, past: Vec<EndedRun>) {
         for past in past {
             self.dirty = true;
             let Some(task) = past.run.by else { continue };
@@ -77,36 +77,36 @@
         )
     }
 
-    fn run_over(&mut self, now: Time, worker: &Name, task: TaskRef, past: &Past) {
+    fn run_over(&mut self, now: Time, worker: &Name, task: TaskRef, past: &EndedRun) {
         match past.over {
-            Over::Ended(RunEnd::Done) => self.task_done(now, worker, task, past),
-            Over::Ended(RunEnd::Failed) => self.task_failed(now, worker, task),
-            Over::Never(StartEnd::Outrun) => {
+            Outcome::Ended(RunEnd::Done) => self.task_done(now, worker, task, past),
+            Outcome::Ended(RunEnd::Failed) => self.task_failed(now, worker, task),
+            Outcome::Never(StartEnd::Outrun) => {
                 if let Some(state) = self.jobs.get_mut(&task.job) {
                     state.tasks[task.task as usize].run += RUN_JUMP;
                 }
                 self.again(now, task);
             }
-            Over::Never(StartEnd::Fault(CallFault::Unhealthy | CallFault::Refused)) => {
-                self.grudges.failed(now, worker);
+            Outcome::Never(StartEnd::Fault(CallFault::Unhealthy | CallFault::Refused)) => {
+                self.health.failed(now, worker);
                 self.again(now, task);
             }
             _ => {
-                self.grudges.inconclusive(worker);
+                self.health.inconclusive(worker);
                 self.again(now, task);
             }
         }
     }
 
-    fn task_done(&mut self, now: Time, worker: &Name, task: TaskRef, past: &Past) {
-        self.grudges.did(worker);
+    fn task_done(&mut self, now: Time, worker: &Name, task: TaskRef, past: &EndedRun) {
+        self.health.did(worker);
         let Some(state) = self.jobs.get_mut(&task.job) else { return };
         let index = task.task as usize;
         let estimate = state.step(index).estimate;
         let took = now.since(past.run.sent).as_micros() as f64;
         self.out.push(Out::Time(Span::TaskRun, took as u64));
-        state.work.get_or_insert(took * self.pace.speed(worker));
-        self.pace.learn(&state.job, estimate, worker, took);
+        state.work.get_or_insert(took * self.durations.speed(worker));
+        self.durations.learn(&state.job, estimate, worker, took);
         self.end_task(now, task);
     }
 
@@ -128,7 +128,7 @@
 
     /// Counts a failure against the task, unless its worker fails everything.
     fn task_failed(&mut self, now: Time, worker: &Name, task: TaskRef) {
-        let blamed = self.grudges.failed(now, worker);
+        let blamed = self.health.failed(now, worker);
         self.out.push(Out::Count(Count::TasksFailed));
         let Some(state) = self.jobs.get_mut(&task.job) else { return };
         let slot = &mut state.tasks[task.task as usize];
@@ -168,26 +168,26 @@
 
     /// A start got no answer. Its task waits until the run is known to be over.
     fn unsure(&mut self, now: Time, worker: &Name, id: &RunId) {
-        if let Some(drive) = self.drives.get_mut(worker) {
-            drive.halt(now, id);
+        if let Some(driver) = self.drivers.get_mut(worker) {
+            driver.halt(now, id);
         }
     }
 
-    /// Takes in how a lent task ended.
-    pub(crate) fn lent_ended(&mut self, now: Time, from: &Peer, serial: u64, end: JobEnd) {
-        let Some((_, task)) = self.lent.remove(&serial) else { return };
+    /// Takes in how a forwarded task ended.
+    pub(crate) fn forward_ended(&mut self, now: Time, from: &Peer, serial: u64, end: JobEnd) {
+        let Some((_, task)) = self.forwards.remove(&serial) else { return };
         let Some(state) = self.jobs.get_mut(&task.job) else { return };
         let slot = &mut state.tasks[task.task as usize];
-        if slot.state != TaskState::Lent(serial) {
+        if slot.state != TaskState::Forwarded(serial) {
             return;
         }
-        slot.run += LENT_RUNS + slot.fails;
+        slot.run += FORWARD_RUNS + slot.fails;
         let service = state.job.service.clone();
         match end {
             JobEnd::Done => self.end_task(now, task),
             JobEnd::Failed(_) => self.fail(now, task),
             JobEnd::NotRun { .. } | JobEnd::Lost(_) => {
-                self.out.push(Out::Count(Count::LentReturned));
+                self.out.push(Out::Count(Count::ForwardsReturned));
                 // It has no room after all: until its next report nothing more
                 // is sent there.
                 if let Some(free) = self.others.get_mut(from).and_then(|r| r.get_mut(&service)) {
@@ -198,15 +198,15 @@
         }
     }
 
-    /// Takes back what was lent to a host that has surely stopped it by now.
-    pub(crate) fn lose_lender(&mut self, now: Time, peer: &Peer) {
+    /// Takes back what was forwarded to a host that has surely stopped it by now.
+    pub(crate) fn lose_target(&mut self, now: Time, peer: &Peer) {
         self.others.remove(peer);
         let of = |(serial, (at, _)): (&u64, &(Peer, TaskRef))| (at == peer).then_some(*serial);
-        let serials: Vec<u64> = self.lent.iter().filter_map(of).collect();
+        let serials: Vec<u64> = self.forwards.iter().filter_map(of).collect();
         for serial in serials {
             let retry = now;
             let end = JobEnd::NotRun { reason: Reason::PlacerLost, retry };
-            self.lent_ended(now, peer, serial, end);
+            self.forward_ended(now, peer, serial, end);
         }
     }
 
--- a/endivestile_kernel/src/fleet/pools.rs
+++ b/endivestile_kernel/src/fleet/pools.rs
@@ -25,7 +25,7 @@
 /// another record, in milliseconds.
 const SWAP_RETRY_MS: u64 = 400;
 /// Time for which an owner's word counts that it lives, in milliseconds.
-const VOUCHED_MS: u64 = 2_000;
+const CONFIRMED_MS: u64 = 2_000;
 
 /// Record of a pool in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,7 +37,7 @@
     /// A host that cannot hear the owner and asks whether it lives; an owner
     /// that does takes this out again.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub(crate) doubt: Option<Peer>,
+    pub(crate) challenge: Option<Peer>,
 }
 
 /// A change of a record on its way.
@@ -63,7 +63,7 @@
     /// A worker showed a higher token than that of the record.
     pub(crate) deposed: bool,
     /// Until when the owner's own word counts that it lives.
-    pub(crate) vouched: Time,
+    pub(crate) confirmed: Time,
     /// When this host asked in the record whether the owner lives, and how long
     /// the store took for that, in milliseconds.
     pub(crate) asked: Option<(Time, u64)>,
@@ -77,15 +77,15 @@
             record.as_ref().map(|record| (record.owner.clone(), record.epoch))
         };
         let changed = owner(&record) != owner(&self.record);
-        let doubted = self.record.as_ref().is_some_and(|record| record.doubt.is_some());
-        let cleared = record.as_ref().is_some_and(|record| record.doubt.is_none());
+        let challenged = self.record.as_ref().is_some_and(|record| record.challenge.is_some());
+        let cleared = record.as_ref().is_some_and(|record| record.challenge.is_none());
         if changed {
             self.changed = now;
             self.vacant = None;
             self.deposed = false;
-        } else if doubted && cleared {
-            // Only the owner takes a doubt out.
-            self.vouched = now.after_ms(VOUCHED_MS);
+        } else if challenged && cleared {
+            // Only the owner takes a challenge out.
+            self.confirmed = now.after_ms(CONFIRMED_MS);
             self.vacant = None;
         }
         if cleared {
@@ -97,8 +97,8 @@
     }
 
     /// Returns whether the owner is asked whether it lives.
-    pub(crate) fn doubted(&self) -> bool {
-        self.record.as_ref().is_some_and(|record| record.doubt.is_some())
+    pub(crate) fn challenged(&self) -> bool {
+        self.record.as_ref().is_some_and(|record| record.challenge.is_some())
     }
 
     /// Returns whether a peer owns it.
@@ -160,13 +160,18 @@
     /// Starts a change that makes `owner` the owner of a zone's workers.
     pub(crate) fn change(&mut self, now: Time, zone: &Name, owner: &Peer) -> Option<Change> {
         let epoch = self.by_zone.get(zone)?.record.as_ref().map_or(0, |record| record.epoch) + 1;
-        self.write(now, zone, PoolRecord { owner: owner.clone(), epoch, doubt: None })
+        self.write(now, zone, PoolRecord { owner: owner.clone(), epoch, challenge: None })
     }
 
     /// Starts a change that asks the owner whether it lives, or that answers.
-    pub(crate) fn ask(&mut self, now: Time, zone: &Name, doubt: Option<Peer>) -> Option<Change> {
+    pub(crate) fn ask(
+        &mut self,
+        now: Time,
+        zone: &Name,
+        challenge: Option<Peer>,
+    ) -> Option<Change> {
         let record = self.by_zone.get(zone)?.record.clone()?;
-        self.write(now, zone, PoolRecord { doubt, ..record })
+        self.write(now, zone, PoolRecord { challenge, ..record })
     }
 
     fn write(&mut self, now: Time, zone: &Name, record: PoolRecord) -> Option<Change> {
@@ -199,9 +204,9 @@
         match stored {
             Stored::Swapped(revision) if *revision > pool.revision => {
                 pool.revision = *revision;
-                let doubt = swap.record.doubt.is_some();
+                let challenge = swap.record.challenge.is_some();
                 let changed = pool.take(now, Some(swap.record));
-                if doubt {
+                if challenge {
                     pool.asked = Some((now, now.since(swap.sent).as_millis() as u64));
                 }
                 Some((zone.clone(), changed))
--- a/endivestile_kernel/src/fleet/scheduler.rs
+++ b/endivestile_kernel/src/fleet/scheduler.rs
@@ -5,12 +5,12 @@
 
 use endivestile_config::model::Name;
 
-use super::drive::{Call, Drive, TaskRef};
-use super::grudge::Grudges;
+use super::driver::{Call, Driver, TaskRef};
+use super::durations::Durations;
+use super::health::Health;
 use super::job::{Job, JobEnd, Reason};
 use super::measure::{Count, Span};
 use super::msg::JobMsg;
-use super::pace::Pace;
 use super::queue::Queue;
 use super::state::{JobState, TaskState};
 use super::worker::WorkerEntry;
@@ -37,7 +37,7 @@
     Time(Span, u64),
 }
 
-/// Room of another placer's workers, by its last word less what was lent since.
+/// Room of another placer's workers, by its last word less what was forwarded since.
 pub(crate) type OtherRoom = BTreeMap<Name, u32>;
 
 /// Places the tasks of jobs on the workers of the pools that this host owns.
@@ -45,21 +45,21 @@
 pub(crate) struct Scheduler {
     pub(crate) me: Peer,
     pub(crate) lease_ms: u64,
-    pub(crate) drives: BTreeMap<Name, Drive>,
+    pub(crate) drivers: BTreeMap<Name, Driver>,
     pub(crate) jobs: BTreeMap<u64, JobState>,
     pub(crate) origins: HashMap<(Peer, u64), u64>,
     pub(crate) names: HashMap<Name, u64>,
     pub(crate) deadlines: BTreeSet<(Time, u64)>,
     pub(crate) queues: BTreeMap<Name, Queue>,
     pub(crate) others: BTreeMap<Peer, OtherRoom>,
-    pub(crate) lent: HashMap<u64, (Peer, TaskRef)>,
-    pub(crate) pace: Pace,
-    pub(crate) grudges: Grudges,
+    pub(crate) forwards: HashMap<u64, (Peer, TaskRef)>,
+    pub(crate) durations: Durations,
+    pub(crate) health: Health,
     pub(crate) usual: HashMap<Name, f64>,
     pub(crate) dirty: bool,
     pub(crate) out: Vec<Out>,
     next_job: u64,
-    next_lent: u64,
+    next_forward: u64,
 }
 
 impl Scheduler {
@@ -68,22 +68,22 @@
         Self {
             me,
             lease_ms,
-            drives: BTreeMap::new(),
+            drivers: BTreeMap::new(),
             jobs: BTreeMap::new(),
             origins: HashMap::new(),
             names: HashMap::new(),
             deadlines: BTreeSet::new(),
             queues: BTreeMap::new(),
             others: BTreeMap::new(),
-            lent: HashMap::new(),
-            pace: Pace::default(),
-            grudges: Grudges::default(),
+            forwards: HashMap::new(),
+            durations: Durations::default(),
+            health: Health::default(),
             usual: HashMap::new(),
             dirty: false,
             out: Vec::new(),
             next_job: 0,
-            // Numbers of lent tasks never meet those of a front on the same host.
-            next_lent: 1 << 63,
+            // Numbers of forwarded tasks never meet those of a front on the same host.
+            next_forward: 1 << 63,
         }
     }
 
@@ -110,7 +110,7 @@
         self.origins.insert(origin, number);
         self.deadlines.insert((job.deadline, number));
         let mut state = JobState::new(now, from.clone(), serial, job, objective);
-        state.parked = state.job.base > 0 && !state.job.lent && !self.settled(now);
+        state.parked = state.job.base > 0 && !state.job.forwarded && !self.settled(now);
         self.jobs.insert(number, state);
         match earlier.filter(|earlier| self.jobs.contains_key(earlier)) {
             Some(earlier) => {
@@ -130,10 +130,10 @@
             return Some(Reason::Deadline);
         }
         let fits = |step: &super::job::Step| {
-            self.drives.values().any(|drive| {
-                drive.entry.service == job.service
-                    && holds(&drive.entry.room, &step.need)
-                    && carries(&drive.entry, step.label.as_ref())
+            self.drivers.values().any(|driver| {
+                driver.entry.service == job.service
+                    && holds(&driver.entry.room, &step.need)
+                    && carries(&driver.entry, step.label.as_ref())
             })
         };
         (!job.steps.iter().all(fits)).then_some(Reason::NoWorker)
@@ -152,7 +152,7 @@
         for step in &job.steps {
             let before = step.after.iter().filter_map(|at| ends.get(usize::from(*at)));
             let start = before.copied().fold(0.0, f64::max);
-            ends.push(start + self.pace.task_us(job, step.estimate));
+            ends.push(start + self.durations.task_us(job, step.estimate));
         }
         ends.into_iter().fold(0.0, f64::max)
     }
@@ -204,9 +204,9 @@
             self.note_end(now, number, end, started);
         }
         let Some(state) = self.jobs.get_mut(&number) else { return };
-        // The host that lent a task starts it anew when it hears of its end: not
+        // The host that forwarded a task starts it anew when it hears of its end: not
         // before nothing of it runs here.
-        let at_once = at_once && !(state.job.lent && state.busy());
+        let at_once = at_once && !(state.job.forwarded && state.busy());
         if at_once && !state.told {
             state.told = true;
             let (from, serial) = (state.from.clone(), state.serial);
@@ -227,16 +227,16 @@
                     slot.state = TaskState::Blocked;
                 }
                 TaskState::Running { worker, id } => {
-                    if let Some(drive) = self.drives.get_mut(worker) {
-                        drive.halt(now, id);
+                    if let Some(driver) = self.drivers.get_mut(worker) {
+                        driver.halt(now, id);
                     }
                 }
-                TaskState::Lent(serial) => cancels.push(*serial),
+                TaskState::Forwarded(serial) => cancels.push(*serial),
                 TaskState::Blocked | TaskState::Done => {}
             }
         }
         for serial in cancels {
-            if let Some((peer, _)) = self.lent.get(&serial) {
+            if let Some((peer, _)) = self.forwards.get(&serial) {
                 self.out.push(Out::Tell(peer.clone(), JobMsg::Cancel { serial }));
             }
         }
@@ -289,7 +289,7 @@
     /// Returns whether a task can no longer make its objective, and its rank.
     pub(crate) fn rank(&self, now: Time, state: &JobState, task: usize) -> (bool, (u32, Time)) {
         let step = state.step(task);
-        let run_us = self.pace.task_us(&state.job, step.estimate) as u64;
+        let run_us = self.durations.task_us(&state.job, step.estimate) as u64;
         let late = now.after_us(run_us) > state.objective;
         if late {
             return (true, (state.job.priority, state.job.arrived));
@@ -301,12 +301,12 @@
     /// Returns the room for usual tasks by service, and what waits.
     pub(crate) fn rooms(&self, now: Time) -> BTreeMap<Name, (u32, u32)> {
         let mut rooms: BTreeMap<Name, (u32, u32)> = BTreeMap::new();
-        for drive in self.drives.values().filter(|drive| drive.usable(now)) {
-            let service = &drive.entry.service;
+        for driver in self.drivers.values().filter(|driver| driver.usable(now)) {
+            let service = &driver.entry.service;
             let usual = self.usual.get(service).copied().unwrap_or(1_000.0).max(1.0);
-            let places = (f64::from(drive.free().cpu_milli) / usual) as u32;
+            let places = (f64::from(driver.free().cpu_milli) / usual) as u32;
             let room = rooms.entry(service.clone()).or_default();
-            if self.grudges.allows(now, &drive.entry.id) {
+            if self.health.allows(now, &driver.entry.id) {
                 room.0 += places;
             }
         }
@@ -320,7 +320,7 @@
     pub(crate) fn pending(&self) -> BTreeMap<Name, u32> {
         let mut pending: BTreeMap<Name, u32> = BTreeMap::new();
         let waiting = |state: &&JobState| {
-            state.started.is_none() && state.ending.is_none() && !state.job.lent
+            state.started.is_none() && state.ending.is_none() && !state.job.forwarded
         };
         for state in self.jobs.values().filter(waiting) {
             *pending.entry(state.job.route.clone()).or_default() += 1;
@@ -328,10 +328,10 @@
         pending
     }
 
-    /// Returns the number of the next task that is lent.
-    pub(crate) fn lent_number(&mut self) -> u64 {
-        self.next_lent += 1;
-        self.next_lent
+    /// Returns the number of the next task that is forwarded.
+    pub(crate) fn forward_number(&mut self) -> u64 {
+        self.next_forward += 1;
+        self.next_forward
     }
 
     /// Tells a host how its job ended.
@@ -379,22 +379,22 @@
         zones: &BTreeSet<Name>,
     ) {
         let known: BTreeSet<&Name> = workers.iter().map(|(entry, _)| &entry.id).collect();
-        for drive in self.drives.values_mut() {
-            drive.listed = known.contains(&drive.entry.id);
-            drive.abandoned = !zones.contains(&drive.entry.zone);
+        for driver in self.drivers.values_mut() {
+            driver.listed = known.contains(&driver.entry.id);
+            driver.abandoned = !zones.contains(&driver.entry.zone);
         }
         for (entry, token) in workers {
             self.set_worker(now, entry, *token);
         }
         self.dirty = true;
-        if self.drives.values().all(|drive| drive.abandoned) && !self.jobs.is_empty() {
+        if self.drivers.values().all(|driver| driver.abandoned) && !self.jobs.is_empty() {
             self.give_up(now);
         }
     }
 
     /// Returns whether this host owns workers.
     pub(crate) fn owns(&self) -> bool {
-        self.drives.values().any(|drive| !drive.abandoned)
+        self.drivers.values().any(|driver| !driver.abandoned)
     }
 
     /// Returns whether nothing that a former owner ordered can run any more.
@@ -402,8 +402,8 @@
     /// A job that is sent again because its placer was lost must wait for that:
     /// its tasks may still run on a worker that has not been cleared yet.
     fn settled(&self, now: Time) -> bool {
-        let own = self.drives.values().filter(|drive| !drive.abandoned);
-        own.into_iter().all(|drive| drive.settled(now))
+        let own = self.drivers.values().filter(|driver| !driver.abandoned);
+        own.into_iter().all(|driver| driver.settled(now))
     }
 
     /// Lets jobs go on that waited for workers to be cleared.
@@ -424,21 +424,21 @@
     /// Puts another lease of workers in force, in milliseconds.
     pub(crate) fn set_lease(&mut self, lease_ms: u64) {
         self.lease_ms = lease_ms;
-        for drive in self.drives.values_mut() {
-            drive.lease_ms = lease_ms;
+        for driver in self.drivers.values_mut() {
+            driver.lease_ms = lease_ms;
         }
     }
 
     /// Returns whether any worker of a zone answers this host as its owner.
     pub(crate) fn reaches(&self, now: Time, zone: &Name) -> bool {
-        let mut own = self.drives.values().filter(|drive| drive.entry.zone == *zone);
-        own.any(|drive| !drive.abandoned && drive.answers(now))
+        let mut own = self.drivers.values().filter(|driver| driver.entry.zone == *zone);
+        own.any(|driver| !driver.abandoned && driver.answers(now))
     }
 
     /// Returns the zones of which a worker refused our token.
     pub(crate) fn fenced_zones(&self) -> BTreeSet<Name> {
-        let fenced = self.drives.values().filter(|drive| drive.fenced() && !drive.abandoned);
-        fenced.map(|drive| drive.entry.zone.clone()).collect()
+        let fenced = self.drivers.values().filter(|driver| driver.fenced() && !driver.abandoned);
+        fenced.map(|driver| driver.entry.zone.clone()).collect()
     }
 
     /// Returns the other hosts for which jobs are held.
@@ -448,22 +448,22 @@
         peers.into_iter().cloned().collect()
     }
 
-    /// Returns the hosts to which tasks are lent.
-    pub(crate) fn lenders(&self) -> Vec<Peer> {
-        let peers: BTreeSet<&Peer> = self.lent.values().map(|(peer, _)| peer).collect();
+    /// Returns the hosts to which tasks are forwarded.
+    pub(crate) fn targets(&self) -> Vec<Peer> {
+        let peers: BTreeSet<&Peer> = self.forwards.values().map(|(peer, _)| peer).collect();
         peers.into_iter().cloned().collect()
     }
 
     fn set_worker(&mut self, now: Time, entry: &WorkerEntry, token: u64) {
-        if let Some(drive) = self.drives.get_mut(&entry.id) {
-            drive.entry = entry.clone();
-            if drive.token() != token {
-                drive.renew(now, token);
+        if let Some(driver) = self.drivers.get_mut(&entry.id) {
+            driver.entry = entry.clone();
+            if driver.token() != token {
+                driver.renew(now, token);
             }
             return;
         }
-        let drive = Drive::new(now, entry.clone(), token, self.lease_ms);
-        self.drives.insert(entry.id.clone(), drive);
+        let driver = Driver::new(now, entry.clone(), token, self.lease_ms);
+        self.drivers.insert(entry.id.clone(), driver);
     }
 }
 
@@ -481,7 +481,7 @@
 
 /// Returns what tells a job, or a task passed on alone, from all others.
 fn job_name(job: &Job) -> Name {
-    match job.steps.first().filter(|_| job.lent) {
+    match job.steps.first().filter(|_| job.forwarded) {
         Some(step) => Name::from(format!("{}.{}.{}", job.id, step.number, step.first)),
         None => job.id.clone(),
     }
--- a/endivestile_kernel/src/fleet/serve.rs
+++ b/endivestile_kernel/src/fleet/serve.rs
@@ -98,7 +98,7 @@
                 if self.front.open.contains_key(&serial) {
                     self.job_ended(now, serial, end);
                 } else {
-                    self.scheduler.lent_ended(now, from, serial, end);
+                    self.scheduler.forward_ended(now, from, serial, end);
                 }
             }
         }
@@ -179,19 +179,19 @@
             return;
         }
         let lapsed = last.after_ms(lease + self.setup.worker_lease) <= now;
-        let heir = self.pools.owner(&self.setup.zone).filter(|owner| *owner != lost).cloned();
-        let heir = heir.filter(|owner| self.places(now, owner));
+        let successor = self.pools.owner(&self.setup.zone).filter(|owner| *owner != lost).cloned();
+        let successor = successor.filter(|owner| self.places(now, owner));
         let Some(open) = self.front.open.get(&serial) else { return };
-        let heir = heir.filter(|_| open.single);
-        if heir.is_none() && !lapsed {
+        let successor = successor.filter(|_| open.single);
+        if successor.is_none() && !lapsed {
             return;
         }
         let job = open.job.clone();
         self.out.push(FleetEffect::Count(Count::PlacersLost));
         self.note_job("placer_lost", &job, &[("placer", lost.to_string())]);
         self.front.unplace(now, serial, true);
-        match heir {
-            Some(heir) => self.place_at(now, serial, &heir),
+        match successor {
+            Some(successor) => self.place_at(now, serial, &successor),
             None => self.place(now, serial),
         }
     }
--- a/endivestile_kernel/src/fleet/state.rs
+++ b/endivestile_kernel/src/fleet/state.rs
@@ -4,7 +4,7 @@
 
 use endivestile_config::model::Name;
 
-use super::drive::RunId;
+use super::driver::RunId;
 use super::job::{Job, JobEnd, Step};
 use super::queue::Key;
 use crate::{Peer, Time};
@@ -24,7 +24,7 @@
         id: RunId,
     },
     /// Passed on to another placer, under this number.
-    Lent(u64),
+    Forwarded(u64),
     /// Ended well.
     Done,
 }
@@ -47,7 +47,7 @@
 impl TaskSlot {
     /// Returns whether something may run for it.
     fn busy(&self) -> bool {
-        matches!(self.state, TaskState::Running { .. } | TaskState::Lent(_))
+        matches!(self.state, TaskState::Running { .. } | TaskState::Forwarded(_))
     }
 }
 
--- a/endivestile_kernel/src/fleet/watchdog.rs
+++ b/endivestile_kernel/src/fleet/watchdog.rs
@@ -1,17 +1,17 @@
-//! What time alone brings about: deadlines, stalled runs, lent tasks that wait.
+//! What time alone brings about: deadlines, stalled runs, forwarded tasks that wait.
 
 use endivestile_config::model::Name;
 
-use super::drive::{Call, Run, RunId, TaskRef};
+use super::driver::{Call, Run, RunId, TaskRef};
 use super::job::{JobEnd, Reason};
 use super::measure::Count;
 use super::scheduler::{Out, Scheduler};
 use super::state::TaskState;
 use crate::{Level, Time};
 
-/// Longest wait of a lent task for room, in milliseconds: the host that lent it
+/// Longest wait of a forwarded task for room, in milliseconds: the host that forwarded it
 /// may know better by then.
-const LENT_WAIT_MS: u64 = 15;
+const FORWARD_WAIT_MS: u64 = 15;
 /// Age of a run from which on its progress is judged, in milliseconds: one
 /// hold's wait, so that the worker has told it at least once.
 const JUDGED_MS: u64 = 160;
@@ -28,31 +28,31 @@
 impl Scheduler {
     /// Does what is due.
     pub(crate) fn tick(&mut self, now: Time) {
-        self.pace.tick(now);
-        self.tick_drives(now);
+        self.durations.tick(now);
+        self.tick_drivers(now);
         self.pass_deadlines(now);
-        self.return_lent(now);
+        self.return_forwarded(now);
         self.judge_runs(now);
         self.unpark(now);
         self.dirty |= self.queues.values().any(|queue| queue.len() > 0);
     }
 
-    fn tick_drives(&mut self, now: Time) {
+    fn tick_drivers(&mut self, now: Time) {
         let mut calls: Vec<Call> = Vec::new();
-        let workers: Vec<Name> = self.drives.keys().cloned().collect();
+        let workers: Vec<Name> = self.drivers.keys().cloned().collect();
         for worker in workers {
-            let Some(drive) = self.drives.get_mut(&worker) else { continue };
-            let past = drive.tick(now, &mut calls);
-            if (!drive.listed || drive.abandoned) && drive.finished(now) {
-                self.drives.remove(&worker);
-                self.grudges.did(&worker);
+            let Some(driver) = self.drivers.get_mut(&worker) else { continue };
+            let past = driver.tick(now, &mut calls);
+            if (!driver.listed || driver.abandoned) && driver.finished(now) {
+                self.drivers.remove(&worker);
+                self.health.did(&worker);
             }
-            self.take_past(now, &worker, past);
+            self.take_ended(now, &worker, past);
         }
         self.out.extend(calls.into_iter().map(Out::Call));
-        let drives = &self.drives;
-        self.pace.retain(|worker| drives.contains_key(worker));
-        self.grudges.retain(|worker| drives.contains_key(worker));
+        let drivers = &self.drivers;
+        self.durations.retain(|worker| drivers.contains_key(worker));
+        self.health.retain(|worker| drivers.contains_key(worker));
     }
 
     fn pass_deadlines(&mut self, now: Time) {
@@ -73,13 +73,13 @@
         }
     }
 
-    /// Gives lent tasks back that found no room.
-    fn return_lent(&mut self, now: Time) {
+    /// Gives forwarded tasks back that found no room.
+    fn return_forwarded(&mut self, now: Time) {
         let waits = |(number, state): (&u64, &super::state::JobState)| {
-            let long = state.came.after_ms(LENT_WAIT_MS) <= now;
+            let long = state.came.after_ms(FORWARD_WAIT_MS) <= now;
             let waiting =
                 state.tasks.iter().any(|slot| matches!(slot.state, TaskState::Waiting(_)));
-            (state.job.lent && long && waiting && state.ending.is_none()).then_some(*number)
+            (state.job.forwarded && long && waiting && state.ending.is_none()).then_some(*number)
         };
         let numbers: Vec<u64> = self.jobs.iter().filter_map(waits).collect();
         for number in numbers {
@@ -92,8 +92,8 @@
     /// end earlier. A worker that hangs looks healthy otherwise.
     fn judge_runs(&mut self, now: Time) {
         let mut stalled: Vec<(Name, RunId, TaskRef, f64)> = Vec::new();
-        for (worker, drive) in &self.drives {
-            for (id, run) in &drive.runs {
+        for (worker, driver) in &self.drivers {
+            for (id, run) in &driver.runs {
                 let Some(task) = run.by.filter(|_| !run.stopping) else { continue };
                 if let Some(factor) = self.slowness(worker, task, run) {
                     stalled.push((worker.clone(), id.clone(), task, factor));
@@ -101,7 +101,7 @@
             }
         }
         for (worker, id, task, factor) in stalled {
-            self.pace.slowed(&worker, factor);
+            self.durations.slowed(&worker, factor);
             self.out.push(Out::Count(Count::RunsStalled));
             let more = [
                 ("worker", worker.to_string()),
@@ -109,8 +109,8 @@
                 ("slower", format!("{factor:.1}")),
             ];
             self.note_job(Level::Info, "run_stalled", task.job, &more);
-            if let Some(drive) = self.drives.get_mut(&worker) {
-                drive.halt(now, &id);
+            if let Some(driver) = self.drivers.get_mut(&worker) {
+                driver.halt(now, &id);
             }
         }
     }
@@ -124,10 +124,10 @@
         }
         let state = self.jobs.get(&task.job)?;
         let estimate = state.step(task.task as usize).estimate;
-        let guess = self.pace.task_us(&state.job, estimate);
+        let guess = self.durations.task_us(&state.job, estimate);
         let (work, limit) = state.work.map_or((guess, STALLED), |work| (work, STALLED_JOB));
         let whole = age_us * 100.0 / f64::from(run.percent.max(1));
-        let expected = work / self.pace.speed(worker).min(1.0);
+        let expected = work / self.durations.speed(worker).min(1.0);
         let factor = whole / expected;
         (factor > limit && whole - age_us > work * limit / 2.0).then_some(factor)
     }
--- a/endivestile_testkit/src/fleet/mod.rs
+++ b/endivestile_testkit/src/fleet/mod.rs
@@ -9,5 +9,5 @@
 mod world;
 
 pub use story::tell_fleet;
-pub(crate) use worker::{Mood, Worker};
+pub(crate) use worker::{Behaviour, Worker};
 pub use world::FleetWorld;
--- a/endivestile_testkit/src/fleet/story.rs
+++ b/endivestile_testkit/src/fleet/story.rs
@@ -8,7 +8,7 @@
 use endivestile_kernel::fleet::{Job, JobEnd, RouteTable, Step as JobStep};
 use endivestile_kernel::{Need, Time};
 
-use super::worker::Mood;
+use super::worker::Behaviour;
 use super::world::FleetWorld;
 use crate::step::{Step, span_ms};
 
@@ -111,14 +111,14 @@
         worker.advance(now);
         match step.word(2)? {
             "good" => {
-                worker.mood = Mood::Good;
+                worker.behaviour = Behaviour::Good;
                 worker.dark = false;
             }
             "dark" => worker.dark = true,
-            "errors" => worker.mood = Mood::Errors,
-            "hangs" => worker.mood = Mood::Hangs,
-            "slow" => worker.mood = Mood::Slow(step.parse(3)?),
-            "late" => worker.mood = Mood::Late(span_ms(step.word(3)?)?),
+            "errors" => worker.behaviour = Behaviour::Errors,
+            "hangs" => worker.behaviour = Behaviour::Hangs,
+            "slow" => worker.behaviour = Behaviour::Slow(step.parse(3)?),
+            "late" => worker.behaviour = Behaviour::Late(span_ms(step.word(3)?)?),
             "speed" => worker.speed = step.parse(3)?,
             "crash" => worker.reborn(now),
             "drains" => worker.entry.leaving = true,
@@ -173,7 +173,7 @@
             arrived: Time::ZERO,
             deadline: Time::ZERO.after_ms(deadline),
             base: 0,
-            lent: false,
+            forwarded: false,
         };
         self.world.submit(&name, &at, job, work, step.number("again", 1)? == 1);
         Ok(())
--- a/endivestile_testkit/src/fleet/worker.rs
+++ b/endivestile_testkit/src/fleet/worker.rs
@@ -15,7 +15,7 @@
 
 /// How a worker behaves.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) enum Mood {
+pub(crate) enum Behaviour {
     /// As it should.
     Good,
     /// Fails all that it starts.
@@ -49,7 +49,7 @@
     /// Its registration.
     pub(crate) entry: WorkerEntry,
     /// How it behaves.
-    pub(crate) mood: Mood,
+    pub(crate) behaviour: Behaviour,
     /// Whether it answers at all.
     pub(crate) dark: bool,
     /// Its speed.
@@ -70,7 +70,7 @@
     pub(crate) fn new(now: u64, entry: WorkerEntry, speed: f64) -> Self {
         Self {
             entry,
-            mood: Mood::Good,
+            behaviour: Behaviour::Good,
             dark: false,
             speed,
             runs: BTreeMap::new(),
@@ -95,9 +95,9 @@
     }
 
     fn rate(&self) -> f64 {
-        match self.mood {
-            Mood::Hangs => 0.0,
-            Mood::Slow(times) => self.speed / times,
+        match self.behaviour {
+            Behaviour::Hangs => 0.0,
+            Behaviour::Slow(times) => self.speed / times,
             _ => self.speed,
         }
     }
@@ -180,7 +180,7 @@
             return StartEnd::Late;
         }
         self.lease(now, order.until);
-        let fails_at = (self.mood == Mood::Errors).then_some(now + 5_000);
+        let fails_at = (self.behaviour == Behaviour::Errors).then_some(now + 5_000);
         let run = Run { need, left_us: work_us, whole_us: work_us, at: now, fails_at };
         self.runs.insert(id, run);
         StartEnd::Started(self.clock_ms(now))
--- a/endivestile_testkit/src/fleet/world.rs
+++ b/endivestile_testkit/src/fleet/world.rs
@@ -16,7 +16,7 @@
 use super::check::Seen;
 use super::host::Host;
 use super::store::Store;
-use super::worker::{Mood, Worker};
+use super::worker::{Behaviour, Worker};
 use crate::world::net::{Net, STORE};
 
 /// Time for an answer of the store, in microseconds.
@@ -279,7 +279,9 @@
         if state.dark {
             return;
         }
-        if let (Mood::Late(ms), WorkerCall::Start(_) | WorkerCall::Stop(_)) = (state.mood, &call) {
+        if let (Behaviour::Late(ms), WorkerCall::Start(_) | WorkerCall::Stop(_)) =
+            (state.behaviour, &call)
+        {
             let (worker, born) = (worker.clone(), state.entry.born);
             self.at(self.now + ms * 1_000, Happening::Belated { call, worker, born });
             return;
--- a/endivestile_testkit/src/platform/workers.rs
+++ b/endivestile_testkit/src/platform/workers.rs
@@ -15,7 +15,7 @@
 
 use super::Shared;
 use super::server::{Answer, Call};
-use crate::fleet::{Mood, Worker};
+use crate::fleet::{Behaviour, Worker};
 use crate::lock::lock;
 
 /// Pause between two looks of a hold that waits, in milliseconds.
@@ -83,10 +83,10 @@
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.advance(now);
         worker.dark = fault == WorkerFault::Silent;
-        worker.mood = match fault {
-            WorkerFault::Errors => Mood::Errors,
-            WorkerFault::Hangs => Mood::Hangs,
-            WorkerFault::None | WorkerFault::Silent => Mood::Good,
+        worker.behaviour = match fault {
+            WorkerFault::Errors => Behaviour::Errors,
+            WorkerFault::Hangs => Behaviour::Hangs,
+            WorkerFault::None | WorkerFault::Silent => Behaviour::Good,
         };
     }
 
--- a/endivestile_testkit/tests/fleet_random.rs
+++ b/endivestile_testkit/tests/fleet_random.rs
@@ -112,12 +112,12 @@
 }
 
 fn behaviour() -> impl Strategy<Value = String> {
-    let moods =
+    let behaviours =
         vec!["good", "dark", "errors", "hangs", "slow 6", "late 3s", "crash", "drains", "speed 2"];
-    (worker(), prop::sample::select(moods)).prop_map(|(worker, mood)| {
+    (worker(), prop::sample::select(behaviours)).prop_map(|(worker, behaviour)| {
         // The smallest worlds have no such worker.
         let worker = if worker.ends_with('2') { "a-w1" } else { worker };
         let worker = if worker.starts_with('b') { "a-w1" } else { worker };
-        format!("worker {worker} {mood}\n")
+        format!("worker {worker} {behaviour}\n")
     })
 }
