Refuse late jobs as soon as their turn cannot come in time; finish first what has begun

Cause: in a burst of 1.9 with a fifth of the workers hanging or slow, late jobs waited to their callers' deadlines. Ruled out: refusing by the queue's length alone (a short blip would refuse jobs that have a chance). Change: rates of starts, of late tasks apart, tell when a late job's turn comes; beyond its deadline it is refused with that time as Retry-After. Started jobs go first among the late.

--- a/endivestile/src/fleet/callers.rs
+++ b/endivestile/src/fleet/callers.rs
@@ -61,8 +61,8 @@
     pub(crate) closing: watch::Receiver<bool>,
 }
 
-/// Opens a socket for callers.
-pub(crate) fn bind(address: SocketAddr) -> Result<TcpListener, RunError> {
+/// Opens a socket for callers; returns it with the address that was bound.
+pub(crate) fn bind(address: SocketAddr) -> Result<(TcpListener, SocketAddr), RunError> {
     let failed = |e: std::io::Error| RunError::Bind {
         step: "listen-http",
         address: address.to_string(),
@@ -72,7 +72,9 @@
     let socket = socket.map_err(failed)?;
     socket.set_reuseaddr(true).map_err(failed)?;
     socket.bind(address).map_err(failed)?;
-    socket.listen(BACKLOG).map_err(failed)
+    let listener = socket.listen(BACKLOG).map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    Ok((listener, bound))
 }
 
 /// Accepts connections until the process ends.
--- a/endivestile/src/fleet/run.rs
+++ b/endivestile/src/fleet/run.rs
@@ -32,7 +32,7 @@
 use crate::counters::Counters;
 use crate::error::{Exit, RunError};
 use crate::peers::{self, Links};
-use crate::run::Reload;
+use crate::run::{Reload, advertised};
 
 /// Inputs handled before their effects are carried out.
 const BATCH: usize = 256;
@@ -81,7 +81,9 @@
     let clock = Clock::new();
     let measures = Measures::new(counters.clone());
     if let Some(page) = settings.metrics.page {
-        runtime.spawn(callers::show(callers::bind(page)?, measures.clone()));
+        let (listener, bound) = callers::bind(page)?;
+        log::info!("event=page_served address={bound}");
+        runtime.spawn(callers::show(listener, measures.clone()));
     }
     let limits = Arc::new(RwLock::new(Limits::default()));
     let (closing, closed) = watch::channel(false);
@@ -91,21 +93,22 @@
         serial: Arc::new(AtomicU64::new(0)),
         closing: closed,
     };
-    runtime.spawn(callers::accept(callers::bind(settings.host.http)?, desk.clone()));
+    let (listener, http) = callers::bind(settings.host.http)?;
+    runtime.spawn(callers::accept(listener, desk.clone()));
     if let Some(ready) = settings.platform.ready {
-        runtime.spawn(callers::accept(callers::bind(ready)?, desk));
+        let (listener, _) = callers::bind(ready)?;
+        runtime.spawn(callers::accept(listener, desk));
     }
     let listener = peers::bind(settings.host.peers)?;
+    let address = advertised(settings, &listener)?;
     peers::serve(runtime.handle(), listener, inbox.clone())?;
     let links = Links::start(runtime.handle(), inbox.clone(), counters.clone());
     let me = Peer::new(settings.host.name.clone(), since_epoch().as_micros() as u64);
-    let address = Name::from(settings.host.advertised().to_string());
     let zone = settings.host.zone.clone();
     log::info!(
-        "event=started host={} birth={:x} zone={zone} http={} peers={address}",
+        "event=started host={} birth={:x} zone={zone} http={http} peers={address}",
         me.host,
-        me.birth,
-        settings.host.http
+        me.birth
     );
     let client = Client::default();
     let reader = reader(settings, adapter, client.clone());
--- a/endivestile/src/run.rs
+++ b/endivestile/src/run.rs
@@ -158,7 +158,7 @@
 }
 
 /// Returns the address that peers dial; port 0 stands for the one that was bound.
-fn advertised(settings: &Settings, bound: &TcpListener) -> Result<Name, RunError> {
+pub(crate) fn advertised(settings: &Settings, bound: &TcpListener) -> Result<Name, RunError> {
     let mut address = settings.host.advertised();
     if address.port() == 0 {
         address.set_port(local(bound)?.port());
--- a/endivestile/tests/platform_path.rs
+++ b/endivestile/tests/platform_path.rs
@@ -4,7 +4,7 @@
 #![allow(clippy::unwrap_used, reason = "a test fails by panic")]
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -25,21 +25,15 @@
     lines: Arc<Mutex<Vec<String>>>,
 }
 
-/// Returns a port that was free a moment ago.
-fn port() -> u16 {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
-}
-
 impl Host {
     fn start(platform: &PlatformStandIn, name: &str, zone: &str) -> Self {
-        let (http, peers, page) = (port(), port(), port());
         let mut child = Command::new(env!("CARGO_BIN_EXE_endivestile"))
             .args(["--set", &format!("host.name={name}")])
             .args(["--set", &format!("host.zone={zone}")])
-            .args(["--set", &format!("host.http=127.0.0.1:{http}")])
-            .args(["--set", &format!("host.peers=127.0.0.1:{peers}")])
+            .args(["--set", "host.http=127.0.0.1:0"])
+            .args(["--set", "host.peers=127.0.0.1:0"])
             .args(["--set", &format!("store.addresses={}", platform.store())])
-            .args(["--set", &format!("metrics.page=127.0.0.1:{page}")])
+            .args(["--set", "metrics.page=127.0.0.1:0"])
             .args(["--set", "platform.adapter=fenced-workers"])
             .stdout(Stdio::piped())
             .spawn()
@@ -51,13 +45,19 @@
                 kept.lock().unwrap().push(line);
             }
         });
-        let http = format!("127.0.0.1:{http}");
-        let page = format!("127.0.0.1:{page}");
-        let host = Self { child, http, page, lines };
-        until("the host listens", || TcpStream::connect(&host.http).is_ok());
+        let mut host = Self { child, http: String::new(), page: String::new(), lines };
+        until("the host listens", || host.logged("event=started").is_some());
+        host.http = host.word("event=started", "http=");
+        host.page = host.word("event=page_served", "address=");
         host
     }
 
+    /// Returns a word of the first line that holds `part`.
+    fn word(&self, part: &str, key: &str) -> String {
+        let line = self.logged(part).unwrap();
+        line.split(' ').find_map(|word| word.strip_prefix(key)).unwrap().to_owned()
+    }
+
     /// Makes a call and returns its status and body.
     fn call(&self, method: &str, path: &str, body: &str) -> (u16, Value) {
         call(&self.http, method, path, body)
--- a/endivestile_kernel/src/fleet/dispatch.rs
+++ b/endivestile_kernel/src/fleet/dispatch.rs
@@ -136,6 +136,7 @@
             && let Some(queue) = self.queues.get_mut(&state.job.service)
         {
             queue.remove(key);
+            self.flows.started(&state.job.service, key.late);
         }
         let slot = &mut state.tasks[index];
         slot.run += 1;
--- a/endivestile_kernel/src/fleet/mod.rs
+++ b/endivestile_kernel/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 mod members;
 mod msg;
 mod outcome;
+mod overload;
 mod pools;
 mod queue;
 mod scheduler;
--- /dev/null
+++ b/endivestile_kernel/src/fleet/overload.rs
@@ -0,0 +1,117 @@
+//! What is given up when more comes than the workers can do.
+//!
+//! The load that this answers: callers bring up to twice the work that the
+//! workers can do, for seconds. Jobs that are already late then wait behind all
+//! that are not, most of them until their callers' deadlines, and those callers
+//! learn nothing meanwhile. A job whose turn cannot come in time is refused as
+//! soon as that shows, with the time at which it is worth coming back.
+
+use std::collections::BTreeMap;
+
+use endivestile_config::model::Name;
+
+use super::job::{JobEnd, Reason};
+use super::scheduler::Scheduler;
+use crate::Time;
+
+/// Time between two looks at the late jobs, in milliseconds.
+const LOOK_MS: u64 = 50;
+/// Weight of one look in the rate of starts: about a second counts.
+const RATE_WEIGHT: f64 = 0.05;
+/// Part of all starts that late tasks are taken to get at least: a rate of
+/// nothing, just after a burst began, would refuse jobs that have a chance.
+const LEAST_PART: f64 = 0.1;
+/// Shortest time to come back after, in milliseconds.
+const RETRY_MIN_MS: u64 = 1_000;
+/// Longest time to come back after, in milliseconds.
+const RETRY_MAX_MS: u64 = 10_000;
+
+/// Starts of one service's tasks.
+#[derive(Debug, Default)]
+pub(crate) struct Flow {
+    starts: u32,
+    late_starts: u32,
+    rate: f64,
+    late_rate: f64,
+}
+
+/// Rates of starts, by service.
+#[derive(Debug, Default)]
+pub(crate) struct Flows {
+    services: BTreeMap<Name, Flow>,
+    looked: Time,
+}
+
+impl Flows {
+    /// Counts a start.
+    pub(crate) fn started(&mut self, service: &Name, late: bool) {
+        let flow = self.services.entry(service.clone()).or_default();
+        flow.starts += 1;
+        flow.late_starts += u32::from(late);
+    }
+
+    /// Works the rates out anew; returns whether it was time for that.
+    fn look(&mut self, now: Time) -> bool {
+        let span = now.since(self.looked);
+        if span.as_millis() < u128::from(LOOK_MS) {
+            return false;
+        }
+        self.looked = now;
+        let seconds = span.as_secs_f64();
+        for flow in self.services.values_mut() {
+            let rate = |count: u32| f64::from(count) / seconds;
+            flow.rate += RATE_WEIGHT * (rate(flow.starts) - flow.rate);
+            flow.late_rate += RATE_WEIGHT * (rate(flow.late_starts) - flow.late_rate);
+            (flow.starts, flow.late_starts) = (0, 0);
+        }
+        true
+    }
+
+    /// Returns how many late tasks are started in a second.
+    fn late_rate(&self, service: &Name) -> f64 {
+        let flow = self.services.get(service);
+        flow.map_or(0.0, |flow| flow.late_rate.max(flow.rate * LEAST_PART)).max(1.0)
+    }
+}
+
+impl Scheduler {
+    /// Refuses late jobs whose turn cannot come in time, from the end of the queue on.
+    pub(crate) fn shed(&mut self, now: Time) {
+        if !self.flows.look(now) {
+            return;
+        }
+        let services: Vec<Name> = self.queues.keys().cloned().collect();
+        for service in services {
+            self.shed_service(now, &service);
+        }
+    }
+
+    fn shed_service(&mut self, now: Time, service: &Name) {
+        let rate = self.flows.late_rate(service);
+        let Some(queue) = self.queues.get(service) else { return };
+        let mut hopeless: Vec<(u64, f64)> = Vec::new();
+        let mut last = None;
+        for (at, task) in queue.late().enumerate() {
+            if last == Some(task.job) {
+                continue;
+            }
+            last = Some(task.job);
+            let Some(state) = self.jobs.get(&task.job).filter(|job| job.started.is_none()) else {
+                continue;
+            };
+            let wait_s = at as f64 / rate;
+            let step = state.step(task.task as usize);
+            let run_us = self.durations.least_us(&state.job, step.estimate);
+            let end = now.after_us((wait_s * 1e6 + run_us) as u64);
+            if end > state.job.deadline {
+                hopeless.push((task.job, wait_s));
+            }
+        }
+        for (number, wait_s) in hopeless {
+            let wait_ms = (wait_s * 1_000.0) as u64;
+            let retry = now.after_ms(wait_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS));
+            let end = JobEnd::NotRun { reason: Reason::Overload, retry };
+            self.close(now, number, end, true);
+        }
+    }
+}
--- a/endivestile_kernel/src/fleet/queue.rs
+++ b/endivestile_kernel/src/fleet/queue.rs
@@ -21,6 +21,11 @@
     pub(crate) seq: u64,
 }
 
+impl Key {
+    /// Lies before every late task and behind all others.
+    const FIRST_LATE: Self = Self { late: true, rank: (0, Time::ZERO), seq: 0 };
+}
+
 /// Queue of one service.
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
@@ -49,6 +54,11 @@
         first.map(|(key, task)| (*key, *task))
     }
 
+    /// Returns the tasks of late jobs, in their order.
+    pub(crate) fn late(&self) -> impl Iterator<Item = &TaskRef> {
+        self.tasks.range(Key::FIRST_LATE..).map(|(_, task)| task)
+    }
+
     /// Returns how many tasks wait.
     pub(crate) fn len(&self) -> usize {
         self.tasks.len()
--- a/endivestile_kernel/src/fleet/scheduler.rs
+++ b/endivestile_kernel/src/fleet/scheduler.rs
@@ -11,6 +11,7 @@
 use super::job::{Job, JobEnd, Reason};
 use super::measure::{Count, Span};
 use super::msg::JobMsg;
+use super::overload::Flows;
 use super::queue::Queue;
 use super::state::{JobState, TaskState};
 use super::worker::WorkerEntry;
@@ -56,6 +57,7 @@
     pub(crate) durations: Durations,
     pub(crate) health: Health,
     pub(crate) usual: HashMap<Name, f64>,
+    pub(crate) flows: Flows,
     pub(crate) dirty: bool,
     pub(crate) out: Vec<Out>,
     next_job: u64,
@@ -79,6 +81,7 @@
             durations: Durations::default(),
             health: Health::default(),
             usual: HashMap::new(),
+            flows: Flows::default(),
             dirty: false,
             out: Vec::new(),
             next_job: 0,
@@ -292,7 +295,9 @@
         let run_us = self.durations.task_us(&state.job, step.estimate) as u64;
         let late = now.after_us(run_us) > state.objective;
         if late {
-            return (true, (state.job.priority, state.job.arrived));
+            // What has begun goes first: its other tasks have taken room already.
+            let class = if state.started.is_some() { 0 } else { state.job.priority + 1 };
+            return (true, (class, state.job.arrived));
         }
         let latest = state.objective.as_micros().saturating_sub(run_us);
         (false, (0, Time::from_micros(latest)))
--- a/endivestile_kernel/src/fleet/watchdog.rs
+++ b/endivestile_kernel/src/fleet/watchdog.rs
@@ -34,6 +34,7 @@
         self.return_forwarded(now);
         self.judge_runs(now);
         self.unpark(now);
+        self.shed(now);
         self.dirty |= self.queues.values().any(|queue| queue.len() > 0);
     }
 
