Finish first what has begun, and take workers out whose runs stall

Cause: in a burst 350 of 5,900 jobs ended at their deadlines half run: tasks that found no room at once turned late and waited behind all jobs that were not, and runs on a worker that hangs were judged by the speed it had been learnt to have. Ruled out: forwarding (a job counted as begun when a task was only passed on; mended, changes little). Change: a job that has begun is never late; stalls count as failures of the worker; a run is judged by no less than half the usual speed; only a task that may have run makes a job begun.

--- a/endivestile_kernel/src/fleet/dispatch.rs
+++ b/endivestile_kernel/src/fleet/dispatch.rs
@@ -38,7 +38,7 @@
             if self.settled_otherwise(now, service, key, task) {
                 continue;
             }
-            if !self.start_somewhere(now, task) && !self.forward(now, task) {
+            if !self.start_somewhere(now, task) && !self.forward(task) {
                 misses += 1;
                 at = Some(key);
                 if misses >= MISSES {
@@ -77,9 +77,8 @@
     /// Gives up a job that cannot end before its deadline.
     pub(crate) fn hopeless(&mut self, now: Time, number: u64) {
         let Some(state) = self.jobs.get(&number) else { return };
-        let started = state.started.is_some();
         let retry = now.after_ms(1_000);
-        let end = if started {
+        let end = if state.touched() {
             JobEnd::Lost(Reason::Deadline)
         } else {
             JobEnd::NotRun { reason: Reason::Overload, retry }
@@ -141,19 +140,41 @@
         let slot = &mut state.tasks[index];
         slot.run += 1;
         slot.state = TaskState::Running { worker: worker.clone(), id };
-        if state.started.replace(state.started.unwrap_or(now)).is_none() {
-            let waited = now.since(state.came).as_micros() as u64;
-            self.out.push(Out::Time(Span::FirstStart, waited));
-        }
         state.starts += 1;
         self.health.given(worker);
         self.out.push(Out::Count(Count::Starts));
         self.out.push(Out::Call(call));
+        self.begin(now, task.job);
         true
     }
 
+    /// Notes that a job has begun; its other tasks go before what has not.
+    fn begin(&mut self, now: Time, number: u64) {
+        let Some(state) = self.jobs.get_mut(&number).filter(|state| state.started.is_none()) else {
+            return;
+        };
+        state.started = Some(now);
+        let waited = now.since(state.came).as_micros() as u64;
+        self.out.push(Out::Time(Span::FirstStart, waited));
+        let mut late = Vec::new();
+        for (task, slot) in state.tasks.iter().enumerate() {
+            if let TaskState::Waiting(key) = slot.state
+                && key.late
+            {
+                late.push((task as u32, key));
+            }
+        }
+        let service = state.job.service.clone();
+        for (task, key) in late {
+            if let Some(queue) = self.queues.get_mut(&service) {
+                queue.remove(&key);
+            }
+            self.enqueue(now, TaskRef { job: number, task });
+        }
+    }
+
     /// Passes a task on to another placer that has room, if this one has none.
-    fn forward(&mut self, now: Time, task: TaskRef) -> bool {
+    fn forward(&mut self, task: TaskRef) -> bool {
         let Some(state) = self.jobs.get(&task.job).filter(|state| !state.job.forwarded) else {
             return false;
         };
@@ -175,8 +196,6 @@
         }
         state.tasks[index].state = TaskState::Forwarded(serial);
         state.starts += 1;
-        // It may be started from here on, for all that this host can tell.
-        state.started.get_or_insert(now);
         self.out.push(Out::Count(Count::TasksForwarded));
         self.out.push(Out::Tell(peer, JobMsg::Submit { serial, job, echo: Time::ZERO }));
         true
--- a/endivestile_kernel/src/fleet/outcome.rs
+++ b/endivestile_kernel/src/fleet/outcome.rs
@@ -182,6 +182,9 @@
             return;
         }
         slot.run += FORWARD_RUNS + slot.fails;
+        if !matches!(end, JobEnd::NotRun { .. }) {
+            state.started.get_or_insert(now);
+        }
         let service = state.job.service.clone();
         match end {
             JobEnd::Done => self.end_task(now, task),
@@ -204,9 +207,7 @@
         let of = |(serial, (at, _)): (&u64, &(Peer, TaskRef))| (at == peer).then_some(*serial);
         let serials: Vec<u64> = self.forwards.iter().filter_map(of).collect();
         for serial in serials {
-            let retry = now;
-            let end = JobEnd::NotRun { reason: Reason::PlacerLost, retry };
-            self.forward_ended(now, peer, serial, end);
+            self.forward_ended(now, peer, serial, JobEnd::Lost(Reason::PlacerLost));
         }
     }
 
--- a/endivestile_kernel/src/fleet/overload.rs
+++ b/endivestile_kernel/src/fleet/overload.rs
@@ -96,7 +96,7 @@
                 continue;
             }
             last = Some(task.job);
-            let Some(state) = self.jobs.get(&task.job).filter(|job| job.started.is_none()) else {
+            let Some(state) = self.jobs.get(&task.job).filter(|state| !state.touched()) else {
                 continue;
             };
             let wait_s = at as f64 / rate;
--- a/endivestile_kernel/src/fleet/scheduler.rs
+++ b/endivestile_kernel/src/fleet/scheduler.rs
@@ -293,11 +293,11 @@
     pub(crate) fn rank(&self, now: Time, state: &JobState, task: usize) -> (bool, (u32, Time)) {
         let step = state.step(task);
         let run_us = self.durations.task_us(&state.job, step.estimate) as u64;
-        let late = now.after_us(run_us) > state.objective;
+        // What has begun is finished: left to the late ones it would wait to its
+        // deadline in a burst, and what its other tasks did would be lost.
+        let late = state.started.is_none() && now.after_us(run_us) > state.objective;
         if late {
-            // What has begun goes first: its other tasks have taken room already.
-            let class = if state.started.is_some() { 0 } else { state.job.priority + 1 };
-            return (true, (class, state.job.arrived));
+            return (true, (state.job.priority, state.job.arrived));
         }
         let latest = state.objective.as_micros().saturating_sub(run_us);
         (false, (0, Time::from_micros(latest)))
--- a/endivestile_kernel/src/fleet/state.rs
+++ b/endivestile_kernel/src/fleet/state.rs
@@ -146,6 +146,13 @@
         (0..self.tasks.len()).filter(blocked).collect()
     }
 
+    /// Returns whether a task of it may have run: one was ordered here, or is
+    /// with another placer, which has not told yet.
+    pub(crate) fn touched(&self) -> bool {
+        let forwarded = |slot: &TaskSlot| matches!(slot.state, TaskState::Forwarded(_));
+        self.started.is_some() || self.tasks.iter().any(forwarded)
+    }
+
     /// Returns whether something of it may run.
     pub(crate) fn busy(&self) -> bool {
         self.tasks.iter().any(TaskSlot::busy)
--- a/endivestile_kernel/src/fleet/watchdog.rs
+++ b/endivestile_kernel/src/fleet/watchdog.rs
@@ -21,6 +21,9 @@
 const STALLED: f64 = 4.0;
 /// The same where another task of the job has shown what its tasks take.
 const STALLED_JOB: f64 = 2.5;
+/// Speed of a worker that is no trouble, at the least: the slowest of the users'
+/// workers does 0.6 of the usual.
+const SLOWEST: f64 = 0.5;
 /// Time before a deadline at which a job is given up, in milliseconds; the
 /// answer has to reach its caller in time.
 const RESERVE_MS: u64 = 25;
@@ -66,9 +69,10 @@
                 continue;
             };
             let retry = now.after_ms(1_000);
-            let end = match state.started {
-                Some(_) => JobEnd::Lost(Reason::Deadline),
-                None => JobEnd::NotRun { reason: Reason::Overload, retry },
+            let end = if state.touched() {
+                JobEnd::Lost(Reason::Deadline)
+            } else {
+                JobEnd::NotRun { reason: Reason::Overload, retry }
             };
             self.close(now, number, end, true);
         }
@@ -80,11 +84,16 @@
             let long = state.came.after_ms(FORWARD_WAIT_MS) <= now;
             let waiting =
                 state.tasks.iter().any(|slot| matches!(slot.state, TaskState::Waiting(_)));
-            (state.job.forwarded && long && waiting && state.ending.is_none()).then_some(*number)
+            let back = state.job.forwarded && long && waiting && state.ending.is_none();
+            back.then(|| (*number, state.touched()))
         };
-        let numbers: Vec<u64> = self.jobs.iter().filter_map(waits).collect();
-        for number in numbers {
-            let end = JobEnd::NotRun { reason: Reason::Overload, retry: now };
+        let back: Vec<(u64, bool)> = self.jobs.iter().filter_map(waits).collect();
+        for (number, touched) in back {
+            let end = if touched {
+                JobEnd::Lost(Reason::Overload)
+            } else {
+                JobEnd::NotRun { reason: Reason::Overload, retry: now }
+            };
             self.close(now, number, end, false);
         }
     }
@@ -103,11 +112,13 @@
         }
         for (worker, id, task, factor) in stalled {
             self.durations.slowed(&worker, factor);
+            let out = self.health.failed(now, &worker);
             self.out.push(Out::Count(Count::RunsStalled));
             let more = [
                 ("worker", worker.to_string()),
                 ("task", task.task.to_string()),
                 ("slower", format!("{factor:.1}")),
+                ("worker_out", out.to_string()),
             ];
             self.note_job(Level::Info, "run_stalled", task.job, &more);
             if let Some(driver) = self.drivers.get_mut(&worker) {
@@ -128,7 +139,8 @@
         let guess = self.durations.task_us(&state.job, estimate);
         let (work, limit) = state.work.map_or((guess, STALLED), |work| (work, STALLED_JOB));
         let whole = age_us * 100.0 / f64::from(run.percent.max(1));
-        let expected = work / self.durations.speed(worker).min(1.0);
+        // A worker that is known to be slow is still not waited for.
+        let expected = work / self.durations.speed(worker).clamp(SLOWEST, 1.0);
         let factor = whole / expected;
         (factor > limit && whole - age_us > work * limit / 2.0).then_some(factor)
     }
