--- a/endivestile_kernel/src/fleet/overload.rs
+++ b/endivestile_kernel/src/fleet/overload.rs
@@ -20,7 +20,7 @@
 const RATE_WEIGHT: f64 = 0.05;
 /// Part of all starts that late tasks are taken to get at least: a rate of
 /// nothing, just after a burst began, would refuse jobs that have a chance.
-const LEAST_PART: f64 = 0.1;
+const LEAST_PART: f64 = 0.02;
 /// Shortest time to come back after, in milliseconds.
 const RETRY_MIN_MS: u64 = 1_000;
 /// Longest time to come back after, in milliseconds.
