--- a/endivestile_kernel/src/fleet/claim.rs
+++ b/endivestile_kernel/src/fleet/claim.rs
@@ -255,6 +255,7 @@
                 });
                 if alive || pool.confirmed > now {
                     pool.vacant = None;
+                    pool.reached = None;
                     return false;
                 }
                 0
@@ -264,7 +265,20 @@
         if since.after_ms(first + wait.unwrap_or(OUTSIDE_MS)) > now {
             return false;
         }
-        wait.is_some() || self.in_reach(now, zone)
+        wait.is_some() || self.long_in_reach(now, zone)
+    }
+
+    /// Returns whether a zone's workers have answered for a while. When a cut
+    /// heals they answer before the zone's own hosts are heard again, and
+    /// claiming them then would stop what those hosts have running.
+    fn long_in_reach(&mut self, now: Time, zone: &Name) -> bool {
+        let reached = self.in_reach(now, zone);
+        let Some(pool) = self.pools.by_zone.get_mut(zone) else { return false };
+        if !reached {
+            pool.reached = None;
+            return false;
+        }
+        pool.reached.get_or_insert(now).after_ms(OUTSIDE_MS) <= now
     }
 
     /// Returns how long this host lets others go first; none for a host of another zone.
--- a/endivestile_kernel/src/fleet/pools.rs
+++ b/endivestile_kernel/src/fleet/pools.rs
@@ -62,6 +62,8 @@
     pub(crate) vacant: Option<Time>,
     /// A worker showed a higher token than that of the record.
     pub(crate) deposed: bool,
+    /// Since when this host, of another zone, reaches the workers.
+    pub(crate) reached: Option<Time>,
     /// Until when the owner's own word counts that it lives.
     pub(crate) confirmed: Time,
     /// When this host asked in the record whether the owner lives, and how long
--- /dev/null
+++ b/endivestile_testkit/tests/fleet/zone_cut_heals.story
@@ -0,0 +1,31 @@
+# A zone is cut off from the others and from the store, and comes back; its
+# workers can be reached some 700 ms before its hosts are heard again. The zone's
+# owner has served its callers meanwhile. If a host outside took the workers at
+# that moment, everything that runs there would be stopped and begun again, and
+# the zone's callers would wait twice as long.
+story
+world zones=a,b,c hosts=2 workers=3
+cut a b
+cut a c
+cut a store
+run 5s
+submit c1 at=a1 tasks=4 ms=900
+heal
+cut a1 b
+cut a2 b
+cut a1 c
+cut a2 c
+cut a1 store
+cut a2 store
+run 700ms
+heal
+run 4s
+owners
+answers
+check
+----
+a {"owner":{"host":"a1","birth":1},"epoch":1}
+b {"owner":{"host":"b2","birth":4},"epoch":1}
+c {"owner":{"host":"c2","birth":6},"epoch":1}
+c1 done 910 ms
+every promise kept
