--- a/endivestile_kernel/src/fleet/claim.rs
+++ b/endivestile_kernel/src/fleet/claim.rs
@@ -4,8 +4,8 @@
 
 use endivestile_config::model::Name;
 
+use super::call::Call;
 use super::core::{Fleet, FleetEffect};
-use super::driver::Call;
 use super::measure::Count;
 use super::members::{HostEntry, rank};
 use super::pools::POOL_KEYS;
--- a/endivestile_kernel/src/fleet/core.rs
+++ b/endivestile_kernel/src/fleet/core.rs
@@ -6,14 +6,15 @@
 use bytes::Bytes;
 use endivestile_config::model::Name;
 
+use super::call::Call;
 use super::claim::Probe;
-use super::driver::{Call, RunId};
 use super::front::Front;
 use super::job::{Job, JobEnd};
 use super::measure::{Count, Span};
 use super::members::{HostEntry, Members};
 use super::msg::{JobMsg, Report};
 use super::pools::Pools;
+use super::run::RunId;
 use super::scheduler::{Out, Scheduler};
 use super::table::RouteTable;
 use super::worker::{CallFault, Held, StartEnd, WorkerEntry};
--- a/endivestile_kernel/src/fleet/dispatch.rs
+++ b/endivestile_kernel/src/fleet/dispatch.rs
@@ -4,11 +4,11 @@
 
 use endivestile_config::model::Name;
 
-use super::driver::{RunId, TaskRef};
-use super::job::{Job, JobEnd, Reason, Step};
+use super::job::{Job, Step};
 use super::measure::{Count, Span};
 use super::msg::JobMsg;
 use super::queue::Key;
+use super::run::{RunId, TaskRef};
 use super::scheduler::{Out, Scheduler, carries, holds};
 use super::state::TaskState;
 use crate::{Peer, Time};
@@ -60,7 +60,7 @@
         let step = state.step(task.task as usize);
         let least = self.durations.least_us(&state.job, step.estimate);
         if now.after_us(least as u64) > state.job.deadline {
-            self.hopeless(now, task.job);
+            self.give_up_job(now, task.job);
             return true;
         }
         let late = self.rank(now, state, task.task as usize).0;
@@ -74,18 +74,6 @@
         true
     }
 
-    /// Gives up a job that cannot end before its deadline.
-    pub(crate) fn hopeless(&mut self, now: Time, number: u64) {
-        let Some(state) = self.jobs.get(&number) else { return };
-        let retry = now.after_ms(1_000);
-        let end = if state.touched() {
-            JobEnd::Lost(Reason::Deadline)
-        } else {
-            JobEnd::NotRun { reason: Reason::Overload, retry }
-        };
-        self.close(now, number, end, true);
-    }
-
     fn start_somewhere(&mut self, now: Time, task: TaskRef) -> bool {
         let Some(worker) = self.pick(now, task) else { return false };
         self.start(now, task, &worker)
--- a/endivestile_kernel/src/fleet/driver.rs
+++ b/endivestile_kernel/src/fleet/driver.rs
@@ -10,24 +10,16 @@
 
 use endivestile_config::model::Name;
 
+use super::call::{Call, HOLD_SLACK_MS, ORDER_MS};
+use super::run::{EndedRun, Outcome, Phase, Run, RunId, STOP_LIMIT_MS, TaskRef};
 use super::worker::{
-    CallFault, EndRow, Held, HoldOrder, RunEnd, RunRow, StartEnd, StartOrder, StopOrder,
-    WorkerEntry,
+    CallFault, EndRow, Held, HoldOrder, RunRow, StartEnd, StartOrder, StopOrder, WorkerEntry,
 };
 use crate::{Need, Time};
 
 /// Longest wait of a worker for an end before it answers a hold, in
 /// milliseconds: four renewals fit into one lease, so that two may be lost.
 const HOLD_WAIT_MS: u64 = 150;
-/// Time for the answer to a hold beyond that wait, in milliseconds; a
-/// connection that has gone silent costs one renewal and no lease.
-const HOLD_SLACK_MS: u64 = 120;
-/// Time for the answer to a start or stop, in milliseconds: fifty round trips
-/// between zones.
-const ORDER_MS: u64 = 100;
-/// Time for the answer to a stop before the worker's lease is not renewed any
-/// more, in milliseconds: a run that cannot be told to stop has to lapse.
-const STOP_LIMIT_MS: u64 = 2 * ORDER_MS;
 /// Pause between two looks at a worker whose room waits for them, in
 /// milliseconds; a stop takes up to fifty.
 const LOOK_MS: u64 = 10;
@@ -42,93 +34,6 @@
 /// milliseconds: one hold and its slack.
 const QUIET_MS: u64 = HOLD_WAIT_MS + HOLD_SLACK_MS + 60;
 
-/// Names a task of a job at its placer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub(crate) struct TaskRef {
-    /// Number of the job.
-    pub(crate) job: u64,
-    /// Index of the task in the job.
-    pub(crate) task: u32,
-}
-
-/// Names a run at a worker.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct RunId {
-    /// Name of the task.
-    pub(crate) task: Name,
-    /// Number of the run.
-    pub(crate) run: u32,
-}
-
-/// What is known of an order to start.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
-    /// On its way.
-    Sent,
-    /// The worker has it.
-    Runs,
-    /// No answer came: it may run, or may yet start.
-    Unsure,
-}
-
-/// One run that takes room.
-#[derive(Debug, Clone)]
-pub(crate) struct Run {
-    /// The task that it works for; none once nobody wants it.
-    pub(crate) by: Option<TaskRef>,
-    /// What it takes; nothing is known of a former owner's runs.
-    pub(crate) need: Need,
-    /// When it was ordered.
-    pub(crate) sent: Time,
-    /// How much of its work was done when the worker last told.
-    pub(crate) percent: u8,
-    /// When the worker last told.
-    pub(crate) seen: Time,
-    /// Whether it is to be stopped.
-    pub(crate) stopping: bool,
-    phase: Phase,
-    /// On the worker's clock: from here on a late start is refused.
-    until: u64,
-    /// On the worker's clock: when a stop had been carried out.
-    halted: Option<u64>,
-    /// When the stop is sent again.
-    stop_due: Time,
-    /// From when on an unanswered stop holds back the lease of the whole worker.
-    stop_limit: Time,
-}
-
-impl Run {
-    fn halt(&mut self, now: Time) {
-        if !self.stopping {
-            self.stopping = true;
-            self.stop_due = now;
-            self.stop_limit = now.after_ms(STOP_LIMIT_MS);
-        }
-    }
-}
-
-/// Why a run takes no room any more.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Outcome {
-    /// The worker listed its end.
-    Ended(RunEnd),
-    /// It never started and never will.
-    Never(StartEnd),
-    /// No lease covers it any more, or the worker lives another life.
-    Vanished,
-}
-
-/// A run that is over.
-#[derive(Debug, Clone)]
-pub(crate) struct EndedRun {
-    /// The run.
-    pub(crate) id: RunId,
-    /// What was known of it.
-    pub(crate) run: Run,
-    /// How it ended.
-    pub(crate) over: Outcome,
-}
-
 /// How far the owner's token is in force.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
@@ -149,17 +54,6 @@
     sent: Time,
 }
 
-/// A call to the worker that is to be made now.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Call {
-    /// Start a task.
-    Start(StartOrder),
-    /// Stop a run.
-    Stop(StopOrder),
-    /// Renew the lease and look.
-    Hold(u64, HoldOrder),
-}
-
 /// One worker.
 #[derive(Debug)]
 pub(crate) struct Driver {
@@ -588,11 +482,3 @@
         self.runs.is_empty() && (self.abandoned || !self.answers(now))
     }
 }
-
-/// Returns by when a call has to be answered.
-pub fn due(call: &Call, now: Time) -> Time {
-    match call {
-        Call::Hold(_, order) => now.after_ms(u64::from(order.wait) + HOLD_SLACK_MS),
-        Call::Start(_) | Call::Stop(_) => now.after_ms(ORDER_MS),
-    }
-}
--- a/endivestile_kernel/src/fleet/mod.rs
+++ b/endivestile_kernel/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Jobs on workers that are driven by start, stop and hold under fencing
 //! tokens, with hosts that find each other in the store.
 
+mod call;
 mod claim;
 mod core;
 mod dispatch;
@@ -15,8 +16,10 @@
 mod msg;
 mod outcome;
 mod overload;
+mod owned;
 mod pools;
 mod queue;
+mod run;
 mod scheduler;
 mod serve;
 mod state;
@@ -24,8 +27,8 @@
 mod watchdog;
 mod worker;
 
+pub use call::{Call as WorkerCall, due as worker_call_due};
 pub use core::{Fleet, FleetEffect, FleetEvent, FleetSetup};
-pub use driver::{Call as WorkerCall, due as worker_call_due};
 pub use job::{Job, JobEnd, Reason, Step};
 pub use measure::{Count, Span};
 pub use members::HostEntry;
--- a/endivestile_kernel/src/fleet/outcome.rs
+++ b/endivestile_kernel/src/fleet/outcome.rs
@@ -2,9 +2,9 @@
 
 use endivestile_config::model::Name;
 
-use super::driver::{EndedRun, Outcome, RunId, TaskRef};
 use super::job::{JobEnd, Reason};
 use super::measure::{Count, Span};
+use super::run::{EndedRun, Outcome, RunId, TaskRef};
 use super::scheduler::{Out, Scheduler};
 use super::state::TaskState;
 use super::worker::{CallFault, Held, RunEnd, StartEnd};
--- /dev/null
+++ b/endivestile_kernel/src/fleet/owned.rs
@@ -0,0 +1,128 @@
+//! The workers that a placer owns, as a whole.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use endivestile_config::model::Name;
+
+use super::driver::Driver;
+use super::scheduler::Scheduler;
+use super::state::JobState;
+use super::worker::WorkerEntry;
+use crate::{Peer, Time};
+
+impl Scheduler {
+    /// Takes over the listed workers of the zones that this host owns, each
+    /// with its token. Workers of other zones are let go; jobs are given back
+    /// when none is left.
+    pub(crate) fn set_workers(
+        &mut self,
+        now: Time,
+        workers: &[(WorkerEntry, u64)],
+        zones: &BTreeSet<Name>,
+    ) {
+        let known: BTreeSet<&Name> = workers.iter().map(|(entry, _)| &entry.id).collect();
+        for driver in self.drivers.values_mut() {
+            driver.listed = known.contains(&driver.entry.id);
+            driver.abandoned = !zones.contains(&driver.entry.zone);
+        }
+        for (entry, token) in workers {
+            self.set_worker(now, entry, *token);
+        }
+        self.dirty = true;
+        if self.drivers.values().all(|driver| driver.abandoned) && !self.jobs.is_empty() {
+            self.give_up(now);
+        }
+    }
+
+    /// Returns whether this host owns workers.
+    pub(crate) fn owns(&self) -> bool {
+        self.drivers.values().any(|driver| !driver.abandoned)
+    }
+
+    /// Returns whether nothing that a former owner ordered can run any more.
+    ///
+    /// A job that is sent again because its placer was lost must wait for that:
+    /// its tasks may still run on a worker that has not been cleared yet.
+    pub(crate) fn settled(&self, now: Time) -> bool {
+        let own = self.drivers.values().filter(|driver| !driver.abandoned);
+        own.into_iter().all(|driver| driver.settled(now))
+    }
+
+    /// Lets jobs go on that waited for workers to be cleared.
+    pub(crate) fn unpark(&mut self, now: Time) {
+        let parked = |(number, state): (&u64, &JobState)| state.parked.then_some(*number);
+        let numbers: Vec<u64> = self.jobs.iter().filter_map(parked).collect();
+        if numbers.is_empty() || !self.settled(now) {
+            return;
+        }
+        for number in numbers {
+            if let Some(state) = self.jobs.get_mut(&number) {
+                state.parked = false;
+            }
+            self.unblock(now, number);
+        }
+    }
+
+    /// Puts another lease of workers in force, in milliseconds.
+    pub(crate) fn set_lease(&mut self, lease_ms: u64) {
+        self.lease_ms = lease_ms;
+        for driver in self.drivers.values_mut() {
+            driver.lease_ms = lease_ms;
+        }
+    }
+
+    /// Returns whether any worker of a zone answers this host as its owner.
+    pub(crate) fn reaches(&self, now: Time, zone: &Name) -> bool {
+        let mut own = self.drivers.values().filter(|driver| driver.entry.zone == *zone);
+        own.any(|driver| !driver.abandoned && driver.answers(now))
+    }
+
+    /// Returns the zones of which a worker refused our token.
+    pub(crate) fn fenced_zones(&self) -> BTreeSet<Name> {
+        let fenced = self.drivers.values().filter(|driver| driver.fenced() && !driver.abandoned);
+        fenced.map(|driver| driver.entry.zone.clone()).collect()
+    }
+
+    /// Returns the other hosts for which jobs are held.
+    pub(crate) fn fronts(&self) -> Vec<Peer> {
+        let others = self.jobs.values().filter(|state| state.from != self.me);
+        let peers: BTreeSet<&Peer> = others.map(|state| &state.from).collect();
+        peers.into_iter().cloned().collect()
+    }
+
+    /// Returns the hosts to which tasks are forwarded.
+    pub(crate) fn targets(&self) -> Vec<Peer> {
+        let peers: BTreeSet<&Peer> = self.forwards.values().map(|(peer, _)| peer).collect();
+        peers.into_iter().cloned().collect()
+    }
+
+    fn set_worker(&mut self, now: Time, entry: &WorkerEntry, token: u64) {
+        if let Some(driver) = self.drivers.get_mut(&entry.id) {
+            driver.entry = entry.clone();
+            if driver.token() != token {
+                driver.renew(now, token);
+            }
+            return;
+        }
+        let driver = Driver::new(now, entry.clone(), token, self.lease_ms);
+        self.drivers.insert(entry.id.clone(), driver);
+    }
+
+    /// Returns the room for usual tasks by service, and what waits.
+    pub(crate) fn rooms(&self, now: Time) -> BTreeMap<Name, (u32, u32)> {
+        let mut rooms: BTreeMap<Name, (u32, u32)> = BTreeMap::new();
+        for driver in self.drivers.values().filter(|driver| driver.usable(now)) {
+            let service = &driver.entry.service;
+            let usual = self.usual.get(service).copied().unwrap_or(1_000.0).max(1.0);
+            let places = (f64::from(driver.free().cpu_milli) / usual) as u32;
+            let room = rooms.entry(service.clone()).or_default();
+            if self.health.allows(now, &driver.entry.id) {
+                room.0 += places;
+            }
+        }
+        for (service, queue) in &self.queues {
+            rooms.entry(service.clone()).or_default().1 = queue.len() as u32;
+        }
+        rooms
+    }
+}
--- a/endivestile_kernel/src/fleet/queue.rs
+++ b/endivestile_kernel/src/fleet/queue.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::ops::Bound;
 
-use super::driver::TaskRef;
+use super::run::TaskRef;
 use crate::Time;
 
 /// Place of a task in the queue; the lowest goes first.
--- a/endivestile_kernel/src/fleet/scheduler.rs
+++ b/endivestile_kernel/src/fleet/scheduler.rs
@@ -5,7 +5,8 @@
 
 use endivestile_config::model::Name;
 
-use super::driver::{Call, Driver, TaskRef};
+use super::call::Call;
+use super::driver::Driver;
 use super::durations::Durations;
 use super::health::Health;
 use super::job::{Job, JobEnd, Reason};
@@ -13,6 +14,7 @@
 use super::msg::JobMsg;
 use super::overload::Flows;
 use super::queue::Queue;
+use super::run::TaskRef;
 use super::state::{JobState, TaskState};
 use super::worker::WorkerEntry;
 use crate::{Level, Need, Note, Peer, Time};
@@ -20,6 +22,8 @@
 /// Reserve before a caller's deadline within which the answer has to reach the
 /// caller, in milliseconds.
 const ANSWER_MS: u64 = 20;
+/// When to come back after a refusal that no better time is known for, in milliseconds.
+pub(crate) const RETRY_MS: u64 = 1_000;
 /// Weight of one task in the mean of what tasks take.
 const NEED_WEIGHT: f64 = 0.05;
 
@@ -97,7 +101,7 @@
             return;
         }
         if let Some(reason) = self.refusal(now, &job) {
-            let end = JobEnd::NotRun { reason, retry: now.after_ms(1_000) };
+            let end = JobEnd::NotRun { reason, retry: now.after_ms(RETRY_MS) };
             self.tell(from, serial, end);
             return;
         }
@@ -218,6 +222,30 @@
         self.finish(now, number);
     }
 
+    /// Gives up a job that cannot end before its deadline; its host is told at once.
+    pub(crate) fn give_up_job(&mut self, now: Time, number: u64) {
+        let Some(state) = self.jobs.get(&number) else { return };
+        let retry = now.after_ms(RETRY_MS);
+        let end = if state.touched() {
+            JobEnd::Lost(Reason::Deadline)
+        } else {
+            JobEnd::NotRun { reason: Reason::Overload, retry }
+        };
+        self.close(now, number, end, true);
+    }
+
+    /// Gives a forwarded task back to its host, once nothing of it runs here.
+    pub(crate) fn give_back(&mut self, now: Time, number: u64) {
+        let Some(state) = self.jobs.get(&number) else { return };
+        let reason = Reason::Overload;
+        let end = if state.touched() {
+            JobEnd::Lost(reason)
+        } else {
+            JobEnd::NotRun { reason, retry: now }
+        };
+        self.close(now, number, end, false);
+    }
+
     fn stop_tasks(&mut self, now: Time, number: u64) {
         let Some(state) = self.jobs.get_mut(&number) else { return };
         let mut cancels = Vec::new();
@@ -303,24 +331,6 @@
         (false, (state.job.priority, Time::from_micros(latest)))
     }
 
-    /// Returns the room for usual tasks by service, and what waits.
-    pub(crate) fn rooms(&self, now: Time) -> BTreeMap<Name, (u32, u32)> {
-        let mut rooms: BTreeMap<Name, (u32, u32)> = BTreeMap::new();
-        for driver in self.drivers.values().filter(|driver| driver.usable(now)) {
-            let service = &driver.entry.service;
-            let usual = self.usual.get(service).copied().unwrap_or(1_000.0).max(1.0);
-            let places = (f64::from(driver.free().cpu_milli) / usual) as u32;
-            let room = rooms.entry(service.clone()).or_default();
-            if self.health.allows(now, &driver.entry.id) {
-                room.0 += places;
-            }
-        }
-        for (service, queue) in &self.queues {
-            rooms.entry(service.clone()).or_default().1 = queue.len() as u32;
-        }
-        rooms
-    }
-
     /// Returns how many jobs of each route wait with no task started.
     pub(crate) fn pending(&self) -> BTreeMap<Name, u32> {
         let mut pending: BTreeMap<Name, u32> = BTreeMap::new();
@@ -373,103 +383,6 @@
         let level = if end == JobEnd::Done { Level::Debug } else { Level::Info };
         self.note_job(level, "placed_job_ended", number, &more);
     }
-
-    /// Takes over the listed workers of the zones that this host owns, each
-    /// with its token. Workers of other zones are let go; jobs are given back
-    /// when none is left.
-    pub(crate) fn set_workers(
-        &mut self,
-        now: Time,
-        workers: &[(WorkerEntry, u64)],
-        zones: &BTreeSet<Name>,
-    ) {
-        let known: BTreeSet<&Name> = workers.iter().map(|(entry, _)| &entry.id).collect();
-        for driver in self.drivers.values_mut() {
-            driver.listed = known.contains(&driver.entry.id);
-            driver.abandoned = !zones.contains(&driver.entry.zone);
-        }
-        for (entry, token) in workers {
-            self.set_worker(now, entry, *token);
-        }
-        self.dirty = true;
-        if self.drivers.values().all(|driver| driver.abandoned) && !self.jobs.is_empty() {
-            self.give_up(now);
-        }
-    }
-
-    /// Returns whether this host owns workers.
-    pub(crate) fn owns(&self) -> bool {
-        self.drivers.values().any(|driver| !driver.abandoned)
-    }
-
-    /// Returns whether nothing that a former owner ordered can run any more.
-    ///
-    /// A job that is sent again because its placer was lost must wait for that:
-    /// its tasks may still run on a worker that has not been cleared yet.
-    fn settled(&self, now: Time) -> bool {
-        let own = self.drivers.values().filter(|driver| !driver.abandoned);
-        own.into_iter().all(|driver| driver.settled(now))
-    }
-
-    /// Lets jobs go on that waited for workers to be cleared.
-    pub(crate) fn unpark(&mut self, now: Time) {
-        let parked = |(number, state): (&u64, &JobState)| state.parked.then_some(*number);
-        let numbers: Vec<u64> = self.jobs.iter().filter_map(parked).collect();
-        if numbers.is_empty() || !self.settled(now) {
-            return;
-        }
-        for number in numbers {
-            if let Some(state) = self.jobs.get_mut(&number) {
-                state.parked = false;
-            }
-            self.unblock(now, number);
-        }
-    }
-
-    /// Puts another lease of workers in force, in milliseconds.
-    pub(crate) fn set_lease(&mut self, lease_ms: u64) {
-        self.lease_ms = lease_ms;
-        for driver in self.drivers.values_mut() {
-            driver.lease_ms = lease_ms;
-        }
-    }
-
-    /// Returns whether any worker of a zone answers this host as its owner.
-    pub(crate) fn reaches(&self, now: Time, zone: &Name) -> bool {
-        let mut own = self.drivers.values().filter(|driver| driver.entry.zone == *zone);
-        own.any(|driver| !driver.abandoned && driver.answers(now))
-    }
-
-    /// Returns the zones of which a worker refused our token.
-    pub(crate) fn fenced_zones(&self) -> BTreeSet<Name> {
-        let fenced = self.drivers.values().filter(|driver| driver.fenced() && !driver.abandoned);
-        fenced.map(|driver| driver.entry.zone.clone()).collect()
-    }
-
-    /// Returns the other hosts for which jobs are held.
-    pub(crate) fn fronts(&self) -> Vec<Peer> {
-        let others = self.jobs.values().filter(|state| state.from != self.me);
-        let peers: BTreeSet<&Peer> = others.map(|state| &state.from).collect();
-        peers.into_iter().cloned().collect()
-    }
-
-    /// Returns the hosts to which tasks are forwarded.
-    pub(crate) fn targets(&self) -> Vec<Peer> {
-        let peers: BTreeSet<&Peer> = self.forwards.values().map(|(peer, _)| peer).collect();
-        peers.into_iter().cloned().collect()
-    }
-
-    fn set_worker(&mut self, now: Time, entry: &WorkerEntry, token: u64) {
-        if let Some(driver) = self.drivers.get_mut(&entry.id) {
-            driver.entry = entry.clone();
-            if driver.token() != token {
-                driver.renew(now, token);
-            }
-            return;
-        }
-        let driver = Driver::new(now, entry.clone(), token, self.lease_ms);
-        self.drivers.insert(entry.id.clone(), driver);
-    }
 }
 
 /// Returns whether `room` holds `need`.
--- a/endivestile_kernel/src/fleet/serve.rs
+++ b/endivestile_kernel/src/fleet/serve.rs
@@ -7,6 +7,7 @@
 use super::job::{Job, JobEnd, Reason};
 use super::measure::{Count, Span};
 use super::msg::JobMsg;
+use super::scheduler::RETRY_MS;
 use crate::{CallId, Level, Note, Peer, Time};
 
 /// Silence after which a placer counts as lost, in milliseconds: five frames.
@@ -14,8 +15,6 @@
 /// Reserve over a host's lease before its tasks surely are stopped, in
 /// milliseconds: the way of the stops.
 const STOP_RESERVE_MS: u64 = 80;
-/// When to come back after a refusal that no better time is known for, in milliseconds.
-const RETRY_MS: u64 = 1_000;
 
 impl Fleet {
     pub(super) fn call(&mut self, now: Time, call: CallId, job: Job) {
--- a/endivestile_kernel/src/fleet/state.rs
+++ b/endivestile_kernel/src/fleet/state.rs
@@ -4,9 +4,9 @@
 
 use endivestile_config::model::Name;
 
-use super::driver::RunId;
 use super::job::{Job, JobEnd, Step};
 use super::queue::Key;
+use super::run::RunId;
 use crate::{Peer, Time};
 
 /// Where a task stands.
--- a/endivestile_kernel/src/fleet/watchdog.rs
+++ b/endivestile_kernel/src/fleet/watchdog.rs
@@ -2,9 +2,9 @@
 
 use endivestile_config::model::Name;
 
-use super::driver::{Call, Run, RunId, TaskRef};
-use super::job::{JobEnd, Reason};
+use super::call::Call;
 use super::measure::Count;
+use super::run::{Run, RunId, TaskRef};
 use super::scheduler::{Out, Scheduler};
 use super::state::TaskState;
 use crate::{Level, Time};
@@ -65,16 +65,7 @@
                 return;
             }
             self.deadlines.pop_first();
-            let Some(state) = self.jobs.get(&number).filter(|state| state.ending.is_none()) else {
-                continue;
-            };
-            let retry = now.after_ms(1_000);
-            let end = if state.touched() {
-                JobEnd::Lost(Reason::Deadline)
-            } else {
-                JobEnd::NotRun { reason: Reason::Overload, retry }
-            };
-            self.close(now, number, end, true);
+            self.give_up_job(now, number);
         }
     }
 
@@ -85,16 +76,11 @@
             let waiting =
                 state.tasks.iter().any(|slot| matches!(slot.state, TaskState::Waiting(_)));
             let back = state.job.forwarded && long && waiting && state.ending.is_none();
-            back.then(|| (*number, state.touched()))
+            back.then_some(*number)
         };
-        let back: Vec<(u64, bool)> = self.jobs.iter().filter_map(waits).collect();
-        for (number, touched) in back {
-            let end = if touched {
-                JobEnd::Lost(Reason::Overload)
-            } else {
-                JobEnd::NotRun { reason: Reason::Overload, retry: now }
-            };
-            self.close(now, number, end, false);
+        let back: Vec<u64> = self.jobs.iter().filter_map(waits).collect();
+        for number in back {
+            self.give_back(now, number);
         }
     }
 
--- a/endivestile_testkit/src/fleet/worker.rs
+++ b/endivestile_testkit/src/fleet/worker.rs
@@ -230,3 +230,23 @@
         !self.ends.is_empty()
     }
 }
+
+/// Nothing taken.
+pub(crate) fn none() -> Need {
+    Need { cpu_milli: 0, memory_mb: 0, accelerators: 0 }
+}
+
+/// The registration of a worker of a zone.
+pub(crate) fn worker_entry(zone: &str, index: u64, cpu: u32) -> WorkerEntry {
+    let id = Name::from(format!("{zone}-w{index}"));
+    WorkerEntry {
+        id: id.clone(),
+        service: Name::from("service"),
+        address: id,
+        zone: Name::from(zone),
+        labels: vec![Name::from(format!("{zone}-r{}", index / 2))],
+        room: Need { cpu_milli: cpu, memory_mb: 65_536, accelerators: 0 },
+        leaving: false,
+        born: 1,
+    }
+}
--- a/endivestile_testkit/src/fleet/world.rs
+++ b/endivestile_testkit/src/fleet/world.rs
@@ -7,7 +7,7 @@
 use endivestile_config::model::Name;
 use endivestile_kernel::fleet::{
     CallFault, FleetEvent, HOST_KEYS, HostEntry, Job, JobEnd, RouteTable, StartEnd, Step,
-    WorkerCall, WorkerEntry,
+    WorkerCall,
 };
 use endivestile_kernel::{CallId, Need, StoreOp, Stored};
 use rand::SeedableRng;
@@ -16,7 +16,8 @@
 use super::check::Seen;
 use super::host::Host;
 use super::store::Store;
-use super::worker::{Behaviour, Worker};
+use super::worker::{Behaviour, Worker, none, worker_entry};
+use crate::timeline::Timeline;
 use crate::world::net::{Net, STORE};
 
 /// Time for an answer of the store, in microseconds.
@@ -100,8 +101,7 @@
     pub(crate) trace: Vec<String>,
     pub(crate) rng: SmallRng,
     waiting: BTreeMap<u64, Name>,
-    order: u64,
-    queue: BTreeMap<(u64, u64), Happening>,
+    timeline: Timeline<Happening>,
 }
 
 impl FleetWorld {
@@ -125,8 +125,7 @@
             trace: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
             waiting: BTreeMap::new(),
-            order: 0,
-            queue: BTreeMap::new(),
+            timeline: Timeline::new(),
         };
         for zone in zones {
             for index in 1..=hosts {
@@ -151,11 +150,7 @@
     /// Lets `millis` milliseconds pass.
     pub fn run(&mut self, millis: u64) {
         let end = self.now + millis * 1_000;
-        while let Some((&(at, order), _)) = self.queue.first_key_value() {
-            if at > end {
-                break;
-            }
-            let Some(happening) = self.queue.remove(&(at, order)) else { break };
+        while let Some((at, happening)) = self.timeline.next(end) {
             self.now = at;
             self.happen(happening);
         }
@@ -168,8 +163,7 @@
     }
 
     pub(crate) fn at(&mut self, at: u64, happening: Happening) {
-        self.order += 1;
-        self.queue.insert((at.max(self.now), self.order), happening);
+        self.timeline.plan(at.max(self.now), happening);
     }
 
     fn happen(&mut self, happening: Happening) {
@@ -489,21 +483,3 @@
         self.entry.address.is_empty()
     }
 }
-
-fn none() -> Need {
-    Need { cpu_milli: 0, memory_mb: 0, accelerators: 0 }
-}
-
-fn worker_entry(zone: &str, index: u64, cpu: u32) -> WorkerEntry {
-    let id = Name::from(format!("{zone}-w{index}"));
-    WorkerEntry {
-        id: id.clone(),
-        service: Name::from("service"),
-        address: id,
-        zone: Name::from(zone),
-        labels: vec![Name::from(format!("{zone}-r{}", index / 2))],
-        room: Need { cpu_milli: cpu, memory_mb: 65_536, accelerators: 0 },
-        leaving: false,
-        born: 1,
-    }
-}
--- a/endivestile_testkit/src/lib.rs
+++ b/endivestile_testkit/src/lib.rs
@@ -12,6 +12,7 @@
 mod platform;
 mod step;
 mod store;
+mod timeline;
 mod timer;
 mod world;
 
--- a/endivestile_testkit/src/world.rs
+++ b/endivestile_testkit/src/world.rs
@@ -29,6 +29,7 @@
 use self::host::Machine;
 use self::net::Net;
 use self::platform::Platform;
+use crate::timeline::Timeline;
 
 /// Seconds since 1970 at the start of every world.
 pub const WALL_S: u64 = 1_764_720_000;
@@ -69,8 +70,7 @@
 #[derive(Debug)]
 pub struct World {
     now: u64,
-    order: u64,
-    queue: BTreeMap<(u64, u64), Happening>,
+    timeline: Timeline<Happening>,
     configs: BTreeMap<u64, Arc<Config>>,
     machines: BTreeMap<Name, Machine>,
     backends: BTreeMap<Name, Backend>,
@@ -94,8 +94,7 @@
         let backends = Backend::all(&config);
         let mut world = Self {
             now: 0,
-            order: 0,
-            queue: BTreeMap::new(),
+            timeline: Timeline::new(),
             configs: BTreeMap::from([(config.revision, config.clone())]),
             machines: BTreeMap::new(),
             backends,
@@ -135,11 +134,7 @@
     /// Lets `millis` milliseconds pass.
     pub fn run(&mut self, millis: u64) {
         let end = self.now + millis * 1_000;
-        while let Some((&(at, order), _)) = self.queue.first_key_value() {
-            if at > end {
-                break;
-            }
-            let Some(happening) = self.queue.remove(&(at, order)) else { break };
+        while let Some((at, happening)) = self.timeline.next(end) {
             self.now = at;
             self.happen(happening);
         }
@@ -160,8 +155,7 @@
     }
 
     fn at(&mut self, at: u64, happening: Happening) {
-        self.order += 1;
-        self.queue.insert((at.max(self.now), self.order), happening);
+        self.timeline.plan(at.max(self.now), happening);
     }
 
     fn event_in(&mut self, micros: u64, host: &Name, birth: u64, event: Event) {
