--- a/endivestile_testkit/src/fleet/worker.rs
+++ b/endivestile_testkit/src/fleet/worker.rs
@@ -13,6 +13,9 @@
 /// Longest lease that it grants, in milliseconds.
 const MAX_LEASE_MS: u64 = 1_000;
 
+/// Time that a stop takes, in microseconds.
+const STOP_US: u64 = 50_000;
+
 /// How a worker behaves.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum Behaviour {
@@ -41,6 +44,8 @@
     at: u64,
     /// When it fails, if it does.
     fails_at: Option<u64>,
+    /// When a stop has been carried out, if it was told to stop.
+    stops_at: Option<u64>,
 }
 
 /// One worker.
@@ -107,7 +112,7 @@
         let rate = self.rate();
         let ends = self.runs.values().flat_map(|run| {
             let done = (rate > 0.0).then(|| run.at + (run.left_us / rate).ceil() as u64);
-            done.into_iter().chain(run.fails_at)
+            done.into_iter().chain(run.fails_at).chain(run.stops_at)
         });
         let lapse = (!self.runs.is_empty()).then(|| self.zero + self.until_ms * 1_000);
         ends.chain(lapse).min()
@@ -123,6 +128,8 @@
             run.at = now;
             if run.left_us < 1.0 {
                 over.push((task.clone(), *number, RunEnd::Done));
+            } else if run.stops_at.is_some_and(|at| at <= now) {
+                over.push((task.clone(), *number, RunEnd::Stopped));
             } else if run.fails_at.is_some_and(|at| at <= now) {
                 over.push((task.clone(), *number, RunEnd::Failed));
             } else if lapsed {
@@ -181,7 +188,8 @@
         }
         self.lease(now, order.until);
         let fails_at = (self.behaviour == Behaviour::Errors).then_some(now + 5_000);
-        let run = Run { need, left_us: work_us, whole_us: work_us, at: now, fails_at };
+        let run =
+            Run { need, left_us: work_us, whole_us: work_us, at: now, fails_at, stops_at: None };
         self.runs.insert(id, run);
         StartEnd::Started(self.clock_ms(now))
     }
@@ -191,8 +199,8 @@
         if self.fenced(order.token) {
             return Err(CallFault::Fenced);
         }
-        if self.runs.contains_key(&(order.task.clone(), order.run)) {
-            self.end(&order.task.clone(), order.run, RunEnd::Stopped);
+        if let Some(run) = self.runs.get_mut(&(order.task.clone(), order.run)) {
+            run.stops_at.get_or_insert(now + STOP_US);
         }
         self.raise(&order.task.clone(), order.run);
         Ok(self.clock_ms(now))
