Tell a caller whose head comes too slowly

Cause: hyper bounds a head only by the idle time, and closes without a status: a head sent a byte at a time held a descriptor for 15 s, and its caller learnt nothing. Ruled out: a shorter header_read_timeout (it also ends connections that rest between two requests).

Change: the socket notes when a head begins; one that is not whole after the configuration's time is answered 408 and closed.

--- a/endivestile/src/fleet/callers.rs
+++ b/endivestile/src/fleet/callers.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
@@ -16,18 +16,23 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{oneshot, watch};
 use tokio::time::timeout;
 
 use super::inbox::{HttpCall, Inbox, Input};
 use super::page::Measures;
+use super::watched::{Stage, Watched, overdue};
 use crate::error::RunError;
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
 /// Least buffer for a head that the library accepts, in bytes.
 const MIN_BUFFER: usize = 8_192;
+/// Answer to a head that did not come in time; the library knows no status for that.
+const HEAD_LATE: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 /// Pause after an accept that failed, in milliseconds: descriptors have run
 /// out, and others are freed meanwhile.
 const ACCEPT_MS: u64 = 20;
@@ -98,21 +103,22 @@
     let _ = stream.set_nodelay(true);
     let limits = desk.limits();
     let mut closing = desk.closing.clone();
-    let service = service_fn(move |request| serve(request, desk.clone()));
-    let served = http1::Builder::new()
+    let (stage, stages) = watch::channel(Stage::Resting);
+    let stream = Watched::new(stream, stage.clone(), limits.head_ms);
+    let service = service_fn(move |request| serve_one(request, desk.clone(), stage.clone()));
+    let mut served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.idle_ms))
         .max_buf_size(limits.head.max(MIN_BUFFER))
         .serve_connection(TokioIo::new(stream), service);
-    let mut served = pin!(served);
     let ended = tokio::select! {
-        ended = &mut served => Some(ended),
-        _ = closing.changed() => None,
-    };
-    let ended = match ended {
-        Some(ended) => ended,
-        None => {
-            served.as_mut().graceful_shutdown();
+        ended = &mut served => ended,
+        () = overdue(stages) => {
+            refuse_head(served.into_parts().io.into_inner()).await;
+            return;
+        }
+        _ = closing.changed() => {
+            Pin::new(&mut served).graceful_shutdown();
             served.await
         }
     };
@@ -121,6 +127,26 @@
     }
 }
 
+/// Tells a caller that its head came too slowly, and closes its connection.
+async fn refuse_head(mut stream: Watched) {
+    log::info!("event=call_refused step=read-head status=408");
+    let told = stream.write_all(HEAD_LATE).await;
+    if let Err(e) = told.and(stream.shutdown().await) {
+        log::debug!("event=connection_ended step=refuse-head error={:?}", e.to_string());
+    }
+}
+
+async fn serve_one(
+    request: hyper::Request<Incoming>,
+    desk: Desk,
+    stage: watch::Sender<Stage>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    stage.send_replace(Stage::Serving);
+    let response = serve(request, desk).await;
+    stage.send_replace(Stage::Resting);
+    response
+}
+
 async fn serve(
     request: hyper::Request<Incoming>,
     desk: Desk,
--- a/endivestile/src/fleet/mod.rs
+++ b/endivestile/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 mod run;
 mod store;
 mod waiting;
+mod watched;
 mod workers;
 
 pub(crate) use run::serve;
--- a/endivestile/tests/platform_path.rs
+++ b/endivestile/tests/platform_path.rs
@@ -289,3 +289,44 @@
     until("the host reads its settings", || host.logged("event=reload outcome=applied").is_some());
     assert_eq!(host.call("POST", "/jobs/00000000000000ab", &job(1, 1)).0, 200);
 }
+
+/// A caller begins a head and then sends nothing more. It is told so after the
+/// time that the configuration grants for a head; without that it would hold a
+/// connection until the much longer idle time, and learn nothing.
+#[test_case(""; "first_request")]
+#[test_case("GET /readiness HTTP/1.1\r\nHost: jobs.example\r\n\r\n"; "later_request")]
+fn head_slow(before: &str) {
+    let platform = platform();
+    let host = Host::start(&platform, "a1", "a");
+    until_serving(&host);
+    let mut stream = TcpStream::connect(&host.http).unwrap();
+    stream.write_all(before.as_bytes()).unwrap();
+    let mut lines = BufReader::new(stream.try_clone().unwrap()).lines();
+    if !before.is_empty() {
+        assert!(lines.next().unwrap().unwrap().contains("200"));
+        lines.by_ref().map(Result::unwrap).find(String::is_empty).unwrap();
+    }
+    stream.write_all(b"POST /jobs/00000000000000ab HTTP/1.1\r\nHost: jo").unwrap();
+    let rest: Vec<String> = lines.map(Result::unwrap).collect();
+    assert!(rest.iter().any(|line| line.ends_with("HTTP/1.1 408 Request Timeout")), "{rest:?}");
+}
+
+/// A caller rests between two requests for longer than a head may take. Its
+/// connection stays open; otherwise its next request would be lost on the way.
+#[test]
+fn connection_rests_between_requests() {
+    let platform = platform();
+    let host = Host::start(&platform, "a1", "a");
+    until_serving(&host);
+    let mut stream = TcpStream::connect(&host.http).unwrap();
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    for _ in 0..2 {
+        stream.write_all(b"GET /readiness HTTP/1.1\r\nHost: jobs.example\r\n\r\n").unwrap();
+        let mut line = String::new();
+        while line != "\r\n" {
+            line.clear();
+            assert!(reader.read_line(&mut line).unwrap() > 0, "the connection was closed");
+        }
+        thread::sleep(Duration::from_millis(1_300));
+    }
+}
--- /dev/null
+++ b/endivestile_testkit/tests/fleet/large_zone_owner_lost.story
@@ -0,0 +1,28 @@
+# Everything that an owner leaves behind goes to one host. Its jobs are begun
+# again there as soon as it has cleared the workers, after some 700 ms; spread
+# over several hosts they would wait for the leases, half a second longer, and
+# miss their deadlines.
+story
+world zones=a cpus=90,500,300,300,500 workers=80
+submit c at=a1 tasks=6 ms=400 deadline=1900ms times=10 every=2ms
+run 100ms
+kill a2
+run 4s
+owners
+answers
+check
+----
+a {"owner":{"host":"a3","birth":3},"epoch":1} pools=2
+a {"owner":{"host":"a5","birth":5},"epoch":1} pools=3
+a {"owner":{"host":"a5","birth":5},"epoch":2} pools=3
+c-0 done 400 ms
+c-1 done 1313 ms
+c-2 done 1311 ms
+c-3 done 1309 ms
+c-4 done 1307 ms
+c-5 done 400 ms
+c-6 done 1303 ms
+c-7 done 1301 ms
+c-8 done 400 ms
+c-9 done 400 ms
+every promise kept
