Name the pin type by its path

Cause: select! brings a name of its own into its branches, so that the import counted as unused and the linter's check failed. Change: the path instead of the import.

--- a/endivestile/src/fleet/callers.rs
+++ b/endivestile/src/fleet/callers.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::Duration;
@@ -118,7 +117,7 @@
             return;
         }
         _ = closing.changed() => {
-            Pin::new(&mut served).graceful_shutdown();
+            std::pin::Pin::new(&mut served).graceful_shutdown();
             served.await
         }
     };
