Soak the platform path with faults from outside

Cause: faults between real processes were only tested one at a time.

Change: a soak in the test kit. Hosts run as processes; relays before links, store and workers delay, silence one way or both, or reset; processes are paused, killed, stopped, told to reload, in series and overlapping, all drawn from a seed. Callers keep their connections and send again after 1.3 s. It is checked by what callers and workers see. The log line of a start names where links listen, beside the address that peers dial.

--- a/endivestile/src/fleet/run.rs
+++ b/endivestile/src/fleet/run.rs
@@ -32,7 +32,7 @@
 use crate::counters::Counters;
 use crate::error::{Exit, RunError};
 use crate::peers::{self, Links};
-use crate::run::{Reload, advertised};
+use crate::run::{Reload, advertised, local};
 
 /// Inputs handled before their effects are carried out.
 const BATCH: usize = 256;
@@ -100,13 +100,13 @@
         runtime.spawn(callers::accept(listener, desk));
     }
     let listener = peers::bind(settings.host.peers)?;
-    let address = advertised(settings, &listener)?;
+    let (address, links_at) = (advertised(settings, &listener)?, local(&listener)?);
     peers::serve(runtime.handle(), listener, inbox.clone())?;
     let links = Links::start(runtime.handle(), inbox.clone(), counters.clone());
     let me = Peer::new(settings.host.name.clone(), since_epoch().as_micros() as u64);
     let zone = settings.host.zone.clone();
     log::info!(
-        "event=started host={} birth={:x} zone={zone} http={http} peers={address}",
+        "event=started host={} birth={:x} zone={zone} http={http} peers={address} links={links_at}",
         me.host,
         me.birth
     );
--- a/endivestile/src/run.rs
+++ b/endivestile/src/run.rs
@@ -167,7 +167,7 @@
 }
 
 /// Returns the address to which a socket is bound.
-fn local(socket: &TcpListener) -> Result<SocketAddr, RunError> {
+pub(crate) fn local(socket: &TcpListener) -> Result<SocketAddr, RunError> {
     socket.local_addr().map_err(|e| RunError::Bind {
         step: "read-address",
         address: String::new(),
--- a/endivestile_testkit/src/deploy/process.rs
+++ b/endivestile_testkit/src/deploy/process.rs
@@ -150,6 +150,11 @@
         Signal::Terminate.send(self.pid());
     }
 
+    /// Tells the process that its settings have changed.
+    pub fn reload(&self) {
+        Signal::Reload.send(self.pid());
+    }
+
     /// Waits for the end of the process; none when it took too long.
     pub fn wait_end(&mut self, limit_s: u64) -> Option<ExitStatus> {
         let mut status = None;
--- a/endivestile_testkit/src/deploy/signal.rs
+++ b/endivestile_testkit/src/deploy/signal.rs
@@ -11,6 +11,8 @@
     Continue,
     /// Asks for a graceful shutdown.
     Terminate,
+    /// Says that the settings have changed.
+    Reload,
 }
 
 impl Signal {
@@ -20,6 +22,7 @@
             Self::Stop => "STOP",
             Self::Continue => "CONT",
             Self::Terminate => "TERM",
+            Self::Reload => "HUP",
         };
         let sent = Command::new("sh").arg("-c").arg(format!("kill -{name} {pid}")).status();
         assert!(sent.is_ok_and(|status| status.success()), "kill -{name} {pid} failed");
--- a/endivestile_testkit/src/platform/mod.rs
+++ b/endivestile_testkit/src/platform/mod.rs
@@ -1,6 +1,7 @@
 //! A stand-in for the users' platform over real sockets: its store and its
 //! workers, speaking their protocol on loopback.
 
+mod host;
 mod server;
 mod store;
 mod workers;
@@ -12,6 +13,7 @@
 use serde_json::json;
 use tokio::runtime::Builder;
 
+pub use host::{PlatformHost, PlatformSignal};
 pub use workers::WorkerFault;
 
 use crate::lock::lock;
@@ -94,6 +96,27 @@
         lock(&self.shared.workers).starts()
     }
 
+    /// Returns how many runs of a job's tasks have started.
+    pub fn starts_of(&self, id: &str) -> u64 {
+        lock(&self.shared.workers).starts_of(id)
+    }
+
+    /// Returns how many tasks of a job have ended well.
+    pub fn done_of(&self, id: &str) -> usize {
+        lock(&self.shared.workers).done_of(id)
+    }
+
+    /// Returns the addresses at which the workers listen.
+    pub fn workers(&self) -> Vec<(String, SocketAddr)> {
+        lock(&self.shared.workers).addresses()
+    }
+
+    /// Registers a worker anew, at another address by which it can be reached.
+    pub fn reroute(&self, worker: &str, address: SocketAddr) {
+        let zone = worker.split('-').next().unwrap_or_default();
+        self.register(zone, worker, address);
+    }
+
     /// Returns how many runs go on at all workers.
     pub fn running(&self) -> usize {
         lock(&self.shared.workers).running()
@@ -108,6 +131,10 @@
         let id = format!("{zone}-w{index}");
         let address = server::listen(&self.shared, Some(id.clone()));
         lock(&self.shared.workers).add(zone, &id, address);
+        self.register(zone, &id, address);
+    }
+
+    fn register(&self, zone: &str, id: &str, address: SocketAddr) {
         let entry = json!({
             "Service": "service", "Address": address.to_string(), "Zone": zone,
             "Version": "v1", "Slots": 8, "State": "ready", "ColdRemainingMs": 0,
--- /dev/null
+++ b/endivestile_testkit/src/soak/mod.rs
@@ -0,0 +1,12 @@
+//! A soak: entry hosts as processes on the stand-in for the users' platform,
+//! callers that never rest, and faults from outside drawn from a seed.
+//!
+//! The promises are checked by what callers and workers see, never by what the
+//! hosts say of themselves.
+
+mod caller;
+mod fault;
+mod relay;
+mod run;
+
+pub use run::{Soak, SoakReport};
--- /dev/null
+++ b/endivestile_testkit/src/soak/run.rs
@@ -0,0 +1,439 @@
+//! One run of the soak.
+
+use std::io;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::caller::{Line, Sending};
+use super::fault::{Fault, Planned, plan};
+use super::relay::{Harm, Relay};
+use crate::deploy::{Daemon, wait_for};
+use crate::lock::lock;
+use crate::platform::{PlatformHost, PlatformSignal, PlatformStandIn, WorkerFault};
+
+/// Availability zones.
+const ZONES: [&str; 2] = ["a", "b"];
+/// How long callers wait for an answer.
+const DEADLINE: Duration = Duration::from_millis(2_500);
+/// How much later than its deadline an answer may come before a caller gives up.
+const SLACK: Duration = Duration::from_millis(800);
+/// Time after which a caller without an answer sends its job again.
+const RESEND: Duration = Duration::from_millis(1_300);
+/// Longest wait for all hosts to serve once nothing is wrong any more, in seconds.
+const RECOVERY_S: u64 = 20;
+/// Jobs that are sent to each host at the end, all of which have to be served.
+const LAST_JOBS: usize = 10;
+/// Longest wait for a host that was asked to stop, in seconds: the time that the
+/// settings grant, and a few for a busy machine.
+const STOP_S: u64 = 12;
+
+/// How a run is made up.
+#[derive(Debug, Clone)]
+pub struct Soak {
+    /// How hosts are started.
+    pub daemon: Daemon,
+    /// Decides the faults and the load.
+    pub seed: u64,
+    /// For how long faults come, in milliseconds.
+    pub faults_ms: u64,
+    /// Hosts in each of the two zones.
+    pub hosts: usize,
+    /// Workers in each zone.
+    pub workers: usize,
+    /// Callers that send one job after the other.
+    pub callers: usize,
+}
+
+/// What a run has shown.
+#[derive(Debug, Default)]
+pub struct SoakReport {
+    /// Promises that were broken.
+    pub breaches: Vec<String>,
+    /// Jobs handed in.
+    pub jobs: usize,
+    /// Jobs told to be completed.
+    pub completed: usize,
+    /// Sendings refused as not run.
+    pub refused: usize,
+    /// Sendings without an answer.
+    pub unanswered: usize,
+    /// What was done to the hosts, and what they logged; for a run that failed.
+    pub trace: Vec<String>,
+}
+
+/// A run under way.
+struct Run {
+    soak: Soak,
+    platform: Arc<PlatformStandIn>,
+    hosts: Vec<Arc<Mutex<PlatformHost>>>,
+    links: Vec<Relay>,
+    stores: Vec<Relay>,
+    workers: Vec<(String, Relay)>,
+    down: Vec<bool>,
+    report: SoakReport,
+}
+
+impl Soak {
+    /// Makes the run.
+    ///
+    /// # Errors
+    /// Those of the processes and sockets; a broken promise is no error.
+    pub fn run(self) -> io::Result<SoakReport> {
+        let mut run = Run::start(self)?;
+        run.wait_serving("at the start");
+        let sendings = run.under_load();
+        run.wait_serving("after the faults");
+        run.last_jobs();
+        run.judge(&sendings);
+        run.stop_all();
+        Ok(run.finish())
+    }
+}
+
+impl Run {
+    fn start(soak: Soak) -> io::Result<Self> {
+        let platform = Arc::new(PlatformStandIn::start(&ZONES, soak.workers));
+        platform.configure(1);
+        let mut workers = Vec::new();
+        for (name, address) in platform.workers() {
+            let relay = Relay::start(Some(address))?;
+            platform.reroute(&name, relay.address);
+            workers.push((name, relay));
+        }
+        let (mut hosts, mut links, mut stores) = (Vec::new(), Vec::new(), Vec::new());
+        for zone in ZONES {
+            for index in 1..=soak.hosts {
+                let (link, store) = (Relay::start(None)?, Relay::start(Some(platform.store()))?);
+                let more = [format!("host.advertise={}", link.address)];
+                let name = format!("{zone}{index}");
+                let host = PlatformHost::start(&soak.daemon, store.address, &name, zone, &more)?;
+                hosts.push(Arc::new(Mutex::new(host)));
+                links.push(link);
+                stores.push(store);
+            }
+        }
+        let down = vec![false; hosts.len()];
+        let report = SoakReport::default();
+        let run = Self { soak, platform, hosts, links, stores, workers, down, report };
+        run.aim_links()?;
+        Ok(run)
+    }
+
+    /// Leads each relay of links to where its host listens now.
+    fn aim_links(&self) -> io::Result<()> {
+        for (host, link) in self.hosts.iter().zip(&self.links) {
+            if !wait_for(RECOVERY_S, || lock(host).links().is_some()) {
+                return Err(io::Error::other("a host did not start"));
+            }
+            link.aim(lock(host).links());
+        }
+        Ok(())
+    }
+
+    fn broken(&mut self, what: String) {
+        self.report.breaches.push(what);
+    }
+
+    /// Waits until every host serves a job; that it does not is a breach.
+    fn wait_serving(&mut self, when: &str) {
+        for at in 0..self.hosts.len() {
+            let host = Arc::clone(&self.hosts[at]);
+            let mut tries = 0;
+            let serves = wait_for(RECOVERY_S, || {
+                tries += 1;
+                let id = format!("{:016x}", (0xaaaa_u64 << 48) | (at as u64) << 32 | tries);
+                send_once(&host, at, &id, 1, 1).is_some_and(|sending| sending.status == Some(200))
+            });
+            if !serves {
+                self.broken(format!("host {at} serves nothing {when}"));
+            }
+        }
+    }
+
+    /// Lets the faults come while callers call; returns what these saw.
+    fn under_load(&mut self) -> Vec<Sending> {
+        let over = Arc::new(AtomicBool::new(false));
+        let serial = Arc::new(AtomicU64::new(1));
+        let callers: Vec<_> = (0..self.soak.callers)
+            .map(|number| {
+                let seed = self.soak.seed.wrapping_mul(1_009).wrapping_add(number as u64);
+                let hosts = self.hosts.clone();
+                let (over, serial) = (Arc::clone(&over), Arc::clone(&serial));
+                thread::spawn(move || call(&hosts, seed, &over, &serial))
+            })
+            .collect();
+        self.play();
+        over.store(true, Ordering::Relaxed);
+        callers.into_iter().flat_map(|caller| caller.join().unwrap_or_default()).collect()
+    }
+
+    /// Begins and ends the planned faults at their times.
+    fn play(&mut self) {
+        let mut rng = SmallRng::seed_from_u64(self.soak.seed);
+        let faults = plan(&mut rng, self.soak.faults_ms, self.hosts.len(), self.workers.len());
+        let mut steps: Vec<(u64, bool, Planned)> = Vec::new();
+        for planned in faults {
+            steps.push((planned.from, true, planned));
+            steps.push((planned.until, false, planned));
+        }
+        steps.sort_by_key(|(at, begins, _)| (*at, *begins));
+        let start = Instant::now();
+        for (at, begins, planned) in steps {
+            thread::sleep(
+                (start + Duration::from_millis(at)).saturating_duration_since(Instant::now()),
+            );
+            self.report.trace.push(format!("{at} ms: {} {:?}", word(begins), planned.fault));
+            if begins { self.begin(planned.fault) } else { self.end(planned.fault) }
+        }
+        self.heal();
+    }
+
+    fn begin(&mut self, fault: Fault) {
+        match fault {
+            Fault::Pause(at) => self.signal(at, PlatformSignal::Pause),
+            Fault::Kill(at) => {
+                lock(&self.hosts[at]).kill();
+                self.down[at] = true;
+            }
+            Fault::Stop(at) => {
+                self.signal(at, PlatformSignal::Stop);
+                self.down[at] = true;
+            }
+            Fault::Reload(at) => self.signal(at, PlatformSignal::Reload),
+            Fault::Links(at, harm) => self.links[at].set(harm),
+            Fault::Store(at, harm) => self.stores[at].set(harm),
+            Fault::Worker(at, harm) => self.workers[at].1.set(harm),
+            Fault::Errors(at) => self.platform.fault(&self.workers[at].0, WorkerFault::Errors),
+            Fault::Hangs(at) => self.platform.fault(&self.workers[at].0, WorkerFault::Hangs),
+            Fault::Refuse => self.platform.refuse(true),
+        }
+    }
+
+    fn end(&mut self, fault: Fault) {
+        match fault {
+            Fault::Pause(at) => self.signal(at, PlatformSignal::Resume),
+            Fault::Kill(at) | Fault::Stop(at) => self.restart(at),
+            Fault::Reload(_) => {}
+            Fault::Links(at, _) => self.links[at].set(Harm::None),
+            Fault::Store(at, _) => self.stores[at].set(Harm::None),
+            Fault::Worker(at, _) => self.workers[at].1.set(Harm::None),
+            Fault::Errors(at) | Fault::Hangs(at) => {
+                self.platform.fault(&self.workers[at].0, WorkerFault::None);
+            }
+            Fault::Refuse => self.platform.refuse(false),
+        }
+    }
+
+    /// Signals a host, unless its process has been ended by an earlier fault.
+    fn signal(&mut self, at: usize, signal: PlatformSignal) {
+        let mut host = lock(&self.hosts[at]);
+        if host.runs() {
+            host.signal(signal);
+        } else if !self.down[at] {
+            drop(host);
+            self.broken(format!("the process of host {at} ended by itself"));
+            self.down[at] = true;
+        }
+    }
+
+    fn restart(&mut self, at: usize) {
+        let mut host = lock(&self.hosts[at]);
+        let before = host.logged("event=started");
+        if let Err(e) = host.restart() {
+            drop(host);
+            return self.broken(format!("host {at} was not started again: {e}"));
+        }
+        drop(host);
+        self.down[at] = false;
+        let host = Arc::clone(&self.hosts[at]);
+        wait_for(RECOVERY_S, || lock(&host).logged("event=started") > before);
+        self.links[at].aim(lock(&host).links());
+    }
+
+    /// Ends everything that is still wrong.
+    fn heal(&mut self) {
+        let relays = self.links.iter().chain(&self.stores);
+        relays.chain(self.workers.iter().map(|(_, relay)| relay)).for_each(|it| it.set(Harm::None));
+        self.platform.refuse(false);
+        for (name, _) in &self.workers {
+            self.platform.fault(name, WorkerFault::None);
+        }
+        for at in 0..self.hosts.len() {
+            if self.down[at] {
+                self.restart(at);
+            }
+            self.signal(at, PlatformSignal::Resume);
+        }
+    }
+
+    /// Sends jobs while nothing is wrong: all have to be served.
+    fn last_jobs(&mut self) {
+        for number in 0..LAST_JOBS * self.hosts.len() {
+            let at = number % self.hosts.len();
+            let id = format!("{:016x}", (0xbbbb_u64 << 48) | number as u64);
+            let sending = send_once(&self.hosts[at], at, &id, 3, 20);
+            if sending.as_ref().is_none_or(|sending| !sending.completed) {
+                // The first says as much as all.
+                return self.broken(format!("a job after the faults was not served: {sending:?}"));
+            }
+        }
+    }
+
+    /// Holds what callers saw against what workers saw.
+    fn judge(&mut self, sendings: &[Sending]) {
+        let mut ids: Vec<&str> = sendings.iter().map(|sending| &*sending.id).collect();
+        ids.dedup();
+        self.report.jobs = ids.len();
+        let told = self.platform.breaches();
+        self.report.breaches.extend(told);
+        for id in ids {
+            let of: Vec<&Sending> = sendings.iter().filter(|sending| sending.id == id).collect();
+            self.judge_job(id, &of);
+        }
+    }
+
+    fn judge_job(&mut self, id: &str, sendings: &[&Sending]) {
+        let completed = sendings.iter().any(|sending| sending.completed);
+        let refused = |sending: &&&Sending| matches!(sending.status, Some(429 | 503));
+        self.report.completed += usize::from(completed);
+        self.report.refused += sendings.iter().filter(refused).count();
+        self.report.unanswered += sendings.iter().filter(|s| s.status.is_none()).count();
+        let (tasks, done) = (sendings[0].tasks, self.platform.done_of(id));
+        if completed && done < tasks {
+            self.broken(format!("{id} was told completed with {done} of {tasks} tasks done"));
+        }
+        if sendings.iter().all(|sending| refused(&sending)) && self.platform.starts_of(id) > 0 {
+            self.broken(format!("{id} was refused as not run, and had run: {sendings:?}"));
+        }
+        for sending in sendings {
+            if sending.status.is_some() && sending.took > DEADLINE + SLACK {
+                self.broken(format!("{id} was answered after its deadline: {sending:?}"));
+            }
+        }
+    }
+
+    /// Stops every host gracefully.
+    fn stop_all(&mut self) {
+        for at in 0..self.hosts.len() {
+            self.signal(at, PlatformSignal::Stop);
+        }
+        for at in 0..self.hosts.len() {
+            let status = lock(&self.hosts[at]).wait_end(STOP_S);
+            if !status.is_some_and(|status| status.success()) {
+                self.broken(format!("host {at} did not stop: {status:?}"));
+            }
+        }
+    }
+
+    fn finish(mut self) -> SoakReport {
+        if !self.report.breaches.is_empty() {
+            for host in &self.hosts {
+                self.report.trace.extend(lock(host).log());
+            }
+        }
+        self.report
+    }
+}
+
+fn word(begins: bool) -> &'static str {
+    if begins { "begin" } else { "end" }
+}
+
+fn body(tasks: usize, ms: u64) -> String {
+    let step = serde_json::json!({
+        "Count": tasks, "Cpu": 14_000, "MemoryRequestMb": 64, "EstimatedMs": ms,
+    });
+    serde_json::json!({"Spec": ms.to_string(), "Steps": [step], "BestEffort": true}).to_string()
+}
+
+fn told_completed(body: &str) -> bool {
+    body.contains("completed")
+}
+
+/// Sends a job on a connection of its own.
+fn send_once(
+    host: &Arc<Mutex<PlatformHost>>,
+    at: usize,
+    id: &str,
+    tasks: usize,
+    ms: u64,
+) -> Option<Sending> {
+    let address = lock(host).http()?;
+    let mut line = Line::open(address, DEADLINE).ok()?;
+    let begun = Instant::now();
+    let answer = line.send(id, &body(tasks, ms), DEADLINE, DEADLINE + SLACK).ok();
+    Some(Sending {
+        id: id.to_owned(),
+        tasks,
+        status: answer.as_ref().map(|(status, _)| *status),
+        completed: answer.is_some_and(|(status, body)| status == 200 && told_completed(&body)),
+        took: begun.elapsed(),
+        host: at,
+    })
+}
+
+/// Sends one job after the other until the faults are over, and each again, to
+/// another host, when no answer came.
+fn call(
+    hosts: &[Arc<Mutex<PlatformHost>>],
+    seed: u64,
+    over: &AtomicBool,
+    serial: &AtomicU64,
+) -> Vec<Sending> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut line: Option<Line> = None;
+    let mut sendings = Vec::new();
+    while !over.load(Ordering::Relaxed) {
+        let id = format!("{:016x}", serial.fetch_add(1, Ordering::Relaxed));
+        let (tasks, ms) = (rng.random_range(1..6), rng.random_range(5..300));
+        for _ in 0..2 {
+            let at = rng.random_range(0..hosts.len());
+            let sending = send_kept(hosts, at, &mut line, &id, tasks, ms);
+            let answered = sending.status.is_some_and(|status| status != 502 && status != 504);
+            sendings.push(sending);
+            if answered {
+                break;
+            }
+            thread::sleep(RESEND);
+        }
+        thread::sleep(Duration::from_millis(rng.random_range(5..60)));
+    }
+    sendings
+}
+
+/// Sends a job on the kept connection if that is still open.
+fn send_kept(
+    hosts: &[Arc<Mutex<PlatformHost>>],
+    at: usize,
+    kept: &mut Option<Line>,
+    id: &str,
+    tasks: usize,
+    ms: u64,
+) -> Sending {
+    let begun = Instant::now();
+    let none = Sending {
+        id: id.to_owned(),
+        tasks,
+        status: None,
+        completed: false,
+        took: Duration::ZERO,
+        host: at,
+    };
+    let Some(address) = lock(&hosts[at]).http() else { return none };
+    let line = kept.take().filter(|line| line.goes_to(address));
+    let line = line.or_else(|| Line::open(address, DEADLINE).ok());
+    let Some(mut line) = line else { return none };
+    match line.send(id, &body(tasks, ms), DEADLINE, DEADLINE + SLACK) {
+        Ok((status, body)) => {
+            *kept = Some(line);
+            let completed = status == 200 && told_completed(&body);
+            Sending { status: Some(status), completed, took: begun.elapsed(), ..none }
+        }
+        Err(_) => Sending { took: begun.elapsed(), ..none },
+    }
+}
