--- /dev/null
+++ b/endivestile/tests/explain_failure.rs
@@ -0,0 +1,98 @@
+//! From the id of a failed request to its cause, by logs and counts alone, as
+//! `docs/OPERATIONS.md` tells it.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panic")]
+
+mod platform;
+
+use std::io::Read;
+use std::thread;
+
+use endivestile_testkit::{PlatformStandIn, WorkerFault};
+
+use platform::{Host, job, send, until, until_serving};
+
+/// Returns the latest line of a host that tells an event of a job.
+fn line(host: &Host, event: &str, id: &str) -> String {
+    let part = format!("event={event} id={id}");
+    let found = || host.process.log().into_iter().rev().find(|line| line.contains(&part));
+    until(&part, || found().is_some());
+    found().unwrap()
+}
+
+/// Returns a value of a line.
+fn value<'a>(line: &'a str, key: &str) -> &'a str {
+    line.split(' ').find_map(|word| word.strip_prefix(key)).unwrap_or("")
+}
+
+fn page(host: &Host) -> String {
+    let mut text = String::new();
+    send(&host.page, "GET", "/metrics", "").read_to_string(&mut text).unwrap();
+    text
+}
+
+/// The workers are taken for longer than a caller waits, and its job is refused.
+/// The caller's host names the placer; the placer says that nothing of it had
+/// started and how long it waited; the counts show refusals.
+#[test]
+fn failure_refused_under_load() {
+    let platform = PlatformStandIn::start(&["a"], 1);
+    platform.configure(1);
+    let host = Host::start(&platform, "a1", "a");
+    until_serving(&host);
+    let _taken = send(&host.http, "POST", "/jobs/00000000000000b0", &job(2, 60_000));
+    until("the worker is full", || platform.running() == 2);
+    let id = "00000000000000b1";
+    let (status, _) = host.call("POST", &format!("/jobs/{id}"), &job(8, 500));
+    assert_eq!(status, 429);
+    let sent = line(&host, "job_sent", id);
+    assert_eq!((value(&sent, "request="), value(&sent, "route=")), ("r1", "jobs"));
+    assert!(value(&sent, "placer=").starts_with("a1:"), "{sent}");
+    let placed = line(&host, "placed_job_ended", id);
+    assert_eq!(
+        (value(&placed, "end="), value(&placed, "reason="), value(&placed, "started=")),
+        ("not_run", "overload", "false")
+    );
+    assert!(value(&placed, "waited_ms=").parse::<u64>().is_ok(), "{placed}");
+    let answered = line(&host, "job_answered", id);
+    assert_eq!(value(&answered, "reason="), "overload");
+    assert!(page(&host).lines().any(|line| line.starts_with("endivestile_jobs_refused 1")));
+}
+
+/// A worker makes no progress with what it starts, and the job is begun
+/// elsewhere. The placer's lines with the job's id name that worker.
+#[test]
+fn failure_worker_hangs() {
+    let platform = PlatformStandIn::start(&["a"], 2);
+    platform.configure(1);
+    let host = Host::start(&platform, "a1", "a");
+    until_serving(&host);
+    platform.fault("a-w1", WorkerFault::Hangs);
+    let id = "00000000000000b2";
+    let (status, _) = host.call("POST", &format!("/jobs/{id}"), &job(4, 100));
+    assert_eq!(status, 200);
+    let stalled = line(&host, "run_stalled", id);
+    assert_eq!(value(&stalled, "worker="), "a-w1");
+    assert!(value(&stalled, "slower=").parse::<f64>().unwrap() > 1.0, "{stalled}");
+}
+
+/// The placer of a job is killed. The caller's host says that it lost the
+/// placer, then that the workers changed hands, and how the job came through.
+#[test]
+fn failure_placer_lost() {
+    let platform = platform::platform();
+    let mut hosts = vec![Host::start(&platform, "a1", "a"), Host::start(&platform, "a2", "a")];
+    hosts.iter().for_each(until_serving);
+    let owner = |host: &Host| host.logged("event=owner_change_ended") > 0;
+    let killed = hosts.remove(hosts.iter().position(owner).unwrap());
+    let id = "00000000000000b3";
+    let (http, path) = (hosts[0].http.clone(), format!("/jobs/{id}"));
+    let caller = thread::spawn(move || platform::call(&http, "POST", &path, &job(2, 900)));
+    until("both tasks run", || platform.running() == 2);
+    drop(killed);
+    assert_eq!(caller.join().unwrap().0, 200);
+    let lost = line(&hosts[0], "placer_lost", id);
+    assert_ne!(value(&lost, "placer="), "");
+    assert!(hosts[0].process.told("event=owner_known", "token=").is_some());
+    assert_eq!(value(&line(&hosts[0], "job_answered", id), "tries="), "2");
+}
--- /dev/null
+++ b/endivestile/tests/platform/mod.rs
@@ -0,0 +1,94 @@
+//! Entry hosts as processes on the stand-in for the users' platform, and calls to them.
+
+#![allow(
+    dead_code,
+    clippy::unwrap_used,
+    reason = "each test file uses a part; a test fails by panic"
+)]
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use endivestile_testkit::{Daemon, PlatformHost, PlatformStandIn};
+use serde_json::{Value, json};
+
+/// Longest wait for a condition; reached only by a fault.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// An entry host that listens.
+pub(crate) struct Host {
+    pub(crate) process: PlatformHost,
+    pub(crate) http: String,
+    pub(crate) page: String,
+}
+
+impl Host {
+    pub(crate) fn start(platform: &PlatformStandIn, name: &str, zone: &str) -> Self {
+        let daemon = Daemon::new(env!("CARGO_BIN_EXE_endivestile"));
+        let process = PlatformHost::start(&daemon, platform.store(), name, zone, &[]).unwrap();
+        until("the host listens", || process.http().is_some());
+        let (http, page) = (process.http().unwrap(), process.page().unwrap());
+        Self { process, http: http.to_string(), page: page.to_string() }
+    }
+
+    /// Makes a call and returns its status and body.
+    pub(crate) fn call(&self, method: &str, path: &str, body: &str) -> (u16, Value) {
+        call(&self.http, method, path, body)
+    }
+
+    pub(crate) fn logged(&self, part: &str) -> usize {
+        self.process.logged(part)
+    }
+}
+
+pub(crate) fn until(what: &str, condition: impl Fn() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(Instant::now() < end, "waited in vain until {what}");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// Opens a connection and sends a request.
+pub(crate) fn send(address: &str, method: &str, path: &str, body: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(address).unwrap();
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: jobs.example\r\nX-Deadline-Ms: 5000\r\n\
+         Request-Id: r1\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    stream
+}
+
+/// Makes a call and returns its status and body.
+pub(crate) fn call(address: &str, method: &str, path: &str, body: &str) -> (u16, Value) {
+    let mut stream = send(address, method, path, body);
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    let status = text.split(' ').nth(1).and_then(|word| word.parse().ok()).unwrap_or(0);
+    let body = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    (status, serde_json::from_str(body).unwrap_or(Value::Null))
+}
+
+/// A job of so many tasks that each take `ms` milliseconds; it says so up to
+/// half a second, since a job that cannot end in time is refused.
+pub(crate) fn job(tasks: u32, ms: u32) -> String {
+    let estimate = ms.min(500);
+    let step =
+        json!({"Count": tasks, "Cpu": 14_000, "MemoryRequestMb": 64, "EstimatedMs": estimate});
+    json!({"Spec": ms.to_string(), "Steps": [step], "BestEffort": true}).to_string()
+}
+
+/// Waits until a host runs jobs.
+pub(crate) fn until_serving(host: &Host) {
+    until("a job is served", || host.call("POST", "/jobs/00000000000000aa", &job(1, 1)).0 == 200);
+}
+
+pub(crate) fn platform() -> PlatformStandIn {
+    let platform = PlatformStandIn::start(&["a"], 2);
+    platform.configure(1);
+    platform
+}
--- a/endivestile/tests/platform_path.rs
+++ b/endivestile/tests/platform_path.rs
@@ -3,93 +3,17 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panic")]
 
+mod platform;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use endivestile_testkit::{Daemon, PlatformHost, PlatformSignal, PlatformStandIn, WorkerFault};
-use serde_json::{Value, json};
+use endivestile_testkit::{PlatformSignal, PlatformStandIn, WorkerFault};
 use test_case::test_case;
 
-/// Longest wait for a condition; reached only by a fault.
-const PATIENCE: Duration = Duration::from_secs(30);
-
-/// An entry host that listens.
-struct Host {
-    process: PlatformHost,
-    http: String,
-    page: String,
-}
-
-impl Host {
-    fn start(platform: &PlatformStandIn, name: &str, zone: &str) -> Self {
-        let daemon = Daemon::new(env!("CARGO_BIN_EXE_endivestile"));
-        let process = PlatformHost::start(&daemon, platform.store(), name, zone, &[]).unwrap();
-        until("the host listens", || process.http().is_some());
-        let (http, page) = (process.http().unwrap(), process.page().unwrap());
-        Self { process, http: http.to_string(), page: page.to_string() }
-    }
-
-    /// Makes a call and returns its status and body.
-    fn call(&self, method: &str, path: &str, body: &str) -> (u16, Value) {
-        call(&self.http, method, path, body)
-    }
-
-    fn logged(&self, part: &str) -> usize {
-        self.process.logged(part)
-    }
-}
-
-fn until(what: &str, condition: impl Fn() -> bool) {
-    let end = Instant::now() + PATIENCE;
-    while !condition() {
-        assert!(Instant::now() < end, "waited in vain until {what}");
-        thread::sleep(Duration::from_millis(10));
-    }
-}
-
-/// Opens a connection and sends a request.
-fn send(address: &str, method: &str, path: &str, body: &str) -> TcpStream {
-    let mut stream = TcpStream::connect(address).unwrap();
-    let head = format!(
-        "{method} {path} HTTP/1.1\r\nHost: jobs.example\r\nX-Deadline-Ms: 5000\r\n\
-         Request-Id: r1\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    stream.write_all(head.as_bytes()).unwrap();
-    stream
-}
-
-/// Makes a call and returns its status and body.
-fn call(address: &str, method: &str, path: &str, body: &str) -> (u16, Value) {
-    let mut stream = send(address, method, path, body);
-    let mut text = String::new();
-    stream.read_to_string(&mut text).unwrap();
-    let status = text.split(' ').nth(1).and_then(|word| word.parse().ok()).unwrap_or(0);
-    let body = text.split_once("\r\n\r\n").map_or("", |(_, body)| body);
-    (status, serde_json::from_str(body).unwrap_or(Value::Null))
-}
-
-/// A job of so many tasks that each take `ms` milliseconds; it says so up to
-/// half a second, since a job that cannot end in time is refused.
-fn job(tasks: u32, ms: u32) -> String {
-    let estimate = ms.min(500);
-    let step =
-        json!({"Count": tasks, "Cpu": 14_000, "MemoryRequestMb": 64, "EstimatedMs": estimate});
-    json!({"Spec": ms.to_string(), "Steps": [step], "BestEffort": true}).to_string()
-}
-
-/// Waits until a host runs jobs.
-fn until_serving(host: &Host) {
-    until("a job is served", || host.call("POST", "/jobs/00000000000000aa", &job(1, 1)).0 == 200);
-}
-
-fn platform() -> PlatformStandIn {
-    let platform = PlatformStandIn::start(&["a"], 2);
-    platform.configure(1);
-    platform
-}
+use platform::{Host, job, platform, send, until, until_serving};
 
 #[test]
 fn job_completed() {
