--- a/endivestile_testkit/src/soak/caller.rs
+++ b/endivestile_testkit/src/soak/caller.rs
@@ -15,6 +15,8 @@
     pub(crate) status: Option<u16>,
     /// State that the answer told.
     pub(crate) completed: bool,
+    /// When it was sent.
+    pub(crate) begun: Instant,
     /// How long it took.
     pub(crate) took: Duration,
     /// Host that was called.
