--- a/endivestile/examples/overhead.rs
+++ b/endivestile/examples/overhead.rs
@@ -90,7 +90,7 @@
 }
 
 fn plan(hosts: usize) -> Plan {
-    let mut plan = Plan::new().member("m", 10_000, 1).setting("log.level=warn");
+    let mut plan = Plan::new().team("m", 10_000, 1).setting("log.level=warn");
     for n in 1..=hosts {
         plan = plan.host(&format!("e{n}"), "a", 1);
     }
@@ -138,7 +138,7 @@
     let mut serial = 0;
     while begin.elapsed() < WARM_UP + ROUND {
         serial += 1;
-        let mut post = agent.post(&url).header("Member", "m");
+        let mut post = agent.post(&url).header("Team", "m");
         match mode {
             Mode::Direct => {}
             Mode::Idempotent => post = post.header("Idempotent", "true"),
--- a/endivestile/examples/quickstart.rs
+++ b/endivestile/examples/quickstart.rs
@@ -63,7 +63,7 @@
 }
 
 fn plan() -> Plan {
-    let mut plan = Plan::new().member("harbour", 1_000, 1).setting("log.level=warn");
+    let mut plan = Plan::new().team("harbour", 1_000, 1).setting("log.level=warn");
     for (zone, hosts) in [("north", ["e1", "e2"]), ("south", ["e3", "e4"])] {
         for host in hosts {
             plan = plan.host(host, zone, 1);
--- a/endivestile/src/http/check.rs
+++ b/endivestile/src/http/check.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use endivestile_config::model::{Config, Name, Worker};
 use endivestile_kernel::{MAX_TASKS, Need, Target, Task};
-use endivestile_wire::call::{JobBody, MEMBER_HEADER, NeedBody, TaskBody};
+use endivestile_wire::call::{JobBody, NeedBody, TEAM_HEADER, TaskBody};
 
 use super::invalid::Invalid;
 
@@ -15,11 +15,11 @@
 pub(crate) struct Checks<'a>(pub(crate) Option<&'a Config>);
 
 impl Checks<'_> {
-    /// Returns the member's shared name.
-    pub(crate) fn member(self, name: &str) -> Result<Name, Invalid> {
+    /// Returns the team's shared name.
+    pub(crate) fn team(self, name: &str) -> Result<Name, Invalid> {
         let Some(config) = self.0 else { return Ok(Name::from(name)) };
-        let found = config.members.get_key_value(name).map(|(name, _)| Name::clone(name));
-        found.ok_or_else(|| Invalid::field(MEMBER_HEADER, format!("unknown member {name:?}")))
+        let found = config.teams.get_key_value(name).map(|(name, _)| Name::clone(name));
+        found.ok_or_else(|| Invalid::field(TEAM_HEADER, format!("unknown team {name:?}")))
     }
 
     /// Returns the service's shared name.
--- a/endivestile/src/http/desk.rs
+++ b/endivestile/src/http/desk.rs
@@ -97,7 +97,7 @@
         let deadline = self.clock.now().after_ms(head.left_ms);
         let config = self.adopted.get();
         let checks = Checks(config.as_deref());
-        let member = checks.member(&head.member)?;
+        let team = checks.team(&head.team)?;
         let (tasks, shape) = match route {
             Route::Request(service) => {
                 let service = checks.service(service, "service")?;
@@ -114,7 +114,7 @@
             }
         };
         let idempotent = head.idempotent;
-        Ok((Submission { id: head.id, member, deadline, idempotent, tasks }, shape))
+        Ok((Submission { id: head.id, team, deadline, idempotent, tasks }, shape))
     }
 }
 
--- a/endivestile/src/http/head.rs
+++ b/endivestile/src/http/head.rs
@@ -2,7 +2,7 @@
 
 use endivestile_config::CallSettings;
 use endivestile_kernel::{Form, MARGIN_S, SubmissionId};
-use endivestile_wire::call::{DEADLINE_HEADER, ID_HEADER, MEMBER_HEADER};
+use endivestile_wire::call::{DEADLINE_HEADER, ID_HEADER, TEAM_HEADER};
 use tiny_http::Request;
 
 use super::invalid::Invalid;
@@ -19,8 +19,8 @@
 pub(crate) struct Head {
     /// The id, if one was given.
     pub(crate) id: Option<SubmissionId>,
-    /// The member.
-    pub(crate) member: String,
+    /// The team.
+    pub(crate) team: String,
     /// Time left until the deadline, in milliseconds.
     pub(crate) left_ms: u64,
     /// Whether the tasks may be started again.
@@ -30,11 +30,11 @@
 impl Head {
     /// Reads the headers.
     pub(crate) fn parse(request: &Request, settings: &CallSettings) -> Result<Self, Invalid> {
-        let member = header(request, MEMBER_HEADER)?;
-        let member = member.ok_or_else(|| Invalid::field(MEMBER_HEADER, "missing"))?;
+        let team = header(request, TEAM_HEADER)?;
+        let team = team.ok_or_else(|| Invalid::field(TEAM_HEADER, "missing"))?;
         let head = Self {
             id: id(request)?,
-            member: member.to_owned(),
+            team: team.to_owned(),
             left_ms: left(request, settings)?,
             idempotent: idempotent(request)?,
         };
--- a/endivestile/src/http/reply.rs
+++ b/endivestile/src/http/reply.rs
@@ -178,7 +178,7 @@
     match cause {
         Cause::Deadline => "it could not be finished by its deadline",
         Cause::Full => "the queue is full",
-        Cause::Limit => "the member holds as much work as it may",
+        Cause::Limit => "the team holds as much work as it may",
         Cause::NoBackend => "no back end that could run it is in reach",
         Cause::Stopping => "the entry host is stopping",
         Cause::NoConfig => "no configuration was adopted yet",
--- a/endivestile/tests/back_ends.rs
+++ b/endivestile/tests/back_ends.rs
@@ -59,7 +59,7 @@
 fn order_not_run(fault: Fault) {
     let rig = Rig::start(&[]);
     rig.backends.set_fault("s1", fault);
-    let headers = [("Member", "m1"), ("Idempotency-Key", &*dated("k")), ("Deadline-Ms", "5000")];
+    let headers = [("Team", "m1"), ("Idempotency-Key", &*dated("k")), ("Deadline-Ms", "5000")];
     let got = rig.daemon.post("/v1/requests/orders", &headers, r#"{"key":"k"}"#);
     assert_eq!((got.status, got.field("status")), (503, "not run".into()), "{}", got.body);
     assert!(got.retry.is_some());
@@ -73,7 +73,7 @@
     let rig = Rig::start(&[]);
     assert_eq!(rig.daemon.order("first", "first").status, 200);
     rig.backends.set_fault("s1", Fault::Silent);
-    let headers = [("Member", "m1"), ("Idempotency-Key", &*dated("k")), ("Deadline-Ms", "3000")];
+    let headers = [("Team", "m1"), ("Idempotency-Key", &*dated("k")), ("Deadline-Ms", "3000")];
     let got = rig.daemon.post("/v1/requests/orders", &headers, r#"{"key":"k"}"#);
     assert_eq!((got.status, got.field("status")), (504, "failed".into()), "{}", got.body);
     assert_eq!(rig.backends.count("k"), 1);
@@ -100,7 +100,7 @@
 #[test]
 fn order_resubmitted() {
     let rig = Rig::start(&[]);
-    let headers = [("Member", "m1"), ("Idempotency-Key", &*dated("k"))];
+    let headers = [("Team", "m1"), ("Idempotency-Key", &*dated("k"))];
     let work = r#"{"key":"k"}"#;
     let first = rig.daemon.post("/v1/requests/orders", &headers, work);
     let again = rig.daemon.post("/v1/requests/orders", &headers, work);
@@ -116,7 +116,7 @@
     let id = dated("job");
     let task = |key: &str| format!(r#"{{"service":"orders","work":"{key}"}}"#);
     let body = format!(r#"{{"tasks":[{},{}]}}"#, task("one"), task("two"));
-    let headers = [("Member", "m1"), ("Idempotency-Key", &*id), ("Want-Ids", "3")];
+    let headers = [("Team", "m1"), ("Idempotency-Key", &*id), ("Want-Ids", "3")];
     let got = rig.daemon.post("/v1/jobs", &headers, &body);
     let results = serde_json::json!([echo("one"), echo("two")]);
     assert_eq!((got.status, got.field("results")), (200, results.clone()), "{}", got.body);
@@ -138,7 +138,7 @@
     let body = r#"{"tasks":[{"service":"orders","work":"{\"key\":\"k\",\"ms\":15000}"}]}"#;
     thread::scope(|scope| {
         let waiting = scope.spawn(|| {
-            rig.daemon.post("/v1/jobs", &[("Member", "m1"), ("Idempotency-Key", &id)], body)
+            rig.daemon.post("/v1/jobs", &[("Team", "m1"), ("Idempotency-Key", &id)], body)
         });
         wait_for("the start", || rig.backends.count("k") == 1);
         let got = rig.daemon.delete(&format!("/v1/submissions/{id}"));
@@ -155,7 +155,7 @@
     let got = rig.daemon.post("/v1/ids?count=2", &[], "");
     let ids: Vec<String> = serde_json::from_value(got.field("ids")).expect("ids");
     assert_eq!(ids.len(), 2);
-    let headers = [("Member", "m1"), ("Idempotency-Key", &*ids[0])];
+    let headers = [("Team", "m1"), ("Idempotency-Key", &*ids[0])];
     assert_eq!(rig.daemon.post("/v1/requests/orders", &headers, "w").status, 200);
     assert_eq!(rig.daemon.post("/v1/requests/orders", &headers, "w").status, 200);
     assert_eq!(rig.backends.count("w"), 1);
--- a/endivestile/tests/bad_input.rs
+++ b/endivestile/tests/bad_input.rs
@@ -31,28 +31,28 @@
 
 const ORDERS: &str = "/v1/requests/orders";
 const JOBS: &str = "/v1/jobs";
-const MEMBER: (&str, &str) = ("Member", "m1");
+const TEAM: (&str, &str) = ("Team", "m1");
 const PURE: (&str, &str) = ("Idempotent", "true");
 
-#[test_case(&[PURE], "Member"; "member missing")]
-#[test_case(&[PURE, ("Member", "nobody")], "Member"; "member unknown")]
-#[test_case(&[PURE, MEMBER, ("Deadline-Ms", "0")], "Deadline-Ms"; "deadline zero")]
-#[test_case(&[PURE, MEMBER, ("Deadline-Ms", "-5")], "Deadline-Ms"; "deadline past")]
-#[test_case(&[PURE, MEMBER, ("Deadline-Ms", "600001")], "Deadline-Ms"; "deadline too long")]
-#[test_case(&[PURE, MEMBER, ("Deadline-Ms", "soon")], "Deadline-Ms"; "deadline no number")]
-#[test_case(&[MEMBER], "Idempotency-Key"; "id missing")]
-#[test_case(&[MEMBER, ("Idempotency-Key", "abc")], "Idempotency-Key"; "id malformed")]
-#[test_case(&[MEMBER, ("Idempotency-Key", "99999999999:k")], "Idempotency-Key"; "id of the future")]
-#[test_case(&[MEMBER, ("Idempotent", "yes")], "Idempotent"; "mark unknown")]
-#[test_case(&[PURE, MEMBER, ("Member", "m1")], "Member"; "member twice")]
-#[test_case(&[PURE, MEMBER, ("Want-Ids", "17")], "Want-Ids"; "too many ids wanted")]
+#[test_case(&[PURE], "Team"; "team missing")]
+#[test_case(&[PURE, ("Team", "nobody")], "Team"; "team unknown")]
+#[test_case(&[PURE, TEAM, ("Deadline-Ms", "0")], "Deadline-Ms"; "deadline zero")]
+#[test_case(&[PURE, TEAM, ("Deadline-Ms", "-5")], "Deadline-Ms"; "deadline past")]
+#[test_case(&[PURE, TEAM, ("Deadline-Ms", "600001")], "Deadline-Ms"; "deadline too long")]
+#[test_case(&[PURE, TEAM, ("Deadline-Ms", "soon")], "Deadline-Ms"; "deadline no number")]
+#[test_case(&[TEAM], "Idempotency-Key"; "id missing")]
+#[test_case(&[TEAM, ("Idempotency-Key", "abc")], "Idempotency-Key"; "id malformed")]
+#[test_case(&[TEAM, ("Idempotency-Key", "99999999999:k")], "Idempotency-Key"; "id of the future")]
+#[test_case(&[TEAM, ("Idempotent", "yes")], "Idempotent"; "mark unknown")]
+#[test_case(&[PURE, TEAM, ("Team", "m1")], "Team"; "team twice")]
+#[test_case(&[PURE, TEAM, ("Want-Ids", "17")], "Want-Ids"; "too many ids wanted")]
 fn request_header(headers: &[(&str, &str)], field: &str) {
     assert_refused(ORDERS, headers, "x", 400, field);
 }
 
 #[test]
 fn request_unknown_service() {
-    assert_refused("/v1/requests/nothing", &[MEMBER, PURE], "x", 400, "service");
+    assert_refused("/v1/requests/nothing", &[TEAM, PURE], "x", 400, "service");
 }
 
 #[test_case("", "body"; "empty")]
@@ -67,7 +67,7 @@
 #[test_case(r#"{"tasks":[{"need":{"cpu_milli":-1}}]}"#, "body"; "need negative")]
 fn job_body(body: &str, field: &str) {
     let id = dated("job");
-    assert_refused(JOBS, &[MEMBER, ("Idempotency-Key", &id)], body, 400, field);
+    assert_refused(JOBS, &[TEAM, ("Idempotency-Key", &id)], body, 400, field);
 }
 
 #[test]
@@ -75,19 +75,19 @@
     let id = dated("many");
     let tasks = vec![r#"{"service":"orders"}"#; 201].join(",");
     let body = format!(r#"{{"tasks":[{tasks}]}}"#);
-    assert_refused(JOBS, &[MEMBER, ("Idempotency-Key", &id)], &body, 400, "tasks");
+    assert_refused(JOBS, &[TEAM, ("Idempotency-Key", &id)], &body, 400, "tasks");
 }
 
 #[test]
 fn job_missing_id() {
     let body = r#"{"tasks":[{"service":"orders"}]}"#;
-    assert_refused(JOBS, &[MEMBER], body, 400, "Idempotency-Key");
+    assert_refused(JOBS, &[TEAM], body, 400, "Idempotency-Key");
 }
 
 #[test]
 fn request_oversize() {
     let body = "x".repeat(65_537);
-    assert_refused(ORDERS, &[MEMBER, PURE], &body, 413, "body");
+    assert_refused(ORDERS, &[TEAM, PURE], &body, 413, "body");
 }
 
 #[test_case("0"; "none")]
@@ -117,7 +117,7 @@
     let daemon = &rig.daemon;
     for length in ["9000000000000000", "9223372036854775807", "18446744073709551615"] {
         let head = format!(
-            "POST /v1/requests/orders HTTP/1.1\r\nHost: e1\r\nMember: m1\r\nIdempotent: true\r\n\
+            "POST /v1/requests/orders HTTP/1.1\r\nHost: e1\r\nTeam: m1\r\nIdempotent: true\r\n\
              Content-Length: {length}\r\n\r\nabc"
         );
         let reply = daemon.raw(head.as_bytes());
@@ -132,7 +132,7 @@
 fn request_cut_body() {
     let rig = rig();
     let before = rig.backends.starts().len();
-    let head = "POST /v1/requests/orders HTTP/1.1\r\nHost: e1\r\nMember: m1\r\n\
+    let head = "POST /v1/requests/orders HTTP/1.1\r\nHost: e1\r\nTeam: m1\r\n\
                 Idempotent: true\r\nContent-Length: 5000\r\n\r\nhalf";
     let mut stream = std::net::TcpStream::connect(&rig.daemon.http).expect("connect");
     std::io::Write::write_all(&mut stream, head.as_bytes()).expect("write");
--- a/endivestile/tests/common/mod.rs
+++ b/endivestile/tests/common/mod.rs
@@ -54,7 +54,7 @@
          [backend-server s1]\nzone=a\nrack=1\naddress={}\nslots=8\nconnections=64\n\
          [worker w1]\nzone=a\nrack=1\naddress=127.0.0.1:2\ncpu-milli=4000\nmemory-mb=8000\naccelerators=1\n\
          [service orders]\nbackend-servers=s1\npath=/order\n\
-         [member m1]\nlimit=1000\nweight=1\n",
+         [team m1]\nlimit=1000\nweight=1\n",
         backends.address("s1")
     )
 }
@@ -156,7 +156,7 @@
     /// Submits a non-idempotent request to `orders` under a fresh id.
     pub(crate) fn order(&self, key: &str, work: &str) -> Got {
         let id = dated(key);
-        self.post("/v1/requests/orders", &[("Member", "m1"), ("Idempotency-Key", &id)], work)
+        self.post("/v1/requests/orders", &[("Team", "m1"), ("Idempotency-Key", &id)], work)
     }
 
     /// Sends bytes as they are, and returns what came back until the connection ended.
--- a/endivestile/tests/hostile_frames.rs
+++ b/endivestile/tests/hostile_frames.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use endivestile_config::model::{Config, Host, Member, Name, Server, Service, Zone};
+use endivestile_config::model::{Config, Host, Name, Server, Service, Team, Zone};
 use endivestile_kernel::{
     Answer, Ask, Event, Frame, Kernel, Known, Msg, Order, Outcome, Peer, Registration, Setup,
     Submission, SubmissionId, Target, Task, TaskKey, Time,
@@ -131,7 +131,7 @@
     config.servers.insert(Name::from("s1"), server);
     let service = Service { servers: vec![Name::from("s1")], path: Name::from("/") };
     config.services.insert(Name::from("orders"), service);
-    config.members.insert(Name::from("m1"), Member { limit: 10, weight: 1 });
+    config.teams.insert(Name::from("m1"), Team { limit: 10, weight: 1 });
     config.rules.shards = 4;
     config
 }
@@ -162,13 +162,12 @@
     let known = Known { id: id.clone(), digest: 3, runner: peer(), forget: deadline };
     let submission = Arc::new(Submission {
         id: Some(id.clone()),
-        member: Name::from("m1"),
+        team: Name::from("m1"),
         deadline,
         idempotent: false,
         tasks: vec![task.clone(); 2],
     });
-    let order =
-        Order { key, member: Name::from("m1"), deadline, arrived: Time::ZERO, left: 2, task };
+    let order = Order { key, team: Name::from("m1"), deadline, arrived: Time::ZERO, left: 2, task };
     let (shard, epoch, batch) = (1, 1, 1);
     let ids = vec![known];
     vec![
--- a/endivestile/tests/links.rs
+++ b/endivestile/tests/links.rs
@@ -62,7 +62,7 @@
         links.extend(deaf.accept());
         !links.is_empty()
     });
-    let headers = [("Member", "m1"), ("Idempotent", "true")];
+    let headers = [("Team", "m1"), ("Idempotent", "true")];
     wait_for("answers beside the deaf peer", || {
         let got = rig.daemon.post("/v1/requests/orders", &headers, "k");
         links.extend(deaf.accept());
--- a/endivestile/tests/store_edge.rs
+++ b/endivestile/tests/store_edge.rs
@@ -65,7 +65,7 @@
     // Another host may have started what has an id.
     let got = daemon.order("k", "k");
     assert_eq!((got.status, got.field("status")), (503, "unknown".into()), "{}", got.body);
-    let headers = [("Member", "m1"), ("Idempotent", "true")];
+    let headers = [("Team", "m1"), ("Idempotent", "true")];
     let got = daemon.post("/v1/requests/orders", &headers, "k");
     assert_eq!((got.status, got.field("status")), (503, "not run".into()), "{}", got.body);
     store.put("endivestile/config", config(1, &backends));
@@ -93,7 +93,7 @@
 #[test]
 fn stop_taken_back_during_outage() {
     let rig = Rig::start(&[]);
-    let headers = [("Member", "m1"), ("Idempotent", "true"), ("Deadline-Ms", "2000")];
+    let headers = [("Team", "m1"), ("Idempotent", "true"), ("Deadline-Ms", "2000")];
     let status = || rig.daemon.post("/v1/requests/orders", &headers, "k").status;
     wait_for("an answer", || status() == 200);
     rig.store.put("endivestile/stops/s1", "{}");
--- a/endivestile_config/src/check.rs
+++ b/endivestile_config/src/check.rs
@@ -22,7 +22,7 @@
 ///
 /// The faults found, at most 50: unknown zones and backend servers, names and
 /// addresses that stand twice, zeros where none may be, an unknown policy, no
-/// host, no member, or a canonical form over [`MAX_BYTES`].
+/// host, no team, or a canonical form over [`MAX_BYTES`].
 pub fn check(config: &Config) -> Result<(), Vec<ConfigError>> {
     let mut found = Found { config, errors: Vec::new() };
     found.places();
@@ -164,10 +164,10 @@
             self.positive(&section, "cpu-milli", worker.cpu_milli);
             self.positive(&section, "memory-mb", worker.memory_mb);
         }
-        for (name, member) in &config.members {
-            let section = format!("member {name}");
-            self.positive(&section, "limit", member.limit);
-            self.positive(&section, "weight", member.weight);
+        for (name, team) in &config.teams {
+            let section = format!("team {name}");
+            self.positive(&section, "limit", team.limit);
+            self.positive(&section, "weight", team.weight);
         }
         self.positive("rules", "shards", config.rules.shards);
         self.positive("rules", "queue-limit", config.rules.queue_limit);
@@ -186,8 +186,8 @@
         if config.hosts.is_empty() {
             self.add(ConfigError::Missing { place: Place::key("host NAME", "") });
         }
-        if config.members.is_empty() {
-            self.add(ConfigError::Missing { place: Place::key("member NAME", "") });
+        if config.teams.is_empty() {
+            self.add(ConfigError::Missing { place: Place::key("team NAME", "") });
         }
         if !POLICIES.contains(&config.rules.policy.as_ref()) {
             let place = Place::key("rules", "policy");
--- a/endivestile_config/src/diff.rs
+++ b/endivestile_config/src/diff.rs
@@ -42,7 +42,7 @@
     compare_all(&mut changes, "backend-server", &old.servers, &new.servers);
     compare_all(&mut changes, "worker", &old.workers, &new.workers);
     compare_all(&mut changes, "service", &old.services, &new.services);
-    compare_all(&mut changes, "member", &old.members, &new.members);
+    compare_all(&mut changes, "team", &old.teams, &new.teams);
     changes
 }
 
--- a/endivestile_config/src/model.rs
+++ b/endivestile_config/src/model.rs
@@ -23,8 +23,8 @@
     pub workers: BTreeMap<Name, Worker>,
     /// Services by name.
     pub services: BTreeMap<Name, Service>,
-    /// Members by name.
-    pub members: BTreeMap<Name, Member>,
+    /// Teams by name.
+    pub teams: BTreeMap<Name, Team>,
     /// Rules that hold for the whole deployment.
     pub rules: Rules,
 }
@@ -88,12 +88,12 @@
     pub path: Name,
 }
 
-/// One member and how much work it may hold.
+/// One team and how much work it may hold.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Member {
-    /// Tasks of the member, waiting or running, in the whole deployment.
+pub struct Team {
+    /// Tasks of the team, waiting or running, in the whole deployment.
     pub limit: u32,
-    /// Share under contention against the other members.
+    /// Share under contention against the other teams.
     pub weight: u32,
 }
 
@@ -156,7 +156,7 @@
     }
 }
 
-impl Default for Member {
+impl Default for Team {
     fn default() -> Self {
         Self { limit: 10_000, weight: 1 }
     }
--- a/endivestile_config/src/model_keys.rs
+++ b/endivestile_config/src/model_keys.rs
@@ -3,7 +3,7 @@
 use crate::check::POLICIES;
 use crate::error::ConfigError;
 use crate::keys::{Keys, unknown_key};
-use crate::model::{Host, Member, Name, Rules, Server, Service, WitnessZone, Worker, Zone};
+use crate::model::{Host, Name, Rules, Server, Service, Team, WitnessZone, Worker, Zone};
 use crate::raw::{Raw, is_name};
 
 /// Names of [`WitnessZone`] in a text, in the order of its variants.
@@ -133,7 +133,7 @@
     }
 }
 
-impl Keys for Member {
+impl Keys for Team {
     const KEYS: &'static [&'static str] = &["limit", "weight"];
     const REQUIRED: &'static [&'static str] = &[];
 
--- a/endivestile_config/src/parse.rs
+++ b/endivestile_config/src/parse.rs
@@ -14,7 +14,7 @@
     "backend-server",
     "configuration",
     "host",
-    "member",
+    "team",
     "rules",
     "service",
     "worker",
@@ -107,7 +107,7 @@
         "backend-server" => insert(&mut config.servers, section),
         "worker" => insert(&mut config.workers, section),
         "service" => insert(&mut config.services, section),
-        "member" => insert(&mut config.members, section),
+        "team" => insert(&mut config.teams, section),
         RULES => fill(&mut config.rules, section),
         _ => {
             let mut head = Head::default();
@@ -222,7 +222,7 @@
         write_all(&mut out, "backend-server", &self.servers);
         write_all(&mut out, "worker", &self.workers);
         write_all::<Service>(&mut out, "service", &self.services);
-        write_all(&mut out, "member", &self.members);
+        write_all(&mut out, "team", &self.teams);
         out
     }
 }
--- a/endivestile_config/src/raw.rs
+++ b/endivestile_config/src/raw.rs
@@ -8,7 +8,7 @@
 use crate::error::{ConfigError, Place};
 use crate::model::Name;
 
-/// Longest name of a zone, host, server, worker, service, member or rack.
+/// Longest name of a zone, host, server, worker, service, team or rack.
 const MAX_NAME: usize = 64;
 /// Longest path of a service.
 const MAX_PATH: usize = 256;
--- a/endivestile_config/tests/config.rs
+++ b/endivestile_config/tests/config.rs
@@ -39,7 +39,7 @@
 backend-servers = east-*, east-1
 path = /orders
 
-[member walvis]
+[team walvis]
 limit = 100
 
 [rules]
@@ -72,14 +72,14 @@
 }
 
 #[test_case("[hosst a]\n", "f:1: [hosst a]: unknown section, the nearest is [host]"; "unknown section")]
-#[test_case("\n[member a]\nlimt = 3\n", "f:3: [member a] limt: unknown key, the nearest is limit"; "unknown key")]
-#[test_case("[member a]\nlimit = 0\n", "f:2: [member a] limit: \"0\" is not accepted, only whole numbers from 1 to 100000000"; "zero")]
-#[test_case("[member a]\nlimit = +3\n", "f:2: [member a] limit: \"+3\" is not accepted, only whole numbers from 1 to 100000000"; "sign")]
-#[test_case("[member a]\nlimit\n", "f:2: neither [section] nor key = value"; "no value")]
+#[test_case("\n[team a]\nlimt = 3\n", "f:3: [team a] limt: unknown key, the nearest is limit"; "unknown key")]
+#[test_case("[team a]\nlimit = 0\n", "f:2: [team a] limit: \"0\" is not accepted, only whole numbers from 1 to 100000000"; "zero")]
+#[test_case("[team a]\nlimit = +3\n", "f:2: [team a] limit: \"+3\" is not accepted, only whole numbers from 1 to 100000000"; "sign")]
+#[test_case("[team a]\nlimit\n", "f:2: neither [section] nor key = value"; "no value")]
 #[test_case("limit = 3\n", "f:1: the first line must be a [section]"; "no section")]
-#[test_case("[member a\nlimit = 3\n", "f:1: a section must be written [kind] or [kind name]"; "open bracket")]
-#[test_case("[member a]\n[host b]\n[member a]\n", "f:2: [host b] zone: missing"; "missing key")]
-#[test_case("[member a]\n[member  a]\n", "f:2: [member  a]: stands twice, first in line 1"; "section twice")]
+#[test_case("[team a\nlimit = 3\n", "f:1: a section must be written [kind] or [kind name]"; "open bracket")]
+#[test_case("[team a]\n[host b]\n[team a]\n", "f:2: [host b] zone: missing"; "missing key")]
+#[test_case("[team a]\n[team  a]\n", "f:2: [team  a]: stands twice, first in line 1"; "section twice")]
 #[test_case("[rules x]\n", "f:1: [rules x]: \"x\" is not accepted, only no name"; "name on rules")]
 #[test_case("[rules]\npolicy = erliest\n", "f:2: [rules] policy: \"erliest\" is not accepted, only earliest, random, round-robin, least-outstanding, two-choices"; "unknown policy")]
 #[test_case("[host a]\nzone = z\naddress = 0.0.0.0:1\n", "f:3: [host a] address: \"0.0.0.0:1\" is not accepted, only the IP:port that others dial, not 0.0.0.0 and not port 0"; "undialable")]
@@ -114,7 +114,7 @@
 fn check_empty() {
     let errors = check(&Config::default()).unwrap_err();
     let messages: Vec<String> = errors.iter().map(ToString::to_string).collect();
-    assert_eq!(messages, ["[host NAME]: missing", "[member NAME]: missing"]);
+    assert_eq!(messages, ["[host NAME]: missing", "[team NAME]: missing"]);
 }
 
 /// A region's inventory names a zone wrongly, in thousands of sections. Each
@@ -134,7 +134,7 @@
 fn check_zero() {
     let mut config = sample();
     config.rules.shards = 0;
-    config.members.values_mut().for_each(|member| member.weight = 0);
+    config.teams.values_mut().for_each(|team| team.weight = 0);
     assert_eq!(check(&config).unwrap_err().len(), 2);
 }
 
@@ -166,17 +166,17 @@
     let mut new = old.clone();
     new.revision = 9;
     new.rules.price_us = 1;
-    new.members.remove("walvis");
-    new.members.insert("swakop".into(), Default::default());
+    new.teams.remove("walvis");
+    new.teams.insert("swakop".into(), Default::default());
     let lines: Vec<String> = diff(&old, &new).iter().map(ToString::to_string).collect();
     assert_eq!(
         lines,
         [
             "~ [rules] price-us = 900 -> 1",
-            "+ [member swakop] limit = 10000",
-            "+ [member swakop] weight = 1",
-            "- [member walvis] limit = 100",
-            "- [member walvis] weight = 1",
+            "+ [team swakop] limit = 10000",
+            "+ [team swakop] weight = 1",
+            "- [team walvis] limit = 100",
+            "- [team walvis] weight = 1",
         ]
     );
 }
--- a/endivestile_config/tests/pages.rs
+++ b/endivestile_config/tests/pages.rs
@@ -5,7 +5,7 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
-use endivestile_config::model::{Config, Host, Member, Server, Service, Worker, Zone};
+use endivestile_config::model::{Config, Host, Server, Service, Team, Worker, Zone};
 use endivestile_config::{MAX_BYTES, Settings, check, parse_files};
 use test_case::test_case;
 
@@ -59,7 +59,7 @@
     config.servers.insert("n".into(), Server::default());
     config.workers.insert("n".into(), Worker::default());
     config.services.insert("n".into(), Service::default());
-    config.members.insert("n".into(), Member::default());
+    config.teams.insert("n".into(), Team::default());
     assert_documented(&config.canonical(), |kind| match kind {
         "availability-zone" | "host" | "backend-server" | "worker" => "Inventory",
         _ => "Rules",
@@ -130,7 +130,7 @@
         config.workers.insert(format!("worker-{n:04}").into(), worker);
     }
     for n in 0..170 {
-        config.members.insert(format!("team-{n:03}").into(), Member::default());
+        config.teams.insert(format!("team-{n:03}").into(), Team::default());
     }
     assert_eq!(check(&config), Ok(()));
     assert!(config.canonical().len() < MAX_BYTES);
--- a/endivestile_config/tests/random.rs
+++ b/endivestile_config/tests/random.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panic")]
 
-use endivestile_config::model::{Config, Member, Name, Server, Service, WitnessZone, Zone};
+use endivestile_config::model::{Config, Name, Server, Service, Team, WitnessZone, Zone};
 use endivestile_config::{Settings, check, diff, parse};
 use proptest::collection::{btree_map, vec};
 use proptest::prelude::*;
@@ -55,13 +55,13 @@
 prop_compose! {
     fn whole()(zones in btree_map(name(), name(), 0..4),
                servers in btree_map(name(), server(), 0..8),
-               members in btree_map(name(), (1u32..1_000, 1u32..1_000), 0..4),
+               teams in btree_map(name(), (1u32..1_000, 1u32..1_000), 0..4),
                service in name(), same in any::<bool>(), revision in 0..u64::MAX / 2) -> Config {
         let mut config = Config { revision, servers, ..Config::default() };
         config.zones = zones.into_iter().map(|(k, region)| (k, Zone { region })).collect();
-        config.members = members
+        config.teams = teams
             .into_iter()
-            .map(|(name, (limit, weight))| (name, Member { limit, weight }))
+            .map(|(name, (limit, weight))| (name, Team { limit, weight }))
             .collect();
         let servers = config.servers.keys().cloned().collect();
         config.services.insert(service, Service { servers, path: "/x?y=[1]#;".into() });
@@ -98,7 +98,7 @@
         let cut = &text[..(text.len() as f64 * at) as usize];
         if let Ok(part) = parse(cut, "cut") {
             let lines = cut.lines().filter(|line| line.starts_with('[')).count();
-            let found = part.zones.len() + part.servers.len() + part.members.len()
+            let found = part.zones.len() + part.servers.len() + part.teams.len()
                 + part.services.len();
             prop_assert!(found <= lines && found + 2 >= lines);
         }
--- a/endivestile_ctl/src/cli.rs
+++ b/endivestile_ctl/src/cli.rs
@@ -135,9 +135,9 @@
     /// the same id, when one gives no answer.
     #[arg(long = "host", required = true, value_delimiter = ',')]
     pub(crate) hosts: Vec<SocketAddr>,
-    /// Member on whose behalf it runs.
+    /// Team on whose behalf it runs.
     #[arg(long)]
-    pub(crate) member: String,
+    pub(crate) team: String,
     /// Sends a request to this service; without it the body is a job in JSON.
     #[arg(long)]
     pub(crate) service: Option<String>,
--- a/endivestile_ctl/src/command/review.rs
+++ b/endivestile_ctl/src/command/review.rs
@@ -22,8 +22,8 @@
     workers: usize,
     /// Services.
     services: usize,
-    /// Members.
-    members: usize,
+    /// Teams.
+    teams: usize,
     /// Size of the canonical form.
     bytes: usize,
 }
@@ -46,17 +46,17 @@
         servers: config.servers.len(),
         workers: config.workers.len(),
         services: config.services.len(),
-        members: config.members.len(),
+        teams: config.teams.len(),
         bytes: config.canonical().len(),
     };
     if context.json {
         out::json(&passed);
         return Ok(Exit::Done);
     }
-    let Passed { zones, hosts, servers, workers, services, members, bytes } = passed;
+    let Passed { zones, hosts, servers, workers, services, teams, bytes } = passed;
     out::say(&format!(
         "accepted: {zones} availability zones, {hosts} hosts, {servers} backend servers, \
-         {workers} workers, {services} services, {members} members, {bytes} bytes"
+         {workers} workers, {services} services, {teams} teams, {bytes} bytes"
     ));
     Ok(Exit::Done)
 }
--- a/endivestile_ctl/src/command/submit.rs
+++ b/endivestile_ctl/src/command/submit.rs
@@ -42,7 +42,7 @@
         out::complain(&format!("id={id}"));
     }
     let call = Call {
-        member: &args.member,
+        team: &args.team,
         id: id.as_deref(),
         deadline_ms: args.deadline_ms,
         ids: 0,
--- a/endivestile_ctl/src/http.rs
+++ b/endivestile_ctl/src/http.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use endivestile_wire::call::{AnswerBody, DEADLINE_HEADER, ID_HEADER, MEMBER_HEADER};
+use endivestile_wire::call::{AnswerBody, DEADLINE_HEADER, ID_HEADER, TEAM_HEADER};
 use endivestile_wire::call::{JobBody, MINTED_HEADER};
 use serde::{Deserialize, Serialize};
 use ureq::http::Response;
@@ -91,8 +91,8 @@
 /// A submission on its way.
 #[derive(Debug)]
 pub(crate) struct Call<'a> {
-    /// Member on whose behalf it runs.
-    pub(crate) member: &'a str,
+    /// Team on whose behalf it runs.
+    pub(crate) team: &'a str,
     /// Id, if any.
     pub(crate) id: Option<&'a str>,
     /// Time until the deadline, in milliseconds.
@@ -164,7 +164,7 @@
             .config()
             .timeout_global(Some(Duration::from_millis(call.deadline_ms + GRACE_MS)))
             .build()
-            .header(MEMBER_HEADER, call.member)
+            .header(TEAM_HEADER, call.team)
             .header(DEADLINE_HEADER, call.deadline_ms.to_string());
         if let Some(id) = call.id {
             request = request.header(ID_HEADER, id);
--- a/endivestile_ctl/src/load/args.rs
+++ b/endivestile_ctl/src/load/args.rs
@@ -28,9 +28,9 @@
     /// Seed of all that is drawn.
     #[arg(long, default_value_t = 1)]
     pub(crate) seed: u64,
-    /// Members, taken at random.
-    #[arg(long = "member", required = true, value_delimiter = ',')]
-    pub(crate) members: Vec<String>,
+    /// Teams, taken at random.
+    #[arg(long = "team", required = true, value_delimiter = ',')]
+    pub(crate) teams: Vec<String>,
     /// Services, taken at random.
     #[arg(long = "service", value_delimiter = ',')]
     pub(crate) services: Vec<String>,
--- a/endivestile_ctl/src/load/caller.rs
+++ b/endivestile_ctl/src/load/caller.rs
@@ -48,7 +48,7 @@
         self.tally.late += u64::from(due.elapsed() > LATE);
         let issued = id.is_some() && !self.shared.args.own_ids;
         let call = Call {
-            member: &shot.member,
+            team: &shot.team,
             id: id.as_deref(),
             deadline_ms: self.shared.args.deadline_ms,
             ids: usize::from(issued),
--- a/endivestile_ctl/src/load/plan.rs
+++ b/endivestile_ctl/src/load/plan.rs
@@ -21,8 +21,8 @@
     pub(super) at_us: u64,
     /// Entry host.
     pub(super) host: SocketAddr,
-    /// Member.
-    pub(super) member: String,
+    /// Team.
+    pub(super) team: String,
     /// What is submitted.
     pub(super) work: Work,
 }
@@ -71,10 +71,10 @@
             self.at_us -= unit.ln() * SECOND_US / rate as f64;
         }
         let host = self.args.hosts[(serial % self.args.hosts.len() as u64) as usize];
-        let member = pick(&mut self.rng, &self.args.members);
+        let team = pick(&mut self.rng, &self.args.teams);
         let work = self.work();
         self.serial += 1;
-        Shot { serial, at_us: self.at_us as u64, host, member, work }
+        Shot { serial, at_us: self.at_us as u64, host, team, work }
     }
 
     fn work(&mut self) -> Work {
--- a/endivestile_ctl/src/load/report.rs
+++ b/endivestile_ctl/src/load/report.rs
@@ -48,8 +48,8 @@
     tasks: u64,
     /// Whether it was a job.
     job: bool,
-    /// Member.
-    member: String,
+    /// Team.
+    team: String,
     /// How it ended.
     ending: Ending,
 }
@@ -99,8 +99,8 @@
         }
         if traced {
             let job = matches!(shot.work, Work::Job(_));
-            let (serial, member) = (shot.serial, shot.member.clone());
-            self.lines.push(Line { serial, at_us, took_us, tasks, job, member, ending });
+            let (serial, team) = (shot.serial, shot.team.clone());
+            self.lines.push(Line { serial, at_us, took_us, tasks, job, team, ending });
         }
     }
 
@@ -120,12 +120,12 @@
     pub(super) fn write(&self, file: &str) -> Result<(), CtlError> {
         let fail = |cause| CtlError::File { step: "write", file: file.to_owned(), cause };
         let mut out = BufWriter::new(File::create(file).map_err(fail)?);
-        writeln!(out, "serial,due_us,took_us,kind,tasks,member,class").map_err(fail)?;
+        writeln!(out, "serial,due_us,took_us,kind,tasks,team,class").map_err(fail)?;
         for line in &self.lines {
             let kind = if line.job { "job" } else { "request" };
-            let Line { serial, at_us, took_us, tasks, member, ending, .. } = line;
+            let Line { serial, at_us, took_us, tasks, team, ending, .. } = line;
             let class = ending.word();
-            writeln!(out, "{serial},{at_us},{took_us},{kind},{tasks},{member},{class}")
+            writeln!(out, "{serial},{at_us},{took_us},{kind},{tasks},{team},{class}")
                 .map_err(fail)?;
         }
         out.flush().map_err(fail)
--- a/endivestile_ctl/tests/calls.rs
+++ b/endivestile_ctl/tests/calls.rs
@@ -16,7 +16,7 @@
 const JOB: &str = r#"{"tasks":[{"service":"orders","work":"w"}]}"#;
 
 fn submit(address: &str, more: &[&str], input: &str) -> Run {
-    let args = ["submit", "--host", address, "--member", "walvis"];
+    let args = ["submit", "--host", address, "--team", "walvis"];
     tool(&[&args[..], more].concat(), input)
 }
 
@@ -113,7 +113,7 @@
 }
 
 fn load(address: &str, more: &[&str]) -> Run {
-    let args = ["load", "--host", address, "--member", "walvis,swakop", "--service", "orders"];
+    let args = ["load", "--host", address, "--team", "walvis,swakop", "--service", "orders"];
     tool(&[&args[..], &["--seconds", "1"], more].concat(), "")
 }
 
--- a/endivestile_ctl/tests/common/mod.rs
+++ b/endivestile_ctl/tests/common/mod.rs
@@ -23,7 +23,7 @@
 [service orders]
 backend-servers = s*
 path = /orders
-[member walvis]
+[team walvis]
 limit = 100
 ";
 
--- a/endivestile_kernel/benches/place.rs
+++ b/endivestile_kernel/benches/place.rs
@@ -8,14 +8,14 @@
 
 use bytes::Bytes;
 use criterion::{BenchmarkId, Criterion};
-use endivestile_config::model::{Config, Member, Name, Server, Service, Worker};
+use endivestile_config::model::{Config, Name, Server, Service, Team, Worker};
 use endivestile_kernel::{
     AttemptId, End, HostState, HostView, Need, Order, Peer, PlaceEffect, Placer, PlacerSetup,
     Target, Task, TaskKey, Time, View,
 };
 
 const SLOTS: u32 = 8;
-const MEMBERS: usize = 170;
+const TEAMS: usize = 170;
 
 /// Allocator that counts the bytes in use.
 struct Counting;
@@ -64,8 +64,8 @@
         }
     }
     config.services.insert(Name::from("s"), Service { servers: names, path: Name::from("/") });
-    for at in 0..MEMBERS {
-        config.members.insert(name("m", at), Member { limit: 10_000_000, weight: 1 });
+    for at in 0..TEAMS {
+        config.teams.insert(name("m", at), Team { limit: 10_000_000, weight: 1 });
     }
     config.rules.queue_limit = 10_000_000;
     config
@@ -83,7 +83,7 @@
 struct Load {
     placer: Placer,
     me: Peer,
-    members: Vec<Name>,
+    teams: Vec<Name>,
     open: std::collections::VecDeque<AttemptId>,
     task: Arc<Task>,
     now: Time,
@@ -103,16 +103,16 @@
             Target::Service(Name::from("s"))
         };
         let task = Arc::new(Task { target, work: Bytes::new(), declared: 100 });
-        let members = (0..MEMBERS).map(|at| name("m", at)).collect();
+        let teams = (0..TEAMS).map(|at| name("m", at)).collect();
         let open = std::collections::VecDeque::new();
-        Self { placer, me, members, open, task, now: Time::ZERO, run: 0, out }
+        Self { placer, me, teams, open, task, now: Time::ZERO, run: 0, out }
     }
 
     fn order(&mut self) {
         self.run += 1;
         let order = Order {
             key: TaskKey { run: self.run, index: 0, attempt: 0 },
-            member: self.members[self.run as usize % MEMBERS].clone(),
+            team: self.teams[self.run as usize % TEAMS].clone(),
             deadline: self.now.after_ms(100_000_000),
             arrived: self.now,
             left: 1,
--- a/endivestile_kernel/src/answer.rs
+++ b/endivestile_kernel/src/answer.rs
@@ -22,7 +22,7 @@
     Deadline,
     /// The queue of the entry host is full.
     Full,
-    /// The member holds as much work as it may.
+    /// The team holds as much work as it may.
     Limit,
     /// No back end that could run it is in reach.
     NoBackend,
--- a/endivestile_kernel/src/kernel/task.rs
+++ b/endivestile_kernel/src/kernel/task.rs
@@ -127,7 +127,7 @@
         let Some(task) = run.submission.tasks.get(usize::from(index)).cloned() else { return };
         let order = Order {
             key,
-            member: run.submission.member.clone(),
+            team: run.submission.team.clone(),
             deadline: run.submission.deadline,
             arrived: run.arrived,
             left: run.left,
--- a/endivestile_kernel/src/order.rs
+++ b/endivestile_kernel/src/order.rs
@@ -24,11 +24,11 @@
 pub struct Order {
     /// Key at the host that asks.
     pub key: TaskKey,
-    /// Member on whose behalf it runs.
-    pub member: Name,
+    /// Team on whose behalf it runs.
+    pub team: Name,
     /// When to give up.
     pub deadline: Time,
-    /// When the submission arrived; older submissions go first within a member.
+    /// When the submission arrived; older submissions go first within a team.
     pub arrived: Time,
     /// Tasks of the submission not yet finished; a job with fewer left goes first.
     pub left: u16,
@@ -81,7 +81,7 @@
 /// What a placer tells others of its share for one target.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Figure {
-    /// Service, or the class of need with the most demanding member of its queue.
+    /// Service, or the class of need with the most demanding team of its queue.
     pub target: Target,
     /// Slots, taken or free, of usable back ends.
     pub slots: u32,
--- a/endivestile_kernel/src/place/admission.rs
+++ b/endivestile_kernel/src/place/admission.rs
@@ -14,7 +14,7 @@
     pub(crate) fn admit(
         &mut self,
         now: Time,
-        member: u32,
+        team: u32,
         order: &Order,
         out: &mut Vec<PlaceEffect>,
     ) -> Result<(u32, bool), Cause> {
@@ -26,7 +26,7 @@
         if !self.pools[id as usize].could_run(&want) {
             return Err(Cause::NoBackend);
         }
-        let state = self.members.get(member);
+        let state = self.teams.get(team);
         if state.held >= state.part {
             return Err(Cause::Limit);
         }
@@ -34,9 +34,9 @@
         // What is refused below is wanted as well: it tells how scarce slots are.
         let pool = &mut self.pools[id as usize];
         pool.arrivals.count(now, pool.units(&want));
-        let trial = self.feasible(now, id, (member, weight), order)?;
+        let trial = self.feasible(now, id, (team, weight), order)?;
         if self.waiting >= self.config.rules.queue_limit {
-            self.evict(id, (member, weight), out)?;
+            self.evict(id, (team, weight), out)?;
         }
         Ok((id, trial))
     }
@@ -49,7 +49,7 @@
         &mut self,
         now: Time,
         id: u32,
-        member: (u32, u32),
+        team: (u32, u32),
         order: &Order,
     ) -> Result<bool, Cause> {
         let deadline = order.deadline;
@@ -68,22 +68,22 @@
             pool.trial_at = now.after_ms(TRIAL_MS);
             return Ok(true);
         }
-        let wait = pool.member_wait_us(member.0, member.1) + pool.spare_run_us(now, ln_size);
+        let wait = pool.team_wait_us(team.0, team.1) + pool.spare_run_us(now, ln_size);
         if pool.queue.waiting() > 0 && now.after_us(wait as u64) > deadline {
             return Err(Cause::Deadline);
         }
         Ok(false)
     }
 
-    /// Makes place in a full queue at the cost of the member that fills it.
+    /// Makes place in a full queue at the cost of the team that fills it.
     fn evict(
         &mut self,
         pool: u32,
-        member: (u32, u32),
+        team: (u32, u32),
         out: &mut Vec<PlaceEffect>,
     ) -> Result<(), Cause> {
         let queue = &self.pools[pool as usize].queue;
-        let slot = queue.newest_of_longest(member.0, member.1).ok_or(Cause::Full)?;
+        let slot = queue.newest_of_longest(team.0, team.1).ok_or(Cause::Full)?;
         self.unqueue(slot);
         self.settle(slot, Outcome::NotRun(Cause::Full), out);
         Ok(())
--- a/endivestile_kernel/src/place/choice.rs
+++ b/endivestile_kernel/src/place/choice.rs
@@ -14,7 +14,7 @@
     pub(crate) ln_size: f64,
     /// Until when it waits for a faster back end, once it does.
     pub(crate) patient: Option<Time>,
-    /// Whether a smaller task of its member waits right behind it.
+    /// Whether a smaller task of its team waits right behind it.
     pub(crate) smaller: bool,
 }
 
--- a/endivestile_kernel/src/place/dispatch.rs
+++ b/endivestile_kernel/src/place/dispatch.rs
@@ -8,7 +8,7 @@
 use super::timer::Timer;
 use crate::{AttemptId, Metric, Time};
 
-/// Members whose first tasks are looked at before a pool waits.
+/// Teams whose first tasks are looked at before a pool waits.
 const LINES: usize = 4;
 
 /// Tasks of each of them that are looked at: on workers a small one may fit
@@ -83,13 +83,13 @@
         None
     }
 
-    /// Returns whether a task of the same member as the first of `heads` is
+    /// Returns whether a task of the same team as the first of `heads` is
     /// smaller than it.
     fn smaller_behind(&self, heads: &[u32]) -> bool {
         let sizes = heads.iter().filter_map(|slot| self.held.get(*slot));
-        let mut sizes = sizes.map(|held| (held.member, held.ln_size));
-        let Some((member, size)) = sizes.next() else { return false };
-        sizes.take_while(|(other, _)| *other == member).any(|(_, other)| other < size)
+        let mut sizes = sizes.map(|held| (held.team, held.ln_size));
+        let Some((team, size)) = sizes.next() else { return false };
+        sizes.take_while(|(other, _)| *other == team).any(|(_, other)| other < size)
     }
 
     fn heads(&self, pool: u32, heads: &mut [u32]) -> usize {
@@ -237,7 +237,7 @@
         let id = pool.seats[at].backend;
         let share = f64::from(pool.units(&want)) / pool.typical.max(1.0);
         let cost = (pool.mean_us(at) * held.ln_size.exp() * share) as u64;
-        pool.queue.charge(held.member, cost);
+        pool.queue.charge(held.team, cost);
         pool.cursor = at + 1;
         pool.turn = pool.turn.wrapping_add(1);
         pool.seats[at].turn = pool.turn;
--- a/endivestile_kernel/src/place/ending.rs
+++ b/endivestile_kernel/src/place/ending.rs
@@ -65,7 +65,7 @@
         held.run = None;
         held.tries += 1;
         let pool = &mut self.pools[held.pool as usize];
-        pool.queue.refund(held.member, run.cost);
+        pool.queue.refund(held.team, run.cost);
         let hopeless = !pool.could_run(&held.want());
         let cause = if hopeless { Cause::NoBackend } else { cause };
         let most = if cause == Cause::Full { MAX_BUSY } else { MAX_TRIES };
@@ -76,7 +76,7 @@
         self.enqueue(now, slot);
     }
 
-    /// Learns the run time of an answered task and corrects its member's account.
+    /// Learns the run time of an answered task and corrects its team's account.
     fn learn(&mut self, now: Time, slot: u32, run: &Run, end: &End) {
         let Some(held) = self.held.get(slot) else { return };
         let micros = now.since(run.started).as_micros() as u64;
@@ -97,9 +97,9 @@
         let share = f64::from(pool.units(&held.want())) / pool.typical.max(1.0);
         let cost = (micros as f64 * share) as u64;
         if cost > run.cost {
-            pool.queue.charge(held.member, cost - run.cost);
+            pool.queue.charge(held.team, cost - run.cost);
         } else {
-            pool.queue.refund(held.member, run.cost - cost);
+            pool.queue.refund(held.team, run.cost - cost);
         }
     }
 
--- a/endivestile_kernel/src/place/estimate.rs
+++ b/endivestile_kernel/src/place/estimate.rs
@@ -38,15 +38,15 @@
         (self.bands.fastest_us().unwrap_or(0.0) * ln_size.exp()) as u64
     }
 
-    /// Returns the time that a task of a member which arrives now waits, in
+    /// Returns the time that a task of a team which arrives now waits, in
     /// microseconds: behind its own tasks at its part, or behind all at most.
-    pub(crate) fn member_wait_us(&self, member: u32, weight: u32) -> f64 {
+    pub(crate) fn team_wait_us(&self, team: u32, weight: u32) -> f64 {
         let (units, rate) = self.bands.total();
         if units == 0.0 {
             return 0.0;
         }
-        let own = (self.queue.waiting_of(member) + 1) as f64 * self.typical;
-        let own = own / self.queue.part(member, weight);
+        let own = (self.queue.waiting_of(team) + 1) as f64 * self.typical;
+        let own = own / self.queue.part(team, weight);
         own.min(self.wanted as f64 + self.typical) * self.scale / rate
     }
 
--- a/endivestile_kernel/src/place/held.rs
+++ b/endivestile_kernel/src/place/held.rs
@@ -13,7 +13,7 @@
     pub(crate) backend: u32,
     /// When it started.
     pub(crate) started: Time,
-    /// Microseconds charged to its member.
+    /// Microseconds charged to its team.
     pub(crate) cost: u64,
     /// Whether the home still waits for the answer.
     pub(crate) wanted: bool,
@@ -28,8 +28,8 @@
     pub(crate) order: Order,
     /// Pool.
     pub(crate) pool: u32,
-    /// Number of its member.
-    pub(crate) member: u32,
+    /// Number of its team.
+    pub(crate) team: u32,
     /// Number of the order at this placer.
     pub(crate) seq: u64,
     /// Natural logarithm of its believed size, 0 for a usual one.
@@ -51,7 +51,7 @@
 }
 
 impl Held {
-    /// Returns its place among the tasks of its member.
+    /// Returns its place among the tasks of its team.
     pub(crate) const fn rank(&self) -> Rank {
         Rank { arrived: self.order.arrived, left: self.order.left, seq: self.seq }
     }
--- a/endivestile_kernel/src/place/line.rs
+++ b/endivestile_kernel/src/place/line.rs
@@ -1,10 +1,10 @@
-//! Waiting tasks of one member.
+//! Waiting tasks of one team.
 
 use std::collections::BTreeMap;
 
 use crate::Time;
 
-/// Order within a member: older submissions first, then jobs with fewer tasks left.
+/// Order within a team: older submissions first, then jobs with fewer tasks left.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Rank {
     /// Arrival of the submission.
@@ -15,12 +15,12 @@
     pub(crate) seq: u64,
 }
 
-/// Waiting tasks of one member, and the service it has had.
+/// Waiting tasks of one team, and the service it has had.
 #[derive(Debug, Default)]
 pub(crate) struct Line {
-    /// Service had, in microseconds over the member's weight.
+    /// Service had, in microseconds over the team's weight.
     pub(crate) vtime: u64,
-    /// Weight of the member.
+    /// Weight of the team.
     pub(crate) weight: u32,
     /// Slots of the waiting tasks in the placer's table.
     pub(crate) tasks: BTreeMap<Rank, u32>,
--- a/endivestile_kernel/src/place/mod.rs
+++ b/endivestile_kernel/src/place/mod.rs
@@ -19,7 +19,6 @@
 mod health;
 mod held;
 mod line;
-mod members;
 mod placer;
 mod policy;
 mod pool;
@@ -33,6 +32,7 @@
 mod sizes;
 mod speed;
 mod status;
+mod teams;
 mod timer;
 mod waiting;
 
--- a/endivestile_kernel/src/place/placer.rs
+++ b/endivestile_kernel/src/place/placer.rs
@@ -9,11 +9,11 @@
 use super::backend::Backend;
 use super::effect::{PlaceEffect, PlacerSetup};
 use super::held::{Held, HeldTable};
-use super::members::Members;
 use super::policy::{Choose, policy};
 use super::pool::{Kind, Pool};
 use super::rack::Rack;
 use super::share;
+use super::teams::Teams;
 use super::timer::Timer;
 use crate::{AttemptId, Order, Outcome, Peer, Target, TaskKey, Time, View};
 
@@ -34,7 +34,7 @@
     pub(crate) choose: Choose,
     pub(crate) config: Config,
     pub(crate) stopping: bool,
-    pub(crate) members: Members,
+    pub(crate) teams: Teams,
     pub(crate) backends: Vec<Backend>,
     pub(crate) vacant: Vec<u32>,
     pub(crate) by_name: HashMap<Name, u32>,
@@ -61,7 +61,7 @@
             choose: policy(""),
             config: Config::default(),
             stopping: false,
-            members: Members::default(),
+            teams: Teams::default(),
             backends: Vec::new(),
             vacant: Vec::new(),
             by_name: HashMap::new(),
@@ -91,7 +91,7 @@
     ) {
         self.config = config.clone();
         self.choose = policy(&config.rules.policy);
-        self.members.configure(&config.members, view, &self.me);
+        self.teams.configure(&config.teams, view, &self.me);
         let specs = share::share(config, view, &self.me);
         self.rebuild(now, &specs, out);
     }
@@ -101,7 +101,7 @@
     /// Waiting tasks that no back end of the new share can run end as not run,
     /// so that their homes place them anew.
     pub fn view_changed(&mut self, now: Time, view: &View, out: &mut Vec<PlaceEffect>) {
-        self.members.configure(&self.config.members, view, &self.me);
+        self.teams.configure(&self.config.teams, view, &self.me);
         let specs = share::share(&self.config, view, &self.me);
         if !self.same_share(&specs) {
             self.rebuild(now, &specs, out);
@@ -126,8 +126,8 @@
         if self.index.contains_key(&name) {
             return;
         }
-        let member = self.members.id(&order.member);
-        let pool = self.admit(now, member, &order, out);
+        let team = self.teams.id(&order.team);
+        let pool = self.admit(now, team, &order, out);
         let (pool, trial) = match pool {
             Ok(admitted) => admitted,
             Err(cause) => {
@@ -144,7 +144,7 @@
             home: home.clone(),
             order,
             pool,
-            member,
+            team,
             seq: self.next_seq,
             ln_size,
             patient: None,
@@ -158,7 +158,7 @@
         self.next_seq += 1;
         let slot = self.held.insert(held);
         self.index.insert(name, slot);
-        self.members.hold(member);
+        self.teams.hold(team);
         self.enqueue(now, slot);
         self.arm_revisit(now);
         self.dispatch(now, pool, out);
--- a/endivestile_kernel/src/place/members.rs
+++ b/endivestile_kernel/src/place/teams.rs
@@ -1,15 +1,15 @@
-//! Members, and this host's part of what each may hold.
+//! Teams, and this host's part of what each may hold.
 
 use std::collections::{BTreeMap, HashMap};
 
-use endivestile_config::model::{Member, Name};
+use endivestile_config::model::{Name, Team};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{HostState, HostView, Peer, View};
 
-/// One member as this placer sees it.
+/// One team as this placer sees it.
 #[derive(Debug, Default)]
-pub(crate) struct MemberState {
+pub(crate) struct TeamState {
     /// Tasks held here, waiting or running.
     pub(crate) held: u32,
     /// Tasks that may be held here.
@@ -18,45 +18,45 @@
     pub(crate) weight: u32,
 }
 
-/// All members, numbered.
+/// All teams, numbered.
 #[derive(Debug, Default)]
-pub(crate) struct Members {
+pub(crate) struct Teams {
     ids: HashMap<Name, u32>,
-    states: Vec<MemberState>,
+    states: Vec<TeamState>,
 }
 
-impl Members {
+impl Teams {
     /// Takes over rules and view.
     ///
     /// The parts of the live hosts add up to the limit exactly: whole parts by
     /// weight, and what is left over one each to the first hosts in an order by
-    /// hash of member and host. No message is needed to agree on them.
-    pub(crate) fn configure(&mut self, rules: &BTreeMap<Name, Member>, view: &View, me: &Peer) {
+    /// hash of team and host. No message is needed to agree on them.
+    pub(crate) fn configure(&mut self, rules: &BTreeMap<Name, Team>, view: &View, me: &Peer) {
         for state in &mut self.states {
             state.part = 0;
         }
         let hosts = sharers(view);
-        for (name, member) in rules {
+        for (name, team) in rules {
             let id = self.id(name);
             let state = &mut self.states[id as usize];
-            state.weight = member.weight;
-            state.part = part(member.limit, name, &hosts, me);
+            state.weight = team.weight;
+            state.part = part(team.limit, name, &hosts, me);
         }
     }
 
-    /// Returns the number of a member; one without rules may hold nothing.
+    /// Returns the number of a team; one without rules may hold nothing.
     pub(crate) fn id(&mut self, name: &Name) -> u32 {
         if let Some(id) = self.ids.get(name) {
             return *id;
         }
         let id = self.states.len() as u32;
-        self.states.push(MemberState { held: 0, part: 0, weight: 1 });
+        self.states.push(TeamState { held: 0, part: 0, weight: 1 });
         self.ids.insert(name.clone(), id);
         id
     }
 
-    /// Returns a member.
-    pub(crate) fn get(&self, id: u32) -> &MemberState {
+    /// Returns a team.
+    pub(crate) fn get(&self, id: u32) -> &TeamState {
         &self.states[id as usize]
     }
 
@@ -82,13 +82,13 @@
     view.hosts.values().filter(|host| host.state == HostState::Leaving).collect()
 }
 
-fn part(limit: u32, member: &str, hosts: &[&HostView], me: &Peer) -> u32 {
+fn part(limit: u32, team: &str, hosts: &[&HostView], me: &Peer) -> u32 {
     let sum: u64 = hosts.iter().map(|host| u64::from(host.weight.max(1))).sum();
     let whole = |weight: u32| u64::from(limit) * u64::from(weight.max(1)) / sum.max(1);
     let Some(own) = hosts.iter().find(|host| host.peer.host == me.host) else { return 0 };
     let given: u64 = hosts.iter().map(|host| whole(host.weight)).sum();
     let over = u64::from(limit).saturating_sub(given);
-    let seed = xxh3_64(member.as_bytes());
+    let seed = xxh3_64(team.as_bytes());
     let turn = |host: &str| xxh3_64_with_seed(host.as_bytes(), seed);
     let mine = (turn(&me.host), &me.host);
     let others = hosts.iter().map(|host| (turn(&host.peer.host), &host.peer.host));
--- a/endivestile_kernel/src/place/waiting.rs
+++ b/endivestile_kernel/src/place/waiting.rs
@@ -10,8 +10,8 @@
     pub(crate) fn enqueue(&mut self, now: Time, slot: u32) {
         let Some(held) = self.held.get_mut(slot) else { return };
         let pool = &mut self.pools[held.pool as usize];
-        let weight = self.members.get(held.member).weight;
-        pool.queue.push(held.member, weight, held.rank(), slot);
+        let weight = self.teams.get(held.team).weight;
+        pool.queue.push(held.team, weight, held.rank(), slot);
         let units = pool.units(&held.want());
         pool.wanted += u64::from(units);
         pool.typical += (f64::from(units) - pool.typical) / 64.0;
@@ -28,7 +28,7 @@
     pub(crate) fn unqueue(&mut self, slot: u32) {
         let Some(held) = self.held.get_mut(slot) else { return };
         let pool = &mut self.pools[held.pool as usize];
-        pool.queue.remove(held.member, &held.rank());
+        pool.queue.remove(held.team, &held.rank());
         pool.wanted = pool.wanted.saturating_sub(u64::from(pool.units(&held.want())));
         if let Target::Need(need) = held.order.task.target {
             let left = pool.needs.get_mut(&need).map_or(0, |count| {
@@ -50,7 +50,7 @@
     /// Ends a task that does not wait in a queue any more.
     pub(crate) fn settle(&mut self, slot: u32, outcome: Outcome, out: &mut Vec<PlaceEffect>) {
         let Some(held) = self.held.remove(slot) else { return };
-        self.members.release(held.member);
+        self.teams.release(held.team);
         let name = (held.home, held.order.key);
         self.index.remove(&name);
         let (home, key) = name;
@@ -60,7 +60,7 @@
     /// Forgets a task that does not wait in a queue any more.
     pub(crate) fn forget(&mut self, slot: u32) {
         if let Some(held) = self.held.remove(slot) {
-            self.members.release(held.member);
+            self.teams.release(held.team);
             self.index.remove(&(held.home, held.order.key));
         }
     }
--- a/endivestile_kernel/src/run.rs
+++ b/endivestile_kernel/src/run.rs
@@ -71,7 +71,7 @@
     pub(crate) left: u16,
     /// Where it stands.
     pub(crate) state: RunState,
-    /// Placers at which the member holds as much work as it may.
+    /// Placers at which the team holds as much work as it may.
     pub(crate) full: Vec<Peer>,
     /// Tasks that may have run and are not under way any more.
     pub(crate) starts: u8,
--- a/endivestile_kernel/src/submission.rs
+++ b/endivestile_kernel/src/submission.rs
@@ -48,8 +48,8 @@
 pub struct Submission {
     /// Id; none only for an idempotent request.
     pub id: Option<SubmissionId>,
-    /// Member on whose behalf it runs.
-    pub member: Name,
+    /// Team on whose behalf it runs.
+    pub team: Name,
     /// When its answer is worth nothing any more.
     pub deadline: Time,
     /// Whether its tasks may be started again after an ambiguous failure.
@@ -63,7 +63,7 @@
     /// another submission under the same id.
     pub fn digest(&self) -> u64 {
         let mut hash = Xxh3::new();
-        hash.update(self.member.as_bytes());
+        hash.update(self.team.as_bytes());
         for task in &self.tasks {
             hash.update(&[0]);
             hash.update(format!("{:?}", task.target).as_bytes());
--- a/endivestile_kernel/tests/channel_batch.rs
+++ b/endivestile_kernel/tests/channel_batch.rs
@@ -15,7 +15,7 @@
     [host e2]\nzone=b\naddress=127.0.0.1:2\nweight=1\n\
     [backend-server s1]\nzone=b\nrack=1\naddress=127.0.0.1:3\nslots=8\nconnections=8\n\
     [service orders]\nbackend-servers=s1\npath=/order\n\
-    [member m1]\nlimit=100\nweight=1\n[configuration]\nrevision=1\n";
+    [team m1]\nlimit=100\nweight=1\n[configuration]\nrevision=1\n";
 
 fn config() -> Arc<Config> {
     Arc::new(endivestile_config::parse(CONFIG, "test").expect("config"))
@@ -49,7 +49,7 @@
     let task = Arc::new(Task { target, work: Bytes::from_static(b"w"), declared: 0 });
     let submission = Submission {
         id: None,
-        member: Name::from("m1"),
+        team: Name::from("m1"),
         deadline: now.after_ms(10_000),
         idempotent: true,
         tasks: vec![task],
--- a/endivestile_kernel/tests/place_fake/mod.rs
+++ b/endivestile_kernel/tests/place_fake/mod.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use endivestile_config::model::{Config, Member, Name, Server, Service, Worker};
+use endivestile_config::model::{Config, Name, Server, Service, Team, Worker};
 use endivestile_kernel::{
     AttemptId, End, HostState, HostView, Need, Note, Order, Outcome, Peer, PlaceEffect, Placer,
     PlacerSetup, Target, Task, TaskKey, Time, View,
@@ -44,7 +44,7 @@
     pub attempt: AttemptId,
     pub server: Name,
     pub key: TaskKey,
-    pub member: Name,
+    pub team: Name,
 }
 
 pub struct Fake {
@@ -101,7 +101,7 @@
     let service = Service { servers: names, path: Name::from("/run") };
     config.services.insert(Name::from("s"), service);
     for name in ["a", "b", "c"] {
-        config.members.insert(Name::from(name), Member { limit: 1_000_000, weight: 1 });
+        config.teams.insert(Name::from(name), Team { limit: 1_000_000, weight: 1 });
     }
     config.rules.queue_limit = 1_000_000;
     config
@@ -128,10 +128,10 @@
 }
 
 /// An order of one task whose true size is `size_us` on a back end of factor 1.
-pub fn order(now: Time, run: u64, member: &str, size_us: u64) -> Order {
+pub fn order(now: Time, run: u64, team: &str, size_us: u64) -> Order {
     Order {
         key: TaskKey { run, index: 0, attempt: 0 },
-        member: Name::from(member),
+        team: Name::from(team),
         deadline: now.after_ms(600_000),
         arrived: now,
         left: 1,
@@ -196,9 +196,9 @@
     }
 
     /// Orders `count` tasks of one size, numbered from `run`.
-    pub fn orders(&mut self, run: u64, count: u64, member: &str, size_us: u64) {
+    pub fn orders(&mut self, run: u64, count: u64, team: &str, size_us: u64) {
         for step in 0..count {
-            self.order(order(self.now, run + step, member, size_us));
+            self.order(order(self.now, run + step, team, size_us));
         }
     }
 
@@ -308,13 +308,7 @@
         let now_there = self.running.values().filter(|(name, _)| *name == server).count();
         let most = self.most.entry(server.clone()).or_default();
         *most = now_there.max(*most);
-        self.starts.push(Start {
-            at: self.now,
-            attempt,
-            server,
-            key: order.key,
-            member: order.member,
-        });
+        self.starts.push(Start { at: self.now, attempt, server, key: order.key, team: order.team });
         if mode != Mode::Hangs {
             self.how.insert(attempt, end);
             self.ends.push(Reverse((self.now.after_us(after as u64), attempt)));
--- a/endivestile_kernel/tests/place_overload.rs
+++ b/endivestile_kernel/tests/place_overload.rs
@@ -63,10 +63,10 @@
     assert!(goodput >= 85.0, "{goodput}");
 }
 
-// One member floods while another sends a tenth of the capacity. The other one
+// One team floods while another sends a tenth of the capacity. The other one
 // must not notice more than that the fast back ends are busy.
 #[test]
-fn overload_member_under_share() {
+fn overload_team_under_share() {
     let mut table = Vec::new();
     for flood in [70, 300] {
         let (floods, own) = (trace(flood, SECS, 5), trace(10, SECS, 6));
@@ -74,9 +74,9 @@
         all.extend(own.iter().map(|task| (task, "b")));
         all.sort_by_key(|(task, _)| task.at_us);
         let mut fake = fake();
-        for (run, (task, member)) in all.iter().enumerate() {
+        for (run, (task, team)) in all.iter().enumerate() {
             fake.run_until(Time::from_micros(task.at_us));
-            let mut order = order(fake.now, run as u64, member, task.size_us);
+            let mut order = order(fake.now, run as u64, team, task.size_us);
             order.deadline = fake.now.after_ms(20_000);
             fake.order(order);
         }
--- a/endivestile_kernel/tests/place_queue.rs
+++ b/endivestile_kernel/tests/place_queue.rs
@@ -2,7 +2,7 @@
 
 mod place_fake;
 
-use endivestile_config::model::{Member, Name};
+use endivestile_config::model::{Name, Team};
 use endivestile_kernel::{Cause, HostState, Outcome, Peer, PlaceEffect, Placer, PlacerSetup, Time};
 use place_fake::{Fake, Mode, home, order, servers, view};
 
@@ -15,7 +15,7 @@
     fake.starts.iter().map(|start| start.key.run).filter(|run| *run >= from).collect()
 }
 
-// One member floods the queue. Another one's single request would wait behind
+// One team floods the queue. Another one's single request would wait behind
 // all of the flood and be late at the gate.
 #[test]
 fn queue_flood_does_not_delay_others() {
@@ -27,17 +27,17 @@
     assert!(matches!(fake.outcome(5_000), Some(Outcome::Done(_))));
 }
 
-// Two members keep more work waiting than fits. Their shares must follow their
+// Two teams keep more work waiting than fits. Their shares must follow their
 // weights, or the heavier payer waits longer than was agreed.
 #[test]
 fn queue_shares_by_weight() {
     let mut config = servers(2, 4);
-    config.members.insert(Name::from("b"), Member { limit: 1_000_000, weight: 3 });
+    config.teams.insert(Name::from("b"), Team { limit: 1_000_000, weight: 3 });
     let mut fake = Fake::new(config);
     fake.orders(0, 2_000, "a", 100_000);
     fake.orders(10_000, 2_000, "b", 100_000);
     fake.run_ms(20_000);
-    let of = |name: &str| fake.starts.iter().filter(|s| s.member.as_ref() == name).count() as f64;
+    let of = |name: &str| fake.starts.iter().filter(|s| s.team.as_ref() == name).count() as f64;
     let ratio = of("b") / of("a");
     assert!((2.8..3.2).contains(&ratio), "{ratio}");
 }
@@ -125,7 +125,7 @@
     assert_eq!(fake.done(), 11);
 }
 
-// A member sends more than it may hold to one host. The parts of all hosts must
+// A team sends more than it may hold to one host. The parts of all hosts must
 // add up to the limit, neither more nor less, without a word between them.
 #[test]
 fn limit_parts_add_up() {
@@ -134,7 +134,7 @@
         let mut held = 0;
         for (name, _) in hosts {
             let mut config = servers(64, 1);
-            config.members.insert(Name::from("a"), Member { limit, weight: 1 });
+            config.teams.insert(Name::from("a"), Team { limit, weight: 1 });
             let me = Peer::new(name, 1);
             let mut placer = Placer::new(PlacerSetup { me: me.clone(), seed: 1 });
             let mut out = Vec::new();
@@ -166,7 +166,7 @@
 #[test]
 fn limit_counts_waiting_and_running() {
     let mut config = servers(1, 1);
-    config.members.insert(Name::from("a"), Member { limit: 3, weight: 1 });
+    config.teams.insert(Name::from("a"), Team { limit: 3, weight: 1 });
     let mut fake = Fake::new(config);
     fake.orders(0, 5, "a", 100_000);
     assert_eq!(fake.outcomes(&LIMIT), 2);
@@ -249,6 +249,6 @@
     fake.orders(0, 1, "a", 100_000);
     fake.run_ms(1_000);
     assert_eq!((fake.starts.len(), fake.ended.len()), (1, 1));
-    assert_eq!(fake.starts[0].member.as_ref(), "a");
+    assert_eq!(fake.starts[0].team.as_ref(), "a");
     assert_eq!(home(), fake.view.me);
 }
--- a/endivestile_kernel/tests/place_random.rs
+++ b/endivestile_kernel/tests/place_random.rs
@@ -46,8 +46,8 @@
     let server = format!("b{:04}", rng.random_range(0..SERVERS));
     match rng.random_range(0..100) {
         0..60 => {
-            let member = ["a", "b", "c"][rng.random_range(0..3)];
-            let mut order = order(fake.now, *next, member, rng.random_range(1_000..400_000));
+            let team = ["a", "b", "c"][rng.random_range(0..3)];
+            let mut order = order(fake.now, *next, team, rng.random_range(1_000..400_000));
             order.deadline = fake.now.after_ms(rng.random_range(10..4_000));
             fake.order(for_target(order, target(rng)));
             *next += 1;
--- a/endivestile_lab/examples/experiment/fault.rs
+++ b/endivestile_lab/examples/experiment/fault.rs
@@ -20,7 +20,7 @@
     None,
     /// Five times the load.
     Burst,
-    /// Another member sends as much as all capacity, beside the load.
+    /// Another team sends as much as all capacity, beside the load.
     Flood,
     /// The first rack runs at a quarter of its speed.
     SlowRack,
--- a/endivestile_lab/examples/experiment/replay.rs
+++ b/endivestile_lab/examples/experiment/replay.rs
@@ -8,7 +8,7 @@
 use endivestile_testkit::{Caller, Reply, echo};
 
 use crate::fault::{Kind as Trouble, wait};
-use crate::spec::{Ids, MEMBERS, SERVICE, Spec};
+use crate::spec::{Ids, SERVICE, Spec, TEAMS};
 
 /// Stack of a caller's thread, in bytes.
 const STACK: usize = 256 << 10;
@@ -46,7 +46,7 @@
 /// Callers of all hosts, and ids that the hosts minted.
 #[derive(Debug)]
 pub(crate) struct Desk {
-    /// Callers by host, then by member.
+    /// Callers by host, then by team.
     callers: Vec<Vec<Caller>>,
     /// Prefix that makes works and ids of this slice its own.
     slice: String,
@@ -65,7 +65,7 @@
     ) -> Result<Self, ureq::Error> {
         let callers: Vec<Vec<Caller>> = addresses
             .iter()
-            .map(|address| MEMBERS.iter().map(|member| agent.at(address).member(member)).collect())
+            .map(|address| TEAMS.iter().map(|team| agent.at(address).team(team)).collect())
             .collect();
         let mut stocks = vec![Vec::new(); callers.len()];
         let mut ids = Vec::new();
@@ -102,7 +102,7 @@
     }
 
     fn submit(&self, index: usize, item: &Item, at: Instant, sender: &Sender<Outcome>) {
-        let caller = &self.callers[index % self.callers.len()][item.member];
+        let caller = &self.callers[index % self.callers.len()][item.team];
         let works = self.works(index, item);
         let id = &self.ids[index];
         let reply = match item.kind {
@@ -127,7 +127,7 @@
         wait(began, spec.from_ms);
         for (index, item) in items.iter().enumerate() {
             if item.kind != Kind::Idempotent && item.at_us < spec.from_ms * 1_000 {
-                let caller = &self.callers[index % self.callers.len()][item.member];
+                let caller = &self.callers[index % self.callers.len()][item.team];
                 // Whether it was cancelled shows in the submission's own answer.
                 let _ = caller.cancel(&self.ids[index]);
             }
--- a/endivestile_lab/examples/experiment/run.rs
+++ b/endivestile_lab/examples/experiment/run.rs
@@ -11,7 +11,7 @@
 use crate::fault::{self, Kind};
 use crate::measure::{Counts, counts, revision, since};
 use crate::replay::{Desk, Outcome};
-use crate::spec::{MEMBERS, Spec, server};
+use crate::spec::{Spec, TEAMS, server};
 
 /// Seconds that all hosts have to adopt a configuration.
 const ADOPT_S: u64 = 20;
@@ -19,7 +19,7 @@
 const DRAIN_S: u64 = 60;
 /// Factor of a burst.
 const BURST: f64 = 5.0;
-/// Member that floods.
+/// Team that floods.
 const FLOODER: usize = 2;
 
 /// One policy at one load, once.
@@ -48,7 +48,7 @@
 /// Runs all slices: for each load, rounds in which each policy gets the same trace.
 pub(crate) fn run(spec: &Spec, daemon: &Path) -> Result<Vec<Slice>, Box<dyn Error>> {
     let mut deployment = Deployment::start(spec.plan(), &Daemon::new(daemon))?;
-    let agent = Caller::new(deployment.hosts[0].address(), MEMBERS[0]);
+    let agent = Caller::new(deployment.hosts[0].address(), TEAMS[0]);
     let agent = agent.deadline_ms(spec.deadline_ms);
     warm(spec, &mut deployment, &agent)?;
     let mut slices = Vec::new();
@@ -91,10 +91,10 @@
     };
     let mut items = trace(&load, &spec.mix());
     if spec.fault == Kind::Flood {
-        let mut members = [0; 3];
-        members[FLOODER] = 1;
+        let mut teams = [0; 3];
+        teams[FLOODER] = 1;
         let flood = Load { seed: !load.seed, work: spec.capacity(), ..load };
-        let extra = trace(&flood, &Mix { members, ..spec.mix() });
+        let extra = trace(&flood, &Mix { teams, ..spec.mix() });
         items.extend(extra.into_iter().filter(|item| (from_us..to_us).contains(&item.at_us)));
         items.sort_by_key(|item| item.at_us);
     }
--- a/endivestile_lab/examples/experiment/spec.rs
+++ b/endivestile_lab/examples/experiment/spec.rs
@@ -11,8 +11,8 @@
 
 use crate::fault::Kind;
 
-/// Members of every experiment, by number.
-pub(crate) const MEMBERS: [&str; 3] = ["m-large", "m-small", "m-other"];
+/// Teams of every experiment, by number.
+pub(crate) const TEAMS: [&str; 3] = ["m-large", "m-small", "m-other"];
 /// Service that every experiment calls.
 pub(crate) const SERVICE: &str = "orders";
 
@@ -60,7 +60,7 @@
     pub(crate) rack: usize,
     /// Speeds of backend servers, in turn.
     pub(crate) speeds: Vec<f64>,
-    /// Tasks that each member may hold.
+    /// Tasks that each team may hold.
     pub(crate) limit: u32,
     /// Deadline of submissions, in milliseconds.
     pub(crate) deadline_ms: u64,
@@ -72,8 +72,8 @@
     pub(crate) once: u32,
     /// Long tasks in a thousand.
     pub(crate) long: u32,
-    /// Shares of the members.
-    pub(crate) members: Vec<u32>,
+    /// Shares of the teams.
+    pub(crate) teams: Vec<u32>,
     /// What goes wrong in every slice.
     pub(crate) fault: Kind,
     /// When it begins, in milliseconds since the slice began.
@@ -114,7 +114,7 @@
             idempotent: keys.one("work", "idempotent")?,
             once: keys.one("work", "once")?,
             long: keys.one("work", "long-permille")?,
-            members: keys.many("work", "members")?,
+            teams: keys.many("work", "teams")?,
             fault: Kind::parse(&keys.one::<String>("fault", "kind")?)?,
             from_ms: keys.one("fault", "from-ms")?,
             to_ms: keys.one("fault", "to-ms")?,
@@ -127,8 +127,8 @@
             .distance_us(self.distance_us)
             .setting("log.level=warn")
             .rules(|rules| rules.price_us = self.price_us);
-        for member in MEMBERS {
-            plan = plan.member(member, self.limit, 1);
+        for team in TEAMS {
+            plan = plan.team(team, self.limit, 1);
         }
         for n in 0..self.hosts {
             let weight = self.weights[n % self.weights.len()];
@@ -176,9 +176,9 @@
 
     /// Returns what submissions look like.
     pub(crate) fn mix(&self) -> Mix {
-        let share = |n| self.members.get(n).copied().unwrap_or(0);
-        let members = [share(0), share(1), share(2)];
-        Mix { idempotent: self.idempotent, once: self.once, long: self.long, members }
+        let share = |n| self.teams.get(n).copied().unwrap_or(0);
+        let teams = [share(0), share(1), share(2)];
+        Mix { idempotent: self.idempotent, once: self.once, long: self.long, teams }
     }
 }
 
--- a/endivestile_lab/examples/experiment/summary.rs
+++ b/endivestile_lab/examples/experiment/summary.rs
@@ -7,7 +7,7 @@
 
 use crate::replay::End;
 use crate::run::Slice;
-use crate::spec::MEMBERS;
+use crate::spec::TEAMS;
 
 /// Messages that do no useful work, by their names among the counters.
 ///
@@ -43,10 +43,10 @@
     pub(crate) policy: String,
     /// Rounds.
     pub(crate) rounds: usize,
-    /// Response of all members.
+    /// Response of all teams.
     pub(crate) all: Response,
-    /// Response by member.
-    pub(crate) members: BTreeMap<String, Response>,
+    /// Response by team.
+    pub(crate) teams: BTreeMap<String, Response>,
     /// Completed submissions in percent of all.
     pub(crate) complete: f64,
     /// Submissions refused as not run, in percent.
@@ -82,9 +82,9 @@
     let over = |value: &dyn Fn(&Slice) -> f64| {
         median(&group.iter().map(|slice| value(slice)).collect::<Vec<_>>())
     };
-    let mut members = BTreeMap::new();
-    for (n, member) in MEMBERS.iter().enumerate() {
-        members.insert((*member).to_owned(), medians(group, Some(n)));
+    let mut teams = BTreeMap::new();
+    for (n, team) in TEAMS.iter().enumerate() {
+        teams.insert((*team).to_owned(), medians(group, Some(n)));
     }
     let names = WASTE.iter().chain(&CAUSES);
     let causes =
@@ -94,7 +94,7 @@
         policy: policy.to_owned(),
         rounds: group.len(),
         all: medians(group, None),
-        members,
+        teams,
         complete: over(&|slice| share(slice, End::Complete)),
         not_run: over(&|slice| share(slice, End::NotRun)),
         refusal_ms: over(&slowest_refusal),
@@ -108,8 +108,8 @@
     }
 }
 
-fn medians(group: &[&Slice], member: Option<usize>) -> Response {
-    let each: Vec<Response> = group.iter().map(|slice| response(slice, member)).collect();
+fn medians(group: &[&Slice], team: Option<usize>) -> Response {
+    let each: Vec<Response> = group.iter().map(|slice| response(slice, team)).collect();
     let over = |value: fn(&Response) -> f64| median(&each.iter().map(value).collect::<Vec<_>>());
     Response {
         each_p50: over(|r| r.each_p50),
@@ -121,9 +121,9 @@
     }
 }
 
-fn response(slice: &Slice, member: Option<usize>) -> Response {
+fn response(slice: &Slice, team: Option<usize>) -> Response {
     let wanted = slice.outcomes.iter().filter(|outcome| {
-        let own = member.is_none_or(|member| slice.items[outcome.index].member == member);
+        let own = team.is_none_or(|team| slice.items[outcome.index].team == team);
         own && outcome.end == End::Complete
     });
     let pairs: Vec<(f64, f64)> =
--- a/endivestile_lab/examples/slopes/inventory.rs
+++ b/endivestile_lab/examples/slopes/inventory.rs
@@ -1,9 +1,9 @@
 //! Inventories of a given size.
 
-use endivestile_config::model::{Config, Host, Member, Name, Worker, Zone};
+use endivestile_config::model::{Config, Host, Name, Team, Worker, Zone};
 
-/// Members of the target.
-const MEMBERS: usize = 170;
+/// Teams of the target.
+const TEAMS: usize = 170;
 /// Workers of a rack.
 const RACK: usize = 20;
 /// Regions of the target.
@@ -30,9 +30,9 @@
     Name::from(format!("entry-{at:03}"))
 }
 
-/// Returns the name of a member.
-pub(crate) fn member(at: usize) -> Name {
-    Name::from(format!("member-{:03}", at % MEMBERS))
+/// Returns the name of a team.
+pub(crate) fn team(at: usize) -> Name {
+    Name::from(format!("team-{:03}", at % TEAMS))
 }
 
 /// Makes a configuration with hosts and workers spread evenly over the zones.
@@ -47,8 +47,8 @@
         let entry = Host { zone: zone(at % size.zones), address, weight: 1 };
         config.hosts.insert(host(at), entry);
     }
-    for at in 0..MEMBERS {
-        config.members.insert(member(at), Member { limit: 1_000_000, weight: 1 });
+    for at in 0..TEAMS {
+        config.teams.insert(team(at), Team { limit: 1_000_000, weight: 1 });
     }
     add_workers(&mut config, size);
     config.rules.queue_limit = 1_000_000;
--- a/endivestile_lab/examples/slopes/rig.rs
+++ b/endivestile_lab/examples/slopes/rig.rs
@@ -141,7 +141,7 @@
         let submission = Submission {
             idempotent: id.is_none(),
             id,
-            member: inventory::member(self.calls as usize),
+            team: inventory::team(self.calls as usize),
             deadline: self.now.after_ms(1_000_000),
             tasks: (0..tasks).map(|_| task()).collect(),
         };
--- a/endivestile_lab/src/trace.rs
+++ b/endivestile_lab/src/trace.rs
@@ -26,8 +26,8 @@
 pub struct Item {
     /// When it arrives, in microseconds since the start of the trace.
     pub at_us: u64,
-    /// Number of the member.
-    pub member: usize,
+    /// Number of the team.
+    pub team: usize,
     /// What it is.
     pub kind: Kind,
     /// Run times of its tasks on a machine of speed 1, in milliseconds.
@@ -43,8 +43,8 @@
     pub once: u32,
     /// Long tasks in a thousand.
     pub long: u32,
-    /// Shares of the members, by number.
-    pub members: [u32; 3],
+    /// Shares of the teams, by number.
+    pub teams: [u32; 3],
 }
 
 /// A time of more arrivals.
@@ -104,7 +104,7 @@
         (Kind::Job, log_uniform(rng, (1.0, MAX_TASKS + 1.0)) as usize)
     };
     let tasks_ms = (0..count).map(|_| draw_ms(rng, mix)).collect();
-    Item { at_us, member: draw_member(rng, mix), kind, tasks_ms }
+    Item { at_us, team: draw_team(rng, mix), kind, tasks_ms }
 }
 
 fn draw_ms(rng: &mut StdRng, mix: &Mix) -> f64 {
@@ -112,11 +112,11 @@
     log_uniform(rng, if long { LONG_MS } else { SHORT_MS }).round()
 }
 
-fn draw_member(rng: &mut StdRng, mix: &Mix) -> usize {
-    let mut roll = rng.random_range(0..mix.members.iter().sum::<u32>().max(1));
-    for (member, share) in mix.members.iter().enumerate() {
+fn draw_team(rng: &mut StdRng, mix: &Mix) -> usize {
+    let mut roll = rng.random_range(0..mix.teams.iter().sum::<u32>().max(1));
+    for (team, share) in mix.teams.iter().enumerate() {
         if roll < *share {
-            return member;
+            return team;
         }
         roll -= share;
     }
--- a/endivestile_lab/tests/trial.rs
+++ b/endivestile_lab/tests/trial.rs
@@ -3,14 +3,14 @@
 use endivestile_lab::{Burst, Item, Kind, Load, Mix, Park, ideal_ms, median, percentile, trace};
 use test_case::test_case;
 
-const MIX: Mix = Mix { idempotent: 45, once: 45, long: 10, members: [2, 1, 1] };
+const MIX: Mix = Mix { idempotent: 45, once: 45, long: 10, teams: [2, 1, 1] };
 
 fn load(seed: u64, burst: Option<Burst>) -> Load {
     Load { seed, work: 400.0, span_us: 60_000_000, burst }
 }
 
 fn item(at_ms: u64, tasks_ms: &[f64]) -> Item {
-    Item { at_us: at_ms * 1_000, member: 0, kind: Kind::Job, tasks_ms: tasks_ms.to_vec() }
+    Item { at_us: at_ms * 1_000, team: 0, kind: Kind::Job, tasks_ms: tasks_ms.to_vec() }
 }
 
 #[test_case(&[item(0, &[100.0])], &[50.0]; "takes the fast slot")]
--- a/endivestile_testkit/src/caller.rs
+++ b/endivestile_testkit/src/caller.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use endivestile_wire::call::{
-    AnswerBody, DEADLINE_HEADER, ID_HEADER, JobBody, MEMBER_HEADER, TaskBody,
+    AnswerBody, DEADLINE_HEADER, ID_HEADER, JobBody, TEAM_HEADER, TaskBody,
 };
 use serde_json::Value;
 use ureq::http::Response;
@@ -35,30 +35,30 @@
     }
 }
 
-/// Calls one entry host on behalf of one member.
+/// Calls one entry host on behalf of one team.
 #[derive(Debug, Clone)]
 pub struct Caller {
     /// Agent, shared by clones.
     agent: Agent,
     /// URL of the host.
     base: String,
-    /// Member.
-    member: String,
+    /// Team.
+    team: String,
     /// Time left until the deadline of each call, in milliseconds.
     deadline_ms: u64,
 }
 
 impl Caller {
     /// Makes a caller of the host at `address`, with a deadline of 30 seconds.
-    pub fn new(address: impl std::fmt::Display, member: &str) -> Self {
+    pub fn new(address: impl std::fmt::Display, team: &str) -> Self {
         let agent = Agent::config_builder()
             .http_status_as_error(false)
             .max_idle_connections_per_host(1_024)
             .max_idle_connections(8_192)
             .build()
             .into();
-        let member = member.to_owned();
-        Self { agent, base: format!("http://{address}"), member, deadline_ms: 30_000 }
+        let team = team.to_owned();
+        Self { agent, base: format!("http://{address}"), team, deadline_ms: 30_000 }
     }
 
     /// Calls another host through the same agent.
@@ -66,9 +66,9 @@
         Self { base: format!("http://{address}"), ..self.clone() }
     }
 
-    /// Calls on behalf of another member through the same agent.
-    pub fn member(self, member: &str) -> Self {
-        Self { member: member.to_owned(), ..self }
+    /// Calls on behalf of another team through the same agent.
+    pub fn team(self, team: &str) -> Self {
+        Self { team: team.to_owned(), ..self }
     }
 
     /// Sets the deadline of each call from its sending.
@@ -164,7 +164,7 @@
     ) -> Result<Reply, ureq::Error> {
         let wait = Duration::from_millis(self.deadline_ms + PATIENCE_MS);
         let mut call = self.agent.post(url).config().timeout_global(Some(wait)).build();
-        call = call.header(MEMBER_HEADER, &self.member);
+        call = call.header(TEAM_HEADER, &self.team);
         call = call.header(DEADLINE_HEADER, self.deadline_ms.to_string());
         call = call.header("Idempotent", idempotent.to_string());
         if let Some(id) = id {
--- a/endivestile_testkit/src/deploy/deployment.rs
+++ b/endivestile_testkit/src/deploy/deployment.rs
@@ -166,7 +166,7 @@
 fn configure(plan: &Plan, servers: &BackendStandIn, workers: &WorkerStandIn) -> io::Result<Config> {
     let mut config = Config { rules: plan.rules.clone(), ..Config::default() };
     config.zones = plan.zones().collect();
-    config.members = plan.members.iter().cloned().collect();
+    config.teams = plan.teams.iter().cloned().collect();
     for (name, host) in &plan.hosts {
         let mut host = host.clone();
         // Distinct until the host is started and its address known.
--- a/endivestile_testkit/src/deploy/plan.rs
+++ b/endivestile_testkit/src/deploy/plan.rs
@@ -1,14 +1,14 @@
 //! What a deployment consists of.
 
-use endivestile_config::model::{Host, Member, Name, Rules, Server, Service, Worker, Zone};
+use endivestile_config::model::{Host, Name, Rules, Server, Service, Team, Worker, Zone};
 
 use crate::Spec;
 
 /// Service that [`Plan::new`] sets up on all backend servers.
 const SERVICE: &str = "orders";
-/// Member that [`Plan::new`] sets up.
-const MEMBER: &str = "m1";
-/// Tasks that this member may hold.
+/// Team that [`Plan::new`] sets up.
+const TEAM: &str = "m1";
+/// Tasks that this team may hold.
 const LIMIT: u32 = 100_000;
 
 /// Zones, hosts, machines and rules of a deployment to start.
@@ -19,20 +19,20 @@
     pub(crate) servers: Vec<(Spec, Server)>,
     pub(crate) workers: Vec<(Spec, Worker)>,
     pub(crate) services: Vec<(Name, Service)>,
-    pub(crate) members: Vec<(Name, Member)>,
+    pub(crate) teams: Vec<(Name, Team)>,
     pub(crate) rules: Rules,
     pub(crate) settings: Vec<String>,
     pub(crate) distance_us: Option<u64>,
 }
 
 impl Plan {
-    /// Makes a plan with service `orders` on all backend servers and member `m1`.
+    /// Makes a plan with service `orders` on all backend servers and team `m1`.
     pub fn new() -> Self {
         let service = Service { servers: vec![], path: Name::from("/order") };
-        let member = Member { limit: LIMIT, weight: 1 };
+        let team = Team { limit: LIMIT, weight: 1 };
         Self {
             services: vec![(Name::from(SERVICE), service)],
-            members: vec![(Name::from(MEMBER), member)],
+            teams: vec![(Name::from(TEAM), team)],
             ..Self::default()
         }
     }
@@ -87,9 +87,9 @@
         self
     }
 
-    /// Adds a member.
-    pub fn member(mut self, name: &str, limit: u32, weight: u32) -> Self {
-        self.members.push((Name::from(name), Member { limit, weight }));
+    /// Adds a team.
+    pub fn team(mut self, name: &str, limit: u32, weight: u32) -> Self {
+        self.teams.push((Name::from(name), Team { limit, weight }));
         self
     }
 
--- a/endivestile_testkit/src/machine/run.rs
+++ b/endivestile_testkit/src/machine/run.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use endivestile_wire::call::{LEASE_HEADER, NOT_RUN_HEADER, TASK_HEADER};
@@ -43,6 +44,7 @@
         } else if listener.is_none() {
             listener = TcpListener::bind(machine.address).await.ok();
         }
+        machine.listens.store(listener.is_some(), Ordering::Release);
         tokio::select! {
             changed = port.changed() => if changed.is_err() { return },
             Some(stream) = accept(listener.as_ref()) => {
--- a/endivestile_testkit/src/machine/state.rs
+++ b/endivestile_testkit/src/machine/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -11,9 +12,13 @@
 
 use super::fault::{Fault, STRAGGLE};
 use super::start::{Start, Work};
+use crate::deploy::wait_for;
 use crate::lock::lock;
 use crate::net::Zones;
 
+/// Longest wait for a port to open or close, in seconds.
+const PORT_S: u64 = 10;
+
 /// A machine to stand in for.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Spec {
@@ -84,8 +89,10 @@
     pub(crate) name: Arc<str>,
     /// Address that it listens on.
     pub(crate) address: SocketAddr,
-    /// Generation of its connections, and whether the port is open.
+    /// Generation of its connections, and whether the port is to be open.
     pub(crate) port: watch::Sender<(u64, bool)>,
+    /// Whether the port is open.
+    pub(crate) listens: AtomicBool,
     /// What changes.
     pub(crate) state: Mutex<State>,
     /// Description.
@@ -131,6 +138,7 @@
             name: spec.name.as_str().into(),
             address,
             port,
+            listens: AtomicBool::new(true),
             state: Mutex::new(state),
             spec,
             site: OnceLock::new(),
@@ -149,6 +157,8 @@
     }
 
     /// Sets a fault; one that closes the port cuts the open connections too.
+    /// Returns once the port is as the fault says: a call that came before would
+    /// still be served.
     pub(crate) fn set_fault(&self, fault: Fault) {
         lock(&self.state).fault = fault;
         let open = fault != Fault::Refuse;
@@ -158,6 +168,7 @@
             *was = open;
             changed
         });
+        wait_for(PORT_S, || self.listens.load(Ordering::Acquire) == open);
     }
 
     /// Cuts the open connections.
--- a/endivestile_testkit/src/world/call.rs
+++ b/endivestile_testkit/src/world/call.rs
@@ -19,8 +19,8 @@
     pub id: Option<SubmissionId>,
     /// Word that makes the work of this submission its own.
     pub word: String,
-    /// Member.
-    pub member: Name,
+    /// Team.
+    pub team: Name,
     /// Tasks.
     pub tasks: usize,
     /// Milliseconds until the deadline.
@@ -86,7 +86,7 @@
         let clock = machine.clock(self.now);
         let submission = Submission {
             id: submit.id.clone(),
-            member: submit.member.clone(),
+            team: submit.team.clone(),
             deadline: clock.after_ms(submit.deadline_ms),
             idempotent: submit.id.is_none(),
             tasks: (0..submit.tasks).map(|index| Arc::new(task(&submit, index))).collect(),
@@ -103,7 +103,7 @@
             host: Name::from(host),
             id: Some(id.clone()),
             word: String::from("?"),
-            member: Name::from("m"),
+            team: Name::from("m"),
             tasks: 0,
             deadline_ms: 0,
             declared_ms: 0,
--- a/endivestile_testkit/src/world/story.rs
+++ b/endivestile_testkit/src/world/story.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
-use endivestile_config::model::{Config, Host, Member, Name, Rules, Server, Service, Worker, Zone};
+use endivestile_config::model::{Config, Host, Name, Rules, Server, Service, Team, Worker, Zone};
 use endivestile_kernel::{Ask, Need, PlatformState, SubmissionId};
 
 use super::call::millis;
@@ -146,7 +146,7 @@
                 host: Name::from(*step.pairs.get("at").ok_or("at=HOST is missing")?),
                 id,
                 word: format!("{word}{suffix}"),
-                member: Name::from(*step.pairs.get("member").unwrap_or(&"m")),
+                team: Name::from(*step.pairs.get("team").unwrap_or(&"m")),
                 tasks: step.number("tasks", 1)? as usize,
                 deadline_ms: step.span("deadline", DEADLINE_MS)?,
                 declared_ms: step.span("declared", 0)? as u32,
@@ -307,8 +307,8 @@
         let without = step.pairs.get("without").copied().unwrap_or_default();
         self.world.accept(|config| {
             config.hosts.retain(|name, _| !without.split(',').any(|gone| **name == *gone));
-            for member in config.members.values_mut() {
-                member.limit = limit;
+            for team in config.teams.values_mut() {
+                team.limit = limit;
             }
             if let Some(policy) = policy {
                 config.rules.policy = Name::from(policy);
@@ -375,9 +375,9 @@
             }
         }
         config.services.insert(Name::from("service"), service);
-        for member in self.pairs.get("members").copied().unwrap_or("m").split(',') {
+        for team in self.pairs.get("teams").copied().unwrap_or("m").split(',') {
             let limit = self.number("limit", 10_000)? as u32;
-            config.members.insert(Name::from(member), Member { limit, weight: 1 });
+            config.teams.insert(Name::from(team), Team { limit, weight: 1 });
         }
         let rules = Rules::default();
         let shards = self.number("shards", 8)? as u32;
--- a/endivestile_wire/src/call.rs
+++ b/endivestile_wire/src/call.rs
@@ -6,8 +6,8 @@
 pub const ID_HEADER: &str = "Idempotency-Key";
 /// Header that carries the time left until the deadline, in milliseconds.
 pub const DEADLINE_HEADER: &str = "Deadline-Ms";
-/// Header that carries the member on whose behalf the call is made.
-pub const MEMBER_HEADER: &str = "Member";
+/// Header that carries the team on whose behalf the call is made.
+pub const TEAM_HEADER: &str = "Team";
 /// Header by which a backend server says that it did not start the task.
 pub const NOT_RUN_HEADER: &str = "Not-Run";
 /// Header that returns fresh minted ids, separated by commas.
