--- a/endivestile_testkit/src/soak/mod.rs
+++ b/endivestile_testkit/src/soak/mod.rs
@@ -6,6 +6,7 @@
 
 mod caller;
 mod fault;
+mod load;
 mod relay;
 mod run;
 
