Read the settings again when their file has changed

Cause: the platform may change the settings file without a signal, and the host went on under the old figures until its next start.

Ruled out: inotify (the platform refuses it).

Change: the file is looked at once a second and read again when it differs.

--- a/endivestile/src/fleet/run.rs
+++ b/endivestile/src/fleet/run.rs
@@ -1,6 +1,8 @@
 //! Puts the host together and runs its loop.
 
 use std::cell::Cell;
+use std::fs;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, RwLock};
@@ -40,6 +42,9 @@
 const WAIT_S: u64 = 60;
 /// Prefix of this system's own keys in the store.
 const OWN_KEYS: &str = "endivestile/";
+/// Time between two looks at the settings' file, in milliseconds: half of the
+/// two seconds within which a change is to be in force.
+const SETTINGS_MS: u64 = 1_000;
 /// Time for a call to the store while the settings' is longer, in
 /// milliseconds: a connection that has gone silent must not hold up news.
 const STORE_MS: u64 = 700;
@@ -122,6 +127,9 @@
     };
     let wish = follow(runtime, &reader, inbox, need.clone(), entry);
     signals(runtime, inbox)?;
+    if let Some(path) = reload.path() {
+        runtime.spawn(watch_settings(path.to_owned(), inbox.clone()));
+    }
     let workers = Workers { client, adapter, inbox: inbox.clone(), clock };
     let setup = FleetSetup {
         me,
@@ -197,6 +205,20 @@
     Ok(())
 }
 
+/// Has the settings read again when their file has changed: not every platform
+/// sends a signal with it. A file that cannot be read is looked at again later.
+async fn watch_settings(path: PathBuf, inbox: Inbox) {
+    let mut known = fs::read(&path).ok();
+    loop {
+        tokio::time::sleep(Duration::from_millis(SETTINGS_MS)).await;
+        let Ok(text) = fs::read(&path) else { continue };
+        if known.as_ref() != Some(&text) {
+            known = Some(text);
+            inbox.post(Input::Reload);
+        }
+    }
+}
+
 /// Runs the loop until the engine ends it.
 async fn turn(mut inlet: Inlet, parts: Parts) {
     let mut stakker = Stakker::new(Instant::now());
--- a/endivestile/src/run.rs
+++ b/endivestile/src/run.rs
@@ -4,6 +4,7 @@
 use std::ffi::OsString;
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -83,6 +84,11 @@
 }
 
 impl Reload {
+    /// Returns the file that the settings are read from, if they are.
+    pub(crate) fn path(&self) -> Option<&Path> {
+        self.args.config.as_deref()
+    }
+
     /// Reads the settings and puts the log's level in force.
     pub(crate) fn settings(&self) -> Result<Settings, RunError> {
         let settings = load(&self.args)?;
--- a/endivestile/tests/platform/mod.rs
+++ b/endivestile/tests/platform/mod.rs
@@ -6,6 +6,7 @@
     reason = "each test file uses a part; a test fails by panic"
 )]
 
+use std::ffi::OsString;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::thread;
@@ -26,7 +27,18 @@
 
 impl Host {
     pub(crate) fn start(platform: &PlatformStandIn, name: &str, zone: &str) -> Self {
-        let daemon = Daemon::new(env!("CARGO_BIN_EXE_endivestile"));
+        Self::start_with(platform, name, zone, &[])
+    }
+
+    /// Starts a host with more arguments.
+    pub(crate) fn start_with(
+        platform: &PlatformStandIn,
+        name: &str,
+        zone: &str,
+        args: &[OsString],
+    ) -> Self {
+        let program = env!("CARGO_BIN_EXE_endivestile").into();
+        let daemon = Daemon { program, args: args.to_vec() };
         let process = PlatformHost::start(&daemon, platform.store(), name, zone, &[]).unwrap();
         until("the host listens", || process.http().is_some());
         let (http, page) = (process.http().unwrap(), process.page().unwrap());
--- a/endivestile/tests/platform_path.rs
+++ b/endivestile/tests/platform_path.rs
@@ -155,6 +155,25 @@
     until("the host notices", || host.logged("event=store_up") > 1);
 }
 
+/// The settings file changes and nobody says so. The host finds out by itself;
+/// without that it would go on under figures that the platform has taken back.
+#[test]
+fn reload_unasked() {
+    let platform = platform();
+    let path = std::env::temp_dir().join(format!("endivestile-{}.ini", std::process::id()));
+    let settings = |grace: u32| format!("[platform]\ngrace-s = {grace}\n");
+    std::fs::write(&path, settings(6)).unwrap();
+    let config = ["--config".into(), path.clone().into()];
+    let host = Host::start_with(&platform, "a1", "a", &config);
+    until_serving(&host);
+    std::fs::write(&path, settings(7)).unwrap();
+    until("the host reads its settings", || host.logged("event=reload outcome=applied") > 0);
+    std::fs::write(&path, "[platform]\ngrace-s = soon\n").unwrap();
+    until("the host refuses them", || host.logged("event=reload outcome=refused") > 0);
+    assert_eq!(host.call("POST", "/jobs/00000000000000ab", &job(1, 1)).0, 200);
+    std::fs::remove_file(&path).unwrap();
+}
+
 /// The settings file changes and the host is told so by a signal.
 #[test]
 fn reload_applied() {
