--- a/endivestile_testkit/src/soak/mod.rs
+++ b/endivestile_testkit/src/soak/mod.rs
@@ -10,4 +10,5 @@
 mod relay;
 mod run;
 
+pub use relay::{Harm, Relay};
 pub use run::{Soak, SoakReport};
--- a/endivestile_testkit/src/soak/relay.rs
+++ b/endivestile_testkit/src/soak/relay.rs
@@ -19,7 +19,7 @@
 
 /// What a relay does to what passes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Harm {
+pub enum Harm {
     /// Nothing.
     None,
     /// Holds each piece up for so many milliseconds.
@@ -30,6 +30,8 @@
     SilenceThere,
     /// Nothing passes from the target back.
     SilenceBack,
+    /// Connections that are open carry nothing any more, and stay open; new ones do.
+    Stale,
     /// Breaks all connections, and new ones.
     Reset,
 }
@@ -40,6 +42,8 @@
             Self::Silence => true,
             Self::SilenceThere => there,
             Self::SilenceBack => !there,
+            // One that was made since is told apart by who carries it.
+            Self::Stale => true,
             Self::None | Self::Delay(_) | Self::Reset => false,
         }
     }
@@ -47,9 +51,9 @@
 
 /// Carries connections to one address.
 #[derive(Debug, Clone)]
-pub(crate) struct Relay {
+pub struct Relay {
     /// Address to dial instead of the target's.
-    pub(crate) address: SocketAddr,
+    pub address: SocketAddr,
     harm: watch::Sender<Harm>,
     target: Arc<Mutex<Option<SocketAddr>>>,
 }
@@ -59,7 +63,7 @@
     ///
     /// # Errors
     /// Those of the socket.
-    pub(crate) fn start(target: Option<SocketAddr>) -> io::Result<Self> {
+    pub fn start(target: Option<SocketAddr>) -> io::Result<Self> {
         let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
@@ -77,7 +81,7 @@
     }
 
     /// Sets what happens to what passes from now on.
-    pub(crate) fn set(&self, harm: Harm) {
+    pub fn set(&self, harm: Harm) {
         self.harm.send_replace(harm);
     }
 
@@ -89,7 +93,8 @@
 
 /// Carries one connection. One that is dialled in silence waits for its end.
 async fn carry(near: TcpStream, target: Option<SocketAddr>, mut harms: watch::Receiver<Harm>) {
-    let open = harms.wait_for(|harm| !harm.silences(true)).await.map(|harm| *harm);
+    let fresh = *harms.borrow() == Harm::Stale;
+    let open = harms.wait_for(|harm| fresh || !harm.silences(true)).await.map(|harm| *harm);
     let Some(target) = target.filter(|_| open.is_ok_and(|harm| harm != Harm::Reset)) else {
         return reset(&near);
     };
@@ -98,8 +103,8 @@
     let _ = far.set_nodelay(true);
     let (near_in, near_out) = near.into_split();
     let (far_in, far_out) = far.into_split();
-    let there = pump(near_in, far_out, harms.clone(), true);
-    let back = pump(far_in, near_out, harms.clone(), false);
+    let there = pump(near_in, far_out, harms.clone(), true, fresh);
+    let back = pump(far_in, near_out, harms.clone(), false, fresh);
     tokio::select! {
         () = async { tokio::join!(there, back); } => {}
         _ = harms.wait_for(|harm| *harm == Harm::Reset) => {}
@@ -116,12 +121,12 @@
     mut to: OwnedWriteHalf,
     mut harms: watch::Receiver<Harm>,
     there: bool,
+    fresh: bool,
 ) {
     let mut chunk = vec![0; CHUNK];
     while let Ok(count @ 1..) = from.read(&mut chunk).await {
-        let Ok(harm) = harms.wait_for(|harm| !harm.silences(there)).await.map(|harm| *harm) else {
-            break;
-        };
+        let passes = |harm: &Harm| !harm.silences(there) || fresh && *harm == Harm::Stale;
+        let Ok(harm) = harms.wait_for(passes).await.map(|harm| *harm) else { break };
         if let Harm::Delay(ms) = harm {
             sleep(Duration::from_millis(ms)).await;
         }
