Take back the dropping of idle connections: a failed try

Idle connections were not the cause.

Dropping good connections on a lossy link only adds new ones, which lose packets too.

Conclusion: an order without an answer should be looked for in what the worker lists before it is stopped. That connections which have all gone silent cost one order each is true as well, and open.

--- a/endivestile/src/fleet/client.rs
+++ b/endivestile/src/fleet/client.rs
@@ -56,10 +56,7 @@
                     Some(unsent) => request = unsent,
                     None => return Err(Fault::Lost),
                 },
-                Err(_) => {
-                    self.forget(address);
-                    return Err(Fault::Lost);
-                }
+                Err(_) => return Err(Fault::Lost),
             }
         }
         let mut sender = match timeout_at(due, dial(address)).await {
@@ -89,18 +86,6 @@
         }
     }
 
-    /// Drops the idle connections to an address after one of them brought no
-    /// answer in time.
-    ///
-    /// When a network forgets connections they all go silent at once, and each
-    /// that is kept costs another order its time, and its task a new start: six
-    /// to each of thirty workers made an owner's callers wait for five seconds.
-    fn forget(&self, address: &Name) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let dropped = idle.remove(address).map_or(0, |senders| senders.len());
-        log::info!("event=connections_dropped step=call peer={address} idle={dropped}");
-    }
-
     fn take(&self, address: &Name) -> Option<Sender> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let senders = idle.get_mut(address)?;
--- a/endivestile_testkit/src/lib.rs
+++ b/endivestile_testkit/src/lib.rs
@@ -22,6 +22,6 @@
 pub use fleet::{FleetWorld, Kind, Served, tell_fleet};
 pub use machine::{BackendStandIn, Fault, Spec, Start, WorkerStandIn, echo};
 pub use platform::{PlatformHost, PlatformSignal, PlatformStandIn, WorkerFault};
-pub use soak::{Harm, Relay, Soak, SoakReport};
+pub use soak::{Soak, SoakReport};
 pub use store::{Counts, StoreStandIn};
 pub use world::{CallLog, Mode, Started, Submit, WALL_S, World, tell};
