--- a/endivestile_kernel/src/fleet/members.rs
+++ b/endivestile_kernel/src/fleet/members.rs
@@ -15,7 +15,8 @@
 pub(crate) const BEAT_MS: u64 = 110;
 /// The same to an owner of another zone's workers from a host that owns none
 /// and has no job there: it has to be known to live, and nothing hangs on it.
-/// With 45 hosts and twelve owners that saves a small host half of its frames.
+/// With four owners in each of three zones that is 63 frames a second for a host
+/// in place of 109 (worked out).
 pub(crate) const FAR_BEAT_MS: u64 = 300;
 
 /// A host as it registered itself in the store.
