Hand pools to the host with the least for its processor time

What an owner leaves went to the host with the most processor time, also when that owned pools already: after some stops one host owned half of its zone.

Change: the heir is the host that would have the least pools for its processor time; what the former owner has left counts for all candidates alike, so that it still goes to one.

--- a/endivestile_kernel/src/fleet/pools.rs
+++ b/endivestile_kernel/src/fleet/pools.rs
@@ -252,6 +252,20 @@
         owners
     }
 
+    /// Returns how many pools a host would own that took all of another's: its own
+    /// and those that the other owns or owned lately.
+    ///
+    /// What the other has left counts for every candidate alike, also while one of
+    /// them is taking it: otherwise the next candidate's turn would come as soon as
+    /// the first pool has changed hands, and the pools would be scattered.
+    pub(crate) fn with_those_of(&self, host: &str, other: &Peer) -> u32 {
+        let owned_by = |pool: &&Pool| {
+            let owner = pool.record.as_ref().map(|record| &*record.owner.host);
+            pool.held_by(other) || owner == Some(host)
+        };
+        self.by_name.values().filter(owned_by).count() as u32
+    }
+
     /// Returns the pools that a peer owns and that have not been taken from it.
     pub(crate) fn owned(&self, peer: &Peer) -> impl Iterator<Item = (&Name, &Pool)> {
         self.by_name.iter().filter(|(_, pool)| pool.owned_by(peer))
--- a/endivestile_kernel/src/fleet/turns.rs
+++ b/endivestile_kernel/src/fleet/turns.rs
@@ -1,9 +1,10 @@
 //! In which order hosts take over pools.
 //!
-//! All hosts work out the same order without a message: those with the most
-//! processor time first, then by a rank that depends on who is replaced. An
-//! owner places some hundred starts a second, which a host of a tenth of a core
-//! cannot do beside its own callers.
+//! All hosts work out the same order without a message: those with the least
+//! pools for their processor time first, then by a rank that depends on who is
+//! replaced. An owner places some hundred starts a second, which a host of a tenth
+//! of a core cannot do beside its own callers; and when hosts are stopped in turn,
+//! everything would gather at the few with the most processor time.
 
 use std::cmp::Reverse;
 
@@ -40,7 +41,7 @@
         }
         let owner = self.pools.owner(pool);
         let seed = owner.map_or(zone_of(pool), |owner| &owner.host);
-        let order = self.order(now, seed);
+        let order = self.order(now, seed, owner);
         let mine = order.iter().position(|host| *host == self.setup.me.host).unwrap_or(0);
         let before = match owner {
             Some(_) => mine,
@@ -55,7 +56,7 @@
     }
 
     /// Returns the hosts of this zone that may own pools, this one among them.
-    fn order(&self, now: Time, seed: &str) -> Vec<Name> {
+    fn order(&self, now: Time, seed: &str, lost: Option<&Peer>) -> Vec<Name> {
         let may = |member: &&Member| {
             let lives = member.heard.is_none() || member.answers(now, LOST_MS);
             member.zone == self.setup.zone && !member.leaving && lives
@@ -64,18 +65,30 @@
         let mut hosts: Vec<(u32, Name)> =
             others.map(|member| (member.cpu_milli, member.peer.host.clone())).collect();
         hosts.push((self.setup.cpu_milli, self.setup.me.host.clone()));
-        hosts.sort_by_key(|(cpu, host)| (Reverse(*cpu), rank(seed, host)));
+        hosts.sort_by_cached_key(|(cpu, host)| {
+            let load = lost.map_or(0, |lost| self.load(host, *cpu, lost));
+            (load, Reverse(*cpu), rank(seed, host))
+        });
         hosts.into_iter().map(|(_, host)| host).collect()
     }
 
+    /// Returns how many pools a host would have for each core of its processor
+    /// time, in thousandths, if it took all of another's.
+    fn load(&self, host: &str, cpu_milli: u32, lost: &Peer) -> u64 {
+        let pools = u64::from(self.pools.with_those_of(host, lost));
+        pools * 1_000_000 / u64::from(cpu_milli.max(1))
+    }
+
     /// Returns the host that takes a zone's pools from this one when it stops.
     pub(super) fn successor(&self, now: Time, zone: &str) -> Option<Peer> {
         let live = self.members.all().filter(|member| {
             !member.leaving && member.heard.is_none_or(|_| member.answers(now, LOST_MS))
         });
-        let me = &self.setup.me.host;
+        let me = &self.setup.me;
         let order = |member: &&Member| {
-            (*member.zone != *zone, Reverse(member.cpu_milli), rank(me, &member.peer.host))
+            let host = &member.peer.host;
+            let load = self.load(host, member.cpu_milli, me);
+            (*member.zone != *zone, load, Reverse(member.cpu_milli), rank(&me.host, host))
         };
         live.min_by_key(order).map(|member| member.peer.clone())
     }
