--- a/endivestile_testkit/src/soak/caller.rs
+++ b/endivestile_testkit/src/soak/caller.rs
@@ -17,8 +17,8 @@
     pub(crate) completed: bool,
     /// When it was sent.
     pub(crate) begun: Instant,
-    /// How long it took.
-    pub(crate) took: Duration,
+    /// When it ended.
+    pub(crate) ended: Instant,
     /// Host that was called.
     pub(crate) host: usize,
 }
--- a/endivestile_testkit/src/soak/load.rs
+++ b/endivestile_testkit/src/soak/load.rs
@@ -48,7 +48,7 @@
         status: answer.as_ref().map(|(status, _)| *status),
         completed: answer.is_some_and(|(status, body)| status == 200 && told_completed(&body)),
         begun,
-        took: begun.elapsed(),
+        ended: Instant::now(),
         host: at,
     })
 }
@@ -98,7 +98,7 @@
         status: None,
         completed: false,
         begun,
-        took: Duration::ZERO,
+        ended: begun,
         host: at,
     };
     let Some(address) = lock(&hosts[at]).http() else { return none };
@@ -109,8 +109,8 @@
         Ok((status, body)) => {
             *kept = Some(line);
             let completed = status == 200 && told_completed(&body);
-            Sending { status: Some(status), completed, took: begun.elapsed(), ..none }
+            Sending { status: Some(status), completed, ended: Instant::now(), ..none }
         }
-        Err(_) => Sending { took: begun.elapsed(), ..none },
+        Err(_) => Sending { ended: Instant::now(), ..none },
     }
 }
--- a/endivestile_testkit/src/soak/run.rs
+++ b/endivestile_testkit/src/soak/run.rs
@@ -325,7 +325,9 @@
             self.broken(format!("{id} was refused as not run, and had run: {sendings:?}"));
         }
         for sending in sendings {
-            if sending.status.is_some() && sending.took > DEADLINE + SLACK && !self.paused(sending)
+            if sending.status.is_some()
+                && sending.ended > sending.begun + DEADLINE + SLACK
+                && !self.paused(sending)
             {
                 self.broken(format!("{id} was answered after its deadline: {sending:?}"));
             }
@@ -335,7 +337,7 @@
     /// Returns whether the host that took a job was paused meanwhile: it could
     /// not answer then.
     fn paused(&self, sending: &Sending) -> bool {
-        let end = sending.begun + sending.took;
+        let end = sending.ended;
         self.pauses.iter().any(|(at, from, until)| {
             *at == sending.host && *from < end && until.is_none_or(|until| until > sending.begun)
         })
