--- a/endivestile_ctl/src/cli.rs
+++ b/endivestile_ctl/src/cli.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use clap::{Args, Parser, Subcommand};
+use clap::{Args, Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
 
 use crate::load::LoadArgs;
@@ -57,6 +57,8 @@
     Submit(SubmitArgs),
     /// Sends bounded load and reports on the answers.
     Load(LoadArgs),
+    /// Says from hosts' logs why jobs were not served in time.
+    Explain(ExplainArgs),
     /// Writes a shell's completion script.
     Completions(CompletionArgs),
 }
@@ -156,6 +158,28 @@
     pub(crate) file: String,
 }
 
+/// Arguments of `explain`.
+#[derive(Debug, Args)]
+pub(crate) struct ExplainArgs {
+    /// Logs of entry hosts, - for standard input.
+    #[arg(required = true)]
+    pub(crate) files: Vec<String>,
+    /// Shows the causes for each of these too.
+    #[arg(long)]
+    pub(crate) by: Option<Grouping>,
+}
+
+/// By what `explain` groups jobs.
+#[derive(Debug, Clone, Copy, ValueEnum)]
+pub(crate) enum Grouping {
+    /// The second in which they came.
+    Second,
+    /// The availability zone of the host that took them.
+    Zone,
+    /// Their route.
+    Route,
+}
+
 /// Arguments of `completions`.
 #[derive(Debug, Args)]
 pub(crate) struct CompletionArgs {
--- a/endivestile_ctl/src/command/mod.rs
+++ b/endivestile_ctl/src/command/mod.rs
@@ -15,7 +15,7 @@
 use crate::context::Context;
 use crate::error::CtlError;
 use crate::exit::Exit;
-use crate::load;
+use crate::{explain, load};
 
 /// Name of the program.
 const PROGRAM: &str = "endivectl";
@@ -34,6 +34,7 @@
         Command::History(args) => history::run(&context, &args),
         Command::Submit(args) => submit::run(&context, &args),
         Command::Load(args) => load::run(&context, &args),
+        Command::Explain(args) => explain::run(&context, &args),
         Command::Completions(args) => Ok(complete(&args)),
     }
 }
--- /dev/null
+++ b/endivestile_ctl/src/explain/mod.rs
@@ -0,0 +1,52 @@
+//! `explain`: why jobs were not served in time, from the logs of entry hosts.
+
+mod cause;
+mod line;
+mod report;
+mod story;
+
+use std::fs::File;
+use std::io::{self, BufRead, BufReader};
+
+use crate::cli::ExplainArgs;
+use crate::context::Context;
+use crate::error::CtlError;
+use crate::exit::Exit;
+use crate::out;
+
+use line::Line;
+use report::Report;
+use story::Stories;
+
+/// Reads logs and says what became of the jobs in them.
+pub(crate) fn run(context: &Context, args: &ExplainArgs) -> Result<Exit, CtlError> {
+    let mut stories = Stories::default();
+    for file in &args.files {
+        read(file, &mut stories)?;
+    }
+    let report = Report::new(&stories, args.by);
+    if context.json {
+        out::json(&report);
+    } else {
+        out::say(&report.to_string());
+    }
+    Ok(Exit::Done)
+}
+
+fn read(file: &str, stories: &mut Stories) -> Result<(), CtlError> {
+    let failed =
+        |cause: io::Error| CtlError::File { step: "read-log", file: file.to_owned(), cause };
+    let source: Box<dyn BufRead> = match file {
+        "-" => Box::new(io::stdin().lock()),
+        path => Box::new(BufReader::new(File::open(path).map_err(failed)?)),
+    };
+    for text in source.split(b'\n') {
+        let text = text.map_err(failed)?;
+        // A host that was killed while it wrote leaves half a character behind.
+        let text = String::from_utf8_lossy(&text);
+        if let Some(line) = Line::parse(&text) {
+            stories.take(&line);
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/endivestile_ctl/src/explain/report.rs
@@ -0,0 +1,101 @@
+//! Sums of jobs and of their work by cause.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use serde::Serialize;
+
+use super::cause::{Cause, cause};
+use super::story::{Stories, Story};
+use crate::cli::Grouping;
+
+/// Jobs, and their work.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub(crate) struct Sum {
+    /// Jobs.
+    jobs: u32,
+    /// Their work in core-seconds, as far as a placer has told it.
+    core_s: f64,
+}
+
+impl Sum {
+    fn add(&mut self, story: &Story) {
+        self.jobs += 1;
+        self.core_s += story.account.map_or(0.0, |account| account.core_s);
+    }
+}
+
+/// What became of the jobs.
+#[derive(Debug, Serialize)]
+pub(crate) struct Report {
+    /// Jobs seen.
+    jobs: u32,
+    /// Those that were served in time, or whose end no placer complained about.
+    in_time: u32,
+    /// The others, by cause, those with the most work first.
+    causes: Vec<(Cause, Sum)>,
+    /// The others again, by what was asked for and by cause.
+    groups: BTreeMap<String, BTreeMap<Cause, Sum>>,
+    /// Calls that no job was made of, by reason.
+    turned_away: BTreeMap<String, u32>,
+}
+
+impl Report {
+    /// Sums up the jobs of a log.
+    pub(crate) fn new(stories: &Stories, by: Option<Grouping>) -> Self {
+        let mut causes: BTreeMap<Cause, Sum> = BTreeMap::new();
+        let mut groups: BTreeMap<String, BTreeMap<Cause, Sum>> = BTreeMap::new();
+        let mut in_time = 0;
+        for story in stories.jobs.values() {
+            let Some(cause) = cause(story) else {
+                in_time += 1;
+                continue;
+            };
+            causes.entry(cause).or_default().add(story);
+            if let Some(by) = by {
+                let group = groups.entry(group(story, by)).or_default();
+                group.entry(cause).or_default().add(story);
+            }
+        }
+        let mut turned_away = BTreeMap::new();
+        for (_, reason) in &stories.turned_away {
+            *turned_away.entry(reason.clone()).or_default() += 1;
+        }
+        let mut causes: Vec<(Cause, Sum)> = causes.into_iter().collect();
+        causes.sort_by(|a, b| b.1.core_s.total_cmp(&a.1.core_s));
+        Self { jobs: stories.jobs.len() as u32, in_time, causes, groups, turned_away }
+    }
+}
+
+fn group(story: &Story, by: Grouping) -> String {
+    match by {
+        Grouping::Second => story.second.clone(),
+        Grouping::Zone => story.zone.clone(),
+        Grouping::Route => story.route.clone(),
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(out, "{} jobs, {} of them in time", self.jobs, self.in_time)?;
+        writeln!(out, "{:<20} {:>7} {:>12}", "cause", "jobs", "core-seconds")?;
+        for (cause, sum) in &self.causes {
+            row(out, *cause, sum)?;
+        }
+        for (group, causes) in &self.groups {
+            writeln!(out, "{group}")?;
+            for (cause, sum) in causes {
+                row(out, *cause, sum)?;
+            }
+        }
+        for (reason, calls) in &self.turned_away {
+            writeln!(out, "turned away, {reason}: {calls} calls")?;
+        }
+        Ok(())
+    }
+}
+
+fn row(out: &mut fmt::Formatter<'_>, cause: Cause, sum: &Sum) -> fmt::Result {
+    let name = format!("{cause:?}");
+    writeln!(out, "{name:<20} {:>7} {:>12.1}", sum.jobs, sum.core_s)
+}
--- a/endivestile_ctl/src/lib.rs
+++ b/endivestile_ctl/src/lib.rs
@@ -7,6 +7,7 @@
 mod context;
 mod error;
 mod exit;
+mod explain;
 mod files;
 mod http;
 mod load;
--- /dev/null
+++ b/endivestile_ctl/tests/explain.rs
@@ -0,0 +1,55 @@
+//! `endivectl explain` on the logs of entry hosts.
+
+use std::process::Command;
+
+use serde_json::Value;
+use test_case::test_case;
+
+const LOG: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/logs/causes.log");
+
+fn explain(by: &str) -> Value {
+    let run = Command::new(env!("CARGO_BIN_EXE_endivectl"))
+        .args(["--json", "explain", LOG, "--by", by])
+        .output()
+        .expect("endivectl runs");
+    assert!(run.status.success(), "{}", String::from_utf8_lossy(&run.stderr));
+    serde_json::from_slice(&run.stdout).expect("a report in JSON")
+}
+
+fn jobs(rows: &Value, cause: &str) -> u64 {
+    let rows = rows.as_array().expect("rows of cause and sum");
+    let row = rows.iter().find(|row| row[0] == cause);
+    row.map_or(0, |row| row[1]["jobs"].as_u64().expect("a count"))
+}
+
+/// Each job of the log was not served in time for another reason; an operator
+/// finds it under that reason and under no other.
+#[test_case("waited-behind"; "waited")]
+#[test_case("slow-worker"; "slow")]
+#[test_case("run-trouble"; "stalled")]
+#[test_case("refused-with-room"; "roomy")]
+#[test_case("refused-full"; "full")]
+#[test_case("no-owner"; "alone")]
+#[test_case("owner-lost"; "moved")]
+#[test_case("caller-left"; "gone")]
+fn explain_cause(cause: &str) {
+    assert_eq!(jobs(&explain("second")["causes"], cause), 1);
+}
+
+/// A host died while it wrote its last line, and one job had no answer yet:
+/// both are told as jobs without an answer, and nothing else is lost.
+#[test]
+fn explain_log_cut() {
+    let report = explain("zone");
+    assert_eq!(jobs(&report["causes"], "no-answer"), 2);
+    assert_eq!(report["jobs"], 11);
+    assert_eq!(report["in_time"], 1);
+    assert_eq!(report["turned_away"]["no configuration yet"], 1);
+}
+
+#[test]
+fn explain_grouped() {
+    let report = explain("route");
+    assert_eq!(report["groups"]["long"]["refused-full"]["core_s"], 1.0);
+    assert_eq!(report["groups"]["quick"]["slow-worker"]["jobs"], 1);
+}
--- /dev/null
+++ b/endivestile_kernel/src/fleet/course.rs
@@ -0,0 +1,77 @@
+//! What happened to a job at its placer, for the line that its end writes.
+
+use super::job::{JobEnd, Reason};
+use super::scheduler::Scheduler;
+use super::state::JobState;
+use crate::{Level, Time};
+
+/// What delayed a job, counted while it is placed.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Course {
+    /// When a task was last ordered.
+    pub(crate) last_order: Option<Time>,
+    /// Speed of the worker of that order, 1 for the usual.
+    pub(crate) speed: f64,
+    /// Runs that were stopped for their lack of progress.
+    pub(crate) stalled: u32,
+    /// Runs that failed.
+    pub(crate) failed: u32,
+    /// Runs that came to no end: no answer, a lapsed lease, a worker that was lost.
+    pub(crate) vanished: u32,
+}
+
+impl Scheduler {
+    /// Writes the line about a job's end: the inputs of the decisions about it.
+    ///
+    /// A job that ends well is one of many and tells nothing; its line is for
+    /// debugging only, so that the volume stays bounded under load.
+    pub(crate) fn note_end(&mut self, now: Time, number: u64, end: JobEnd, started: bool) {
+        let Some(state) = self.jobs.get(&number) else { return };
+        let well = end == JobEnd::Done && now <= state.objective;
+        let level = if well { Level::Debug } else { Level::Info };
+        let more = self.account(now, state, end, started);
+        self.note_job(level, "placed_job_ended", number, &more);
+    }
+
+    fn account(
+        &self,
+        now: Time,
+        state: &JobState,
+        end: JobEnd,
+        started: bool,
+    ) -> Vec<(&'static str, String)> {
+        let course = &state.course;
+        let after = |at: Time| at.since(state.came).as_millis().to_string();
+        let rooms = self.rooms(now);
+        let (free, waiting) = rooms.get(&state.job.service).copied().unwrap_or_default();
+        let usual_us = self.chain_us(&state.job);
+        vec![
+            ("end", end.label().to_owned()),
+            ("reason", end.reason().map_or("", Reason::label).to_owned()),
+            ("route", state.job.route.to_string()),
+            ("forwarded", state.job.forwarded.to_string()),
+            ("started", started.to_string()),
+            ("starts", state.starts.to_string()),
+            ("waited_ms", after(state.started.unwrap_or(now))),
+            ("last_order_ms", after(course.last_order.unwrap_or(now))),
+            ("ms", after(now)),
+            ("objective_ms", after(state.objective)),
+            ("deadline_ms", after(state.job.deadline)),
+            ("usual_ms", format!("{:.0}", usual_us / 1_000.0)),
+            ("core_ms", format!("{:.0}", core_us(state, usual_us) / 1_000.0)),
+            ("speed", format!("{:.2}", course.speed)),
+            ("stalled", course.stalled.to_string()),
+            ("failed", course.failed.to_string()),
+            ("vanished", course.vanished.to_string()),
+            ("free", free.to_string()),
+            ("waiting", waiting.to_string()),
+        ]
+    }
+}
+
+/// Returns the work of a job, in microseconds of a core, if each of its tasks takes `task_us`.
+fn core_us(state: &JobState, task_us: f64) -> f64 {
+    let cores =
+        |step: &super::job::Step| f64::from(step.need.cpu_milli) / 1_000.0 * f64::from(step.count);
+    state.job.steps.iter().map(cores).sum::<f64>() * task_us
+}
--- a/endivestile_kernel/src/fleet/dispatch.rs
+++ b/endivestile_kernel/src/fleet/dispatch.rs
@@ -129,6 +129,8 @@
         slot.run += 1;
         slot.state = TaskState::Running { worker: worker.clone(), id };
         state.starts += 1;
+        state.course.last_order = Some(now);
+        state.course.speed = self.durations.speed(worker);
         self.health.given(worker);
         self.out.push(Out::Count(Count::Starts));
         self.out.push(Out::Call(call));
--- a/endivestile_kernel/src/fleet/mod.rs
+++ b/endivestile_kernel/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod choice;
 mod claim;
 mod core;
+mod course;
 mod dispatch;
 mod driver;
 mod durations;
--- a/endivestile_kernel/src/fleet/outcome.rs
+++ b/endivestile_kernel/src/fleet/outcome.rs
@@ -92,6 +92,9 @@
                 self.again(now, task);
             }
             _ => {
+                if let Some(state) = self.jobs.get_mut(&task.job) {
+                    state.course.vanished += u32::from(!past.run.stopping);
+                }
                 self.health.inconclusive(worker);
                 self.again(now, task);
             }
@@ -131,6 +134,7 @@
         let blamed = self.health.failed(now, worker);
         self.out.push(Out::Count(Count::TasksFailed));
         let Some(state) = self.jobs.get_mut(&task.job) else { return };
+        state.course.failed += 1;
         let slot = &mut state.tasks[task.task as usize];
         slot.fails += 1;
         let (fails, attempts) = (slot.fails, state.job.attempts.max(1));
--- a/endivestile_kernel/src/fleet/scheduler.rs
+++ b/endivestile_kernel/src/fleet/scheduler.rs
@@ -154,7 +154,7 @@
     }
 
     /// Returns the expected duration of the longest chain of steps, in microseconds.
-    fn chain_us(&self, job: &Job) -> f64 {
+    pub(crate) fn chain_us(&self, job: &Job) -> f64 {
         let mut ends: Vec<f64> = Vec::with_capacity(job.steps.len());
         for step in &job.steps {
             let before = step.after.iter().filter_map(|at| ends.get(usize::from(*at)));
@@ -368,21 +368,6 @@
         let id = Some(state.job.id.clone());
         self.out.push(Out::Log(Note { level, event, id, pairs }));
     }
-
-    fn note_end(&mut self, now: Time, number: u64, end: JobEnd, started: bool) {
-        let Some(state) = self.jobs.get(&number) else { return };
-        let waited = state.started.unwrap_or(now).since(state.came).as_millis();
-        let more = [
-            ("end", end.label().to_owned()),
-            ("reason", end.reason().map_or("", Reason::label).to_owned()),
-            ("started", started.to_string()),
-            ("starts", state.starts.to_string()),
-            ("waited_ms", waited.to_string()),
-            ("ms", now.since(state.came).as_millis().to_string()),
-        ];
-        let level = if end == JobEnd::Done { Level::Debug } else { Level::Info };
-        self.note_job(level, "placed_job_ended", number, &more);
-    }
 }
 
 /// Returns whether `room` holds `need`.
--- a/endivestile_kernel/src/fleet/serve.rs
+++ b/endivestile_kernel/src/fleet/serve.rs
@@ -86,7 +86,11 @@
         let Some(serial) = self.front.serial(call) else { return };
         let Some(open) = self.front.end(serial) else { return };
         self.out.push(FleetEffect::Count(Count::CallersLeft));
-        self.note_job("caller_left", &open.job, &[("ms", ms(now, open.job.arrived))]);
+        self.note_job(
+            "caller_left",
+            &open.job,
+            &[("zone", self.setup.zone.to_string()), ("ms", ms(now, open.job.arrived))],
+        );
         if let Some(to) = open.to {
             self.tell(now, &to, JobMsg::Cancel { serial });
         }
@@ -138,6 +142,7 @@
             ("route", open.job.route.to_string()),
             ("placer", open.to.as_ref().map_or(String::new(), ToString::to_string)),
             ("tries", open.tries.to_string()),
+            ("zone", self.setup.zone.to_string()),
             ("ms", ms(now, open.job.arrived)),
         ];
         self.note_job("job_answered", &open.job, &more);
--- a/endivestile_kernel/src/fleet/state.rs
+++ b/endivestile_kernel/src/fleet/state.rs
@@ -4,6 +4,7 @@
 
 use endivestile_config::model::Name;
 
+use super::course::Course;
 use super::job::{Job, JobEnd, Step};
 use super::queue::Key;
 use super::run::RunId;
@@ -81,6 +82,8 @@
     /// Duration at speed 1 of the task that ended first, in microseconds:
     /// tasks of one job are much alike.
     pub(crate) work: Option<f64>,
+    /// What delayed it.
+    pub(crate) course: Course,
 }
 
 impl JobState {
@@ -115,6 +118,7 @@
             came: now,
             parked: false,
             work: None,
+            course: Course::default(),
         }
     }
 
--- a/endivestile_kernel/src/fleet/watchdog.rs
+++ b/endivestile_kernel/src/fleet/watchdog.rs
@@ -107,6 +107,9 @@
                 ("worker_out", out.to_string()),
             ];
             self.note_job(Level::Info, "run_stalled", task.job, &more);
+            if let Some(state) = self.jobs.get_mut(&task.job) {
+                state.course.stalled += 1;
+            }
             if let Some(driver) = self.drivers.get_mut(&worker) {
                 driver.halt(now, &id);
             }
