Begin no task where its job is bound to miss its objective; a switch for each policy

Ruled out: more weight on speed when choosing (the slow place is the only free one); taking such workers out for longer (they still do for late jobs). Change: a place counts only if the task is expected to end there within its objective, by the learnt speed and a tenth of tolerance, or, once no fast worker could meet the objective, before the deadline. [platform] without leaves one policy out, for trials.

--- a/endivestile/src/fleet/run.rs
+++ b/endivestile/src/fleet/run.rs
@@ -138,6 +138,7 @@
         address,
         worker_lease: settings.platform.worker_lease(),
         host_lease: settings.platform.host_lease(),
+        policy: settings.platform.policy,
     };
     Ok(Parts {
         setup,
--- a/endivestile_config/src/lib.rs
+++ b/endivestile_config/src/lib.rs
@@ -7,6 +7,7 @@
 mod document;
 mod error;
 mod keys;
+mod mechanism;
 mod model_keys;
 mod parse;
 mod raw;
@@ -16,6 +17,7 @@
 pub use diff::{Change, diff};
 pub use document::MAX_BYTES;
 pub use error::{ConfigError, Place};
+pub use mechanism::{Mechanism, Policy};
 pub use parse::{File, locate, parse, parse_files};
 pub use settings::{
     BackendSettings, CallSettings, HostSettings, LogSettings, MetricSettings, PlatformSettings,
--- a/endivestile_config/src/settings/platform.rs
+++ b/endivestile_config/src/settings/platform.rs
@@ -5,6 +5,7 @@
 
 use crate::error::ConfigError;
 use crate::keys::{Keys, unknown_key};
+use crate::mechanism::{Mechanism, Policy};
 use crate::model::Name;
 use crate::raw::Raw;
 use crate::settings::{optional, socket_or_none};
@@ -25,6 +26,8 @@
     /// Processor time that the host may use, in thousandths of a core; 0 when
     /// that is not known. Hosts with more of it own workers first.
     pub cpu_milli: u32,
+    /// Policies in force: all of them, but for trials.
+    pub policy: Policy,
 }
 
 impl Default for PlatformSettings {
@@ -36,6 +39,7 @@
             hold_ms: 1_000,
             grace_ms: 6_000,
             cpu_milli: 0,
+            policy: Policy::default(),
         }
     }
 }
@@ -57,7 +61,7 @@
 
 impl Keys for PlatformSettings {
     const KEYS: &'static [&'static str] =
-        &["adapter", "ready", "resend-ms", "hold-ms", "grace-s", "cores"];
+        &["adapter", "ready", "resend-ms", "hold-ms", "grace-s", "cores", "without"];
     const REQUIRED: &'static [&'static str] = &[];
 
     fn set(&mut self, raw: &Raw) -> Result<(), ConfigError> {
@@ -72,6 +76,7 @@
                 set(&mut milli, raw, 0.0..=1_024.0, 1_000.0)?;
                 self.cpu_milli = milli as u32;
             }
+            "without" => self.policy = policy(raw)?,
             _ => return Err(unknown_key::<Self>(raw)),
         }
         Ok(())
@@ -84,6 +89,10 @@
             "resend-ms" => self.resend_ms.to_string(),
             "hold-ms" => self.hold_ms.to_string(),
             "grace-s" => (self.grace_ms as f64 / 1_000.0).to_string(),
+            "without" => {
+                let words: Vec<&str> = self.policy.left_out().map(Mechanism::label).collect();
+                words.join(", ")
+            }
             _ => (f64::from(self.cpu_milli) / 1_000.0).to_string(),
         }
     }
@@ -110,3 +119,16 @@
     }
     Ok(())
 }
+
+/// Reads the policies that a trial leaves out.
+fn policy(raw: &Raw) -> Result<Policy, ConfigError> {
+    let mut policy = Policy::default();
+    for item in raw.list()? {
+        let words = Mechanism::ALL.map(Mechanism::label);
+        let Some(mechanism) = Mechanism::named(&item.text) else {
+            return Err(item.refuse(words.join(", ")));
+        };
+        policy = policy.without(mechanism);
+    }
+    Ok(policy)
+}
--- a/endivestile_kernel/src/fleet/claim.rs
+++ b/endivestile_kernel/src/fleet/claim.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use endivestile_config::Mechanism;
 use endivestile_config::model::Name;
 
 use super::core::{Fleet, FleetEffect};
@@ -185,7 +186,8 @@
         let lives = pool.record.as_ref().is_some_and(|record| {
             record.owner.host != me.host && self.members.get(&record.owner).is_some()
         });
-        if !lives || self.left(pool.record.as_ref().map(|record| &record.owner)) {
+        let asks = self.setup.policy.has(Mechanism::Challenge);
+        if !lives || !asks || self.left(pool.record.as_ref().map(|record| &record.owner)) {
             let change = self.pools.change(now, name, &me);
             return self.write(change, "owner_claimed");
         }
--- a/endivestile_kernel/src/fleet/core.rs
+++ b/endivestile_kernel/src/fleet/core.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use endivestile_config::Policy;
 use endivestile_config::model::Name;
 
 use super::call::Call;
@@ -45,6 +46,8 @@
     /// the workers it has to stay below the time after which a caller without
     /// an answer sends its job again.
     pub host_lease: u64,
+    /// Policies in force.
+    pub policy: Policy,
 }
 
 /// Everything that the edges tell the fleet.
@@ -203,7 +206,7 @@
             pools: Pools::default(),
             workers: Vec::new(),
             front: Front::default(),
-            scheduler: Scheduler::new(me, setup.worker_lease),
+            scheduler: Scheduler::new(me, setup.worker_lease, setup.policy),
             probes: BTreeMap::new(),
             lost_fronts: BTreeSet::new(),
             ended: BTreeMap::new(),
--- a/endivestile_kernel/src/fleet/dispatch.rs
+++ b/endivestile_kernel/src/fleet/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use endivestile_config::Mechanism;
 use endivestile_config::model::Name;
 
 use super::job::{Job, Step};
@@ -10,12 +11,15 @@
 use super::queue::Key;
 use super::run::{RunId, TaskRef};
 use super::scheduler::{Out, Scheduler, carries, holds};
-use super::state::TaskState;
+use super::state::{JobState, TaskState};
 use crate::{Peer, Time};
 
 /// Waiting tasks that find no room before the rest of the queue is left alone:
 /// a small one may fit where a big one does not.
 const MISSES: usize = 6;
+/// Part of a task's expected duration by which it may miss its objective and still
+/// be begun: speeds and durations are known to some ten parts in a hundred.
+const TOLERANCE: f64 = 0.1;
 /// How many times longer a task takes away from its data.
 const FAR_FACTOR: f64 = 2.0;
 
@@ -84,6 +88,8 @@
         let state = self.jobs.get(&task.job)?;
         let index = task.task as usize;
         let step = state.step(index);
+        let run_us = self.durations.task_us(&state.job, step.estimate);
+        let goal = self.goal(now, state, run_us);
         let mut best: Option<(f64, u32, &Name)> = None;
         for (id, driver) in &self.drivers {
             if driver.entry.service != state.job.service || !driver.usable(now) {
@@ -100,6 +106,9 @@
                 continue;
             }
             let cost = cost(step, &driver.entry.labels) / self.durations.speed(id);
+            if now.after_us((run_us * cost * (1.0 - TOLERANCE)) as u64) > goal {
+                continue;
+            }
             let better = best.is_none_or(|(other, left, _)| {
                 cost < other * 0.9 || (cost < other * 1.1 && free.cpu_milli < left)
             });
@@ -110,6 +119,24 @@
         best.map(|(_, _, id)| id.clone())
     }
 
+    /// Returns until when a task has to end to be worth its place: its job's
+    /// objective while a fast worker could still meet that, else its deadline.
+    ///
+    /// The load that this answers: while some workers are many times slower than the
+    /// others, their places are the ones that stay free. A job that is begun there is
+    /// bound to be late, where a place on another worker is due a few milliseconds on.
+    fn goal(&self, now: Time, state: &JobState, run_us: f64) -> Time {
+        if !self.policy.has(Mechanism::Fitting) {
+            return Time::from_micros(u64::MAX);
+        }
+        let least_us = run_us / self.durations.fast();
+        if now.after_us(least_us as u64) <= state.objective {
+            state.objective
+        } else {
+            state.job.deadline
+        }
+    }
+
     fn start(&mut self, now: Time, task: TaskRef, worker: &Name) -> bool {
         let index = task.task as usize;
         let Some(state) = self.jobs.get_mut(&task.job) else { return false };
@@ -165,6 +192,9 @@
 
     /// Passes a task on to another placer that has room, if this one has none.
     fn forward(&mut self, task: TaskRef) -> bool {
+        if !self.policy.has(Mechanism::Forwarding) {
+            return false;
+        }
         let Some(state) = self.jobs.get(&task.job).filter(|state| !state.job.forwarded) else {
             return false;
         };
--- a/endivestile_kernel/src/fleet/durations.rs
+++ b/endivestile_kernel/src/fleet/durations.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use endivestile_config::model::Name;
+use endivestile_config::{Mechanism, Policy};
 
 use super::job::Job;
 use crate::Time;
@@ -52,15 +53,26 @@
     /// Logarithm of the speed.
     speeds: HashMap<Name, Mean>,
     forgiven: Time,
+    /// Speed that one worker in five reaches, as last worked out.
+    fast: f64,
+    policy: Policy,
 }
 
 impl Durations {
+    /// Starts with nothing known.
+    pub(crate) fn new(policy: Policy) -> Self {
+        Self { policy, ..Self::default() }
+    }
+
     /// Returns the expected duration of a task at speed 1, in microseconds.
     ///
     /// Estimates of callers and the mean of the route scatter about as much
     /// around the truth, so the middle of both scatters less than either.
     pub(crate) fn task_us(&self, job: &Job, estimate_ms: u32) -> f64 {
         let declared = f64::from(estimate_ms.max(1)) * 1_000.0;
+        if !self.policy.has(Mechanism::Durations) {
+            return declared;
+        }
         let bias = self.declared.get(&job.route).filter(|mean| mean.count >= ENOUGH);
         let bias = bias.map_or(0.0, |mean| mean.ln);
         let told = declared.ln() + bias;
@@ -82,7 +94,13 @@
 
     /// Returns the speed of a worker, 1 for one of which nothing is known.
     pub(crate) fn speed(&self, worker: &str) -> f64 {
-        self.speeds.get(worker).map_or(1.0, |mean| mean.ln.exp())
+        let learnt = self.speeds.get(worker).filter(|_| self.policy.has(Mechanism::Speeds));
+        learnt.map_or(1.0, |mean| mean.ln.exp())
+    }
+
+    /// Returns the speed that one worker in five reaches.
+    pub(crate) fn fast(&self) -> f64 {
+        self.fast.max(1.0)
     }
 
     /// Takes in the duration of a task that ended well.
@@ -115,11 +133,18 @@
             return;
         }
         self.forgiven = now;
+        self.fast = self.upper_speed();
         for mean in self.speeds.values_mut().filter(|mean| mean.ln < 0.0) {
             mean.ln *= 1.0 - FORGIVEN;
         }
     }
 
+    fn upper_speed(&self) -> f64 {
+        let mut speeds: Vec<f64> = self.speeds.values().map(|mean| mean.ln).collect();
+        speeds.sort_by(f64::total_cmp);
+        speeds.get(speeds.len() * 4 / 5).map_or(1.0, |ln| ln.exp())
+    }
+
     /// Forgets workers that are gone.
     pub(crate) fn retain(&mut self, known: impl Fn(&Name) -> bool) {
         self.speeds.retain(|worker, _| known(worker));
--- a/endivestile_kernel/src/fleet/health.rs
+++ b/endivestile_kernel/src/fleet/health.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use endivestile_config::model::Name;
+use endivestile_config::{Mechanism, Policy};
 
 use crate::Time;
 
@@ -27,13 +28,20 @@
 #[derive(Debug, Default)]
 pub(crate) struct Health {
     workers: HashMap<Name, Record>,
+    policy: Policy,
 }
 
 impl Health {
+    /// Starts with nothing known.
+    pub(crate) fn new(policy: Policy) -> Self {
+        Self { workers: HashMap::new(), policy }
+    }
+
     /// Returns whether a worker may be given a task.
     pub(crate) fn allows(&self, now: Time, worker: &str) -> bool {
         let Some(record) = self.workers.get(worker) else { return true };
-        record.until.is_none_or(|until| until <= now && !record.probing)
+        !self.policy.has(Mechanism::Health)
+            || record.until.is_none_or(|until| until <= now && !record.probing)
     }
 
     /// Notes that a task was given to a worker: one that was out gets just one.
--- a/endivestile_kernel/src/fleet/overload.rs
+++ b/endivestile_kernel/src/fleet/overload.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 
 use endivestile_config::model::Name;
+use endivestile_config::{Mechanism, Policy};
 
 use super::job::{JobEnd, Reason};
 use super::scheduler::Scheduler;
@@ -40,9 +41,15 @@
 pub(crate) struct Flows {
     services: BTreeMap<Name, Flow>,
     looked: Time,
+    policy: Policy,
 }
 
 impl Flows {
+    /// Starts with nothing known.
+    pub(crate) fn new(policy: Policy) -> Self {
+        Self { policy, ..Self::default() }
+    }
+
     /// Counts a start.
     pub(crate) fn started(&mut self, service: &Name, late: bool) {
         let flow = self.services.entry(service.clone()).or_default();
@@ -70,14 +77,15 @@
     /// Returns how many late tasks are started in a second.
     fn late_rate(&self, service: &Name) -> f64 {
         let flow = self.services.get(service);
-        flow.map_or(0.0, |flow| flow.late_rate.max(flow.rate * LEAST_PART)).max(1.0)
+        let part = if self.policy.has(Mechanism::LateShare) { LEAST_PART } else { 0.0 };
+        flow.map_or(0.0, |flow| flow.late_rate.max(flow.rate * part)).max(1.0)
     }
 }
 
 impl Scheduler {
     /// Refuses late jobs whose turn cannot come in time, from the end of the queue on.
     pub(crate) fn shed(&mut self, now: Time) {
-        if !self.flows.look(now) {
+        if !self.flows.look(now) || !self.policy.has(Mechanism::Shedding) {
             return;
         }
         let services: Vec<Name> = self.queues.keys().cloned().collect();
--- a/endivestile_kernel/src/fleet/scheduler.rs
+++ b/endivestile_kernel/src/fleet/scheduler.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use endivestile_config::model::Name;
+use endivestile_config::{Mechanism, Policy};
 
 use super::call::Call;
 use super::driver::Driver;
@@ -50,6 +51,7 @@
 pub(crate) struct Scheduler {
     pub(crate) me: Peer,
     pub(crate) lease_ms: u64,
+    pub(crate) policy: Policy,
     pub(crate) drivers: BTreeMap<Name, Driver>,
     pub(crate) jobs: BTreeMap<u64, JobState>,
     pub(crate) origins: HashMap<(Peer, u64), u64>,
@@ -70,10 +72,11 @@
 
 impl Scheduler {
     /// Starts without workers.
-    pub(crate) fn new(me: Peer, lease_ms: u64) -> Self {
+    pub(crate) fn new(me: Peer, lease_ms: u64, policy: Policy) -> Self {
         Self {
             me,
             lease_ms,
+            policy,
             drivers: BTreeMap::new(),
             jobs: BTreeMap::new(),
             origins: HashMap::new(),
@@ -82,10 +85,10 @@
             queues: BTreeMap::new(),
             others: BTreeMap::new(),
             forwards: HashMap::new(),
-            durations: Durations::default(),
-            health: Health::default(),
+            durations: Durations::new(policy),
+            health: Health::new(policy),
             usual: HashMap::new(),
-            flows: Flows::default(),
+            flows: Flows::new(policy),
             dirty: false,
             out: Vec::new(),
             next_job: 0,
@@ -321,14 +324,16 @@
     pub(crate) fn rank(&self, now: Time, state: &JobState, task: usize) -> (bool, (u32, Time)) {
         let step = state.step(task);
         let run_us = self.durations.task_us(&state.job, step.estimate) as u64;
+        let priority = if self.policy.has(Mechanism::Priority) { state.job.priority } else { 0 };
         // What has begun is finished: left to the late ones it would wait to its
         // deadline in a burst, and what its other tasks did would be lost.
-        let late = state.started.is_none() && now.after_us(run_us) > state.objective;
+        let begun = state.started.is_some() && self.policy.has(Mechanism::BegunFirst);
+        let late = !begun && now.after_us(run_us) > state.objective;
         if late {
-            return (true, (state.job.priority, state.job.arrived));
+            return (true, (priority, state.job.arrived));
         }
         let latest = state.objective.as_micros().saturating_sub(run_us);
-        (false, (state.job.priority, Time::from_micros(latest)))
+        (false, (priority, Time::from_micros(latest)))
     }
 
     /// Returns how many jobs of each route wait with no task started.
--- a/endivestile_kernel/src/fleet/serve.rs
+++ b/endivestile_kernel/src/fleet/serve.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use endivestile_config::Mechanism;
 use endivestile_config::model::Name;
 
 use super::choice::TwoChoices;
@@ -60,7 +61,9 @@
         owners.retain(|owner, _| self.places(now, owner));
         if !owners.is_empty() {
             let choice = TwoChoices::draw(&owners, serial);
-            return choice.better(|peer| self.spare(peer, service)).cloned();
+            let two = self.setup.policy.has(Mechanism::TwoChoices);
+            let spare = |peer: &Peer| if two { self.spare(peer, service) } else { 0 };
+            return choice.better(spare).cloned();
         }
         let others = self
             .members
--- a/endivestile_kernel/src/fleet/turns.rs
+++ b/endivestile_kernel/src/fleet/turns.rs
@@ -8,6 +8,7 @@
 
 use std::cmp::Reverse;
 
+use endivestile_config::Mechanism;
 use endivestile_config::model::Name;
 
 use super::call::Call;
@@ -75,6 +76,9 @@
     /// Returns how many pools a host would have for each core of its processor
     /// time, in thousandths, if it took all of another's.
     fn load(&self, host: &str, cpu_milli: u32, lost: &Peer) -> u64 {
+        if !self.setup.policy.has(Mechanism::HeirOrder) {
+            return 0;
+        }
         let pools = u64::from(self.pools.with_those_of(host, lost));
         pools * 1_000_000 / u64::from(cpu_milli.max(1))
     }
--- a/endivestile_kernel/src/fleet/watchdog.rs
+++ b/endivestile_kernel/src/fleet/watchdog.rs
@@ -1,5 +1,6 @@
 //! What time alone brings about: deadlines, stalled runs, forwarded tasks that wait.
 
+use endivestile_config::Mechanism;
 use endivestile_config::model::Name;
 
 use super::call::Call;
@@ -87,6 +88,9 @@
     /// Stops runs that make so little progress that a new one elsewhere would
     /// end earlier. A worker that hangs looks healthy otherwise.
     fn judge_runs(&mut self, now: Time) {
+        if !self.policy.has(Mechanism::Stalls) {
+            return;
+        }
         let mut stalled: Vec<(Name, RunId, TaskRef, f64)> = Vec::new();
         for (worker, driver) in &self.drivers {
             for (id, run) in &driver.runs {
--- a/endivestile_testkit/src/fleet/host.rs
+++ b/endivestile_testkit/src/fleet/host.rs
@@ -67,6 +67,7 @@
             address: name.clone(),
             worker_lease: WORKER_LEASE_MS,
             host_lease: HOST_LEASE_MS,
+            policy: self.policy,
         };
         host.fleet = Some(Fleet::new(setup));
         host.birth = birth;
--- a/endivestile_testkit/src/fleet/world.rs
+++ b/endivestile_testkit/src/fleet/world.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use endivestile_config::Policy;
 use endivestile_config::model::Name;
 use endivestile_kernel::fleet::{
     CallFault, FleetEvent, HOST_KEYS, HostEntry, Job, JobEnd, RouteTable, StartEnd, Step,
@@ -98,6 +99,7 @@
     pub(crate) visits: u64,
     pub(crate) open_visits: BTreeMap<u64, (Name, u64, WorkerCall)>,
     pub(crate) births: u64,
+    pub(crate) policy: Policy,
     pub(crate) seen: Seen,
     pub(crate) traced: bool,
     pub(crate) trace: Vec<String>,
@@ -114,6 +116,18 @@
 
     /// Makes a world whose zones have a host of each of these thousandths of a core.
     pub fn of_hosts(zones: &[&str], hosts: &[u32], workers: u64, cpu: u32, seed: u64) -> Self {
+        Self::trial(Policy::default(), zones, hosts, workers, cpu, seed)
+    }
+
+    /// Makes such a world under other policies.
+    pub fn trial(
+        policy: Policy,
+        zones: &[&str],
+        hosts: &[u32],
+        workers: u64,
+        cpu: u32,
+        seed: u64,
+    ) -> Self {
         let mut places: BTreeMap<Name, Name> = BTreeMap::new();
         let mut world = Self {
             now: 0,
@@ -127,6 +141,7 @@
             visits: 0,
             open_visits: BTreeMap::new(),
             births: 0,
+            policy,
             seen: Seen::default(),
             traced: false,
             trace: Vec::new(),
