Put the jobs with the least work left first; say no to late jobs by the rate of their own priority

Cause: among jobs in time the latest start went first, so that under more load than fits every job was begun just as it turned late; late jobs went by arrival, and a late job of a low priority was taken to get the rate of all late jobs, though those of a higher one kept coming: it was held for most of its caller's patience and refused then. Six tasks that found no room, often all of one job, ended the look at the queue.

--- a/endivestile_kernel/src/fleet/course.rs
+++ b/endivestile_kernel/src/fleet/course.rs
@@ -1,7 +1,8 @@
 //! What happened to a job at its placer, for the line that its end writes.
 
 use super::job::{JobEnd, Reason};
-use super::scheduler::Scheduler;
+use super::queue::Queue;
+use super::scheduler::{Scheduler, holds};
 use super::state::JobState;
 use crate::{Level, Time};
 
@@ -33,6 +34,18 @@
         self.note_job(level, "placed_job_ended", number, &more);
     }
 
+    /// Returns how many workers have room for a task of a job's first step, and how many
+    /// more would have it but are out, slow or silent.
+    fn room_for(&self, now: Time, state: &JobState) -> (usize, usize) {
+        let Some(step) = state.job.steps.first() else { return (0, 0) };
+        let fits = self.drivers.iter().filter(|(_, driver)| {
+            driver.entry.service == state.job.service && holds(&driver.free(), &step.need)
+        });
+        let (free, shut): (Vec<_>, Vec<_>) =
+            fits.partition(|(id, driver)| driver.usable(now) && self.sound(now, id));
+        (free.len(), shut.len())
+    }
+
     fn account(
         &self,
         now: Time,
@@ -42,8 +55,8 @@
     ) -> Vec<(&'static str, String)> {
         let course = &state.course;
         let after = |at: Time| at.since(state.came).as_millis().to_string();
-        let rooms = self.rooms(now);
-        let (free, waiting) = rooms.get(&state.job.service).copied().unwrap_or_default();
+        let (free, shut) = self.room_for(now, state);
+        let waiting = self.queues.get(&state.job.service).map_or(0, Queue::len);
         let usual_us = self.chain_us(&state.job);
         vec![
             ("end", end.label().to_owned()),
@@ -64,6 +77,7 @@
             ("failed", course.failed.to_string()),
             ("vanished", course.vanished.to_string()),
             ("free", free.to_string()),
+            ("shut", shut.to_string()),
             ("waiting", waiting.to_string()),
         ]
     }
--- a/endivestile_kernel/src/fleet/dispatch.rs
+++ b/endivestile_kernel/src/fleet/dispatch.rs
@@ -37,13 +37,19 @@
 
     fn dispatch_service(&mut self, now: Time, service: &Name) {
         let mut misses = 0;
+        let mut missed: Option<TaskRef> = None;
         let mut at: Option<Key> = None;
         while let Some((key, task)) = self.queues.get(service).and_then(|q| q.after(at)) {
             if self.settled_otherwise(now, service, key, task) {
                 continue;
             }
+            if missed.is_some_and(|missed| self.alike(missed, task)) {
+                at = Some(key);
+                continue;
+            }
             if !self.start_somewhere(now, task) && !self.forward(task) {
                 misses += 1;
+                missed = Some(task);
                 at = Some(key);
                 if misses >= MISSES {
                     return;
@@ -52,6 +58,15 @@
         }
     }
 
+    /// Returns whether two tasks are of one step, and so find room in the same places.
+    fn alike(&self, one: TaskRef, other: TaskRef) -> bool {
+        let step = |task: TaskRef| {
+            let state = self.jobs.get(&task.job)?;
+            state.tasks.get(task.task as usize).map(|slot| slot.step)
+        };
+        one.job == other.job && step(one) == step(other)
+    }
+
     /// Moves a task back that has turned late, and gives its job up when it
     /// cannot end in time at all.
     fn settled_otherwise(&mut self, now: Time, service: &Name, key: Key, task: TaskRef) -> bool {
@@ -150,7 +165,7 @@
             && let Some(queue) = self.queues.get_mut(&state.job.service)
         {
             queue.remove(key);
-            self.flows.started(&state.job.service, key.late);
+            self.flows.started(&state.job.service, key);
         }
         let slot = &mut state.tasks[index];
         slot.run += 1;
--- a/endivestile_kernel/src/fleet/overload.rs
+++ b/endivestile_kernel/src/fleet/overload.rs
@@ -12,6 +12,7 @@
 use endivestile_config::{Mechanism, Policy};
 
 use super::job::{JobEnd, Reason};
+use super::queue::Key;
 use super::scheduler::Scheduler;
 use crate::Time;
 
@@ -27,13 +28,27 @@
 /// Longest time to come back after, in milliseconds.
 const RETRY_MAX_MS: u64 = 10_000;
 
+/// Starts, and how many there are in a second.
+#[derive(Debug, Default)]
+struct Rate {
+    starts: u32,
+    per_s: f64,
+}
+
+impl Rate {
+    fn look(&mut self, seconds: f64) {
+        let seen = f64::from(std::mem::take(&mut self.starts)) / seconds;
+        self.per_s += RATE_WEIGHT * (seen - self.per_s);
+    }
+}
+
 /// Starts of one service's tasks.
 #[derive(Debug, Default)]
 pub(crate) struct Flow {
-    starts: u32,
-    late_starts: u32,
-    rate: f64,
-    late_rate: f64,
+    all: Rate,
+    /// Starts of late tasks, by the priority of their routes: those of a lower
+    /// priority wait for as long as higher ones come, however few are before them.
+    late: BTreeMap<u32, Rate>,
 }
 
 /// Rates of starts, by service.
@@ -51,10 +66,12 @@
     }
 
     /// Counts a start.
-    pub(crate) fn started(&mut self, service: &Name, late: bool) {
+    pub(crate) fn started(&mut self, service: &Name, key: &Key) {
         let flow = self.services.entry(service.clone()).or_default();
-        flow.starts += 1;
-        flow.late_starts += u32::from(late);
+        flow.all.starts += 1;
+        if key.late {
+            flow.late.entry(key.rank.0).or_default().starts += 1;
+        }
     }
 
     /// Works the rates out anew; returns whether it was time for that.
@@ -66,19 +83,18 @@
         self.looked = now;
         let seconds = span.as_secs_f64();
         for flow in self.services.values_mut() {
-            let rate = |count: u32| f64::from(count) / seconds;
-            flow.rate += RATE_WEIGHT * (rate(flow.starts) - flow.rate);
-            flow.late_rate += RATE_WEIGHT * (rate(flow.late_starts) - flow.late_rate);
-            (flow.starts, flow.late_starts) = (0, 0);
+            flow.all.look(seconds);
+            flow.late.values_mut().for_each(|rate| rate.look(seconds));
         }
         true
     }
 
-    /// Returns how many late tasks are started in a second.
-    fn late_rate(&self, service: &Name) -> f64 {
-        let flow = self.services.get(service);
+    /// Returns how many late tasks of a priority are started in a second.
+    fn late_rate(&self, service: &Name, priority: u32) -> f64 {
+        let Some(flow) = self.services.get(service) else { return 1.0 };
         let part = if self.policy.has(Mechanism::LateShare) { LEAST_PART } else { 0.0 };
-        flow.map_or(0.0, |flow| flow.late_rate.max(flow.rate * part)).max(1.0)
+        let late = flow.late.get(&priority).map_or(0.0, |rate| rate.per_s);
+        late.max(flow.all.per_s * part).max(1.0)
     }
 }
 
@@ -95,11 +111,13 @@
     }
 
     fn shed_service(&mut self, now: Time, service: &Name) {
-        let rate = self.flows.late_rate(service);
         let Some(queue) = self.queues.get(service) else { return };
         let mut hopeless: Vec<(u64, f64)> = Vec::new();
         let mut last = None;
-        for (at, task) in queue.late().enumerate() {
+        let mut before: BTreeMap<u32, u32> = BTreeMap::new();
+        for (key, task) in queue.late() {
+            let before = before.entry(key.rank.0).or_default();
+            let ahead = std::mem::replace(before, *before + 1);
             if last == Some(task.job) {
                 continue;
             }
@@ -107,7 +125,7 @@
             let Some(state) = self.jobs.get(&task.job).filter(|state| !state.touched()) else {
                 continue;
             };
-            let wait_s = at as f64 / rate;
+            let wait_s = 2.0 * f64::from(ahead) / self.flows.late_rate(service, key.rank.0);
             let step = state.step(task.task as usize);
             let run_us = self.durations.least_us(&state.job, step.estimate);
             let end = now.after_us((wait_s * 1e6 + run_us) as u64);
--- a/endivestile_kernel/src/fleet/owned.rs
+++ b/endivestile_kernel/src/fleet/owned.rs
@@ -10,6 +10,10 @@
 use super::worker::WorkerEntry;
 use crate::{Peer, Time};
 
+/// Speed below which a worker's places count for late jobs only, 1 for the usual:
+/// hardly any job meets an objective of one and a half times its work there.
+const SLOW: f64 = 0.4;
+
 impl Scheduler {
     /// Takes over the listed workers of the pools that this host owns, each
     /// with its pool and token. Workers of other pools are let go; jobs are given
@@ -108,6 +112,11 @@
         self.drivers.insert(entry.id.clone(), driver);
     }
 
+    /// Returns whether jobs in time may be given to a worker: it is not out, and not slow.
+    pub(crate) fn sound(&self, now: Time, worker: &str) -> bool {
+        self.health.allows(now, worker) && self.durations.speed(worker) >= SLOW
+    }
+
     /// Returns the room for usual tasks by service, and what waits.
     pub(crate) fn rooms(&self, now: Time) -> BTreeMap<Name, (u32, u32)> {
         let mut rooms: BTreeMap<Name, (u32, u32)> = BTreeMap::new();
@@ -116,7 +125,7 @@
             let usual = self.usual.get(service).copied().unwrap_or(1_000.0).max(1.0);
             let places = (f64::from(driver.free().cpu_milli) / usual) as u32;
             let room = rooms.entry(service.clone()).or_default();
-            if self.health.allows(now, &driver.entry.id) {
+            if self.sound(now, &driver.entry.id) {
                 room.0 += places;
             }
         }
--- a/endivestile_kernel/src/fleet/queue.rs
+++ b/endivestile_kernel/src/fleet/queue.rs
@@ -55,8 +55,8 @@
     }
 
     /// Returns the tasks of late jobs, in their order.
-    pub(crate) fn late(&self) -> impl Iterator<Item = &TaskRef> {
-        self.tasks.range(Key::FIRST_LATE..).map(|(_, task)| task)
+    pub(crate) fn late(&self) -> impl Iterator<Item = (&Key, &TaskRef)> {
+        self.tasks.range(Key::FIRST_LATE..)
     }
 
     /// Returns how many tasks wait.
--- a/endivestile_kernel/src/fleet/scheduler.rs
+++ b/endivestile_kernel/src/fleet/scheduler.rs
@@ -25,6 +25,8 @@
 const ANSWER_MS: u64 = 20;
 /// When to come back after a refusal that no better time is known for, in milliseconds.
 pub(crate) const RETRY_MS: u64 = 1_000;
+/// Part of a job's remaining work, in percent, that jobs which came later may go before it.
+const WORK_PERCENT: u64 = 60;
 /// Weight of one task in the mean of what tasks take.
 const NEED_WEIGHT: f64 = 0.05;
 
@@ -329,11 +331,9 @@
         // deadline in a burst, and what its other tasks did would be lost.
         let begun = state.started.is_some() && self.policy.has(Mechanism::BegunFirst);
         let late = !begun && now.after_us(run_us) > state.objective;
-        if late {
-            return (true, (priority, state.job.arrived));
-        }
-        let latest = state.objective.as_micros().saturating_sub(run_us);
-        (false, (priority, Time::from_micros(latest)))
+        let left: u64 = state.left.iter().map(|left| u64::from(*left)).sum();
+        let behind = state.job.arrived.after_us((left * run_us) * WORK_PERCENT / 100);
+        (late, (priority, behind))
     }
 
     /// Returns how many jobs of each route wait with no task started.
--- a/endivestile_testkit/src/fleet/load.rs
+++ b/endivestile_testkit/src/fleet/load.rs
@@ -1,6 +1,6 @@
 //! Traffic over a fleet: kinds of jobs that arrive at random, and what became of them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use endivestile_config::model::Name;
 use endivestile_kernel::fleet::{Job, JobEnd, Step};
@@ -42,6 +42,27 @@
     pub lost: u32,
     /// Refusals that came after three quarters of their callers' patience.
     pub slow: u32,
+    /// How long all refused callers waited for their answers, in milliseconds.
+    pub held_ms: u64,
+    /// Jobs handed in whose work is among the largest tenth of their kind.
+    pub large: u32,
+    /// Those of them that were done, in time or late.
+    pub large_done: u32,
+}
+
+impl Served {
+    /// Adds another play's.
+    pub fn add(&mut self, other: &Self) {
+        self.asked += other.asked;
+        self.well += other.well;
+        self.late += other.late;
+        self.refused += other.refused;
+        self.lost += other.lost;
+        self.slow += other.slow;
+        self.held_ms += other.held_ms;
+        self.large += other.large;
+        self.large_done += other.large_done;
+    }
 }
 
 /// Scatter of run times: the logarithm's span to either side.
@@ -73,17 +94,37 @@
         }
         let last = kinds.iter().map(|kind| kind.deadline_ms).max().unwrap_or(0);
         self.run(last + 1_000);
+        let large = self.large(first, &sent);
         let mut served: BTreeMap<&'static str, Served> = BTreeMap::new();
         for (number, (kind, work_ms)) in (first..).zip(sent) {
             let served = served.entry(kind.name).or_default();
-            self.account(served, number, work_ms, kind.deadline_ms);
+            let done = self.account(served, number, work_ms, kind.deadline_ms);
+            if large.contains(&number) {
+                served.large += 1;
+                served.large_done += u32::from(done);
+            }
         }
         served
     }
 
-    fn account(&self, served: &mut Served, number: u64, work_ms: u64, patience: u64) {
+    /// Returns the jobs whose work is among the largest tenth of their kind.
+    fn large(&self, first: u64, sent: &[(&Kind, u64)]) -> BTreeSet<u64> {
+        let mut works: BTreeMap<&'static str, Vec<(u64, u64)>> = BTreeMap::new();
+        for (number, (kind, work_ms)) in (first..).zip(sent) {
+            let tasks = self.calls.get(&number).map_or(0, |call| call.sent.0.tasks());
+            works.entry(kind.name).or_default().push((work_ms * tasks as u64, number));
+        }
+        let largest = works.into_values().flat_map(|mut works| {
+            works.sort_unstable();
+            works.split_off(works.len() * 9 / 10)
+        });
+        largest.map(|(_, number)| number).collect()
+    }
+
+    /// Counts what became of a job; returns whether it was done.
+    fn account(&self, served: &mut Served, number: u64, work_ms: u64, patience: u64) -> bool {
         served.asked += 1;
-        let Some(call) = self.calls.get(&number) else { return };
+        let Some(call) = self.calls.get(&number) else { return false };
         let objective = work_ms * u64::from(OBJECTIVE.0) / 1_000 + u64::from(OBJECTIVE.1);
         match &call.ended {
             Some((at, Some(end))) => {
@@ -94,12 +135,14 @@
                     JobEnd::NotRun { .. } => {
                         served.refused += 1;
                         served.slow += u32::from(took * 4 > patience * 3);
+                        served.held_ms += took;
                     }
                     JobEnd::Failed(_) | JobEnd::Lost(_) => served.lost += 1,
                 }
             }
             _ => served.lost += 1,
         }
+        matches!(call.ended, Some((_, Some(JobEnd::Done))))
     }
 
     /// Gives workers the speeds in turn.
