Fit durations to estimate and patience, keep a reserve over them, blame a worker only against other runs

Objectives came from a mean of estimate and route mean that scattered by 40%, on a scale of speeds that had drifted by a sixth; the longest of a job's tasks missed on the slow workers (7 of 141 long jobs late). Change: a Kalman filter over a straight line per route; speeds anchored at a geometric mean of 1; a place has to fit with a quarter to spare, less as a job can wait less; a run is stalled only against what other tasks of its job show, or where no other job goes on at the worker.

--- a/endivestile_kernel/src/fleet/dispatch.rs
+++ b/endivestile_kernel/src/fleet/dispatch.rs
@@ -17,9 +17,10 @@
 /// Waiting tasks that find no room before the rest of the queue is left alone:
 /// a small one may fit where a big one does not.
 const MISSES: usize = 6;
-/// Part of a task's expected duration by which it may miss its objective and still
-/// be begun: speeds and durations are known to some ten parts in a hundred.
-const TOLERANCE: f64 = 0.1;
+/// Reserve over a task's expected duration within which it has to meet its objective at
+/// first: the longest of a job's tasks, and what is not known of its worker's speed, need
+/// it. It shrinks with what a job can still wait: a place that may do is better than none.
+const MARGIN: f64 = 0.25;
 /// How many times longer a task takes away from its data.
 const FAR_FACTOR: f64 = 2.0;
 
@@ -104,7 +105,7 @@
         let index = task.task as usize;
         let step = state.step(index);
         let run_us = self.durations.task_us(&state.job, step.estimate);
-        let goal = self.goal(now, state, run_us);
+        let (goal, margin) = self.goal(now, state, run_us);
         let mut best: Option<(f64, u32, &Name)> = None;
         for (id, driver) in &self.drivers {
             if driver.entry.service != state.job.service || !driver.usable(now) {
@@ -121,7 +122,7 @@
                 continue;
             }
             let cost = cost(step, &driver.entry.labels) / self.durations.speed(id);
-            if now.after_us((run_us * cost * (1.0 - TOLERANCE)) as u64) > goal {
+            if now.after_us((run_us * cost * margin) as u64) > goal {
                 continue;
             }
             let better = best.is_none_or(|(other, left, _)| {
@@ -135,21 +136,23 @@
     }
 
     /// Returns until when a task has to end to be worth its place: its job's
-    /// objective while a fast worker could still meet that, else its deadline.
+    /// objective while a fast worker could still meet that, else its deadline; and how many
+    /// times its expected duration has to fit in.
     ///
     /// The load that this answers: while some workers are many times slower than the
     /// others, their places are the ones that stay free. A job that is begun there is
     /// bound to be late, where a place on another worker is due a few milliseconds on.
-    fn goal(&self, now: Time, state: &JobState, run_us: f64) -> Time {
+    fn goal(&self, now: Time, state: &JobState, run_us: f64) -> (Time, f64) {
         if !self.policy.has(Mechanism::Fitting) {
-            return Time::from_micros(u64::MAX);
+            return (Time::from_micros(u64::MAX), 1.0);
         }
         let least_us = run_us / self.durations.fast();
-        if now.after_us(least_us as u64) <= state.objective {
-            state.objective
-        } else {
-            state.job.deadline
+        if now.after_us(least_us as u64) > state.objective {
+            return (state.job.deadline, 1.0);
         }
+        let slack = |from: Time| state.objective.since(from.after_us(run_us as u64)).as_secs_f64();
+        let left = slack(now) / slack(state.job.arrived).max(1e-3);
+        (state.objective, 1.0 + MARGIN * left.min(1.0))
     }
 
     fn start(&mut self, now: Time, task: TaskRef, worker: &Name) -> bool {
--- a/endivestile_kernel/src/fleet/durations.rs
+++ b/endivestile_kernel/src/fleet/durations.rs
@@ -5,22 +5,20 @@
 use endivestile_config::model::Name;
 use endivestile_config::{Mechanism, Policy};
 
+use super::estimate::{Fit, Told};
 use super::job::Job;
 use crate::Time;
 
-/// Weight of one task's duration in the mean of its route: some thirty tasks
-/// count, a second or less of traffic.
-const ROUTE_WEIGHT: f64 = 0.03;
 /// Weight of one task's duration in the speed of its worker: some eight tasks
 /// count, so that a worker that has turned slow is known after a second.
 const SPEED_WEIGHT: f64 = 0.12;
-/// Tasks of a route before its mean says more than the callers' estimates.
-const ENOUGH: u32 = 10;
 /// Tasks at the usual speed that a worker is taken to have done at first.
 const FIRST: u32 = 3;
 /// Longest factor that one task moves a mean by, as a logarithm: a task that
 /// stood still says little of the next.
 const STEP: f64 = 1.6;
+/// Logarithm of the speed above which a worker is taken to be in no trouble: 0.4.
+const SOUND: f64 = -0.92;
 /// Part of a worker's slowness that is forgiven each second: without it a
 /// worker that nobody uses would count as slow for ever.
 const FORGIVEN: f64 = 0.05;
@@ -46,10 +44,8 @@
 /// Durations by route and speeds by worker.
 #[derive(Debug, Default)]
 pub(crate) struct Durations {
-    /// Logarithm of the true duration at speed 1 over the declared one.
-    declared: HashMap<Name, Mean>,
-    /// Logarithm of the duration at speed 1, in microseconds.
-    routes: HashMap<Name, Mean>,
+    /// What the tasks of each route take.
+    routes: HashMap<Name, Fit>,
     /// Logarithm of the speed.
     speeds: HashMap<Name, Mean>,
     forgiven: Time,
@@ -65,20 +61,11 @@
     }
 
     /// Returns the expected duration of a task at speed 1, in microseconds.
-    ///
-    /// Estimates of callers and the mean of the route scatter about as much
-    /// around the truth, so the middle of both scatters less than either.
     pub(crate) fn task_us(&self, job: &Job, estimate_ms: u32) -> f64 {
-        let declared = f64::from(estimate_ms.max(1)) * 1_000.0;
-        if !self.policy.has(Mechanism::Durations) {
-            return declared;
-        }
-        let bias = self.declared.get(&job.route).filter(|mean| mean.count >= ENOUGH);
-        let bias = bias.map_or(0.0, |mean| mean.ln);
-        let told = declared.ln() + bias;
-        match self.routes.get(&job.route).filter(|mean| mean.count >= ENOUGH) {
-            Some(mean) => f64::midpoint(told, mean.ln).exp(),
-            None => told.exp(),
+        let told = told(job, estimate_ms);
+        match self.routes.get(&job.route).filter(|_| self.policy.has(Mechanism::Durations)) {
+            Some(route) => route.expected_us(told),
+            None => told.estimate_us,
         }
     }
 
@@ -88,8 +75,7 @@
     /// refuse them all, and nothing would ever correct it.
     pub(crate) fn least_us(&self, job: &Job, estimate_ms: u32) -> f64 {
         let declared = f64::from(estimate_ms) * 1_000.0;
-        let learnt = self.routes.get(&job.route).filter(|mean| mean.count >= ENOUGH);
-        learnt.map_or(declared, |mean| mean.ln.exp().min(declared)) / 2.0
+        self.task_us(job, estimate_ms).min(declared) / 2.0
     }
 
     /// Returns the speed of a worker, 1 for one of which nothing is known.
@@ -113,10 +99,9 @@
         // others at the usual speed had gone before.
         speed.count = speed.count.max(FIRST);
         speed.learn(expected - took, SPEED_WEIGHT);
-        let base = took + known;
-        self.routes.entry(job.route.clone()).or_default().learn(base, ROUTE_WEIGHT);
-        let declared = (f64::from(estimate_ms.max(1)) * 1_000.0).ln();
-        self.declared.entry(job.route.clone()).or_default().learn(base - declared, ROUTE_WEIGHT);
+        let told = told(job, estimate_ms);
+        let route = self.routes.entry(job.route.clone()).or_insert_with(|| Fit::new(told));
+        route.learn(told, took_us * known.exp());
     }
 
     /// Takes in that a worker does a task this many times slower than expected.
@@ -133,12 +118,30 @@
             return;
         }
         self.forgiven = now;
+        self.anchor();
         self.fast = self.upper_speed();
         for mean in self.speeds.values_mut().filter(|mean| mean.ln < 0.0) {
             mean.ln *= 1.0 - FORGIVEN;
         }
     }
 
+    /// Shifts all speeds so that the usual one is 1, in the geometric mean of the
+    /// workers that are not in trouble.
+    ///
+    /// Speeds and durations are learnt from each other, and nothing else keeps both from
+    /// drifting apart together: objectives, which are worked out from durations at
+    /// speed 1, were a sixth too short.
+    fn anchor(&mut self) {
+        let sound = self.speeds.values().map(|mean| mean.ln).filter(|ln| *ln > SOUND);
+        let (sum, count) = sound.fold((0.0, 0.0), |(sum, count), ln| (sum + ln, count + 1.0));
+        if count == 0.0 {
+            return;
+        }
+        for mean in self.speeds.values_mut() {
+            mean.ln -= sum / count;
+        }
+    }
+
     fn upper_speed(&self) -> f64 {
         let mut speeds: Vec<f64> = self.speeds.values().map(|mean| mean.ln).collect();
         speeds.sort_by(f64::total_cmp);
@@ -150,3 +153,10 @@
         self.speeds.retain(|worker, _| known(worker));
     }
 }
+
+fn told(job: &Job, estimate_ms: u32) -> Told {
+    Told {
+        estimate_us: f64::from(estimate_ms.max(1)) * 1_000.0,
+        patience_us: job.deadline.since(job.arrived).as_micros() as f64,
+    }
+}
--- a/endivestile_kernel/src/fleet/watchdog.rs
+++ b/endivestile_kernel/src/fleet/watchdog.rs
@@ -5,8 +5,9 @@
 
 use super::call::Call;
 use super::measure::Count;
-use super::run::{Run, RunId, TaskRef};
+use super::run::{Run, RunId};
 use super::scheduler::{Out, Scheduler};
+use super::stalls::{Course, stalled};
 use super::state::TaskState;
 use crate::{Level, Time};
 
@@ -16,12 +17,6 @@
 /// Age of a run from which on its progress is judged, in milliseconds: one
 /// hold's wait, so that the worker has told it at least once.
 const JUDGED_MS: u64 = 160;
-/// How many times longer than expected a run has to look before it is started
-/// elsewhere, since what it has done is thrown away. Estimates scatter by a
-/// factor of two; a worker in trouble is slower by four and more.
-const STALLED: f64 = 4.0;
-/// The same where another task of the job has shown what its tasks take.
-const STALLED_JOB: f64 = 2.5;
 /// Speed of a worker that is no trouble, at the least: the slowest of the users'
 /// workers does 0.6 of the usual.
 const SLOWEST: f64 = 0.5;
@@ -91,16 +86,9 @@
         if !self.policy.has(Mechanism::Stalls) {
             return;
         }
-        let mut stalled: Vec<(Name, RunId, TaskRef, f64)> = Vec::new();
-        for (worker, driver) in &self.drivers {
-            for (id, run) in &driver.runs {
-                let Some(task) = run.by.filter(|_| !run.stopping) else { continue };
-                if let Some(factor) = self.slowness(worker, task, run) {
-                    stalled.push((worker.clone(), id.clone(), task, factor));
-                }
-            }
-        }
-        for (worker, id, task, factor) in stalled {
+        let runs = self.told_runs();
+        for (run, factor) in stalled(&runs) {
+            let (worker, task) = (run.worker.clone(), run.task);
             self.durations.slowed(&worker, factor);
             let out = self.health.failed(now, &worker);
             self.out.push(Out::Count(Count::RunsStalled));
@@ -115,26 +103,39 @@
                 state.course.stalled += 1;
             }
             if let Some(driver) = self.drivers.get_mut(&worker) {
-                driver.halt(now, &id);
+                driver.halt(now, &run.id);
             }
         }
     }
 
-    /// Returns how many times slower than expected a run goes on, if that is so
-    /// slow that a new run elsewhere would end earlier.
-    fn slowness(&self, worker: &Name, task: TaskRef, run: &Run) -> Option<f64> {
+    /// Returns the runs of which their workers have told since they began.
+    fn told_runs(&self) -> Vec<Course> {
+        let mut runs = Vec::new();
+        for (worker, driver) in &self.drivers {
+            let told = driver.runs.iter().filter(|(_, run)| !run.stopping);
+            runs.extend(told.filter_map(|(id, run)| self.course(worker, id, run)));
+        }
+        runs
+    }
+
+    fn course(&self, worker: &Name, id: &RunId, run: &Run) -> Option<Course> {
         let age_us = run.seen.since(run.sent).as_micros() as f64;
         if age_us < (JUDGED_MS * 1_000) as f64 {
             return None;
         }
+        let task = run.by?;
         let state = self.jobs.get(&task.job)?;
         let estimate = state.step(task.task as usize).estimate;
-        let guess = self.durations.task_us(&state.job, estimate);
-        let (work, limit) = state.work.map_or((guess, STALLED), |work| (work, STALLED_JOB));
-        let whole = age_us * 100.0 / f64::from(run.percent.max(1));
-        // A worker that is known to be slow is still not waited for.
-        let expected = work / self.durations.speed(worker).clamp(SLOWEST, 1.0);
-        let factor = whole / expected;
-        (factor > limit && whole - age_us > work * limit / 2.0).then_some(factor)
+        Some(Course {
+            worker: worker.clone(),
+            id: id.clone(),
+            task,
+            age_us,
+            percent: run.percent,
+            // A worker that is known to be slow is still not waited for.
+            speed: self.durations.speed(worker).clamp(SLOWEST, 1.0),
+            guess_us: self.durations.task_us(&state.job, estimate),
+            shown_us: state.work,
+        })
     }
 }
