Hand pools on by their owner's word while the store cannot be reached

After the cut the pools stayed with the stopped process for over three seconds more (seen in the story). Ruled out: waiting (callers are refused), a vote of the zone's hosts (a consensus group of ours), adoption without the owner's word (two hosts could order under one token). Change: the owner gives the next token of its epoch to one host, once, in a message, and orders nothing more; the receiver serves under it, is found by its report, writes itself into the record when it reaches the store, and hands on in turn.

--- a/endivestile_kernel/src/fleet/claim.rs
+++ b/endivestile_kernel/src/fleet/claim.rs
@@ -64,6 +64,8 @@
         self.note(Level::Info, "owner_change_ended", pairs);
         if done {
             self.owners_changed(now, &name);
+        } else {
+            self.hand_over_unwritten(now, &name);
         }
     }
 
@@ -87,7 +89,7 @@
     }
 
     /// Hands the scheduler the workers that this host owns.
-    fn take_workers(&mut self, now: Time) {
+    pub(super) fn take_workers(&mut self, now: Time) {
         let owned = self.pools.owned(&self.setup.me);
         let tokens: BTreeMap<Name, u64> =
             owned.map(|(name, pool)| (name.clone(), pool.token())).collect();
@@ -152,7 +154,11 @@
             if pool.changing(now) {
                 continue;
             }
-            if pool.owned_by(&self.setup.me) {
+            if pool.owned_by_word() {
+                if self.store_since.is_some() {
+                    self.write_down(now, &name);
+                }
+            } else if pool.owned_by(&self.setup.me) {
                 self.confirm(now, &name);
             } else if self.named_before(&name) || (connected && self.wants(now, &name)) {
                 self.claim(now, &name);
@@ -215,7 +221,7 @@
         self.write(change, "owner_handover");
     }
 
-    fn write(&mut self, change: Option<Change>, event: &'static str) {
+    pub(super) fn write(&mut self, change: Option<Change>, event: &'static str) {
         let Some(change) = change else { return };
         let pairs = vec![
             ("pool", change.pool.to_string()),
@@ -294,8 +300,11 @@
         let owned = self.pools.owned(&me);
         let names: Vec<Name> = owned.map(|(name, _)| name.clone()).collect();
         for name in names {
-            if let Some(next) = self.successor(now, zone_of(&name)) {
+            let Some(next) = self.successor(now, zone_of(&name)) else { continue };
+            if self.store_since.is_some() {
                 self.change_owner(now, &name, &next);
+            } else {
+                self.hand_over(now, &name, &next);
             }
         }
     }
--- /dev/null
+++ b/endivestile_kernel/src/fleet/hand_over.rs
@@ -0,0 +1,76 @@
+//! Pools that go to another host by their owner's word, without the store.
+//!
+//! The fault that this answers: a zone is cut off from the store, and the owner of its
+//! workers is told to stop. Nobody can change the record, so that callers of the zone
+//! would be refused until the cut has healed, though workers and hosts are sound.
+//!
+//! The owner is the only one who may order under the tokens of its epoch. It gives the
+//! next token to one host, once, and orders nothing more itself; workers refuse its
+//! orders as soon as the other has spoken to them, as they do after a change of the
+//! record. Whoever changes the record meanwhile has a higher epoch and takes precedence.
+
+use endivestile_config::model::Name;
+
+use super::core::Fleet;
+use super::msg::HandOver;
+use super::parts::zone_of;
+use crate::{Level, Msg, Peer, Time};
+
+impl Fleet {
+    /// Gives a pool to another host that this one cannot name in the record.
+    pub(super) fn hand_over(&mut self, now: Time, name: &Name, next: &Peer) {
+        let Some(pool) = self.pools.by_name.get_mut(name) else { return };
+        let (epoch, token) = pool.give();
+        let pairs = vec![
+            ("pool", name.to_string()),
+            ("to", next.to_string()),
+            ("token", token.to_string()),
+        ];
+        self.note(Level::Info, "owner_gave_word", pairs);
+        let msg = HandOver { pool: name.clone(), epoch, token };
+        self.send(next, Msg::HandOver(msg));
+        self.take_workers(now);
+    }
+
+    /// Hands on what the store could not be told in time while this host is stopping.
+    pub(super) fn hand_over_unwritten(&mut self, now: Time, name: &Name) {
+        let me = &self.setup.me;
+        let mine = self.pools.by_name.get(name).filter(|pool| pool.owned_by(me));
+        let Some(pool) = mine.filter(|_| self.leaving) else { return };
+        // The change may yet take effect: it has to name the same host.
+        let next = pool.named_next().cloned();
+        let next = next.or_else(|| self.successor(now, zone_of(name)));
+        if let Some(next) = next.filter(|next| next != me) {
+            self.hand_over(now, name, &next);
+        }
+    }
+
+    /// Takes a pool at its owner's word.
+    pub(super) fn take_over(&mut self, now: Time, from: &Peer, msg: &HandOver) {
+        let pool = self.pools.by_name.entry(msg.pool.clone()).or_default();
+        let taken = pool.receive(msg.epoch, msg.token);
+        let pairs = vec![
+            ("pool", msg.pool.to_string()),
+            ("from", from.to_string()),
+            ("token", msg.token.to_string()),
+            ("taken", taken.to_string()),
+        ];
+        self.note(Level::Info, "owner_took_word", pairs);
+        if !taken {
+            return;
+        }
+        self.take_workers(now);
+        if self.leaving
+            && let Some(next) = self.successor(now, zone_of(&msg.pool))
+        {
+            self.hand_over(now, &msg.pool, &next);
+        }
+    }
+
+    /// Writes into the record what this host has by word alone, as soon as that can be.
+    pub(super) fn write_down(&mut self, now: Time, name: &Name) {
+        let me = self.setup.me.clone();
+        let change = self.pools.change(now, name, &me);
+        self.write(change, "owner_written");
+    }
+}
--- a/endivestile_kernel/src/fleet/link.rs
+++ b/endivestile_kernel/src/fleet/link.rs
@@ -52,6 +52,7 @@
                     self.refuse_stale(now, &from, serial);
                 }
                 Msg::Job(msg) => self.message(now, &from, msg),
+                Msg::HandOver(msg) => self.take_over(now, &from, &msg),
                 _ => {}
             }
         }
@@ -87,7 +88,12 @@
         if let JobMsg::Submit { echo, .. } = &mut msg {
             *echo = self.members.get(to).map_or(Time::ZERO, |member| member.theirs);
         }
-        self.channel(to).push(Msg::Job(msg));
+        self.send(to, Msg::Job(msg));
+    }
+
+    /// Sends a message to another host with the next frame.
+    pub(super) fn send(&mut self, to: &Peer, msg: Msg) {
+        self.channel(to).push(msg);
     }
 
     fn channel(&mut self, peer: &Peer) -> &mut Channel {
--- a/endivestile_kernel/src/fleet/mod.rs
+++ b/endivestile_kernel/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod durations;
 mod estimate;
 mod front;
+mod hand_over;
 mod health;
 mod job;
 mod link;
@@ -38,7 +39,7 @@
 pub use job::{Job, JobEnd, Reason, Step};
 pub use measure::{Count, Span};
 pub use members::HostEntry;
-pub use msg::{JobMsg, Report, RoomFigure};
+pub use msg::{HandOver, JobMsg, Report, RoomFigure};
 pub use pools::{HOST_KEYS, POOL_KEYS};
 pub use table::{Limits, Route, RouteTable, ServiceRule};
 pub use worker::{
--- a/endivestile_kernel/src/fleet/msg.rs
+++ b/endivestile_kernel/src/fleet/msg.rs
@@ -35,6 +35,18 @@
     },
 }
 
+/// The owner of a pool hands it on while the store cannot be reached: from now on
+/// the sender orders nothing there, and the receiver may under this token.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HandOver {
+    /// The pool.
+    pub pool: Name,
+    /// Epoch of the record that names the owner by the store.
+    pub epoch: u64,
+    /// Fencing token, above all that were used under this epoch.
+    pub token: u64,
+}
+
 impl JobMsg {
     /// Returns the bytes of work that the message carries.
     pub(crate) fn payload(&self) -> usize {
--- a/endivestile_kernel/src/fleet/pools.rs
+++ b/endivestile_kernel/src/fleet/pools.rs
@@ -75,9 +75,22 @@
     /// When this host asked in the record whether the owner lives, and how long
     /// the store took for that, in milliseconds.
     pub(crate) asked: Option<(Time, u64)>,
+    /// What this host was given by the owner's word alone: the record tells of it later.
+    word: Option<Word>,
     swap: Option<Swap>,
 }
 
+/// An owner's word that a pool is another host's from now on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Word {
+    /// Epoch of the record under which it was given.
+    epoch: u64,
+    /// Fencing token that it gave.
+    token: u64,
+    /// Whether this host has it; it has given it away otherwise.
+    mine: bool,
+}
+
 impl Pool {
     /// Takes the record over; returns whether its owner or epoch changed.
     fn take(&mut self, now: Time, record: Option<PoolRecord>) -> bool {
@@ -101,6 +114,8 @@
         if cleared {
             self.asked = None;
         }
+        let epoch = record.as_ref().map_or(0, |record| record.epoch);
+        self.word = self.word.filter(|word| word.epoch >= epoch);
         self.record = record;
         self.swap = self.swap.take().filter(|swap| swap.due > now && !changed);
         changed
@@ -111,9 +126,40 @@
         self.record.as_ref().is_some_and(|record| record.challenge.is_some())
     }
 
-    /// Returns whether a peer owns it.
-    pub(crate) fn owned_by(&self, peer: &Peer) -> bool {
-        !self.deposed && self.record.as_ref().is_some_and(|record| record.owner == *peer)
+    /// Returns whether this host, `me`, owns it.
+    pub(crate) fn owned_by(&self, me: &Peer) -> bool {
+        let named = self.record.as_ref().is_some_and(|record| record.owner == *me);
+        !self.deposed && self.word.map_or(named, |word| word.mine)
+    }
+
+    /// Returns whether this host owns it by the former owner's word alone.
+    pub(crate) fn owned_by_word(&self) -> bool {
+        !self.deposed && self.word.is_some_and(|word| word.mine)
+    }
+
+    /// Gives it away; returns the epoch and the token under which it is the other's.
+    pub(crate) fn give(&mut self) -> (u64, u64) {
+        let epoch = self.record.as_ref().map_or(0, |record| record.epoch);
+        let token = self.token() + 1;
+        self.word = Some(Word { epoch, token, mine: false });
+        (epoch, token)
+    }
+
+    /// Takes it at its owner's word, unless a later record or word is known; returns
+    /// whether it is this host's now.
+    pub(crate) fn receive(&mut self, epoch: u64, token: u64) -> bool {
+        let later = self.record.as_ref().is_some_and(|record| record.epoch > epoch);
+        if later || self.word.is_some_and(|word| word.token >= token) {
+            return false;
+        }
+        self.word = Some(Word { epoch, token, mine: true });
+        self.deposed = false;
+        true
+    }
+
+    /// Returns the host that a change of the record on its way names as owner.
+    pub(crate) fn named_next(&self) -> Option<&Peer> {
+        self.swap.as_ref().map(|swap| &swap.record.owner)
     }
 
     /// Returns whether a peer owns it or did so lately.
@@ -122,9 +168,10 @@
         owner == Some(peer) || self.former.iter().any(|(former, _)| former == peer)
     }
 
-    /// Returns the fencing token of the record's epoch.
+    /// Returns the fencing token of the record's epoch, or of the latest word under it.
     pub(crate) fn token(&self) -> u64 {
-        self.record.as_ref().map_or(0, |record| record.epoch << EPOCH_SHIFT)
+        let first = self.record.as_ref().map_or(0, |record| record.epoch << EPOCH_SHIFT);
+        self.word.map_or(first, |word| word.token.max(first))
     }
 
     /// Returns whether a change of the record is on its way.
--- a/endivestile_kernel/src/fleet/serve.rs
+++ b/endivestile_kernel/src/fleet/serve.rs
@@ -59,6 +59,17 @@
     fn placer(&self, now: Time, service: &Name, serial: u64) -> Option<Peer> {
         let mut owners = self.pools.owners(&self.setup.zone);
         owners.retain(|owner, _| self.places(now, owner));
+        // A host that has its pools by the word of one that stops stands in no record yet.
+        let near = self.members.all().filter(|member| {
+            member.zone == self.setup.zone && !member.leaving && member.owns()
+        });
+        for member in near.filter(|member| member.answers(now, LOST_MS)) {
+            owners.entry(&member.peer).or_insert(member.report.pools);
+        }
+        if self.places(now, &self.setup.me) {
+            let pools = self.pools.owned(&self.setup.me).count() as u32;
+            owners.entry(&self.setup.me).or_insert(pools);
+        }
         if !owners.is_empty() {
             let choice = TwoChoices::draw(&owners, serial);
             let two = self.setup.policy.has(Mechanism::TwoChoices);
