Look for an order without an answer in the worker's list before stopping it

One that was never carried out was given to the same worker again. Change: the answer missing, a new hold looks at once; what is listed goes on, the rest is stopped; orders are void 200 ms after they were sent, not a lease; a worker that leaves orders unanswered and does not carry them out counts as failing.

--- a/endivestile_kernel/src/fleet/driver.rs
+++ b/endivestile_kernel/src/fleet/driver.rs
@@ -20,6 +20,11 @@
 /// Longest wait of a worker for an end before it answers a hold, in
 /// milliseconds: four renewals fit into one lease, so that two may be lost.
 const HOLD_WAIT_MS: u64 = 150;
+/// Time within which an order to start has to reach its worker, in milliseconds: twice
+/// as long as its answer is waited for. A worker refuses it from then on, and one that
+/// is not listed by then runs nowhere. With the whole lease in its place a task whose
+/// order was held up waits 650 ms.
+const START_MS: u64 = 2 * ORDER_MS;
 /// Pause between two looks at a worker whose room waits for them, in
 /// milliseconds; a stop takes up to fifty.
 const LOOK_MS: u64 = 10;
@@ -184,7 +189,8 @@
         need: Need,
         spec: &Name,
     ) -> Option<Call> {
-        let until = self.lease(now)?;
+        let until = self.clock_at(now)? + START_MS;
+        self.covered = self.covered.max(now.after_ms(self.longest()));
         let order = StartOrder {
             worker: self.entry.id.clone(),
             address: self.entry.address.clone(),
@@ -225,7 +231,9 @@
             }
             StartEnd::Fault(CallFault::Lost) => {
                 run.phase = Phase::Unsure;
-                run.halt(now);
+                // The hold on its way may wait for an end; a new one looks at once.
+                self.flight = None;
+                self.due = now;
                 None
             }
             StartEnd::Fault(CallFault::Fenced) => {
@@ -313,6 +321,7 @@
             self.running(now, row);
         }
         past.extend(self.absent(flight, &held));
+        self.stop_unsure(now);
         self.settle_stage();
         if self.in_haste() {
             self.due = now.after_ms(LOOK_MS);
@@ -347,6 +356,8 @@
         if let Some(run) = self.runs.get_mut(&id) {
             run.percent = row.percent;
             run.seen = now;
+            // The answer to the order was lost, not the order.
+            run.phase = Phase::Runs;
             return;
         }
         // A former owner's run: nothing is known of what it takes.
@@ -384,6 +395,14 @@
         ids.iter().filter_map(|id| self.over(id, Outcome::Vanished)).collect()
     }
 
+    /// Stops runs whose orders got no answer and that the worker does not list: they
+    /// may yet start. Those that it lists go on; on links that lose packets these are
+    /// most, and stopping them made a third of the jobs late.
+    fn stop_unsure(&mut self, now: Time) {
+        let unsure = self.runs.values_mut().filter(|run| run.phase == Phase::Unsure);
+        unsure.for_each(|run| run.halt(now));
+    }
+
     fn settle_stage(&mut self) {
         if self.stage != Stage::Asking && self.stage != Stage::Clearing {
             return;
@@ -483,7 +502,8 @@
 
     /// Returns whether room waits for nothing but the worker's word.
     fn in_haste(&self) -> bool {
-        self.stage != Stage::Owned || self.runs.values().any(|run| run.halted.is_some())
+        let open = |run: &Run| run.halted.is_some() || run.phase == Phase::Unsure;
+        self.stage != Stage::Owned || self.runs.values().any(open)
     }
 
     /// Returns whether nothing runs and nothing is expected there any more.
--- a/endivestile_kernel/src/fleet/outcome.rs
+++ b/endivestile_kernel/src/fleet/outcome.rs
@@ -4,7 +4,7 @@
 
 use super::job::{JobEnd, Reason};
 use super::measure::{Count, Span};
-use super::run::{EndedRun, Outcome, RunId, TaskRef};
+use super::run::{EndedRun, Outcome, Phase, RunId, TaskRef};
 use super::scheduler::{Out, Scheduler};
 use super::state::TaskState;
 use super::worker::{CallFault, Held, RunEnd, StartEnd};
@@ -23,9 +23,6 @@
         }
         let past = self.drivers.get_mut(worker).and_then(|driver| driver.started(now, id, end));
         self.take_ended(now, worker, past.into_iter().collect());
-        if end == StartEnd::Fault(CallFault::Lost) {
-            self.unsure(now, worker, id);
-        }
     }
 
     /// Takes in how a stop ended.
@@ -95,7 +92,13 @@
                 if let Some(state) = self.jobs.get_mut(&task.job) {
                     state.course.vanished += u32::from(!past.run.stopping);
                 }
-                self.health.inconclusive(worker);
+                // A worker that leaves orders unanswered and does not carry them out
+                // would be the free one that is given the task again and again.
+                if past.over == Outcome::Vanished && past.run.phase == Phase::Unsure {
+                    self.health.failed(now, worker);
+                } else {
+                    self.health.inconclusive(worker);
+                }
                 self.again(now, task);
             }
         }
@@ -170,13 +173,6 @@
         }
     }
 
-    /// A start got no answer. Its task waits until the run is known to be over.
-    fn unsure(&mut self, now: Time, worker: &Name, id: &RunId) {
-        if let Some(driver) = self.drivers.get_mut(worker) {
-            driver.halt(now, id);
-        }
-    }
-
     /// Takes in how a forwarded task ended.
     pub(crate) fn forward_ended(&mut self, now: Time, from: &Peer, serial: u64, end: JobEnd) {
         let Some((_, task)) = self.forwards.remove(&serial) else { return };
--- /dev/null
+++ b/endivestile_testkit/tests/fleet/order_answers_lost.story
@@ -0,0 +1,17 @@
+# Links lose the answers of a worker to its orders, though it carries them out. Its
+# list shows what runs there. If such runs were stopped and begun again, a task would
+# never end there, or end a second late elsewhere, and its caller would wait for it.
+story
+world zones=a hosts=1 workers=1
+worker a-w1 late 0ms
+submit c1 at=a1 tasks=2 ms=600 deadline=4s
+run 5s
+answers
+starts
+check
+settled
+----
+c1 done 615 ms
+a-w1 2
+every promise kept
+every call answered
--- /dev/null
+++ b/endivestile_testkit/tests/fleet/orders_late.story
@@ -0,0 +1,16 @@
+# One of two workers leaves orders unanswered and would carry them out seconds later.
+# An order is void there a fifth of a second after it was sent, so that the task is
+# begun elsewhere as soon as the worker's list shows that nothing runs; by the whole
+# lease, the caller would wait three times as long.
+story
+world zones=a hosts=1 workers=2 cpu=16000
+worker a-w1 late 2s
+submit c1 at=a1 tasks=2 ms=100 deadline=4s
+run 5s
+answers
+check
+settled
+----
+c1 done 520 ms
+every promise kept
+every call answered
