Put the fleet's files into folders by what they decide; order and fit as functions over small views

Ruled out: one folder a type (decisions cross types). Change: admission, placement, workers, ownership, hosts; order.rs and fit.rs take a few values and give a rank and a goal. No decision changes.

--- a/endivestile_kernel/src/fleet/overload.rs
+++ b/endivestile_kernel/src/fleet/admission/overload.rs
@@ -11,10 +11,10 @@
 use endivestile_config::Mechanism;
 use endivestile_config::model::Name;
 
-use super::job::{JobEnd, Reason};
-use super::queue::Key;
-use super::scheduler::Scheduler;
 use crate::Time;
+use crate::fleet::admission::queue::Key;
+use crate::fleet::job::{JobEnd, Reason};
+use crate::fleet::scheduler::Scheduler;
 
 /// Time between two looks at the late jobs, in milliseconds.
 const LOOK_MS: u64 = 50;
--- a/endivestile_kernel/src/fleet/queue.rs
+++ b/endivestile_kernel/src/fleet/admission/queue.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::ops::Bound;
 
-use super::run::TaskRef;
 use crate::Time;
+use crate::fleet::workers::run::TaskRef;
 
 /// Place of a task in the queue; the lowest goes first.
 ///
--- a/endivestile_kernel/src/fleet/core.rs
+++ b/endivestile_kernel/src/fleet/core.rs
@@ -7,19 +7,19 @@
 use endivestile_config::Policy;
 use endivestile_config::model::Name;
 
-use super::call::Call;
-use super::claim::Probe;
-use super::front::Front;
-use super::job::{Job, JobEnd};
-use super::measure::{Count, Span};
-use super::members::{HostEntry, Members};
-use super::msg::{JobMsg, Report};
-use super::pools::Pools;
-use super::run::RunId;
-use super::scheduler::{Out, Scheduler};
-use super::table::RouteTable;
-use super::worker::{CallFault, Held, StartEnd, WorkerEntry};
 use crate::channel::Channel;
+use crate::fleet::front::Front;
+use crate::fleet::hosts::members::{HostEntry, Members};
+use crate::fleet::job::{Job, JobEnd};
+use crate::fleet::measure::{Count, Span};
+use crate::fleet::msg::{JobMsg, Report};
+use crate::fleet::ownership::claim::Probe;
+use crate::fleet::ownership::pools::Pools;
+use crate::fleet::scheduler::{Out, Scheduler};
+use crate::fleet::table::RouteTable;
+use crate::fleet::workers::call::Call;
+use crate::fleet::workers::run::RunId;
+use crate::fleet::workers::worker::{CallFault, Held, StartEnd, WorkerEntry};
 use crate::{CallId, Frame, Level, Note, Peer, StoreOp, Stored, Time};
 
 /// Time between two looks at everything that is due, in milliseconds, while
--- a/endivestile_kernel/src/fleet/course.rs
+++ b/endivestile_kernel/src/fleet/course.rs
@@ -1,9 +1,9 @@
 //! What happened to a job at its placer, for the line that its end writes.
 
-use super::job::{JobEnd, Reason};
-use super::queue::Queue;
-use super::scheduler::{Scheduler, holds};
-use super::state::JobState;
+use crate::fleet::admission::queue::Queue;
+use crate::fleet::job::{JobEnd, Reason};
+use crate::fleet::scheduler::{Scheduler, holds};
+use crate::fleet::state::JobState;
 use crate::{Level, Time};
 
 /// What delayed a job, counted while it is placed.
@@ -85,7 +85,8 @@
 
 /// Returns the work of a job, in microseconds of a core, if each of its tasks takes `task_us`.
 fn core_us(state: &JobState, task_us: f64) -> f64 {
-    let cores =
-        |step: &super::job::Step| f64::from(step.need.cpu_milli) / 1_000.0 * f64::from(step.count);
+    let cores = |step: &crate::fleet::job::Step| {
+        f64::from(step.need.cpu_milli) / 1_000.0 * f64::from(step.count)
+    };
     state.job.steps.iter().map(cores).sum::<f64>() * task_us
 }
--- a/endivestile_kernel/src/fleet/front.rs
+++ b/endivestile_kernel/src/fleet/front.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use super::job::{Job, JobEnd, Reason};
+use crate::fleet::job::{Job, JobEnd, Reason};
 use crate::{CallId, Peer, Time};
 
 /// Longest time for which a job waits for a host that could place it, in
--- a/endivestile_kernel/src/fleet/link.rs
+++ b/endivestile_kernel/src/fleet/hosts/link.rs
@@ -3,13 +3,13 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use super::core::{Fleet, FleetEffect};
-use super::job::{JobEnd, Reason};
-use super::measure::Count;
-use super::members::{BEAT_MS, FAR_BEAT_MS, Heard};
-use super::msg::{JobMsg, Report, RoomFigure};
-use super::serve::LOST_MS;
 use crate::channel::Channel;
+use crate::fleet::core::{Fleet, FleetEffect};
+use crate::fleet::hosts::members::{BEAT_MS, FAR_BEAT_MS, Heard};
+use crate::fleet::job::{JobEnd, Reason};
+use crate::fleet::measure::Count;
+use crate::fleet::msg::{JobMsg, Report, RoomFigure};
+use crate::fleet::serve::LOST_MS;
 use crate::{Frame, Level, Msg, Peer, Time};
 
 /// Age at which the report of this host is worked out anew, in milliseconds.
@@ -24,7 +24,7 @@
 const MAX_FRAMES: usize = 4;
 
 impl Fleet {
-    pub(super) fn frame(&mut self, now: Time, mut frame: Frame) {
+    pub(crate) fn frame(&mut self, now: Time, mut frame: Frame) {
         if frame.to != self.setup.me {
             return;
         }
@@ -84,7 +84,7 @@
         self.scheduler.dirty = true;
     }
 
-    pub(super) fn push(&mut self, to: &Peer, mut msg: JobMsg) {
+    pub(crate) fn push(&mut self, to: &Peer, mut msg: JobMsg) {
         if let JobMsg::Submit { echo, .. } = &mut msg {
             *echo = self.members.get(to).map_or(Time::ZERO, |member| member.theirs);
         }
@@ -92,7 +92,7 @@
     }
 
     /// Sends a message to another host with the next frame.
-    pub(super) fn send(&mut self, to: &Peer, msg: Msg) {
+    pub(crate) fn send(&mut self, to: &Peer, msg: Msg) {
         self.channel(to).push(msg);
     }
 
@@ -102,7 +102,7 @@
 
     /// An incarnation is known to have ended: what it was forwarded is taken back
     /// when its workers' leases have run out, and its own jobs are stopped.
-    pub(super) fn peer_ended(&mut self, now: Time, peer: &Peer) {
+    pub(crate) fn peer_ended(&mut self, now: Time, peer: &Peer) {
         self.note(Level::Info, "peer_ended", vec![("peer", peer.to_string())]);
         // Workers that it drove may run on for their leases' time.
         self.ended.insert(peer.clone(), now);
@@ -113,7 +113,7 @@
 
     /// Looks at every peer: asks for beats, makes dumb links anew, gives up
     /// what depends on peers that cannot be heard.
-    pub(super) fn watch_members(&mut self, now: Time) {
+    pub(crate) fn watch_members(&mut self, now: Time) {
         let busy = self.busy_peers();
         let own = self.scheduler.owns();
         let mut dumb = Vec::new();
@@ -177,7 +177,7 @@
     }
 
     /// Sends what is due to every peer.
-    pub(super) fn send_frames(&mut self, now: Time) {
+    pub(crate) fn send_frames(&mut self, now: Time) {
         let wanting = self.channels.iter().filter(|(_, channel)| channel.wants_frame(now));
         let peers: Vec<Peer> = wanting.map(|(peer, _)| peer.clone()).collect();
         if peers.is_empty() {
--- a/endivestile_kernel/src/fleet/members.rs
+++ b/endivestile_kernel/src/fleet/hosts/members.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::msg::Report;
+use crate::fleet::msg::Report;
 use crate::{Peer, Time};
 
 /// Time between two frames to a peer while nothing else is said, in
--- a/endivestile_kernel/src/fleet/msg.rs
+++ b/endivestile_kernel/src/fleet/msg.rs
@@ -5,8 +5,8 @@
 use endivestile_config::model::Name;
 use serde::{Deserialize, Serialize};
 
-use super::job::{Job, JobEnd};
 use crate::Time;
+use crate::fleet::job::{Job, JobEnd};
 
 /// A message about one job; `serial` is the asking host's number for it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/endivestile_kernel/src/fleet/outcome.rs
+++ b/endivestile_kernel/src/fleet/outcome.rs
@@ -2,12 +2,12 @@
 
 use endivestile_config::model::Name;
 
-use super::job::{JobEnd, Reason};
-use super::measure::{Count, Span};
-use super::run::{EndedRun, Outcome, Phase, RunId, TaskRef};
-use super::scheduler::{Out, Scheduler};
-use super::state::TaskState;
-use super::worker::{CallFault, Held, RunEnd, StartEnd};
+use crate::fleet::job::{JobEnd, Reason};
+use crate::fleet::measure::{Count, Span};
+use crate::fleet::scheduler::{Out, Scheduler};
+use crate::fleet::state::TaskState;
+use crate::fleet::workers::run::{EndedRun, Outcome, Phase, RunId, TaskRef};
+use crate::fleet::workers::worker::{CallFault, Held, RunEnd, StartEnd};
 use crate::{Level, Peer, Time};
 
 /// Runs that another placer may have used up on a task it gave back.
--- a/endivestile_kernel/src/fleet/claim.rs
+++ b/endivestile_kernel/src/fleet/ownership/claim.rs
@@ -5,13 +5,13 @@
 use endivestile_config::Mechanism;
 use endivestile_config::model::Name;
 
-use super::core::{Fleet, FleetEffect};
-use super::measure::Count;
-use super::members::HostEntry;
-use super::parts::{pool_of, zone_of};
-use super::pools::{Change, POOL_KEYS, Pool};
-use super::serve::LOST_MS;
-use super::worker::{CallFault, Held, WorkerEntry};
+use crate::fleet::core::{Fleet, FleetEffect};
+use crate::fleet::hosts::members::HostEntry;
+use crate::fleet::measure::Count;
+use crate::fleet::ownership::parts::{pool_of, zone_of};
+use crate::fleet::ownership::pools::{Change, POOL_KEYS, Pool};
+use crate::fleet::serve::LOST_MS;
+use crate::fleet::workers::worker::{CallFault, Held, WorkerEntry};
 use crate::{Level, Peer, StoreOp, Stored, Time};
 
 /// Wait before workers without any owner are claimed, in milliseconds: hosts
@@ -38,7 +38,7 @@
 }
 
 impl Fleet {
-    pub(super) fn register(&mut self, now: Time, name: &Name, entry: Option<&HostEntry>) {
+    pub(crate) fn register(&mut self, now: Time, name: &Name, entry: Option<&HostEntry>) {
         if let Some(ended) = self.members.register(now, name, entry) {
             self.peer_ended(now, &ended);
             self.settle(now);
@@ -46,7 +46,7 @@
     }
 
     /// Takes in a pool's record.
-    pub(super) fn record(&mut self, now: Time, name: &Name, revision: u64, value: &[u8]) {
+    pub(crate) fn record(&mut self, now: Time, name: &Name, revision: u64, value: &[u8]) {
         match self.pools.record(now, name, revision, value) {
             Ok(true) => self.owners_changed(now, name),
             Ok(false) => {}
@@ -58,7 +58,7 @@
     }
 
     /// Takes in how a change of a record ended.
-    pub(super) fn stored(&mut self, now: Time, token: u64, stored: &Stored) {
+    pub(crate) fn stored(&mut self, now: Time, token: u64, stored: &Stored) {
         let Some((name, done)) = self.pools.stored(now, token, stored) else { return };
         let pairs = vec![("pool", name.to_string()), ("outcome", format!("{stored:?}"))];
         self.note(Level::Info, "owner_change_ended", pairs);
@@ -79,7 +79,7 @@
         self.take_workers(now);
     }
 
-    pub(super) fn list_workers(&mut self, now: Time, workers: Vec<WorkerEntry>) {
+    pub(crate) fn list_workers(&mut self, now: Time, workers: Vec<WorkerEntry>) {
         let pooled = workers.into_iter().map(|entry| {
             let pool = pool_of(&entry.zone, &entry.id);
             (entry, pool)
@@ -89,7 +89,7 @@
     }
 
     /// Hands the scheduler the workers that this host owns.
-    pub(super) fn take_workers(&mut self, now: Time) {
+    pub(crate) fn take_workers(&mut self, now: Time) {
         let owned = self.pools.owned(&self.setup.me);
         let tokens: BTreeMap<Name, u64> =
             owned.map(|(name, pool)| (name.clone(), pool.token())).collect();
@@ -105,7 +105,7 @@
     }
 
     /// Takes in the answer to a hold, or to a probe.
-    pub(super) fn held(
+    pub(crate) fn held(
         &mut self,
         now: Time,
         worker: &Name,
@@ -141,7 +141,7 @@
     }
 
     /// Claims the pools whose owner is lost, if it is this host's turn.
-    pub(super) fn claim_pools(&mut self, now: Time) {
+    pub(crate) fn claim_pools(&mut self, now: Time) {
         // A host that was cut off itself sees everybody silent: it has to hear
         // of the others before it takes anything from them.
         let connected = self.store_since.is_some_and(|since| since.after_ms(LOST_MS) <= now);
@@ -221,7 +221,7 @@
         self.write(change, "owner_handover");
     }
 
-    pub(super) fn write(&mut self, change: Option<Change>, event: &'static str) {
+    pub(crate) fn write(&mut self, change: Option<Change>, event: &'static str) {
         let Some(change) = change else { return };
         let pairs = vec![
             ("pool", change.pool.to_string()),
@@ -289,7 +289,7 @@
 
     /// Starts a graceful shutdown: the workers go to another host, and what
     /// callers have handed in here is seen to its end.
-    pub(super) fn shutdown(&mut self, now: Time) {
+    pub(crate) fn shutdown(&mut self, now: Time) {
         if self.leaving {
             return;
         }
@@ -310,7 +310,7 @@
     }
 
     /// Says so once nothing depends on this host any more.
-    pub(super) fn check_drained(&mut self, now: Time) {
+    pub(crate) fn check_drained(&mut self, now: Time) {
         let me = &self.setup.me;
         let owns = self.pools.owned(me).next().is_some();
         let alone = self.members.all().all(|member| !member.answers(now, LOST_MS));
--- a/endivestile_kernel/src/fleet/hand_over.rs
+++ b/endivestile_kernel/src/fleet/ownership/hand_over.rs
@@ -11,14 +11,14 @@
 
 use endivestile_config::model::Name;
 
-use super::core::Fleet;
-use super::msg::HandOver;
-use super::parts::zone_of;
+use crate::fleet::core::Fleet;
+use crate::fleet::msg::HandOver;
+use crate::fleet::ownership::parts::zone_of;
 use crate::{Level, Msg, Peer, Time};
 
 impl Fleet {
     /// Gives a pool to another host that this one cannot name in the record.
-    pub(super) fn hand_over(&mut self, now: Time, name: &Name, next: &Peer) {
+    pub(crate) fn hand_over(&mut self, now: Time, name: &Name, next: &Peer) {
         let Some(pool) = self.pools.by_name.get_mut(name) else { return };
         let (epoch, token) = pool.give();
         let pairs = vec![
@@ -33,7 +33,7 @@
     }
 
     /// Hands on what the store could not be told in time while this host is stopping.
-    pub(super) fn hand_over_unwritten(&mut self, now: Time, name: &Name) {
+    pub(crate) fn hand_over_unwritten(&mut self, now: Time, name: &Name) {
         let me = &self.setup.me;
         let mine = self.pools.by_name.get(name).filter(|pool| pool.owned_by(me));
         let Some(pool) = mine.filter(|_| self.leaving) else { return };
@@ -46,7 +46,7 @@
     }
 
     /// Takes a pool at its owner's word.
-    pub(super) fn take_over(&mut self, now: Time, from: &Peer, msg: &HandOver) {
+    pub(crate) fn take_over(&mut self, now: Time, from: &Peer, msg: &HandOver) {
         let pool = self.pools.by_name.entry(msg.pool.clone()).or_default();
         let taken = pool.receive(msg.epoch, msg.token);
         let pairs = vec![
@@ -68,7 +68,7 @@
     }
 
     /// Writes into the record what this host has by word alone, as soon as that can be.
-    pub(super) fn write_down(&mut self, now: Time, name: &Name) {
+    pub(crate) fn write_down(&mut self, now: Time, name: &Name) {
         let me = self.setup.me.clone();
         let change = self.pools.change(now, name, &me);
         self.write(change, "owner_written");
--- a/endivestile_kernel/src/fleet/pools.rs
+++ b/endivestile_kernel/src/fleet/ownership/pools.rs
@@ -13,7 +13,7 @@
 use endivestile_config::model::Name;
 use serde::{Deserialize, Serialize};
 
-use super::parts::zone_of;
+use crate::fleet::ownership::parts::zone_of;
 use crate::{Peer, Stored, Time};
 
 /// Prefix of the records' keys.
--- a/endivestile_kernel/src/fleet/turns.rs
+++ b/endivestile_kernel/src/fleet/ownership/turns.rs
@@ -11,13 +11,13 @@
 use endivestile_config::Mechanism;
 use endivestile_config::model::Name;
 
-use super::call::Call;
-use super::claim::Probe;
-use super::core::{Fleet, FleetEffect};
-use super::members::{Member, rank};
-use super::parts::{owners_wanted, part_of, zone_of};
-use super::serve::LOST_MS;
-use super::worker::{HoldOrder, WorkerEntry};
+use crate::fleet::core::{Fleet, FleetEffect};
+use crate::fleet::hosts::members::{Member, rank};
+use crate::fleet::ownership::claim::Probe;
+use crate::fleet::ownership::parts::{owners_wanted, part_of, zone_of};
+use crate::fleet::serve::LOST_MS;
+use crate::fleet::workers::call::Call;
+use crate::fleet::workers::worker::{HoldOrder, WorkerEntry};
 use crate::{Peer, Time};
 
 /// Wait of each further candidate, in milliseconds: two round trips to a slow store.
@@ -36,7 +36,7 @@
     /// jobs that were placed there are then placed anew without waiting for
     /// leases. Pools that nobody ever owned are dealt out to as many hosts as
     /// the zone's workers need.
-    pub(super) fn turn(&self, now: Time, pool: &Name) -> Option<u64> {
+    pub(crate) fn turn(&self, now: Time, pool: &Name) -> Option<u64> {
         if *self.setup.zone != *zone_of(pool) {
             return None;
         }
@@ -84,7 +84,7 @@
     }
 
     /// Returns the host that takes a zone's pools from this one when it stops.
-    pub(super) fn successor(&self, now: Time, zone: &str) -> Option<Peer> {
+    pub(crate) fn successor(&self, now: Time, zone: &str) -> Option<Peer> {
         let live = self.members.all().filter(|member| {
             !member.leaving && member.heard.is_none_or(|_| member.answers(now, LOST_MS))
         });
@@ -102,7 +102,7 @@
     /// From outside, a zone whose hosts have died and one that is cut off look
     /// alike. Claiming the workers of the latter serves nobody, and takes them
     /// from the zone's own host once the cut has healed.
-    pub(super) fn in_reach(&mut self, now: Time, zone: &str) -> bool {
+    pub(crate) fn in_reach(&mut self, now: Time, zone: &str) -> bool {
         let here = self.workers.iter().map(|(entry, _)| entry).filter(|e| *e.zone == *zone);
         let workers: Vec<WorkerEntry> = here.cloned().collect();
         let fresh = |probe: &&Probe| probe.reached.is_some_and(|at| at.after_ms(PROBE_MS) > now);
--- a/endivestile_kernel/src/fleet/dispatch.rs
+++ b/endivestile_kernel/src/fleet/placement/dispatch.rs
@@ -5,23 +5,20 @@
 use endivestile_config::Mechanism;
 use endivestile_config::model::Name;
 
-use super::job::{Job, Step};
-use super::measure::{Count, Span};
-use super::msg::JobMsg;
-use super::owned::SLOW;
-use super::queue::Key;
-use super::run::{RunId, TaskRef};
-use super::scheduler::{Out, Scheduler, carries, holds};
-use super::state::{JobState, TaskState};
+use crate::fleet::admission::queue::Key;
+use crate::fleet::job::{Job, Step};
+use crate::fleet::measure::{Count, Span};
+use crate::fleet::msg::JobMsg;
+use crate::fleet::placement::fit::{Goal, Wanted};
+use crate::fleet::scheduler::{Out, Scheduler, carries, holds};
+use crate::fleet::state::{JobState, TaskState};
+use crate::fleet::workers::owned::SLOW;
+use crate::fleet::workers::run::{RunId, TaskRef};
 use crate::{Peer, Time};
 
 /// Waiting tasks that find no room before the rest of the queue is left alone:
 /// a small one may fit where a big one does not.
 const MISSES: usize = 6;
-/// Reserve over a task's expected duration within which it has to meet its objective at
-/// first: the longest of a job's tasks, and what is not known of its worker's speed, need
-/// it. It shrinks with what a job can still wait: a place that may do is better than none.
-const MARGIN: f64 = 0.25;
 /// Speed that a worker that was slow is taken to have for one task, once its time out is
 /// over: it goes behind every sound worker, and gets one while no other has room.
 const PROBED: f64 = 0.6;
@@ -109,7 +106,7 @@
         let index = task.task as usize;
         let step = state.step(index);
         let run_us = self.durations.task_us(&state.job, step.estimate);
-        let (goal, margin) = self.goal(now, state, run_us);
+        let goal = self.goal(now, state, run_us);
         let mut best: Option<(f64, u32, &Name)> = None;
         for (id, driver) in &self.drivers {
             if driver.entry.service != state.job.service || !driver.usable(now) {
@@ -119,18 +116,17 @@
             if !holds(&free, &step.need) || !carries(&driver.entry, step.label.as_ref()) {
                 continue;
             }
-            let late = goal == state.job.deadline;
-            if !self.health.allows(now, id, late) {
+            if !self.health.allows(now, id, goal.late) {
                 continue;
             }
             if step.spread > 0 && state.beside(index, id) >= usize::from(step.spread) {
                 continue;
             }
             let believed = self.durations.speed(id);
-            let probe = believed < SLOW && self.health.probes(now, id, late);
+            let probe = believed < SLOW && self.health.probes(now, id, goal.late);
             let speed = if probe { PROBED } else { believed };
             let cost = cost(step, &driver.entry.labels) / speed;
-            if now.after_us((run_us * cost * margin) as u64) > goal {
+            if !goal.allows(now, run_us * cost) {
                 continue;
             }
             let better = best.is_none_or(|(other, left, _)| {
@@ -143,27 +139,15 @@
         best.map(|(_, _, id)| id.clone())
     }
 
-    /// Returns until when a task has to end to be worth its place: its job's
-    /// objective while a fast worker could still meet that, else its deadline; and how many
-    /// times its expected duration has to fit in.
-    ///
-    /// The load that this answers: while some workers are many times slower than the
-    /// others, their places are the ones that stay free. A job that is begun there is
-    /// bound to be late, where a place on another worker is due a few milliseconds on.
-    fn goal(&self, now: Time, state: &JobState, run_us: f64) -> (Time, f64) {
-        if !self.policy.has(Mechanism::Fitting) {
-            return (Time::from_micros(u64::MAX), 1.0);
-        }
-        let least_us = run_us / self.durations.fast();
-        if now.after_us(least_us as u64) > state.objective {
-            return (state.job.deadline, 1.0);
-        }
-        if !self.policy.has(Mechanism::Reserve) {
-            return (state.objective, 1.0);
-        }
-        let slack = |from: Time| state.objective.since(from.after_us(run_us as u64)).as_secs_f64();
-        let left = slack(now) / slack(state.job.arrived).max(1e-3);
-        (state.objective, 1.0 + MARGIN * left.min(1.0))
+    fn goal(&self, now: Time, state: &JobState, run_us: f64) -> Goal {
+        let wanted = Wanted {
+            arrived: state.job.arrived,
+            objective: state.objective,
+            deadline: state.job.deadline,
+            run_us,
+            fast: self.durations.fast(),
+        };
+        Goal::of(now, &wanted, self.policy)
     }
 
     fn start(&mut self, now: Time, task: TaskRef, worker: &Name) -> bool {
@@ -266,7 +250,7 @@
 }
 
 /// Returns a job of one task, to be run elsewhere under the same name.
-fn forwarded_job(job: &Job, step: &Step, slot: &super::state::TaskSlot) -> Job {
+fn forwarded_job(job: &Job, step: &Step, slot: &crate::fleet::state::TaskSlot) -> Job {
     let only = Step {
         count: 1,
         first: slot.index,
--- a/endivestile_kernel/src/fleet/durations.rs
+++ b/endivestile_kernel/src/fleet/placement/durations.rs
@@ -5,9 +5,9 @@
 use endivestile_config::model::Name;
 use endivestile_config::{Mechanism, Policy};
 
-use super::estimate::{Fit, Told};
-use super::job::Job;
 use crate::Time;
+use crate::fleet::job::Job;
+use crate::fleet::placement::estimate::{Fit, Told};
 
 /// Weight of one task's duration in the speed of its worker: some eight tasks
 /// count, so that a worker that has turned slow is known after a second.
--- a/endivestile_kernel/src/fleet/stalls.rs
+++ b/endivestile_kernel/src/fleet/placement/stalls.rs
@@ -9,7 +9,7 @@
 
 use endivestile_config::model::Name;
 
-use super::run::{RunId, TaskRef};
+use crate::fleet::workers::run::{RunId, TaskRef};
 
 /// How many times longer than expected a run has to look before it is started
 /// elsewhere, since what it has done is thrown away. Estimates scatter by a
--- a/endivestile_kernel/src/fleet/watchdog.rs
+++ b/endivestile_kernel/src/fleet/placement/watchdog.rs
@@ -3,12 +3,12 @@
 use endivestile_config::Mechanism;
 use endivestile_config::model::Name;
 
-use super::call::Call;
-use super::measure::Count;
-use super::run::{Run, RunId};
-use super::scheduler::{Out, Scheduler};
-use super::stalls::{Course, stalled};
-use super::state::TaskState;
+use crate::fleet::measure::Count;
+use crate::fleet::placement::stalls::{Course, stalled};
+use crate::fleet::scheduler::{Out, Scheduler};
+use crate::fleet::state::TaskState;
+use crate::fleet::workers::call::Call;
+use crate::fleet::workers::run::{Run, RunId};
 use crate::{Level, Time};
 
 /// Longest wait of a forwarded task for room, in milliseconds: the host that forwarded it
@@ -67,7 +67,7 @@
 
     /// Gives forwarded tasks back that found no room.
     fn return_forwarded(&mut self, now: Time) {
-        let waits = |(number, state): (&u64, &super::state::JobState)| {
+        let waits = |(number, state): (&u64, &crate::fleet::state::JobState)| {
             let long = state.came.after_ms(FORWARD_WAIT_MS) <= now;
             let waiting =
                 state.tasks.iter().any(|slot| matches!(slot.state, TaskState::Waiting(_)));
--- a/endivestile_kernel/src/fleet/scheduler.rs
+++ b/endivestile_kernel/src/fleet/scheduler.rs
@@ -3,21 +3,22 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+use endivestile_config::Policy;
 use endivestile_config::model::Name;
-use endivestile_config::{Mechanism, Policy};
 
-use super::call::Call;
-use super::driver::Driver;
-use super::durations::Durations;
-use super::health::Health;
-use super::job::{Job, JobEnd, Reason};
-use super::measure::{Count, Span};
-use super::msg::JobMsg;
-use super::overload::Flows;
-use super::queue::Queue;
-use super::run::TaskRef;
-use super::state::{JobState, TaskState};
-use super::worker::WorkerEntry;
+use crate::fleet::admission::order::Waiting;
+use crate::fleet::admission::overload::Flows;
+use crate::fleet::admission::queue::Queue;
+use crate::fleet::job::{Job, JobEnd, Reason};
+use crate::fleet::measure::{Count, Span};
+use crate::fleet::msg::JobMsg;
+use crate::fleet::placement::durations::Durations;
+use crate::fleet::placement::health::Health;
+use crate::fleet::state::{JobState, TaskState};
+use crate::fleet::workers::call::Call;
+use crate::fleet::workers::driver::Driver;
+use crate::fleet::workers::run::TaskRef;
+use crate::fleet::workers::worker::WorkerEntry;
 use crate::{Level, Need, Note, Peer, Time};
 
 /// Reserve before a caller's deadline within which the answer has to reach the
@@ -25,8 +26,6 @@
 const ANSWER_MS: u64 = 20;
 /// When to come back after a refusal that no better time is known for, in milliseconds.
 pub(crate) const RETRY_MS: u64 = 1_000;
-/// Part of a job's remaining work, in percent, that jobs which came later may go before it.
-const WORK_PERCENT: u64 = 60;
 /// Weight of one task in the mean of what tasks take.
 const NEED_WEIGHT: f64 = 0.05;
 
@@ -141,7 +140,7 @@
         if job.deadline <= now.after_ms(ANSWER_MS) {
             return Some(Reason::Deadline);
         }
-        let fits = |step: &super::job::Step| {
+        let fits = |step: &crate::fleet::job::Step| {
             self.drivers.values().any(|driver| {
                 driver.entry.service == job.service
                     && holds(&driver.entry.room, &step.need)
@@ -325,20 +324,15 @@
     /// Returns whether a task can no longer make its objective, and its rank.
     pub(crate) fn rank(&self, now: Time, state: &JobState, task: usize) -> (bool, (u32, Time)) {
         let step = state.step(task);
-        let run_us = self.durations.task_us(&state.job, step.estimate) as u64;
-        let priority = if self.policy.has(Mechanism::Priority) { state.job.priority } else { 0 };
-        // What has begun is finished: left to the late ones it would wait to its
-        // deadline in a burst, and what its other tasks did would be lost.
-        let begun = state.started.is_some() && self.policy.has(Mechanism::BegunFirst);
-        let late = !begun && now.after_us(run_us) > state.objective;
-        if !self.policy.has(Mechanism::LeastWork) {
-            let latest = state.objective.as_micros().saturating_sub(run_us);
-            let rank = if late { state.job.arrived } else { Time::from_micros(latest) };
-            return (late, (priority, rank));
-        }
-        let left: u64 = state.left.iter().map(|left| u64::from(*left)).sum();
-        let behind = state.job.arrived.after_us((left * run_us) * WORK_PERCENT / 100);
-        (late, (priority, behind))
+        let waiting = Waiting {
+            priority: state.job.priority,
+            arrived: state.job.arrived,
+            objective: state.objective,
+            run_us: self.durations.task_us(&state.job, step.estimate) as u64,
+            left: state.left.iter().map(|left| u64::from(*left)).sum(),
+            begun: state.started.is_some(),
+        };
+        waiting.rank(now, self.policy)
     }
 
     /// Returns how many jobs of each route wait with no task started.
--- a/endivestile_kernel/src/fleet/serve.rs
+++ b/endivestile_kernel/src/fleet/serve.rs
@@ -5,13 +5,13 @@
 use endivestile_config::Mechanism;
 use endivestile_config::model::Name;
 
-use super::choice::TwoChoices;
-use super::core::{Fleet, FleetEffect};
-use super::front::placeable;
-use super::job::{Job, JobEnd, Reason};
-use super::measure::{Count, Span};
-use super::msg::JobMsg;
-use super::scheduler::RETRY_MS;
+use crate::fleet::core::{Fleet, FleetEffect};
+use crate::fleet::front::placeable;
+use crate::fleet::job::{Job, JobEnd, Reason};
+use crate::fleet::measure::{Count, Span};
+use crate::fleet::msg::JobMsg;
+use crate::fleet::placement::choice::TwoChoices;
+use crate::fleet::scheduler::RETRY_MS;
 use crate::{CallId, Level, Note, Peer, Time};
 
 /// Silence after which a placer counts as lost, in milliseconds: five frames.
@@ -21,7 +21,7 @@
 const STOP_RESERVE_MS: u64 = 80;
 
 impl Fleet {
-    pub(super) fn call(&mut self, now: Time, call: CallId, job: Job) {
+    pub(crate) fn call(&mut self, now: Time, call: CallId, job: Job) {
         let serial = self.front.add(now, call, job);
         self.place(now, serial);
     }
@@ -81,7 +81,8 @@
             .members
             .all()
             .filter(|member| member.owns() && !member.leaving && member.answers(now, LOST_MS));
-        let room = |free: &[super::msg::RoomFigure]| free.iter().map(|room| room.free).sum::<u32>();
+        let room =
+            |free: &[crate::fleet::msg::RoomFigure]| free.iter().map(|room| room.free).sum::<u32>();
         let best = others.max_by_key(|member| room(&member.report.room));
         best.map(|member| member.peer.clone())
     }
@@ -97,7 +98,7 @@
         figure.map_or(0, |room| i64::from(room.free) - i64::from(room.waiting) - i64::from(sent))
     }
 
-    pub(super) fn hangup(&mut self, now: Time, call: CallId) {
+    pub(crate) fn hangup(&mut self, now: Time, call: CallId) {
         let Some(serial) = self.front.serial(call) else { return };
         let Some(open) = self.front.end(serial) else { return };
         self.out.push(FleetEffect::Count(Count::CallersLeft));
@@ -113,7 +114,7 @@
     }
 
     /// Takes in a message about a job.
-    pub(super) fn message(&mut self, now: Time, from: &Peer, msg: JobMsg) {
+    pub(crate) fn message(&mut self, now: Time, from: &Peer, msg: JobMsg) {
         match msg {
             JobMsg::Submit { serial, job, .. } => {
                 let refused = self.leaving && *from != self.setup.me;
@@ -177,7 +178,7 @@
     }
 
     /// Places jobs anew whose placer is lost, once nothing of them can run there.
-    pub(super) fn replace_lost(&mut self, now: Time) {
+    pub(crate) fn replace_lost(&mut self, now: Time) {
         let serials: Vec<u64> = self.front.open.keys().copied().collect();
         for serial in serials {
             let Some(open) = self.front.open.get_mut(&serial) else { continue };
@@ -228,8 +229,8 @@
     }
 
     /// Answers callers whose deadline passes though their placer has not told.
-    pub(super) fn pass_deadlines(&mut self, now: Time) {
-        let over = |(serial, open): (&u64, &super::front::Open)| {
+    pub(crate) fn pass_deadlines(&mut self, now: Time) {
+        let over = |(serial, open): (&u64, &crate::fleet::front::Open)| {
             (open.job.deadline <= now).then_some(*serial)
         };
         let serials: Vec<u64> = self.front.open.iter().filter_map(over).collect();
--- a/endivestile_kernel/src/fleet/state.rs
+++ b/endivestile_kernel/src/fleet/state.rs
@@ -4,10 +4,10 @@
 
 use endivestile_config::model::Name;
 
-use super::course::Course;
-use super::job::{Job, JobEnd, Step};
-use super::queue::Key;
-use super::run::RunId;
+use crate::fleet::admission::queue::Key;
+use crate::fleet::course::Course;
+use crate::fleet::job::{Job, JobEnd, Step};
+use crate::fleet::workers::run::RunId;
 use crate::{Peer, Time};
 
 /// Where a task stands.
--- a/endivestile_kernel/src/fleet/call.rs
+++ b/endivestile_kernel/src/fleet/workers/call.rs
@@ -1,7 +1,7 @@
 //! Calls to workers, and by when they have to be answered.
 
-use super::worker::{HoldOrder, StartOrder, StopOrder};
 use crate::Time;
+use crate::fleet::workers::worker::{HoldOrder, StartOrder, StopOrder};
 
 /// Time for the answer to a hold beyond that wait, in milliseconds; a
 /// connection that has gone silent costs one renewal and no lease.
--- a/endivestile_kernel/src/fleet/driver.rs
+++ b/endivestile_kernel/src/fleet/workers/driver.rs
@@ -10,9 +10,9 @@
 
 use endivestile_config::model::Name;
 
-use super::call::{Call, HOLD_SLACK_MS, ORDER_MS};
-use super::run::{EndedRun, Outcome, Phase, Run, RunId, STOP_LIMIT_MS, TaskRef};
-use super::worker::{
+use crate::fleet::workers::call::{Call, HOLD_SLACK_MS, ORDER_MS};
+use crate::fleet::workers::run::{EndedRun, Outcome, Phase, Run, RunId, STOP_LIMIT_MS, TaskRef};
+use crate::fleet::workers::worker::{
     CallFault, EndRow, Held, HoldOrder, RunRow, StartEnd, StartOrder, StopOrder, WorkerEntry,
 };
 use crate::{Need, Time};
--- a/endivestile_kernel/src/fleet/owned.rs
+++ b/endivestile_kernel/src/fleet/workers/owned.rs
@@ -4,10 +4,10 @@
 
 use endivestile_config::model::Name;
 
-use super::driver::Driver;
-use super::scheduler::Scheduler;
-use super::state::JobState;
-use super::worker::WorkerEntry;
+use crate::fleet::scheduler::Scheduler;
+use crate::fleet::state::JobState;
+use crate::fleet::workers::driver::Driver;
+use crate::fleet::workers::worker::WorkerEntry;
 use crate::{Peer, Time};
 
 /// Speed below which a worker's places count for late jobs only, 1 for the usual:
--- a/endivestile_kernel/src/fleet/run.rs
+++ b/endivestile_kernel/src/fleet/workers/run.rs
@@ -2,7 +2,7 @@
 
 use endivestile_config::model::Name;
 
-use super::worker::{RunEnd, StartEnd};
+use crate::fleet::workers::worker::{RunEnd, StartEnd};
 use crate::{Need, Time};
 
 /// Time for the answer to a stop before the worker's lease is not renewed any
