Work out the account of a job only where somebody reads it

Cause: the line about a job's end is written for every job, at debug level for most, and its nineteen values were worked out each time, a look at all workers among them; forwarded tasks that found no room wrote the whole line at info, several times a job under load. Change: a job that ended well, and a task passed back, write a short line for debugging. Decisions are the same: examples/policies prints the same to the digit.

--- a/endivestile_kernel/src/fleet/course.rs
+++ b/endivestile_kernel/src/fleet/course.rs
@@ -24,14 +24,20 @@
 impl Scheduler {
     /// Writes the line about a job's end: the inputs of the decisions about it.
     ///
-    /// A job that ends well is one of many and tells nothing; its line is for
-    /// debugging only, so that the volume stays bounded under load.
+    /// A job that ends well is one of many and tells little: its line is short and for
+    /// debugging only, and nothing else is worked out for it.
     pub(crate) fn note_end(&mut self, now: Time, number: u64, end: JobEnd, started: bool) {
         let Some(state) = self.jobs.get(&number) else { return };
         let well = end == JobEnd::Done && now <= state.objective;
-        let level = if well { Level::Debug } else { Level::Info };
+        // A task that found no room here goes on at the host that passed it on.
+        let passed_back = state.job.forwarded && matches!(end, JobEnd::NotRun { .. });
+        if well || passed_back {
+            let ms = now.since(state.came).as_millis().to_string();
+            let more = [("end", end.label().to_owned()), ("ms", ms)];
+            return self.note_job(Level::Debug, "placed_job_ended", number, &more);
+        }
         let more = self.account(now, state, end, started);
-        self.note_job(level, "placed_job_ended", number, &more);
+        self.note_job(Level::Info, "placed_job_ended", number, &more);
     }
 
     /// Returns how many workers have room for a task of a job's first step, and how many
