Test the switch of policies; call what is known of a run its progress

Cause: stalls and the account of a job both had a type Course; nothing tested the key without. Ruled out: nothing. Change: names; two tests.

--- a/endivestile_config/tests/settings.rs
+++ b/endivestile_config/tests/settings.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panic")]
 
-use endivestile_config::{ConfigError, Settings};
+use endivestile_config::{ConfigError, Mechanism, Policy, Settings};
 use test_case::test_case;
 
 const LEAST: &str = "[host]\nname = a\nzone = east\npeers = 127.0.0.1:0\n\
@@ -25,6 +25,28 @@
     assert_eq!(Settings::parse(&settings.canonical(), "canonical").unwrap(), settings);
 }
 
+/// A trial leaves policies out by their words, and the canonical form names them again.
+#[test]
+fn policy_left_out() {
+    let overrides = ["platform.without=stalls, least-work".to_owned()];
+    let settings = Settings::load(LEAST, "a.ini", &overrides).unwrap();
+    let expected = Policy::default().without(Mechanism::Stalls).without(Mechanism::LeastWork);
+    assert_eq!(settings.platform.policy, expected);
+    assert_eq!(Settings::parse(&settings.canonical(), "canonical").unwrap(), settings);
+    for mechanism in Mechanism::ALL {
+        assert_eq!(Mechanism::named(mechanism.label()), Some(mechanism));
+    }
+}
+
+/// A word that names no policy keeps the host from starting: a trial that left nothing
+/// out would be taken for one that did.
+#[test]
+fn policy_unknown() {
+    let overrides = ["platform.without=stals".to_owned()];
+    let error = Settings::load(LEAST, "a.ini", &overrides).unwrap_err();
+    assert!(error.to_string().contains("stalls"), "{error}");
+}
+
 #[test]
 fn load_override_wins() {
     let overrides = ["host.zone = west".to_owned(), "backends.idle-ms=7".to_owned()];
--- a/endivestile_kernel/src/fleet/placement/stalls.rs
+++ b/endivestile_kernel/src/fleet/placement/stalls.rs
@@ -25,7 +25,7 @@
 
 /// What is known of a run.
 #[derive(Debug, Clone)]
-pub(crate) struct Course {
+pub(crate) struct Progress {
     /// The worker.
     pub(crate) worker: Name,
     /// The run.
@@ -44,7 +44,7 @@
     pub(crate) shown_us: Option<f64>,
 }
 
-impl Course {
+impl Progress {
     /// Returns how long the run will take in all if it goes on so, in microseconds.
     fn whole_us(&self) -> f64 {
         self.age_us * 100.0 / f64::from(self.percent.max(1))
@@ -63,9 +63,9 @@
 
 /// Returns the runs that are to be begun elsewhere, each with how many times
 /// slower than expected it is.
-pub(crate) fn stalled(runs: &[Course]) -> Vec<(&Course, f64)> {
-    let mut by_job: BTreeMap<u64, Vec<&Course>> = BTreeMap::new();
-    let mut by_worker: BTreeMap<&Name, Vec<&Course>> = BTreeMap::new();
+pub(crate) fn stalled(runs: &[Progress]) -> Vec<(&Progress, f64)> {
+    let mut by_job: BTreeMap<u64, Vec<&Progress>> = BTreeMap::new();
+    let mut by_worker: BTreeMap<&Name, Vec<&Progress>> = BTreeMap::new();
     for run in runs {
         by_job.entry(run.task.job).or_default().push(run);
         by_worker.entry(&run.worker).or_default().push(run);
@@ -88,7 +88,7 @@
 
 /// Returns what the other tasks of a job show that its tasks take, in microseconds at
 /// speed 1: one that has ended, or those that run on other workers.
-fn shown(run: &Course, job: &[&Course]) -> Option<f64> {
+fn shown(run: &Progress, job: &[&Progress]) -> Option<f64> {
     if run.shown_us.is_some() {
         return run.shown_us;
     }
@@ -97,7 +97,7 @@
 }
 
 /// Returns whether a run of another job shows that a worker goes on as it should.
-fn goes_on(run: &Course, there: &[&Course]) -> bool {
+fn goes_on(run: &Progress, there: &[&Progress]) -> bool {
     let mut others = there.iter().filter(|other| other.task.job != run.task.job);
     others.any(|other| other.percent >= TELLING && other.factor(other.shown_us) < SOUND)
 }
--- a/endivestile_kernel/src/fleet/placement/watchdog.rs
+++ b/endivestile_kernel/src/fleet/placement/watchdog.rs
@@ -4,7 +4,7 @@
 use endivestile_config::model::Name;
 
 use crate::fleet::measure::Count;
-use crate::fleet::placement::stalls::{Course, stalled};
+use crate::fleet::placement::stalls::{Progress, stalled};
 use crate::fleet::scheduler::{Out, Scheduler};
 use crate::fleet::state::TaskState;
 use crate::fleet::workers::call::Call;
@@ -108,16 +108,16 @@
     }
 
     /// Returns the runs of which their workers have told since they began.
-    fn told_runs(&self) -> Vec<Course> {
+    fn told_runs(&self) -> Vec<Progress> {
         let mut runs = Vec::new();
         for (worker, driver) in &self.drivers {
             let told = driver.runs.iter().filter(|(_, run)| !run.stopping);
-            runs.extend(told.filter_map(|(id, run)| self.course(worker, id, run)));
+            runs.extend(told.filter_map(|(id, run)| self.progress(worker, id, run)));
         }
         runs
     }
 
-    fn course(&self, worker: &Name, id: &RunId, run: &Run) -> Option<Course> {
+    fn progress(&self, worker: &Name, id: &RunId, run: &Run) -> Option<Progress> {
         let age_us = run.seen.since(run.sent).as_micros() as f64;
         if age_us < (JUDGED_MS * 1_000) as f64 {
             return None;
@@ -125,7 +125,7 @@
         let task = run.by?;
         let state = self.jobs.get(&task.job)?;
         let estimate = state.step(task.task as usize).estimate;
-        Some(Course {
+        Some(Progress {
             worker: worker.clone(),
             id: id.clone(),
             task,
