--- a/endivestile_kernel/src/fleet/placement/durations.rs
+++ b/endivestile_kernel/src/fleet/placement/durations.rs
@@ -137,7 +137,7 @@
     ///
     /// Speeds and durations are learnt from each other, and nothing else keeps both from
     /// drifting apart together: objectives, which are worked out from durations at
-    /// speed 1, were a sixth too short.
+    /// speed 1, would be a sixth too short after some seconds of traffic.
     fn anchor(&mut self) {
         let sound = self.speeds.values().map(|mean| mean.ln).filter(|ln| *ln > SOUND);
         let (sum, count) = sound.fold((0.0, 0.0), |(sum, count), ln| (sum + ln, count + 1.0));
--- a/endivestile_kernel/src/fleet/workers/driver.rs
+++ b/endivestile_kernel/src/fleet/workers/driver.rs
@@ -397,7 +397,7 @@
 
     /// Stops runs whose orders got no answer and that the worker does not list: they
     /// may yet start. Those that it lists go on; on links that lose packets these are
-    /// most, and stopping them made a third of the jobs late.
+    /// most, and to stop them would make a third of the jobs late.
     fn stop_unsure(&mut self, now: Time) {
         let unsure = self.runs.values_mut().filter(|run| run.phase == Phase::Unsure);
         unsure.for_each(|run| run.halt(now));
