--- a/endivestile_kernel/src/fleet/workers/driver.rs
+++ b/endivestile_kernel/src/fleet/workers/driver.rs
@@ -231,6 +231,8 @@
             }
             StartEnd::Fault(CallFault::Lost) => {
                 run.phase = Phase::Unsure;
+                // A worker that is not heard at all must not have its lease renewed.
+                run.stop_limit = now.after_ms(STOP_LIMIT_MS);
                 // The hold on its way may wait for an end; a new one looks at once.
                 self.flight = None;
                 self.due = now;
@@ -288,6 +290,7 @@
 
     fn fault(&mut self, now: Time, fault: CallFault) -> Vec<EndedRun> {
         self.faults += 1;
+        self.stop_unsure(now);
         let pause = (RETRY_MS << self.faults.min(4)).min(RETRY_MAX_MS) / 2;
         self.due = now.after_ms(pause);
         match fault {
@@ -357,6 +360,9 @@
             run.percent = row.percent;
             run.seen = now;
             // The answer to the order was lost, not the order.
+            if run.phase == Phase::Unsure && !run.stopping {
+                run.stop_limit = Time::NEVER;
+            }
             run.phase = Phase::Runs;
             return;
         }
--- /dev/null
+++ b/endivestile_testkit/tests/fleet/worker_silent.story
@@ -0,0 +1,15 @@
+# A worker falls silent just as a task is ordered there. Neither the order nor a look at
+# its list is answered. If its lease were renewed on the mere chance that the renewals
+# arrive, the task would wait there until its caller's deadline.
+story
+world zones=a hosts=1 workers=2 cpu=16000
+worker a-w1 dark
+submit c1 at=a1 tasks=2 ms=100 deadline=5s
+run 6s
+answers
+check
+settled
+----
+c1 done 1075 ms
+every promise kept
+every call answered
