Stay until the successor has the owner's word, and give it only for want of an answer

Cause: found by reading. A stopping owner ended as soon as nothing was open there, with its word still unacknowledged in the channel: on links that lose frames the zone had no owner after all. The word was also given when the store had answered that the record had changed, and could go to a host that was never heard. Ruled out: a word to two hosts (needless: the channel repeats). Change: a host that gave its word is drained once the channel has it acknowledged, or after 5 s; the word follows only a change without an answer, to the host that the change names; without the store only a host that is heard gets it.

--- a/endivestile_kernel/src/fleet/core.rs
+++ b/endivestile_kernel/src/fleet/core.rs
@@ -189,6 +189,8 @@
     pub(crate) report: (Time, Arc<Report>),
     /// Since when the store answers.
     pub(crate) store_since: Option<Time>,
+    /// Hosts that were given pools by word, and until when it matters that they hear.
+    pub(crate) words: BTreeMap<Peer, Time>,
     pub(crate) leaving: bool,
     pub(crate) drained: bool,
     pub(crate) due: Time,
@@ -212,6 +214,7 @@
             ended: BTreeMap::new(),
             report: (Time::ZERO, Arc::default()),
             store_since: None,
+            words: BTreeMap::new(),
             leaving: false,
             drained: false,
             due: Time::ZERO,
--- a/endivestile_kernel/src/fleet/ownership/claim.rs
+++ b/endivestile_kernel/src/fleet/ownership/claim.rs
@@ -64,7 +64,7 @@
         self.note(Level::Info, "owner_change_ended", pairs);
         if done {
             self.owners_changed(now, &name);
-        } else {
+        } else if *stored == Stored::Lost {
             self.hand_over_unwritten(now, &name);
         }
     }
@@ -300,11 +300,13 @@
         let owned = self.pools.owned(&me);
         let names: Vec<Name> = owned.map(|(name, _)| name.clone()).collect();
         for name in names {
-            let Some(next) = self.successor(now, zone_of(&name)) else { continue };
-            if self.store_since.is_some() {
+            let zone = zone_of(&name);
+            if self.store_since.is_none() {
+                if let Some(next) = self.heard_successor(now, zone) {
+                    self.hand_over(now, &name, &next);
+                }
+            } else if let Some(next) = self.successor(now, zone) {
                 self.change_owner(now, &name, &next);
-            } else {
-                self.hand_over(now, &name, &next);
             }
         }
     }
@@ -314,7 +316,8 @@
         let me = &self.setup.me;
         let owns = self.pools.owned(me).next().is_some();
         let alone = self.members.all().all(|member| !member.answers(now, LOST_MS));
-        let busy = !self.front.open.is_empty() || !self.scheduler.jobs.is_empty();
+        let busy =
+            !self.front.open.is_empty() || !self.scheduler.jobs.is_empty() || self.unheard(now);
         if self.leaving && !self.drained && !busy && (!owns || alone) {
             self.drained = true;
             self.out.push(FleetEffect::Drained);
--- a/endivestile_kernel/src/fleet/ownership/hand_over.rs
+++ b/endivestile_kernel/src/fleet/ownership/hand_over.rs
@@ -16,6 +16,10 @@
 use crate::fleet::ownership::parts::zone_of;
 use crate::{Level, Msg, Peer, Time};
 
+/// Longest time for which a stopping host waits until its successor has its word, in
+/// milliseconds: the first four sendings of a message on a link that loses packets.
+const HEARD_MS: u64 = 5_000;
+
 impl Fleet {
     /// Gives a pool to another host that this one cannot name in the record.
     pub(crate) fn hand_over(&mut self, now: Time, name: &Name, next: &Peer) {
@@ -29,22 +33,31 @@
         self.note(Level::Info, "owner_gave_word", pairs);
         let msg = HandOver { pool: name.clone(), epoch, token };
         self.send(next, Msg::HandOver(msg));
+        self.words.insert(next.clone(), now.after_ms(HEARD_MS));
         self.take_workers(now);
     }
 
-    /// Hands on what the store could not be told in time while this host is stopping.
+    /// Hands a pool on after the change of its record got no answer while this host is
+    /// stopping: the store is away.
     pub(crate) fn hand_over_unwritten(&mut self, now: Time, name: &Name) {
         let me = &self.setup.me;
         let mine = self.pools.by_name.get(name).filter(|pool| pool.owned_by(me));
         let Some(pool) = mine.filter(|_| self.leaving) else { return };
         // The change may yet take effect: it has to name the same host.
-        let next = pool.named_next().cloned();
-        let next = next.or_else(|| self.successor(now, zone_of(name)));
-        if let Some(next) = next.filter(|next| next != me) {
+        if let Some(next) = pool.named_next().cloned().filter(|next| next != me) {
             self.hand_over(now, name, &next);
         }
     }
 
+    /// Returns whether a host that a pool was given to may still not have heard of it.
+    /// A process that ended before would take its word along.
+    pub(crate) fn unheard(&self, now: Time) -> bool {
+        let waits = |(peer, until): (&Peer, &Time)| {
+            *until > now && self.channels.get(peer).is_some_and(|channel| channel.backlog() > 0)
+        };
+        self.words.iter().any(waits)
+    }
+
     /// Takes a pool at its owner's word.
     pub(crate) fn take_over(&mut self, now: Time, from: &Peer, msg: &HandOver) {
         let pool = self.pools.by_name.entry(msg.pool.clone()).or_default();
@@ -61,7 +74,7 @@
         }
         self.take_workers(now);
         if self.leaving
-            && let Some(next) = self.successor(now, zone_of(&msg.pool))
+            && let Some(next) = self.heard_successor(now, zone_of(&msg.pool))
         {
             self.hand_over(now, &msg.pool, &next);
         }
--- a/endivestile_kernel/src/fleet/ownership/turns.rs
+++ b/endivestile_kernel/src/fleet/ownership/turns.rs
@@ -85,9 +85,17 @@
 
     /// Returns the host that takes a zone's pools from this one when it stops.
     pub(crate) fn successor(&self, now: Time, zone: &str) -> Option<Peer> {
-        let live = self.members.all().filter(|member| {
-            !member.leaving && member.heard.is_none_or(|_| member.answers(now, LOST_MS))
-        });
+        self.next_owner(zone, |member| member.heard.is_none_or(|_| member.answers(now, LOST_MS)))
+    }
+
+    /// Returns the host that takes a zone's pools at this one's word: it has to be heard,
+    /// since nobody else learns of them.
+    pub(crate) fn heard_successor(&self, now: Time, zone: &str) -> Option<Peer> {
+        self.next_owner(zone, |member| member.answers(now, LOST_MS))
+    }
+
+    fn next_owner(&self, zone: &str, live: impl Fn(&Member) -> bool) -> Option<Peer> {
+        let live = self.members.all().filter(|member| !member.leaving && live(member));
         let me = &self.setup.me;
         let order = |member: &&Member| {
             let host = &member.peer.host;
