Forget a host's silence only when it is heard or its registration ends

Change: the silence of a suspect is kept; while it is registered it is greeted with each survey; greetings are answered at once. Tests in endivestile_kernel/tests/suspect.rs failed first.

--- a/endivestile_kernel/src/channel.rs
+++ b/endivestile_kernel/src/channel.rs
@@ -115,6 +115,12 @@
         self.beat_due.get_or_insert(at);
     }
 
+    /// Answers a peer that asked for a sign of life. Unlike a beat it is not given up when
+    /// the peer is not watched: the peer may wait for it to count this host as live.
+    pub(crate) fn answer(&mut self, now: Time) {
+        self.ack_due = Some(now);
+    }
+
     /// Ends the regular frames of [`Self::beat`].
     pub(crate) fn rest(&mut self) {
         self.beat_due = None;
--- a/endivestile_kernel/src/hosts.rs
+++ b/endivestile_kernel/src/hosts.rs
@@ -197,12 +197,26 @@
     }
 
     /// Notes since when a peer owes an answer, or has been silent though watched.
+    ///
+    /// One that is suspected for its silence stays so until it is heard, also when it
+    /// owes nothing and is not watched any more. In a cut its shards are taken over at
+    /// once; if it counted as live until its registration ends, calls that must not be
+    /// repeated would go there and be lost.
     pub(crate) fn silent(&mut self, peer: &Peer, since: Option<Time>) {
+        let doubted = self.doubted(peer);
         if let Some(facts) = self.facts.get_mut(&peer.host) {
-            facts.silent = since;
+            facts.silent = since.or(facts.silent.filter(|_| doubted));
         }
     }
 
+    /// Returns whether a peer is registered and suspected for its silence alone.
+    pub(crate) fn doubted(&self, peer: &Peer) -> bool {
+        let Some(facts) = self.facts.get(&peer.host) else { return false };
+        let registered = facts.registered && facts.platform != Some(PlatformState::Gone);
+        let silent = facts.silent.is_some() && facts.birth == peer.birth;
+        registered && silent && self.view.state(peer) == HostState::Suspect
+    }
+
     /// Returns since when a peer owes an answer.
     pub(crate) fn silence(&self, peer: &Peer) -> Option<Time> {
         let facts = self.facts.get(&peer.host)?;
--- a/endivestile_kernel/src/kernel/link.rs
+++ b/endivestile_kernel/src/kernel/link.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use endivestile_config::model::Name;
+
 use crate::channel::{Channel, address_of};
 use crate::hosts::BEAT_MS;
 use crate::{Effect, Figure, Frame, HostState, Kernel, Level, Metric, Msg, Note, Peer, Time};
@@ -27,7 +29,7 @@
         self.want_config(now, &from, frame.revision);
         let channel = self.channel(&from);
         if hello {
-            channel.beat(now);
+            channel.answer(now);
         }
         let msgs = channel.receive(now, frame);
         for msg in msgs {
@@ -89,15 +91,21 @@
     /// configuration nor who its peers are, and they do not learn of its new
     /// incarnation: it would refuse everything until the store is back. A frame
     /// to incarnation 0 of an address from the settings makes both known.
+    ///
+    /// A host that fell silent and is still registered is greeted too: with nobody
+    /// else would it show that it is back, once nothing is shared with it any more.
     pub(super) fn greet(&mut self, now: Time) {
-        if self.config.is_some() {
-            return;
-        }
-        let strangers = self.hosts.view().hosts.values().filter(|host| host.peer.birth == 0);
-        let strangers: Vec<_> =
-            strangers.map(|host| (host.peer.clone(), host.address.clone())).collect();
-        for (peer, address) in strangers {
-            let mut channel = Channel::new(peer);
+        let alone = self.config.is_none();
+        let greeted = self
+            .hosts
+            .view()
+            .hosts
+            .values()
+            .filter(|host| (alone && host.peer.birth == 0) || self.hosts.doubted(&host.peer));
+        let greeted: Vec<(Name, Name)> =
+            greeted.map(|host| (host.peer.host.clone(), host.address.clone())).collect();
+        for (host, address) in greeted {
+            let mut channel = Channel::new(Peer::new(host, 0));
             channel.beat(now);
             let Some(frame) = channel.frame(now, &self.setup.me) else { continue };
             self.out.push(Effect::Send { address, frame });
--- /dev/null
+++ b/endivestile_kernel/tests/suspect.rs
@@ -0,0 +1,130 @@
+//! Which hosts count as live while they cannot be heard.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use endivestile_config::model::{Config, Name};
+use endivestile_kernel::{
+    Effect, Event, Frame, Kernel, Peer, Registration, Setup, ShardRecord, Time,
+};
+
+const CONFIG: &str = "\
+    [availability-zone a]\nregion=r\n[availability-zone b]\nregion=r\n\
+    [host e1]\nzone=a\naddress=127.0.0.1:1\nweight=1\n\
+    [host e2]\nzone=b\naddress=127.0.0.1:2\nweight=1\n\
+    [host e3]\nzone=b\naddress=127.0.0.1:3\nweight=1\n\
+    [rules]\nshards=1\n[configuration]\nrevision=1\n";
+const HOSTS: [(&str, &str, &str); 3] =
+    [("e1", "a", "127.0.0.1:1"), ("e2", "b", "127.0.0.1:2"), ("e3", "b", "127.0.0.1:3")];
+/// Time between two turns of the kernels, in milliseconds.
+const TURN_MS: u64 = 50;
+
+fn peer(host: &str) -> Peer {
+    Peer::new(host, 1)
+}
+
+fn register(host: &str) -> Event {
+    let (_, zone, address) = HOSTS.into_iter().find(|(name, ..)| *name == host).expect("a host");
+    let (zone, address) = (Name::from(zone), Name::from(address));
+    let registration = Registration { peer: peer(host), zone, address, leaving: false };
+    Event::Host { host: Name::from(host), registration: Some(registration) }
+}
+
+fn kernel(host: &str) -> Kernel {
+    let (_, zone, address) = HOSTS.into_iter().find(|(name, ..)| *name == host).expect("a host");
+    let (zone, address) = (Name::from(zone), Name::from(address));
+    let setup =
+        Setup { me: peer(host), zone, address, wall_s: 1_000_000, seed: 1, seeds: Vec::new() };
+    let mut kernel = Kernel::new(setup);
+    let config: Arc<Config> = Arc::new(endivestile_config::parse(CONFIG, "test").expect("config"));
+    let text = Bytes::from(config.canonical());
+    let events = HOSTS.into_iter().map(|(name, ..)| register(name));
+    for event in events.chain([Event::Config { config, text }, Event::Store(true)]) {
+        kernel.handle(Time::ZERO, event, &mut Vec::new());
+    }
+    kernel
+}
+
+/// The only shard: `e1` is its home, another host its witness.
+fn record(epoch: u64, witness: &str) -> Event {
+    let witness = Some(peer(witness));
+    let record = ShardRecord { home: peer("e1"), witness, epoch, floor: 0, write: epoch };
+    Event::Record { shard: 0, revision: epoch, value: record.encode() }
+}
+
+/// Lets a kernel do what is due; returns its frames.
+fn turn(kernel: &mut Kernel, now: Time) -> Vec<Frame> {
+    let mut out = Vec::new();
+    kernel.handle(now, Event::Tick, &mut out);
+    kernel.flush(now, &mut out);
+    let frames = out.into_iter().filter_map(|effect| match effect {
+        Effect::Send { frame, .. } => Some(frame),
+        _ => None,
+    });
+    frames.collect()
+}
+
+/// Carries frames between two kernels for a while; returns the time after it.
+fn talk(one: &mut Kernel, other: &mut Kernel, from_ms: u64, to_ms: u64) -> Time {
+    for ms in (from_ms..to_ms).step_by(TURN_MS as usize) {
+        let now = Time::ZERO.after_ms(ms);
+        for _ in 0..3 {
+            for frame in turn(one, now) {
+                other.handle(now, Event::Frame(frame), &mut Vec::new());
+            }
+            for frame in turn(other, now) {
+                one.handle(now, Event::Frame(frame), &mut Vec::new());
+            }
+        }
+    }
+    Time::ZERO.after_ms(to_ms)
+}
+
+/// Lets a kernel run alone for a while.
+fn alone(kernel: &mut Kernel, from: Time, millis: u64) -> Time {
+    for ms in (0..millis).step_by(TURN_MS as usize) {
+        turn(kernel, from.after_ms(ms));
+    }
+    from.after_ms(millis)
+}
+
+fn state(kernel: &Kernel, now: Time, host: &str) -> String {
+    kernel.status(now).hosts[host].state.clone()
+}
+
+/// A zone is cut off. Its host falls silent, and another host becomes the witness of the
+/// shard that the two shared, so that it is not watched any more. It is still registered
+/// for a moment. If it counted as live then, work would be placed there, and its caller
+/// told at the deadline that it may have run.
+#[test]
+fn suspect_not_shared_any_more() {
+    let (mut e1, mut e2) = (kernel("e1"), kernel("e2"));
+    for kernel in [&mut e1, &mut e2] {
+        kernel.handle(Time::ZERO, record(1, "e2"), &mut Vec::new());
+    }
+    let now = talk(&mut e1, &mut e2, 0, 2_000);
+    assert_eq!(state(&e1, now, "e2"), "live");
+    let now = alone(&mut e1, now, 2_500);
+    assert_eq!(state(&e1, now, "e2"), "suspect");
+    e1.handle(now, record(2, "e3"), &mut Vec::new());
+    let now = alone(&mut e1, now, 2_000);
+    assert_eq!(state(&e1, now, "e2"), "suspect");
+}
+
+/// The cut heals. The host is heard again though nothing is shared with it any more, and
+/// counts as live; otherwise its servers would be lost to the other zones for good.
+#[test]
+fn suspect_heard_again() {
+    let (mut e1, mut e2) = (kernel("e1"), kernel("e2"));
+    for kernel in [&mut e1, &mut e2] {
+        kernel.handle(Time::ZERO, record(1, "e2"), &mut Vec::new());
+    }
+    let now = talk(&mut e1, &mut e2, 0, 2_000);
+    let now = alone(&mut e1, now, 2_500);
+    e1.handle(now, record(2, "e3"), &mut Vec::new());
+    e2.handle(now, record(2, "e3"), &mut Vec::new());
+    let now = alone(&mut e1, now, 1_500);
+    assert_eq!(state(&e1, now, "e2"), "suspect");
+    let now = talk(&mut e1, &mut e2, 6_000, 10_000);
+    assert_eq!(state(&e1, now, "e2"), "live");
+}
