Cut the driver of workers and the world of fleets into files by what they do

Ruled out: a change of behaviour. The sorted lines of the files before and after differ in imports, module lines and visibility only (compared line by line). Change: driver/look.rs takes what a worker's answer shows; calls.rs and visits.rs take callers and calls to workers of the stand-in. Conclusion: pure move.

--- a/endivestile_kernel/src/fleet/workers/driver.rs
+++ b/endivestile_kernel/src/fleet/workers/driver.rs
@@ -6,6 +6,8 @@
 //! any more. Counting by guesses would overload a worker that starts whatever
 //! it is told to start.
 
+mod look;
+
 use std::collections::BTreeMap;
 
 use endivestile_config::model::Name;
@@ -13,7 +15,7 @@
 use crate::fleet::workers::call::{Call, HOLD_SLACK_MS, ORDER_MS};
 use crate::fleet::workers::run::{EndedRun, Outcome, Phase, Run, RunId, STOP_LIMIT_MS, TaskRef};
 use crate::fleet::workers::worker::{
-    CallFault, EndRow, Held, HoldOrder, RunRow, StartEnd, StartOrder, StopOrder, WorkerEntry,
+    CallFault, HoldOrder, StartEnd, StartOrder, StopOrder, WorkerEntry,
 };
 use crate::{Need, Time};
 
@@ -271,152 +273,6 @@
         }
     }
 
-    /// Takes in the answer to a hold; returns the runs that are over.
-    pub(crate) fn held(
-        &mut self,
-        now: Time,
-        number: u64,
-        end: Result<Held, CallFault>,
-    ) -> Vec<EndedRun> {
-        let Some(flight) = self.flight.filter(|flight| flight.number == number) else {
-            return Vec::new();
-        };
-        self.flight = None;
-        match end {
-            Ok(held) => self.look(now, flight, held),
-            Err(fault) => self.fault(now, fault),
-        }
-    }
-
-    fn fault(&mut self, now: Time, fault: CallFault) -> Vec<EndedRun> {
-        self.faults += 1;
-        self.stop_unsure(now);
-        let pause = (RETRY_MS << self.faults.min(4)).min(RETRY_MAX_MS) / 2;
-        self.due = now.after_ms(pause);
-        match fault {
-            CallFault::Fenced => self.stage = Stage::Fenced,
-            // Somebody else answers at the address: this life has ended.
-            CallFault::OtherLife => {
-                self.listed = false;
-                return self.all_over(Outcome::Vanished);
-            }
-            _ => {}
-        }
-        Vec::new()
-    }
-
-    fn look(&mut self, now: Time, flight: Flight, held: Held) -> Vec<EndedRun> {
-        self.faults = 0;
-        self.contact = Some(now);
-        self.due = now;
-        let mut past = Vec::new();
-        if held.born != 0 && self.born != 0 && held.born != self.born {
-            self.reborn(now);
-        }
-        if held.born != 0 {
-            self.born = held.born;
-        }
-        self.tell_clock(now, held.clock);
-        for row in &held.ended {
-            past.extend(self.ended(row));
-        }
-        for row in &held.running {
-            self.running(now, row);
-        }
-        past.extend(self.absent(flight, &held));
-        self.stop_unsure(now);
-        self.settle_stage();
-        if self.in_haste() {
-            self.due = now.after_ms(LOOK_MS);
-        }
-        past
-    }
-
-    /// The worker has started again under its id. Runs that it does not list
-    /// are gone with its former life, but an order that was sent before this
-    /// was known may run in the new one.
-    fn reborn(&mut self, now: Time) {
-        self.observed = 0;
-        self.stage = Stage::Asking;
-        for run in self.runs.values_mut().filter(|run| run.stopping) {
-            // The new life knows nothing of a stop that the former one answered.
-            run.halted = None;
-            run.stop_due = now;
-        }
-    }
-
-    fn ended(&mut self, row: &EndRow) -> Option<EndedRun> {
-        if row.number <= self.observed {
-            return None;
-        }
-        self.observed = row.number;
-        let id = RunId { task: row.task.clone(), run: row.run };
-        self.over(&id, Outcome::Ended(row.end))
-    }
-
-    fn running(&mut self, now: Time, row: &RunRow) {
-        let id = RunId { task: row.task.clone(), run: row.run };
-        if let Some(run) = self.runs.get_mut(&id) {
-            run.percent = row.percent;
-            run.seen = now;
-            // The answer to the order was lost, not the order.
-            if run.phase == Phase::Unsure && !run.stopping {
-                run.stop_limit = Time::NEVER;
-            }
-            run.phase = Phase::Runs;
-            return;
-        }
-        // A former owner's run: nothing is known of what it takes.
-        let run = Run {
-            by: None,
-            need: self.entry.room,
-            sent: now,
-            percent: row.percent,
-            seen: now,
-            stopping: true,
-            phase: Phase::Runs,
-            until: 0,
-            halted: None,
-            stop_due: now,
-            stop_limit: now.after_ms(STOP_LIMIT_MS),
-        };
-        self.runs.insert(id, run);
-    }
-
-    /// Drops runs that the worker shows to be over by not listing them: those
-    /// stopped before it looked, those whose start came too late, and those
-    /// that it had before the hold was even sent.
-    fn absent(&mut self, flight: Flight, held: &Held) -> Vec<EndedRun> {
-        let lists =
-            |id: &RunId| held.running.iter().any(|row| row.run == id.run && row.task == id.task);
-        let gone = |id: &RunId, run: &Run| match run.phase {
-            _ if lists(id) => false,
-            _ if run.halted.is_some_and(|clock| held.clock > clock) => true,
-            Phase::Unsure => held.clock > run.until,
-            Phase::Runs => run.seen < flight.sent && run.sent < flight.sent,
-            Phase::Sent => false,
-        };
-        let ids: Vec<RunId> =
-            self.runs.iter().filter(|(id, run)| gone(id, run)).map(|(id, _)| id.clone()).collect();
-        ids.iter().filter_map(|id| self.over(id, Outcome::Vanished)).collect()
-    }
-
-    /// Stops runs whose orders got no answer and that the worker does not list: they
-    /// may yet start. Those that it lists go on; on links that lose packets these are
-    /// most, and to stop them would make a third of the jobs late.
-    fn stop_unsure(&mut self, now: Time) {
-        let unsure = self.runs.values_mut().filter(|run| run.phase == Phase::Unsure);
-        unsure.for_each(|run| run.halt(now));
-    }
-
-    fn settle_stage(&mut self) {
-        if self.stage != Stage::Asking && self.stage != Stage::Clearing {
-            return;
-        }
-        let foreign = self.runs.values().any(|run| run.until == 0);
-        self.stage = if foreign { Stage::Clearing } else { Stage::Owned };
-    }
-
     /// Takes the latest word on the worker's clock. An answer that was overtaken
     /// makes the estimate too early, which shortens a lease and harms nothing.
     fn tell_clock(&mut self, now: Time, clock: u64) {
--- /dev/null
+++ b/endivestile_testkit/src/fleet/visits.rs
@@ -0,0 +1,168 @@
+//! Calls of hosts to workers, and what happens there.
+
+use endivestile_config::model::Name;
+use endivestile_kernel::fleet::{CallFault, FleetEvent, StartEnd, WorkerCall};
+
+use super::worker::{Behaviour, Worker, none};
+use super::world::{FleetWorld, Happening};
+
+impl FleetWorld {
+    pub(crate) fn arrive(&mut self, visit: u64, worker: &Name) {
+        let Some((host, _, call)) = self.open_visits.get(&visit).cloned() else { return };
+        let Some(state) = self.workers.get_mut(worker) else { return };
+        if state.dark {
+            return;
+        }
+        if let (Behaviour::Late(ms), WorkerCall::Start(_) | WorkerCall::Stop(_)) =
+            (state.behaviour, &call)
+        {
+            let (worker, born) = (worker.clone(), state.entry.born);
+            self.at(self.now + ms * 1_000, Happening::Belated { call, worker, born });
+            return;
+        }
+        if let WorkerCall::Hold(_, order) = &call {
+            self.advance(worker);
+            let Some(state) = self.workers.get_mut(worker) else { return };
+            if let Ok(false) = state.hold(self.now, order) {
+                let wait = u64::from(order.wait) * 1_000;
+                self.waiting.insert(visit, worker.clone());
+                self.at(self.now + wait, Happening::Look { visit, worker: worker.clone() });
+                self.schedule(worker);
+                return;
+            }
+        }
+        if let Some(event) = self.carry_out(&call) {
+            self.reply(visit, &host, worker, event);
+        }
+    }
+
+    /// Carries an order out; returns what the worker answers.
+    pub(crate) fn carry_out(&mut self, call: &WorkerCall) -> Option<FleetEvent> {
+        let now = self.now;
+        let worker = match call {
+            WorkerCall::Start(order) => &order.worker,
+            WorkerCall::Stop(order) => &order.worker,
+            WorkerCall::Hold(_, order) => &order.worker,
+        };
+        self.advance(worker);
+        let state = self.workers.get_mut(worker)?;
+        let event = match call {
+            WorkerCall::Start(order) => {
+                let id = order.task.split('.').next().unwrap_or_default();
+                let (work_us, need) = self.works.get(id).copied().unwrap_or((1.0, none()));
+                let new = !state.runs.contains_key(&(order.task.clone(), order.run));
+                let end = state.start(now, order, need, work_us);
+                if new && matches!(end, StartEnd::Started(_)) {
+                    self.seen.started(order);
+                }
+                FleetEvent::Started {
+                    worker: order.worker.clone(),
+                    task: order.task.clone(),
+                    run: order.run,
+                    end,
+                }
+            }
+            WorkerCall::Stop(order) => FleetEvent::Stopped {
+                worker: order.worker.clone(),
+                task: order.task.clone(),
+                run: order.run,
+                end: state.stop(now, order),
+            },
+            WorkerCall::Hold(number, order) => {
+                let end = match state.hold(now, order) {
+                    Ok(_) => Ok(state.held(now)),
+                    Err(fault) => Err(fault),
+                };
+                FleetEvent::Held { worker: order.worker.clone(), number: *number, end }
+            }
+        };
+        let worker = worker.clone();
+        self.check_worker(&worker);
+        self.schedule(&worker);
+        self.tell_ends(&worker);
+        Some(event)
+    }
+
+    pub(crate) fn belated(&mut self, call: &WorkerCall, worker: &Name, born: u64) {
+        if self.workers.get(worker).is_some_and(|state| state.entry.born == born) {
+            self.carry_out(call);
+        }
+    }
+
+    pub(crate) fn reply(&mut self, visit: u64, host: &Name, worker: &Name, event: FleetEvent) {
+        if self.net.reaches(worker, host) {
+            let delay = self.net.delay_us(worker, host, &mut self.rng);
+            self.at(self.now + delay, Happening::Return { visit, event });
+        }
+    }
+
+    pub(crate) fn look(&mut self, visit: u64, worker: &Name) {
+        if self.waiting.remove(&visit).is_none() {
+            return;
+        }
+        let Some((host, _, WorkerCall::Hold(number, _))) = self.open_visits.get(&visit).cloned()
+        else {
+            return;
+        };
+        self.advance(worker);
+        let Some(state) = self.workers.get(worker).filter(|state| !state.dark) else { return };
+        let end = Ok(state.held(self.now));
+        let event = FleetEvent::Held { worker: worker.clone(), number, end };
+        self.reply(visit, &host, worker, event);
+    }
+
+    pub(crate) fn expire(&mut self, visit: u64) {
+        let Some((host, birth, call)) = self.open_visits.remove(&visit) else { return };
+        self.waiting.remove(&visit);
+        let event = match call {
+            WorkerCall::Start(order) => FleetEvent::Started {
+                worker: order.worker,
+                task: order.task,
+                run: order.run,
+                end: StartEnd::Fault(CallFault::Lost),
+            },
+            WorkerCall::Stop(order) => FleetEvent::Stopped {
+                worker: order.worker,
+                task: order.task,
+                run: order.run,
+                end: Err(CallFault::Lost),
+            },
+            WorkerCall::Hold(number, order) => {
+                FleetEvent::Held { worker: order.worker, number, end: Err(CallFault::Lost) }
+            }
+        };
+        self.deliver(&host, birth, event);
+    }
+
+    /// Brings a worker up to date, and tells those who wait of ends.
+    pub(crate) fn advance(&mut self, worker: &Name) {
+        let now = self.now;
+        if let Some(state) = self.workers.get_mut(worker) {
+            state.advance(now);
+        }
+    }
+
+    pub(crate) fn work(&mut self, worker: &Name) {
+        self.advance(worker);
+        self.tell_ends(worker);
+        self.schedule(worker);
+    }
+
+    pub(crate) fn tell_ends(&mut self, worker: &Name) {
+        if !self.workers.get(worker).is_some_and(Worker::has_ends) {
+            return;
+        }
+        let visits: Vec<u64> =
+            self.waiting.iter().filter(|(_, at)| *at == worker).map(|(visit, _)| *visit).collect();
+        for visit in visits {
+            self.look(visit, worker);
+        }
+    }
+
+    pub(crate) fn schedule(&mut self, worker: &Name) {
+        let next = self.workers.get(worker).and_then(Worker::next);
+        if let Some(at) = next {
+            self.at(at.max(self.now + 1), Happening::Work { worker: worker.clone() });
+        }
+    }
+}
--- a/endivestile_testkit/src/fleet/world.rs
+++ b/endivestile_testkit/src/fleet/world.rs
@@ -6,18 +6,16 @@
 use bytes::Bytes;
 use endivestile_config::Policy;
 use endivestile_config::model::Name;
-use endivestile_kernel::fleet::{
-    CallFault, FleetEvent, HOST_KEYS, HostEntry, Job, JobEnd, RouteTable, StartEnd, Step,
-    WorkerCall,
-};
-use endivestile_kernel::{CallId, Need, StoreOp, Stored};
+use endivestile_kernel::fleet::{FleetEvent, HOST_KEYS, HostEntry, RouteTable, WorkerCall};
+use endivestile_kernel::{Need, StoreOp, Stored};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use super::calls::CallLog;
 use super::check::Seen;
 use super::host::Host;
 use super::store::Store;
-use super::worker::{Behaviour, Worker, none, worker_entry};
+use super::worker::{Worker, worker_entry};
 use crate::timeline::Timeline;
 use crate::world::net::{Net, STORE};
 
@@ -27,8 +25,6 @@
 const HOST_CPU_MILLI: u32 = 250;
 /// Distance between zones, in microseconds.
 const FAR_US: u64 = 1_400;
-/// Time after which a caller without an answer sends its job again, in microseconds.
-const RESEND_US: u64 = 1_300_000;
 
 /// Something that is going to happen.
 #[derive(Debug)]
@@ -66,25 +62,6 @@
     Drained { host: Name, birth: u64 },
 }
 
-/// A call of a caller.
-#[derive(Debug)]
-pub(crate) struct CallLog {
-    /// Name in the story.
-    pub(crate) name: String,
-    /// The job's id.
-    pub(crate) id: Name,
-    /// Host and incarnation that took it.
-    pub(crate) at: (Name, u64),
-    /// When.
-    pub(crate) made: u64,
-    /// How it ended; none of the second when the connection broke.
-    pub(crate) ended: Option<(u64, Option<JobEnd>)>,
-    /// What was handed in, with its instants from zero, and its work.
-    pub(crate) sent: (Job, u64),
-    /// Whether it is sent again when it ends without an answer.
-    pub(crate) again: bool,
-}
-
 /// A deployment in virtual time.
 #[derive(Debug)]
 pub struct FleetWorld {
@@ -104,7 +81,7 @@
     pub(crate) traced: bool,
     pub(crate) trace: Vec<String>,
     pub(crate) rng: SmallRng,
-    waiting: BTreeMap<u64, Name>,
+    pub(crate) waiting: BTreeMap<u64, Name>,
     timeline: Timeline<Happening>,
 }
 
@@ -216,243 +193,6 @@
         }
     }
 
-    /// Hands a job in at a host; its deadline is counted from zero.
-    pub(crate) fn submit(&mut self, name: &str, at: &Name, job: Job, work_ms: u64, again: bool) {
-        let Some(host) = self.hosts.get(at).filter(|host| host.fleet.is_some()) else { return };
-        let (birth, time) = (host.birth, host.time(self.now));
-        let number = self.calls.len() as u64;
-        let need = job.steps.first().map_or_else(none, |step: &Step| step.need);
-        self.works.insert(job.id.clone(), ((work_ms * 1_000) as f64, need));
-        let log = CallLog {
-            name: name.to_owned(),
-            id: job.id.clone(),
-            at: (at.clone(), birth),
-            made: self.now,
-            ended: None,
-            sent: (job.clone(), work_ms),
-            again,
-        };
-        self.calls.insert(number, log);
-        let patience = job.deadline.as_micros();
-        self.at(self.now + patience, Happening::Deadline { call: number });
-        let job = Job { arrived: time, deadline: time.after_us(patience), ..job };
-        self.deliver(at, birth, FleetEvent::Call { call: CallId(number), job });
-    }
-
-    /// Lets a caller hang up.
-    pub(crate) fn leave(&mut self, name: &str) {
-        let open = self.calls.iter().find(|(_, call)| call.name == name);
-        if let Some((number, _)) = open {
-            self.hang_up(*number);
-        }
-    }
-
-    fn hang_up(&mut self, number: u64) {
-        let Some(call) = self.calls.get(&number).filter(|call| call.ended.is_none()) else {
-            return;
-        };
-        let (host, birth) = call.at.clone();
-        self.end_call(number, None);
-        self.deliver(&host, birth, FleetEvent::Hangup(CallId(number)));
-    }
-
-    pub(crate) fn answered(&mut self, number: u64, end: JobEnd) {
-        self.end_call(number, Some(end));
-    }
-
-    fn end_call(&mut self, number: u64, end: Option<JobEnd>) {
-        let now = self.now;
-        let Some(call) = self.calls.get_mut(&number).filter(|call| call.ended.is_none()) else {
-            return;
-        };
-        call.ended = Some((now, end));
-        let unknown = matches!(end, None | Some(JobEnd::Lost(_)));
-        if unknown && call.again {
-            self.at(now + RESEND_US, Happening::Resend { call: number });
-        }
-    }
-
-    /// Sends a job again, at any host of the zone that lives.
-    fn resend(&mut self, number: u64) {
-        let Some(call) = self.calls.get(&number) else { return };
-        let (name, (job, work_ms)) = (format!("{}+", call.name), call.sent.clone());
-        let zone = self.hosts.get(&call.at.0).map(|host| host.zone.clone());
-        let lives = self.hosts.iter().filter(|(_, host)| {
-            host.fleet.is_some() && host.paused.is_none() && Some(&host.zone) == zone.as_ref()
-        });
-        let lives: Vec<Name> = lives.map(|(name, _)| name.clone()).collect();
-        let Some(at) = lives.get(number as usize % lives.len().max(1)).cloned() else { return };
-        self.submit(&name, &at, job, work_ms, false);
-    }
-
-    pub(crate) fn connections_end(&mut self, host: &Name, birth: u64) {
-        let at = (host.clone(), birth);
-        let open = self.calls.iter().filter(|(_, call)| call.ended.is_none() && call.at == at);
-        let numbers: Vec<u64> = open.map(|(number, _)| *number).collect();
-        for number in numbers {
-            self.end_call(number, None);
-        }
-    }
-
-    fn arrive(&mut self, visit: u64, worker: &Name) {
-        let Some((host, _, call)) = self.open_visits.get(&visit).cloned() else { return };
-        let Some(state) = self.workers.get_mut(worker) else { return };
-        if state.dark {
-            return;
-        }
-        if let (Behaviour::Late(ms), WorkerCall::Start(_) | WorkerCall::Stop(_)) =
-            (state.behaviour, &call)
-        {
-            let (worker, born) = (worker.clone(), state.entry.born);
-            self.at(self.now + ms * 1_000, Happening::Belated { call, worker, born });
-            return;
-        }
-        if let WorkerCall::Hold(_, order) = &call {
-            self.advance(worker);
-            let Some(state) = self.workers.get_mut(worker) else { return };
-            if let Ok(false) = state.hold(self.now, order) {
-                let wait = u64::from(order.wait) * 1_000;
-                self.waiting.insert(visit, worker.clone());
-                self.at(self.now + wait, Happening::Look { visit, worker: worker.clone() });
-                self.schedule(worker);
-                return;
-            }
-        }
-        if let Some(event) = self.carry_out(&call) {
-            self.reply(visit, &host, worker, event);
-        }
-    }
-
-    /// Carries an order out; returns what the worker answers.
-    fn carry_out(&mut self, call: &WorkerCall) -> Option<FleetEvent> {
-        let now = self.now;
-        let worker = match call {
-            WorkerCall::Start(order) => &order.worker,
-            WorkerCall::Stop(order) => &order.worker,
-            WorkerCall::Hold(_, order) => &order.worker,
-        };
-        self.advance(worker);
-        let state = self.workers.get_mut(worker)?;
-        let event = match call {
-            WorkerCall::Start(order) => {
-                let id = order.task.split('.').next().unwrap_or_default();
-                let (work_us, need) = self.works.get(id).copied().unwrap_or((1.0, none()));
-                let new = !state.runs.contains_key(&(order.task.clone(), order.run));
-                let end = state.start(now, order, need, work_us);
-                if new && matches!(end, StartEnd::Started(_)) {
-                    self.seen.started(order);
-                }
-                FleetEvent::Started {
-                    worker: order.worker.clone(),
-                    task: order.task.clone(),
-                    run: order.run,
-                    end,
-                }
-            }
-            WorkerCall::Stop(order) => FleetEvent::Stopped {
-                worker: order.worker.clone(),
-                task: order.task.clone(),
-                run: order.run,
-                end: state.stop(now, order),
-            },
-            WorkerCall::Hold(number, order) => {
-                let end = match state.hold(now, order) {
-                    Ok(_) => Ok(state.held(now)),
-                    Err(fault) => Err(fault),
-                };
-                FleetEvent::Held { worker: order.worker.clone(), number: *number, end }
-            }
-        };
-        let worker = worker.clone();
-        self.check_worker(&worker);
-        self.schedule(&worker);
-        self.tell_ends(&worker);
-        Some(event)
-    }
-
-    fn belated(&mut self, call: &WorkerCall, worker: &Name, born: u64) {
-        if self.workers.get(worker).is_some_and(|state| state.entry.born == born) {
-            self.carry_out(call);
-        }
-    }
-
-    fn reply(&mut self, visit: u64, host: &Name, worker: &Name, event: FleetEvent) {
-        if self.net.reaches(worker, host) {
-            let delay = self.net.delay_us(worker, host, &mut self.rng);
-            self.at(self.now + delay, Happening::Return { visit, event });
-        }
-    }
-
-    fn look(&mut self, visit: u64, worker: &Name) {
-        if self.waiting.remove(&visit).is_none() {
-            return;
-        }
-        let Some((host, _, WorkerCall::Hold(number, _))) = self.open_visits.get(&visit).cloned()
-        else {
-            return;
-        };
-        self.advance(worker);
-        let Some(state) = self.workers.get(worker).filter(|state| !state.dark) else { return };
-        let end = Ok(state.held(self.now));
-        let event = FleetEvent::Held { worker: worker.clone(), number, end };
-        self.reply(visit, &host, worker, event);
-    }
-
-    fn expire(&mut self, visit: u64) {
-        let Some((host, birth, call)) = self.open_visits.remove(&visit) else { return };
-        self.waiting.remove(&visit);
-        let event = match call {
-            WorkerCall::Start(order) => FleetEvent::Started {
-                worker: order.worker,
-                task: order.task,
-                run: order.run,
-                end: StartEnd::Fault(CallFault::Lost),
-            },
-            WorkerCall::Stop(order) => FleetEvent::Stopped {
-                worker: order.worker,
-                task: order.task,
-                run: order.run,
-                end: Err(CallFault::Lost),
-            },
-            WorkerCall::Hold(number, order) => {
-                FleetEvent::Held { worker: order.worker, number, end: Err(CallFault::Lost) }
-            }
-        };
-        self.deliver(&host, birth, event);
-    }
-
-    /// Brings a worker up to date, and tells those who wait of ends.
-    fn advance(&mut self, worker: &Name) {
-        let now = self.now;
-        if let Some(state) = self.workers.get_mut(worker) {
-            state.advance(now);
-        }
-    }
-
-    fn work(&mut self, worker: &Name) {
-        self.advance(worker);
-        self.tell_ends(worker);
-        self.schedule(worker);
-    }
-
-    fn tell_ends(&mut self, worker: &Name) {
-        if !self.workers.get(worker).is_some_and(Worker::has_ends) {
-            return;
-        }
-        let visits: Vec<u64> =
-            self.waiting.iter().filter(|(_, at)| *at == worker).map(|(visit, _)| *visit).collect();
-        for visit in visits {
-            self.look(visit, worker);
-        }
-    }
-
-    pub(crate) fn schedule(&mut self, worker: &Name) {
-        let next = self.workers.get(worker).and_then(Worker::next);
-        if let Some(at) = next {
-            self.at(at.max(self.now + 1), Happening::Work { worker: worker.clone() });
-        }
-    }
-
     fn swap(&mut self, host: Name, birth: u64, token: u64, op: &StoreOp) {
         let at = self.now + self.store.delay_us / 2;
         let mut stored = Stored::Lost;
