Deal pools out to hosts that can drive them, with fewer frames and readings a host

(2) Every look at the pools made a sorted set of all workers' pools and an order of all hosts, 66 times a second on each host. (3) Every host exchanged frames with every owner of every zone, 180 a second. (4) Every host read all 540 registrations every 1.5 s, owners every 0.45 s: 164 KB/s a host. Ruled out: heartbeats of workers as changes of their entries (a count of entries read anew: 564 for 540 workers in 31 s, but for the first seconds, while workers are cold). Change: owners give pools to hosts that could drive more, one at a time and once nothing runs there; how many owners a zone has follows from what its hosts can drive (processor time and link, a new setting link-mbps). Looks at pools every 30 ms, and whose owner lives is asked before any order is worked out. Frames by what two hosts have to do with each other; a host without workers keeps in touch with one owner of each other zone. Workers by a watch. Links are made anew after 400 ms, doubled up to 3.2 s.

--- a/endivestile/src/fleet/config.rs
+++ b/endivestile/src/fleet/config.rs
@@ -19,6 +19,10 @@
 }
 
 impl Sink for Configs {
+    fn store(&mut self, up: bool) {
+        self.inbox.event(FleetEvent::Store(up));
+    }
+
     fn tell(&mut self, key: &str, revision: u64, value: Option<Bytes>) {
         if key != self.adapter.keys.config {
             return;
--- a/endivestile/src/fleet/engine.rs
+++ b/endivestile/src/fleet/engine.rs
@@ -165,7 +165,7 @@
                 self.fleet.handle(now, FleetEvent::Call { call: call.call, job: *job });
                 return;
             }
-            Demand::Pending(route) => Say::Pending(self.fleet.pending(&route)),
+            Demand::Pending(route) => Say::Pending(self.fleet.pending(now, &route)),
             Demand::State(id) => Say::State(self.fleet.find(&id).is_some()),
             Demand::Cancel(id) => Say::Cancelled(self.cancel(now, &id)),
             Demand::Ready => Say::Ready(self.ready()),
--- a/endivestile/src/fleet/feed.rs
+++ b/endivestile/src/fleet/feed.rs
@@ -4,11 +4,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use endivestile_kernel::fleet::FleetEvent;
 use endivestile_wire::adapter::{Item, Page, StoreFault};
 use tokio::time::sleep;
 
-use super::inbox::Inbox;
 use super::reader::Reader;
 
 /// Longest wait of one watch, in milliseconds. A connection that has gone
@@ -27,26 +25,43 @@
 
     /// All keys have been told as they stood at one time.
     fn loaded(&mut self) {}
+
+    /// The store answers, or does not; all that it had to say so far has been told.
+    fn store(&mut self, up: bool);
+
+    /// Returns the longest wait of the next watch, in milliseconds.
+    fn wait_ms(&self) -> u32 {
+        WAIT_MS
+    }
+
+    /// Returns once the next watch may begin.
+    fn ready(&self) -> impl Future<Output = ()> + Send {
+        async {}
+    }
+
+    /// Returns when a watch that is under way is to be begun anew with another wait.
+    fn hurry(&self) -> impl Future<Output = ()> + Send {
+        std::future::pending()
+    }
 }
 
 /// Keys as they were last told.
 struct Feed<S> {
     prefix: String,
     reader: Reader,
-    inbox: Inbox,
     sink: S,
     known: HashMap<String, u64>,
 }
 
 /// Keeps up with a prefix until the process ends.
-pub(crate) async fn run<S: Sink>(prefix: String, reader: Reader, inbox: Inbox, sink: S) {
-    let mut feed = Feed { prefix, reader, inbox, sink, known: HashMap::new() };
+pub(crate) async fn run<S: Sink>(prefix: String, reader: Reader, sink: S) {
+    let mut feed = Feed { prefix, reader, sink, known: HashMap::new() };
     let mut pause = RETRY_MS;
     loop {
         if feed.follow().await {
             pause = RETRY_MS;
         }
-        feed.inbox.event(FleetEvent::Store(false));
+        feed.sink.store(false);
         sleep(Duration::from_millis(pause)).await;
         pause = (pause * 2).min(RETRY_MAX_MS);
     }
@@ -55,7 +70,7 @@
 impl<S: Sink> Feed<S> {
     /// Reads everything and watches until a call fails; says whether one succeeded.
     async fn follow(&mut self) -> bool {
-        let page = match self.reader.range(&self.prefix, false).await {
+        let page = match self.reader.range(&self.prefix).await {
             Ok(page) => page,
             Err(fault) => {
                 log::debug!("event=store_call_failed step=read-keys fault={fault:?}");
@@ -65,8 +80,14 @@
         let mut at = page.at;
         self.load(page);
         loop {
-            self.inbox.event(FleetEvent::Store(true));
-            match self.reader.watch(&self.prefix, at, WAIT_MS).await {
+            self.sink.store(true);
+            self.sink.ready().await;
+            let watch = self.reader.watch(&self.prefix, at, self.sink.wait_ms());
+            let watched = tokio::select! {
+                watched = watch => watched,
+                () = self.sink.hurry() => continue,
+            };
+            match watched {
                 Ok(page) => {
                     at = page.at.max(at);
                     page.items.into_iter().for_each(|item| self.put(item));
--- a/endivestile/src/fleet/listing.rs
+++ b/endivestile/src/fleet/listing.rs
@@ -1,28 +1,37 @@
 //! Keeps up with the workers' registrations.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
 use endivestile_kernel::fleet::{FleetEvent, WorkerEntry};
-use endivestile_wire::adapter::{Item, StoreFault};
+use endivestile_wire::adapter::Adapter;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
 
+use super::feed::Sink;
 use super::inbox::Inbox;
-use super::reader::Reader;
 
-/// Time between two readings of a host that owns workers, in milliseconds: a
-/// worker that says it is leaving gets nothing new after two seconds.
-const OWNER_MS: u64 = 450;
-/// Time between two readings of another host, in milliseconds.
+/// Time between two watches of a host that owns workers, in milliseconds: while workers
+/// register, each changes its entry with every heartbeat.
+const OWNER_MS: u64 = 150;
+/// The same of another host.
 const OTHER_MS: u64 = 1_500;
+/// Longest wait of a watch of a host that owns workers, in milliseconds; a connection that
+/// has gone silent must not hide for long that a worker is leaving.
+const OWNER_WAIT_MS: u32 = 900;
+/// The same of another host, which only has to know which workers there are.
+const OTHER_WAIT_MS: u32 = 10_000;
+/// Time after which the list is told again though it has not changed, in milliseconds: a
+/// worker that was given up may be reached again.
+const REPEAT_MS: u64 = 5_000;
 /// Time for which entries may be missing after the store was away, in
 /// milliseconds: workers that live register anew within two seconds.
 const RETURN_MS: u64 = 2_500;
 
-/// Tells when this host owns workers and needs the list more often.
+/// Tells when this host owns workers and needs the list at once.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Need {
     owner: Arc<AtomicBool>,
@@ -37,63 +46,109 @@
         }
     }
 
-    async fn wait(&self) {
-        let ms = if self.owner.load(Ordering::Relaxed) { OWNER_MS } else { OTHER_MS };
-        let _ = timeout(Duration::from_millis(ms), self.changed.notified()).await;
+    fn owner(&self) -> bool {
+        self.owner.load(Ordering::Relaxed)
     }
 }
 
-/// An entry as it was last read.
-struct Known {
-    revision: u64,
-    entry: Option<WorkerEntry>,
+/// The registrations as last told.
+pub(crate) struct Listing {
+    adapter: &'static Adapter,
+    inbox: Inbox,
+    need: Need,
+    entries: BTreeMap<String, WorkerEntry>,
+    /// Entries that were missing when the store returned, and until when they count.
+    missing: BTreeMap<String, Instant>,
+    /// Until when a missing entry may be one that lapsed while the store was away.
+    returning: Instant,
+    changed: bool,
+    repeat: Instant,
 }
 
-/// Reads the list again and again until the process ends.
-pub(crate) async fn run(reader: Reader, inbox: Inbox, need: Need) {
-    let mut known: HashMap<String, Known> = HashMap::new();
-    let mut failed = Instant::now();
-    loop {
-        match reader.range(reader.adapter.keys.workers, false).await {
-            Ok(page) => {
-                let returning = failed.elapsed() < Duration::from_millis(RETURN_MS);
-                update(&reader, &mut known, page.items, returning);
-                let entries = known.values().filter_map(|known| known.entry.clone());
-                let mut workers: Vec<WorkerEntry> = entries.collect();
-                workers.sort_by(|a, b| a.id.cmp(&b.id));
-                inbox.event(FleetEvent::Workers(workers));
-                need.wait().await;
-            }
-            Err(fault) => {
-                failed = Instant::now();
-                let pause = if fault == StoreFault::Busy { OWNER_MS } else { OWNER_MS / 2 };
-                sleep(Duration::from_millis(pause)).await;
-            }
+impl Listing {
+    /// Starts with no worker known.
+    pub(crate) fn new(adapter: &'static Adapter, inbox: Inbox, need: Need) -> Self {
+        let now = Instant::now();
+        Self {
+            adapter,
+            inbox,
+            need,
+            entries: BTreeMap::new(),
+            missing: BTreeMap::new(),
+            returning: now,
+            changed: false,
+            repeat: now,
+        }
+    }
+
+    fn forget(&mut self, id: &str) {
+        self.changed |= self.entries.remove(id).is_some();
+    }
+
+    fn drop_missing(&mut self, now: Instant) {
+        let due = self.missing.iter().filter(|(_, until)| **until <= now);
+        let ids: Vec<String> = due.map(|(id, _)| id.clone()).collect();
+        for id in ids {
+            self.missing.remove(&id);
+            self.forget(&id);
         }
     }
 }
 
-/// Takes a reading over. Registrations may lapse while the store is away; the
-/// workers serve on, so that a missing entry is kept until they are back.
-fn update(reader: &Reader, known: &mut HashMap<String, Known>, items: Vec<Item>, returning: bool) {
-    let prefix = reader.adapter.keys.workers;
-    let mut seen: HashMap<String, Known> = HashMap::with_capacity(items.len());
-    for item in items {
-        let Some(id) = item.key.strip_prefix(prefix) else { continue };
-        let old = known.remove(id).filter(|old| old.revision == item.revision);
-        let fresh = || {
-            let value = item.value.as_ref()?;
-            let entry = (reader.adapter.worker)(id, value);
-            if entry.is_none() {
-                log::debug!("event=entry_refused step=read-worker id={id}");
+impl Sink for Listing {
+    /// Takes one registration over. Registrations may lapse while the store is away; the
+    /// workers serve on, so that a missing entry is kept until they are back.
+    fn tell(&mut self, key: &str, _revision: u64, value: Option<Bytes>) {
+        let Some(id) = key.strip_prefix(self.adapter.keys.workers) else { return };
+        self.missing.remove(id);
+        let Some(value) = value else {
+            if self.returning > Instant::now() {
+                self.missing.insert(id.to_owned(), self.returning);
+            } else {
+                self.forget(id);
             }
-            entry
+            return;
         };
-        let entry = old.map_or_else(fresh, |old| old.entry);
-        seen.insert(id.to_owned(), Known { revision: item.revision, entry });
+        match (self.adapter.worker)(id, &value) {
+            Some(entry) => {
+                let old = self.entries.insert(id.to_owned(), entry.clone());
+                self.changed |= old != Some(entry);
+            }
+            None => {
+                log::debug!("event=entry_refused step=read-worker id={id}");
+                self.forget(id);
+            }
+        }
+    }
+
+    fn store(&mut self, up: bool) {
+        let now = Instant::now();
+        if !up {
+            self.returning = now + Duration::from_millis(RETURN_MS);
+            return;
+        }
+        self.drop_missing(now);
+        if !self.changed && self.repeat > now {
+            return;
+        }
+        self.changed = false;
+        self.repeat = now + Duration::from_millis(REPEAT_MS);
+        self.inbox.event(FleetEvent::Workers(self.entries.values().cloned().collect()));
     }
-    if returning {
-        seen.extend(known.drain());
+
+    fn wait_ms(&self) -> u32 {
+        if self.need.owner() { OWNER_WAIT_MS } else { OTHER_WAIT_MS }
+    }
+
+    async fn ready(&self) {
+        if self.need.owner() {
+            sleep(Duration::from_millis(OWNER_MS)).await;
+        } else {
+            let _ = timeout(Duration::from_millis(OTHER_MS), self.need.changed.notified()).await;
+        }
+    }
+
+    async fn hurry(&self) {
+        self.need.changed.notified().await;
     }
-    *known = seen;
 }
--- a/endivestile/src/fleet/reader.rs
+++ b/endivestile/src/fleet/reader.rs
@@ -28,11 +28,11 @@
 
 impl Reader {
     /// Reads all keys with a prefix, and the revision from which to watch.
-    pub(crate) async fn range(&self, prefix: &str, stale: bool) -> Result<Page, StoreFault> {
+    pub(crate) async fn range(&self, prefix: &str) -> Result<Page, StoreFault> {
         let mut whole = Page::default();
         for _ in 0..MAX_PAGES {
             let after = whole.items.last().map(|item: &Item| item.key.clone());
-            let request = (self.adapter.range)(prefix, after.as_deref(), stale);
+            let request = (self.adapter.range)(prefix, after.as_deref());
             let (status, body) = self.call(request, 0).await?;
             let page = (self.adapter.page)(status, &body)?;
             // Pages are no snapshot: what changes between two of them shows in
--- a/endivestile/src/fleet/run.rs
+++ b/endivestile/src/fleet/run.rs
@@ -25,7 +25,7 @@
 use super::engine::{Engine, Parts};
 use super::feed;
 use super::inbox::{Inbox, Inlet, Input};
-use super::listing::{self, Need};
+use super::listing::{Listing, Need};
 use super::page::Measures;
 use super::reader::Reader;
 use super::store::{self, Records, Wish};
@@ -124,6 +124,7 @@
         address: address.clone(),
         leaving: false,
         cpu_milli: settings.platform.cpu_milli,
+        link_kbps: settings.platform.link_kbps,
     };
     let wish = follow(runtime, &reader, inbox, need.clone(), entry);
     signals(runtime, inbox)?;
@@ -135,6 +136,7 @@
         me,
         zone,
         cpu_milli: settings.platform.cpu_milli,
+        link_kbps: settings.platform.link_kbps,
         address,
         worker_lease: settings.platform.worker_lease(),
         host_lease: settings.platform.host_lease(),
@@ -178,10 +180,11 @@
     let (wish, wishes) = watch::channel(Wish { entry, stands: None });
     let configs = Configs { adapter: reader.adapter, inbox: inbox.clone() };
     let config = reader.adapter.keys.config.to_owned();
-    runtime.spawn(feed::run(config, reader.clone(), inbox.clone(), configs));
+    runtime.spawn(feed::run(config, reader.clone(), configs));
     let records = Records { inbox: inbox.clone(), wish: wish.clone() };
-    runtime.spawn(feed::run(OWN_KEYS.to_owned(), reader.clone(), inbox.clone(), records));
-    runtime.spawn(listing::run(reader.clone(), inbox.clone(), need));
+    runtime.spawn(feed::run(OWN_KEYS.to_owned(), reader.clone(), records));
+    let listing = Listing::new(reader.adapter, inbox.clone(), need);
+    runtime.spawn(feed::run(reader.adapter.keys.workers.to_owned(), reader.clone(), listing));
     runtime.spawn(store::register(reader.clone(), wishes));
     wish
 }
--- a/endivestile/src/fleet/store.rs
+++ b/endivestile/src/fleet/store.rs
@@ -47,6 +47,10 @@
         }
     }
 
+    fn store(&mut self, up: bool) {
+        self.inbox.event(FleetEvent::Store(up));
+    }
+
     /// The registration waits until it is known what stands under its key.
     fn loaded(&mut self) {
         if self.wish.borrow().stands.is_none() {
--- a/endivestile_config/src/mechanism.rs
+++ b/endivestile_config/src/mechanism.rs
@@ -31,11 +31,13 @@
     Reserve,
     /// Jobs with the least work left go first; without it, those that have to start first.
     LeastWork,
+    /// Pools go from owners with many to hosts that could drive more.
+    Balance,
 }
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::Priority,
         Self::BegunFirst,
         Self::Shedding,
@@ -50,6 +52,7 @@
         Self::Fitting,
         Self::Reserve,
         Self::LeastWork,
+        Self::Balance,
     ];
 
     /// Returns the word for settings.
@@ -69,6 +72,7 @@
             Self::Fitting => "fitting",
             Self::Reserve => "reserve",
             Self::LeastWork => "least-work",
+            Self::Balance => "balance",
         }
     }
 
--- a/endivestile_config/src/settings/platform.rs
+++ b/endivestile_config/src/settings/platform.rs
@@ -26,6 +26,8 @@
     /// Processor time that the host may use, in thousandths of a core; 0 when
     /// that is not known. Hosts with more of it own workers first.
     pub cpu_milli: u32,
+    /// Bandwidth of the host's link, in kilobits a second; 0 when that is not known.
+    pub link_kbps: u32,
     /// Policies in force: all of them, but for trials.
     pub policy: Policy,
 }
@@ -39,6 +41,7 @@
             hold_ms: 1_000,
             grace_ms: 6_000,
             cpu_milli: 0,
+            link_kbps: 0,
             policy: Policy::default(),
         }
     }
@@ -61,7 +64,7 @@
 
 impl Keys for PlatformSettings {
     const KEYS: &'static [&'static str] =
-        &["adapter", "ready", "resend-ms", "hold-ms", "grace-s", "cores", "without"];
+        &["adapter", "ready", "resend-ms", "hold-ms", "grace-s", "cores", "link-mbps", "without"];
     const REQUIRED: &'static [&'static str] = &[];
 
     fn set(&mut self, raw: &Raw) -> Result<(), ConfigError> {
@@ -71,11 +74,8 @@
             "resend-ms" => set(&mut self.resend_ms, raw, 200.0..=600_000.0, 1.0)?,
             "hold-ms" => set(&mut self.hold_ms, raw, 100.0..=600_000.0, 1.0)?,
             "grace-s" => set(&mut self.grace_ms, raw, 0.1..=600.0, 1_000.0)?,
-            "cores" => {
-                let mut milli = u64::from(self.cpu_milli);
-                set(&mut milli, raw, 0.0..=1_024.0, 1_000.0)?;
-                self.cpu_milli = milli as u32;
-            }
+            "cores" => set_small(&mut self.cpu_milli, raw, 0.0..=1_024.0, 1_000.0)?,
+            "link-mbps" => set_small(&mut self.link_kbps, raw, 0.0..=1_000_000.0, 1_000.0)?,
             "without" => self.policy = policy(raw)?,
             _ => return Err(unknown_key::<Self>(raw)),
         }
@@ -89,6 +89,7 @@
             "resend-ms" => self.resend_ms.to_string(),
             "hold-ms" => self.hold_ms.to_string(),
             "grace-s" => (self.grace_ms as f64 / 1_000.0).to_string(),
+            "link-mbps" => (f64::from(self.link_kbps) / 1_000.0).to_string(),
             "without" => {
                 let words: Vec<&str> = self.policy.left_out().map(Mechanism::label).collect();
                 words.join(", ")
@@ -120,6 +121,19 @@
     Ok(())
 }
 
+/// The same for a field of 32 bits.
+fn set_small(
+    field: &mut u32,
+    raw: &Raw,
+    range: RangeInclusive<f64>,
+    factor: f64,
+) -> Result<(), ConfigError> {
+    let mut wide = u64::from(*field);
+    set(&mut wide, raw, range, factor)?;
+    *field = u32::try_from(wide).unwrap_or(u32::MAX);
+    Ok(())
+}
+
 /// Reads the policies that a trial leaves out.
 fn policy(raw: &Raw) -> Result<Policy, ConfigError> {
     let mut policy = Policy::default();
--- a/endivestile_kernel/src/fleet/core.rs
+++ b/endivestile_kernel/src/fleet/core.rs
@@ -13,7 +13,9 @@
 use crate::fleet::job::{Job, JobEnd};
 use crate::fleet::measure::{Count, Span};
 use crate::fleet::msg::{JobMsg, Report};
+use crate::fleet::ownership::balance::Transfer;
 use crate::fleet::ownership::claim::Probe;
+use crate::fleet::ownership::parts::capacity;
 use crate::fleet::ownership::pools::Pools;
 use crate::fleet::scheduler::{Out, Scheduler};
 use crate::fleet::table::RouteTable;
@@ -28,6 +30,9 @@
 /// The same while there is none.
 const REST_MS: u64 = 60;
 
+/// Age up to which a peer's word on waiting jobs counts, in milliseconds.
+const PENDING_MS: u64 = 2_000;
+
 /// What a fleet is told once.
 #[derive(Debug, Clone)]
 pub struct FleetSetup {
@@ -38,6 +43,8 @@
     /// Processor time that it may use, in thousandths of a core; 0 when that is
     /// not known. Hosts with more of it own workers first.
     pub cpu_milli: u32,
+    /// Bandwidth of its link, in kilobits a second; 0 when that is not known.
+    pub link_kbps: u32,
     /// Address of this host's links, `IP:port`.
     pub address: Name,
     /// Lease of a worker's runs, in milliseconds.
@@ -50,6 +57,13 @@
     pub policy: Policy,
 }
 
+impl FleetSetup {
+    /// Returns how many workers this host can drive.
+    pub(crate) fn capacity(&self) -> u32 {
+        capacity(self.cpu_milli, self.link_kbps)
+    }
+}
+
 /// Everything that the edges tell the fleet.
 #[derive(Debug, Clone, PartialEq)]
 pub enum FleetEvent {
@@ -180,6 +194,16 @@
     pub(crate) pools: Pools,
     /// All workers, each with its pool.
     pub(crate) workers: Vec<(WorkerEntry, Name)>,
+    /// Pools that have a worker, in order.
+    pub(crate) pool_names: Arc<[Name]>,
+    /// When the pools' owners are looked at again.
+    pub(crate) claim_due: Time,
+    /// When the hosts of other zones that are kept in touch are chosen again.
+    pub(crate) standby_due: Time,
+    /// When the zone's pools are looked at for a transfer again.
+    pub(crate) balance_due: Time,
+    /// The planned transfer that is under way.
+    pub(crate) transfer: Option<Transfer>,
     pub(crate) front: Front,
     pub(crate) scheduler: Scheduler,
     pub(crate) probes: BTreeMap<Name, Probe>,
@@ -207,6 +231,11 @@
             channels: BTreeMap::new(),
             pools: Pools::default(),
             workers: Vec::new(),
+            pool_names: Arc::from([]),
+            claim_due: Time::ZERO,
+            standby_due: Time::ZERO,
+            balance_due: Time::ZERO,
+            transfer: None,
             front: Front::default(),
             scheduler: Scheduler::new(me, setup.worker_lease, setup.policy),
             probes: BTreeMap::new(),
@@ -300,13 +329,14 @@
 
     /// Returns how many accepted jobs of a route wait with no task started, by
     /// this host's own count and its peers' latest reports.
-    pub fn pending(&self, route: &str) -> u32 {
+    pub fn pending(&self, now: Time, route: &str) -> u32 {
         let own = self.scheduler.pending().get(route).copied().unwrap_or(0);
         let told = |report: &Report| {
             let row = report.pending.iter().find(|(name, _)| &**name == route);
             row.map_or(0, |(_, count)| *count)
         };
-        own + self.members.all().map(|member| told(&member.report)).sum::<u32>()
+        let fresh = self.members.all().filter(|member| member.answers(now, PENDING_MS));
+        own + fresh.map(|member| told(&member.report)).sum::<u32>()
     }
 
     /// Carries out what the scheduler wants until nothing is left.
@@ -360,6 +390,7 @@
     fn tick(&mut self, now: Time) {
         self.watch_members(now);
         self.claim_pools(now);
+        self.balance(now);
         self.scheduler.tick(now);
         self.settle(now);
         self.replace_lost(now);
--- a/endivestile_kernel/src/fleet/hosts/link.rs
+++ b/endivestile_kernel/src/fleet/hosts/link.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use endivestile_config::model::Name;
+
 use crate::channel::Channel;
 use crate::fleet::core::{Fleet, FleetEffect};
-use crate::fleet::hosts::members::{BEAT_MS, FAR_BEAT_MS, Heard};
+use crate::fleet::hosts::members::{BEAT_MS, FAR_BEAT_MS, Heard, Member, REST_BEAT_MS, rank};
 use crate::fleet::job::{JobEnd, Reason};
 use crate::fleet::measure::Count;
 use crate::fleet::msg::{JobMsg, Report, RoomFigure};
@@ -18,8 +20,9 @@
 const DUMB_BEATS: u64 = 3;
 /// .. and time for the way of the last, in milliseconds.
 const DUMB_RESERVE_MS: u64 = 70;
-/// Time for a new link to show a sign of life, in milliseconds.
-const REDIAL_MS: u64 = 400;
+/// Time between two choices of the hosts of other zones that are kept in touch, in
+/// milliseconds.
+const STANDBY_MS: u64 = 500;
 /// Frames to one peer at a time.
 const MAX_FRAMES: usize = 4;
 
@@ -114,20 +117,27 @@
     /// Looks at every peer: asks for beats, makes dumb links anew, gives up
     /// what depends on peers that cannot be heard.
     pub(crate) fn watch_members(&mut self, now: Time) {
+        self.choose_standby(now);
         let busy = self.busy_peers();
         let own = self.scheduler.owns();
         let mut dumb = Vec::new();
         for member in self.members.all_mut() {
-            let near = member.zone == self.setup.zone || busy.contains(&member.peer);
-            let Some(beat) = beat_ms(own, member.owns(), near) else { continue };
+            let touch = if busy.contains(&member.peer) {
+                Touch::Busy
+            } else if member.zone == self.setup.zone {
+                Touch::Near
+            } else {
+                Touch::Far { standby: member.standby }
+            };
+            let Some(beat) = beat_ms(own, member.drives(now), touch) else { continue };
             let dumb_ms = beat * DUMB_BEATS + DUMB_RESERVE_MS;
             let channel = self.channels.entry(member.peer.clone());
             let channel = channel.or_insert_with(|| Channel::new(member.peer.clone()));
             channel.beat_by(now.after_ms(beat));
             let quiet = member.echoed.after_ms(dumb_ms) <= now
                 || member.heard.is_none_or(|at| at.after_ms(dumb_ms) <= now);
-            if quiet && member.redialled.after_ms(REDIAL_MS) <= now {
-                member.redialled = now;
+            if quiet && member.redial_due <= now {
+                member.redial(now);
                 dumb.push(member.address.clone());
             }
         }
@@ -135,6 +145,38 @@
         self.lose_silent(now);
     }
 
+    /// Chooses the hosts of other zones that are kept in touch while nothing is exchanged.
+    ///
+    /// A host without workers knows one owner of each other zone, where its jobs go
+    /// when no owner of its own zone answers; with all of them its frames would grow with
+    /// the fleet.
+    fn choose_standby(&mut self, now: Time) {
+        if self.standby_due > now {
+            return;
+        }
+        self.standby_due = now.after_ms(STANDBY_MS);
+        let (me, zone) = (&self.setup.me.host, &self.setup.zone);
+        let own = self.scheduler.owns();
+        let here: Vec<&Name> = self.pools.owners(zone).keys().map(|peer| &peer.host).collect();
+        let kept = |member: &Member| {
+            if own {
+                return standby(&member.peer.host, &here) == Some(me);
+            }
+            let there = self.pools.owners(&member.zone);
+            let there: Vec<&Name> = there.keys().map(|peer| &peer.host).collect();
+            there.contains(&&member.peer.host) && standby(me, &there) == Some(&member.peer.host)
+        };
+        let kept: BTreeSet<Name> = self
+            .members
+            .all()
+            .filter(|member| member.zone != *zone && kept(member))
+            .map(|member| member.peer.host.clone())
+            .collect();
+        for member in self.members.all_mut() {
+            member.standby = kept.contains(&member.peer.host);
+        }
+    }
+
     /// Returns the peers that have jobs of this host, or this host theirs.
     fn busy_peers(&self) -> BTreeSet<Peer> {
         let mut busy: BTreeSet<Peer> = self.scheduler.fronts().into_iter().collect();
@@ -218,6 +260,7 @@
             zone: self.setup.zone.clone(),
             address: self.setup.address.clone(),
             cpu_milli: self.setup.cpu_milli,
+            link_kbps: self.setup.link_kbps,
             pools,
             room: rooms
                 .map(|(service, (free, waiting))| RoomFigure { service, free, waiting })
@@ -229,13 +272,32 @@
     }
 }
 
+/// What two hosts have to do with each other.
+#[derive(Debug, Clone, Copy)]
+enum Touch {
+    /// One has jobs of the other.
+    Busy,
+    /// They are of one zone.
+    Near,
+    /// They are of different zones.
+    Far {
+        /// Whether one is the other's owner to turn to.
+        standby: bool,
+    },
+}
+
 /// Returns the time between two frames of a pair of hosts, in milliseconds;
-/// none when neither owns workers and nothing depends on their knowing each other.
-fn beat_ms(own: bool, theirs: bool, near: bool) -> Option<u64> {
-    match (own, theirs) {
-        (false, false) => None,
-        (true, true) => Some(BEAT_MS),
-        _ if near => Some(BEAT_MS),
-        _ => Some(FAR_BEAT_MS),
+/// none when nothing depends on their knowing each other.
+fn beat_ms(own: bool, theirs: bool, touch: Touch) -> Option<u64> {
+    match touch {
+        _ if !own && !theirs => None,
+        Touch::Busy => Some(BEAT_MS),
+        Touch::Near => Some(REST_BEAT_MS),
+        Touch::Far { standby } => (standby || own && theirs).then_some(FAR_BEAT_MS),
     }
 }
+
+/// Returns the owner that a host of another zone keeps in touch with. Both sides work it out.
+fn standby<'a>(host: &str, owners: &[&'a Name]) -> Option<&'a Name> {
+    owners.iter().copied().min_by_key(|owner| rank(host, owner))
+}
--- a/endivestile_kernel/src/fleet/hosts/members.rs
+++ b/endivestile_kernel/src/fleet/hosts/members.rs
@@ -8,17 +8,27 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fleet::msg::Report;
+use crate::fleet::ownership::parts::capacity;
 use crate::{Peer, Time};
 
 /// Time between two frames to a peer while nothing else is said, in
 /// milliseconds: four fit into the lease that they renew.
 pub(crate) const BEAT_MS: u64 = 110;
-/// The same to an owner of another zone's workers from a host that owns none
-/// and has no job there: it has to be known to live, and nothing hangs on it.
-/// With four owners in each of three zones that is 63 frames a second for a host
-/// in place of 109 (worked out).
+/// The same within a zone while neither has jobs of the other.
+pub(crate) const REST_BEAT_MS: u64 = 200;
+/// The same between an owner and a host of another zone while neither has jobs of the
+/// other: each has to know that the other lives, and nothing hangs on it.
 pub(crate) const FAR_BEAT_MS: u64 = 300;
 
+/// Age up to which a host's word counts that it owns workers, in milliseconds: one that
+/// owns none any more sends nothing.
+const OWNS_MS: u64 = 3_000;
+/// Time for a new link to show a sign of life, in milliseconds ..
+const REDIAL_MS: u64 = 400;
+/// .. and how often it doubles while it shows none: a peer that is late rather than gone
+/// pays for every new link.
+const REDIAL_DOUBLINGS: u32 = 3;
+
 /// A host as it registered itself in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostEntry {
@@ -34,6 +44,9 @@
     /// not tell.
     #[serde(default)]
     pub cpu_milli: u32,
+    /// Bandwidth of its link, in kilobits a second; 0 when it does not tell.
+    #[serde(default)]
+    pub link_kbps: u32,
 }
 
 /// One other host.
@@ -49,6 +62,8 @@
     pub(crate) leaving: bool,
     /// Processor time that it may use, in thousandths of a core.
     pub(crate) cpu_milli: u32,
+    /// Bandwidth of its link, in kilobits a second.
+    pub(crate) link_kbps: u32,
     /// Tasks of jobs sent there since its last report.
     pub(crate) sent: u32,
     /// When its last frame came.
@@ -61,8 +76,13 @@
     pub(crate) report: Arc<Report>,
     /// Since when it is known.
     pub(crate) since: Time,
-    /// When its link was last made anew.
-    pub(crate) redialled: Time,
+    /// From when on its link may be made anew.
+    pub(crate) redial_due: Time,
+    /// Times that its link was made anew without a sign of life since.
+    pub(crate) redials: u32,
+    /// Whether frames are exchanged with it while neither has jobs of the other, although
+    /// only one of the two owns workers and they are of different zones.
+    pub(crate) standby: bool,
 }
 
 /// All other hosts.
@@ -123,6 +143,7 @@
                 address: report.address.clone(),
                 leaving: heard.leaving,
                 cpu_milli: report.cpu_milli,
+                link_kbps: report.link_kbps,
             };
             let old = self.by_name.insert(name.clone(), Member::new(now, &entry));
             ended = old.map(|member| member.peer);
@@ -131,7 +152,10 @@
             member.heard = Some(now);
             member.leaving = heard.leaving;
             member.theirs = member.theirs.max(heard.sent);
-            member.echoed = member.echoed.max(heard.echo);
+            if heard.echo > member.echoed {
+                member.echoed = heard.echo;
+                member.redials = 0;
+            }
             if let Some(report) = heard.report {
                 member.sent = 0;
                 member.report = report.clone();
@@ -193,13 +217,16 @@
             address: entry.address.clone(),
             leaving: entry.leaving,
             cpu_milli: entry.cpu_milli,
+            link_kbps: entry.link_kbps,
             sent: 0,
             heard: None,
             echoed: Time::ZERO,
             theirs: Time::ZERO,
             report: Arc::default(),
             since: now,
-            redialled: now,
+            redial_due: now.after_ms(REDIAL_MS),
+            redials: 0,
+            standby: false,
         }
     }
 
@@ -208,6 +235,22 @@
         self.heard.is_some_and(|at| at.after_ms(ms) > now)
     }
 
+    /// Notes that its link is made anew; the next time waits twice as long, up to a limit.
+    pub(crate) fn redial(&mut self, now: Time) {
+        self.redials += 1;
+        self.redial_due = now.after_ms(REDIAL_MS << self.redials.min(REDIAL_DOUBLINGS));
+    }
+
+    /// Returns how many workers it can drive.
+    pub(crate) fn capacity(&self) -> u32 {
+        capacity(self.cpu_milli, self.link_kbps)
+    }
+
+    /// Returns whether it owns workers, by its own word of late.
+    pub(crate) fn drives(&self, now: Time) -> bool {
+        self.owns() && self.answers(now, OWNS_MS)
+    }
+
     /// Returns whether it owns workers, by its own word.
     pub(crate) fn owns(&self) -> bool {
         self.report.pools > 0
--- a/endivestile_kernel/src/fleet/msg.rs
+++ b/endivestile_kernel/src/fleet/msg.rs
@@ -86,6 +86,8 @@
     pub address: Name,
     /// Processor time that the host may use, in thousandths of a core.
     pub cpu_milli: u32,
+    /// Bandwidth of the host's link, in kilobits a second.
+    pub link_kbps: u32,
     /// Pools that it owns.
     pub pools: u32,
     /// Room for each service.
--- a/endivestile_kernel/src/fleet/ownership/claim.rs
+++ b/endivestile_kernel/src/fleet/ownership/claim.rs
@@ -17,6 +17,8 @@
 /// Wait before workers without any owner are claimed, in milliseconds: hosts
 /// that start together have to find each other first.
 const FIRST_MS: u64 = 300;
+/// Time between two looks at who owns the pools, in milliseconds.
+const CLAIM_MS: u64 = 30;
 /// Wait of hosts of other zones, in milliseconds: a host of the zone that was
 /// killed is back by then.
 const OUTSIDE_MS: u64 = 900;
@@ -85,6 +87,8 @@
             (entry, pool)
         });
         self.workers = pooled.collect();
+        let names: BTreeSet<Name> = self.workers.iter().map(|(_, pool)| pool.clone()).collect();
+        self.pool_names = names.into_iter().collect();
         self.take_workers(now);
     }
 
@@ -145,23 +149,23 @@
         // A host that was cut off itself sees everybody silent: it has to hear
         // of the others before it takes anything from them.
         let connected = self.store_since.is_some_and(|since| since.after_ms(LOST_MS) <= now);
-        if self.leaving {
+        if self.leaving || self.claim_due > now {
             return;
         }
-        let names: BTreeSet<Name> = self.workers.iter().map(|(_, pool)| pool.clone()).collect();
-        for name in names {
+        self.claim_due = now.after_ms(CLAIM_MS);
+        for name in self.pool_names.clone().iter() {
             let pool = self.pools.by_name.entry(name.clone()).or_default();
             if pool.changing(now) {
                 continue;
             }
             if pool.owned_by_word() {
                 if self.store_since.is_some() {
-                    self.write_down(now, &name);
+                    self.write_down(now, name);
                 }
             } else if pool.owned_by(&self.setup.me) {
-                self.confirm(now, &name);
-            } else if self.named_before(&name) || (connected && self.wants(now, &name)) {
-                self.claim(now, &name);
+                self.confirm(now, name);
+            } else if self.named_before(name) || (connected && self.wants(now, name)) {
+                self.claim(now, name);
             }
         }
     }
@@ -216,7 +220,7 @@
         member.is_some_and(|member| member.leaving)
     }
 
-    fn change_owner(&mut self, now: Time, name: &Name, owner: &Peer) {
+    pub(crate) fn change_owner(&mut self, now: Time, name: &Name, owner: &Peer) {
         let change = self.pools.change(now, name, owner);
         self.write(change, "owner_handover");
     }
@@ -237,9 +241,8 @@
 
     /// Returns whether this host is to claim a pool now.
     fn wants(&mut self, now: Time, name: &Name) -> bool {
-        let wait = self.turn(now, name);
         // Of the hosts of other zones only owners hear all owners all the time.
-        if wait.is_none() && !self.scheduler.owns() {
+        if *self.setup.zone != *zone_of(name) && !self.scheduler.owns() {
             return false;
         }
         let Some(pool) = self.pools.by_name.get_mut(name) else { return false };
@@ -268,6 +271,7 @@
             }
         };
         let since = *pool.vacant.get_or_insert(now);
+        let wait = self.turn(now, name);
         if since.after_ms(first + wait.unwrap_or(OUTSIDE_MS)) > now {
             return false;
         }
--- a/endivestile_kernel/src/fleet/ownership/turns.rs
+++ b/endivestile_kernel/src/fleet/ownership/turns.rs
@@ -29,6 +29,21 @@
 /// reach, in milliseconds.
 const PROBE_MS: u64 = 400;
 
+/// A host that may own pools.
+struct Candidate {
+    host: Name,
+    cpu_milli: u32,
+    /// Workers that it can drive.
+    capacity: u32,
+}
+
+impl Candidate {
+    fn of(member: &Member) -> Self {
+        let (host, cpu_milli) = (member.peer.host.clone(), member.cpu_milli);
+        Self { host, cpu_milli, capacity: member.capacity() }
+    }
+}
+
 impl Fleet {
     /// Returns how long this host lets others go first; none for a host of another zone.
     ///
@@ -43,13 +58,15 @@
         let owner = self.pools.owner(pool);
         let seed = owner.map_or(zone_of(pool), |owner| &owner.host);
         let order = self.order(now, seed, owner);
-        let mine = order.iter().position(|host| *host == self.setup.me.host).unwrap_or(0);
+        let mine = order.iter().position(|at| at.host == self.setup.me.host).unwrap_or(0);
         let before = match owner {
             Some(_) => mine,
             None => {
                 let workers =
                     self.workers.iter().filter(|(entry, _)| entry.zone == self.setup.zone);
-                let first = part_of(pool) % owners_wanted(workers.count()).min(order.len());
+                let capacities = order.iter().map(|at| at.capacity);
+                let owners = owners_wanted(workers.count(), capacities);
+                let first = part_of(pool) % owners.min(order.len());
                 (mine + order.len() - first) % order.len()
             }
         };
@@ -57,20 +74,23 @@
     }
 
     /// Returns the hosts of this zone that may own pools, this one among them.
-    fn order(&self, now: Time, seed: &str, lost: Option<&Peer>) -> Vec<Name> {
+    fn order(&self, now: Time, seed: &str, lost: Option<&Peer>) -> Vec<Candidate> {
         let may = |member: &&Member| {
             let lives = member.heard.is_none() || member.answers(now, LOST_MS);
             member.zone == self.setup.zone && !member.leaving && lives
         };
         let others = self.members.all().filter(may);
-        let mut hosts: Vec<(u32, Name)> =
-            others.map(|member| (member.cpu_milli, member.peer.host.clone())).collect();
-        hosts.push((self.setup.cpu_milli, self.setup.me.host.clone()));
-        hosts.sort_by_cached_key(|(cpu, host)| {
-            let load = lost.map_or(0, |lost| self.load(host, *cpu, lost));
-            (load, Reverse(*cpu), rank(seed, host))
+        let mut hosts: Vec<Candidate> = others.map(Candidate::of).collect();
+        hosts.push(Candidate {
+            host: self.setup.me.host.clone(),
+            cpu_milli: self.setup.cpu_milli,
+            capacity: self.setup.capacity(),
+        });
+        hosts.sort_by_cached_key(|at| {
+            let load = lost.map_or(0, |lost| self.load(&at.host, at.cpu_milli, lost));
+            (load, Reverse((at.capacity, at.cpu_milli)), rank(seed, &at.host))
         });
-        hosts.into_iter().map(|(_, host)| host).collect()
+        hosts
     }
 
     /// Returns how many pools a host would have for each core of its processor
--- a/endivestile_kernel/src/fleet/placement/watchdog.rs
+++ b/endivestile_kernel/src/fleet/placement/watchdog.rs
@@ -8,7 +8,7 @@
 use crate::fleet::scheduler::{Out, Scheduler};
 use crate::fleet::state::TaskState;
 use crate::fleet::workers::call::Call;
-use crate::fleet::workers::run::{Run, RunId};
+use crate::fleet::workers::run::{EndedRun, Run, RunId};
 use crate::{Level, Time};
 
 /// Longest wait of a forwarded task for room, in milliseconds: the host that forwarded it
@@ -39,20 +39,29 @@
 
     fn tick_drivers(&mut self, now: Time) {
         let mut calls: Vec<Call> = Vec::new();
-        let workers: Vec<Name> = self.drivers.keys().cloned().collect();
-        for worker in workers {
-            let Some(driver) = self.drivers.get_mut(&worker) else { continue };
-            let past = driver.tick(now, &mut calls);
+        let mut past: Vec<(Name, Vec<EndedRun>)> = Vec::new();
+        let mut gone: Vec<Name> = Vec::new();
+        for (worker, driver) in &mut self.drivers {
+            let ended = driver.tick(now, &mut calls);
+            if !ended.is_empty() {
+                past.push((worker.clone(), ended));
+            }
             if (!driver.listed || driver.abandoned) && driver.finished(now) {
-                self.drivers.remove(&worker);
-                self.health.did(&worker);
+                gone.push(worker.clone());
             }
-            self.take_ended(now, &worker, past);
         }
         self.out.extend(calls.into_iter().map(Out::Call));
-        let drivers = &self.drivers;
-        self.durations.retain(|worker| drivers.contains_key(worker));
-        self.health.retain(|worker| drivers.contains_key(worker));
+        for worker in &gone {
+            self.drivers.remove(worker);
+        }
+        for (worker, ended) in past {
+            self.take_ended(now, &worker, ended);
+        }
+        if !gone.is_empty() {
+            let drivers = &self.drivers;
+            self.durations.retain(|worker| drivers.contains_key(worker));
+            self.health.retain(|worker| drivers.contains_key(worker));
+        }
     }
 
     fn pass_deadlines(&mut self, now: Time) {
--- a/endivestile_kernel/src/fleet/scheduler.rs
+++ b/endivestile_kernel/src/fleet/scheduler.rs
@@ -58,6 +58,8 @@
     pub(crate) origins: HashMap<(Peer, u64), u64>,
     pub(crate) names: HashMap<Name, u64>,
     pub(crate) deadlines: BTreeSet<(Time, u64)>,
+    /// The pool that is about to go to another owner.
+    pub(crate) closing: Option<Name>,
     pub(crate) queues: BTreeMap<Name, Queue>,
     pub(crate) others: BTreeMap<Peer, OtherRoom>,
     pub(crate) forwards: HashMap<u64, (Peer, TaskRef)>,
@@ -83,6 +85,7 @@
             origins: HashMap::new(),
             names: HashMap::new(),
             deadlines: BTreeSet::new(),
+            closing: None,
             queues: BTreeMap::new(),
             others: BTreeMap::new(),
             forwards: HashMap::new(),
--- a/endivestile_kernel/src/fleet/workers/driver.rs
+++ b/endivestile_kernel/src/fleet/workers/driver.rs
@@ -73,6 +73,8 @@
     /// Whether another host owns it by now: nothing is ordered any more, and
     /// its runs count until their lease has surely run out.
     pub(crate) abandoned: bool,
+    /// Whether its pool is about to go to another owner: nothing new is started there.
+    pub(crate) closing: bool,
     /// What takes its room.
     pub(crate) runs: BTreeMap<RunId, Run>,
     /// Length of a lease in milliseconds, a setting.
@@ -107,6 +109,7 @@
             pool,
             listed: true,
             abandoned: false,
+            closing: false,
             runs: BTreeMap::new(),
             lease_ms,
             token,
@@ -152,6 +155,7 @@
     pub(crate) fn usable(&self, now: Time) -> bool {
         self.listed
             && !self.abandoned
+            && !self.closing
             && !self.entry.leaving
             && self.stage == Stage::Owned
             && self.answers(now)
--- a/endivestile_kernel/src/fleet/workers/owned.rs
+++ b/endivestile_kernel/src/fleet/workers/owned.rs
@@ -108,10 +108,31 @@
             }
             return;
         }
-        let driver = Driver::new(now, entry.clone(), pool.clone(), token, self.lease_ms);
+        let mut driver = Driver::new(now, entry.clone(), pool.clone(), token, self.lease_ms);
+        driver.closing = self.closing.as_ref() == Some(pool);
         self.drivers.insert(entry.id.clone(), driver);
     }
 
+    /// Starts nothing more on the workers of a pool, and opens any other again.
+    pub(crate) fn close_pool(&mut self, pool: Option<&Name>) {
+        self.closing = pool.cloned();
+        for driver in self.drivers.values_mut() {
+            driver.closing = pool == Some(&driver.pool);
+        }
+        self.dirty = true;
+    }
+
+    /// Returns how many runs the workers of a pool have.
+    pub(crate) fn runs_in(&self, pool: &str) -> usize {
+        let there = self.drivers.values().filter(|driver| &*driver.pool == pool);
+        there.map(|driver| driver.runs.len()).sum()
+    }
+
+    /// Returns whether nothing runs on the workers of a pool.
+    pub(crate) fn idle(&self, pool: &str) -> bool {
+        self.runs_in(pool) == 0
+    }
+
     /// Returns whether jobs in time may be given to a worker: it is not out, and not slow.
     pub(crate) fn sound(&self, now: Time, worker: &str) -> bool {
         self.health.allows(now, worker, false) && self.durations.speed(worker) >= SLOW
--- a/endivestile_testkit/src/fleet/host.rs
+++ b/endivestile_testkit/src/fleet/host.rs
@@ -42,7 +42,7 @@
     fn entry(&self, name: &Name, leaving: bool) -> HostEntry {
         let peer = Peer::new(name.clone(), self.birth);
         let (zone, address) = (self.zone.clone(), name.clone());
-        HostEntry { peer, zone, address, leaving, cpu_milli: self.cpu_milli }
+        HostEntry { peer, zone, address, leaving, cpu_milli: self.cpu_milli, link_kbps: 0 }
     }
 
     /// Returns the host's clock.
@@ -64,6 +64,7 @@
             me: Peer::new(name.clone(), birth),
             zone: host.zone.clone(),
             cpu_milli: host.cpu_milli,
+            link_kbps: 0,
             address: name.clone(),
             worker_lease: WORKER_LEASE_MS,
             host_lease: HOST_LEASE_MS,
@@ -266,7 +267,7 @@
         for key in keys {
             self.tell_key(name, birth, &key);
         }
-        let workers = self.workers.values().filter(|worker| !worker.unlisted());
+        let workers = self.workers.values().filter(|worker| worker.listed(self.now));
         let entries = workers.map(|worker| worker.entry.clone()).collect();
         let at = self.now + self.store.delay_us;
         let (table, workers) = (self.table.clone(), FleetEvent::Workers(entries));
--- a/endivestile_testkit/src/fleet/story.rs
+++ b/endivestile_testkit/src/fleet/story.rs
@@ -42,6 +42,7 @@
         None => FleetWorld::new(&zones, hosts, workers, cpu, seed),
     };
     world.traced = first.pairs.contains_key("trace");
+    world.register_over(first.span("register", 0)?);
     world.run(SETTLE_MS);
     let mut story = Story { world, out: String::new() };
     for line in lines {
@@ -62,6 +63,10 @@
             "owners" => self.owners(),
             "hosts" => self.hosts(),
             "starts" => self.starts(),
+            "runs" => {
+                let runs: u32 = self.world.seen.starts.values().map(|count| *count as u32).sum();
+                let _ = writeln!(self.out, "runs: {runs}");
+            }
             "check" => self.check(),
             "settled" => self.settled(),
             "trace" => self.out.push_str(&self.world.trace.join("\n")),
--- a/endivestile_testkit/src/fleet/worker.rs
+++ b/endivestile_testkit/src/fleet/worker.rs
@@ -57,6 +57,8 @@
     pub(crate) behaviour: Behaviour,
     /// Whether it answers at all.
     pub(crate) dark: bool,
+    /// Virtual time from which on the store lists it.
+    pub(crate) listed_from: u64,
     /// Its speed.
     pub(crate) speed: f64,
     /// What runs.
@@ -77,6 +79,7 @@
             entry,
             behaviour: Behaviour::Good,
             dark: false,
+            listed_from: now,
             speed,
             runs: BTreeMap::new(),
             zero: now,
--- a/endivestile_testkit/src/fleet/world.rs
+++ b/endivestile_testkit/src/fleet/world.rs
@@ -156,6 +156,14 @@
         self.now = end;
     }
 
+    /// Lets the workers register one after the other, over `millis` milliseconds.
+    pub(crate) fn register_over(&mut self, millis: u64) {
+        let count = self.workers.len().max(1) as u64;
+        for (at, worker) in (0..).zip(self.workers.values_mut()) {
+            worker.listed_from = self.now + millis * 1_000 * at / count;
+        }
+    }
+
     /// Cuts two hosts, zones, workers or one of them and the store from each other.
     pub fn cut(&mut self, a: &str, b: &str) {
         self.net.cut(a, b);
@@ -241,8 +249,8 @@
 }
 
 impl Worker {
-    /// Returns whether the store lists it no more.
-    pub(crate) fn unlisted(&self) -> bool {
-        self.entry.address.is_empty()
+    /// Returns whether the store lists it at `now`.
+    pub(crate) fn listed(&self, now: u64) -> bool {
+        !self.entry.address.is_empty() && self.listed_from <= now
     }
 }
--- a/endivestile_testkit/src/platform/host.rs
+++ b/endivestile_testkit/src/platform/host.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Returns the id of the process.
+    pub fn pid(&self) -> u32 {
+        self.process.pid()
+    }
+
     /// Tells whether the process runs.
     pub fn runs(&mut self) -> bool {
         self.process.runs()
--- a/endivestile_testkit/tests/fleet/large_zone_owner_lost.story
+++ b/endivestile_testkit/tests/fleet/large_zone_owner_lost.story
@@ -16,13 +16,13 @@
 a {"owner":{"host":"a4","birth":4},"epoch":2} pools=3
 a {"owner":{"host":"a5","birth":5},"epoch":1} pools=3
 c-0 done 400 ms
-c-1 done 1418 ms
-c-2 done 1416 ms
-c-3 done 1414 ms
-c-4 done 1412 ms
+c-1 done 1388 ms
+c-2 done 1386 ms
+c-3 done 1384 ms
+c-4 done 1382 ms
 c-5 done 400 ms
-c-6 done 1408 ms
-c-7 done 1406 ms
+c-6 done 1378 ms
+c-7 done 1376 ms
 c-8 done 400 ms
 c-9 done 400 ms
 every promise kept
--- a/endivestile_testkit/tests/fleet_random.rs
+++ b/endivestile_testkit/tests/fleet_random.rs
@@ -50,8 +50,11 @@
     let zones = prop::sample::select(vec!["a", "a,b", "a,b,c"]);
     // The last one has two owners in each zone.
     let sizes = prop::sample::select(vec![(1, 1), (1, 2), (1, 3), (2, 1), (2, 2), (2, 3), (3, 40)]);
-    (zones, sizes, 0..1_000u32).prop_map(|(zones, (hosts, workers), seed)| {
-        format!("world zones={zones} hosts={hosts} workers={workers} seed={seed}\n")
+    let register = prop::sample::select(vec!["0ms", "3s"]);
+    (zones, sizes, register, 0..1_000u32).prop_map(|(zones, (hosts, workers), register, seed)| {
+        format!(
+            "world zones={zones} hosts={hosts} workers={workers} register={register} seed={seed}\n"
+        )
     })
 }
 
--- a/endivestile_wire/src/adapter.rs
+++ b/endivestile_wire/src/adapter.rs
@@ -153,7 +153,7 @@
     fn table(value: &[u8]) -> Result<RouteTable, String>;
 
     /// Asks for the keys with a prefix, behind a key where one is given.
-    fn range(prefix: &str, after: Option<&str>, stale: bool) -> Request<Bytes>;
+    fn range(prefix: &str, after: Option<&str>) -> Request<Bytes>;
     /// Asks for changes of keys with a prefix after a revision, for so many milliseconds.
     fn watch(prefix: &str, after: u64, wait: u32) -> Request<Bytes>;
     /// Reads the answer to either.
@@ -189,7 +189,7 @@
     pub held: fn(StatusCode, &[u8]) -> Result<Held, CallFault>,
     pub worker: fn(&str, &[u8]) -> Option<WorkerEntry>,
     pub table: fn(&[u8]) -> Result<RouteTable, String>,
-    pub range: fn(&str, Option<&str>, bool) -> Request<Bytes>,
+    pub range: fn(&str, Option<&str>) -> Request<Bytes>,
     pub watch: fn(&str, u64, u32) -> Request<Bytes>,
     pub page: fn(StatusCode, &[u8]) -> Result<Page, StoreFault>,
     pub swap: fn(&Swap) -> Request<Bytes>,
