Send jobs and tasks only to hosts that hear this one; make links anew at the first sign of a peer

Ruled out: a silent owner (its log goes on), the queue (it was empty at that moment). Change: a host counts as reachable while no frame to it has been without an echo for longer than the loss time. Links are dialled anew as soon as a peer is heard again after a silence, whatever the backoff.

--- a/endivestile_kernel/src/fleet/hosts/link.rs
+++ b/endivestile_kernel/src/fleet/hosts/link.rs
@@ -45,7 +45,7 @@
             self.peer_ended(now, &ended);
         }
         if let Some(report) = report {
-            self.take_room(&from, &report);
+            self.take_room(now, &from, &report);
         }
         let lease = self.setup.host_lease;
         let channel = self.channel(&from);
@@ -73,10 +73,11 @@
         self.tell(now, from, JobMsg::Ended { serial, end });
     }
 
-    /// Remembers what room another placer has. It counts as usable only if it
-    /// does not take what it owns from here.
-    fn take_room(&mut self, from: &Peer, report: &Report) {
-        if report.pools == 0 {
+    /// Remembers what room another placer has. It counts only if this host's frames
+    /// reach it: after a cut, tasks would wait on a link that is not back yet.
+    fn take_room(&mut self, now: Time, from: &Peer, report: &Report) {
+        let reachable = self.members.get(from).is_some_and(|it| it.reachable(now, LOST_MS));
+        if report.pools == 0 || !reachable {
             self.scheduler.others.remove(from);
             return;
         }
@@ -205,7 +206,8 @@
         }
         let others: Vec<Peer> = self.scheduler.others.keys().cloned().collect();
         for peer in others {
-            if !self.members.answers(now, &peer, LOST_MS) {
+            let member = self.members.get(&peer);
+            if !member.is_some_and(|member| member.reachable(now, LOST_MS)) {
                 self.scheduler.others.remove(&peer);
             }
         }
@@ -236,9 +238,10 @@
     }
 
     fn send_frame(&mut self, now: Time, peer: &Peer, report: &Arc<Report>) -> bool {
-        let Some(member) = self.members.get(peer) else { return false };
+        let Some(member) = self.members.get_mut(peer) else { return false };
         let Some(channel) = self.channels.get_mut(peer) else { return false };
         let Some(mut frame) = channel.frame(now, &self.setup.me) else { return false };
+        member.unechoed.get_or_insert(now);
         frame.leaving = self.leaving;
         frame.echo = member.theirs;
         frame.report = Some(report.clone());
--- a/endivestile_kernel/src/fleet/hosts/members.rs
+++ b/endivestile_kernel/src/fleet/hosts/members.rs
@@ -23,6 +23,8 @@
 /// Age up to which a host's word counts that it owns workers, in milliseconds: one that
 /// owns none any more sends nothing.
 const OWNS_MS: u64 = 3_000;
+/// Silence after which a frame shows that the path to a peer is back, in milliseconds.
+const SILENT_MS: u64 = 1_000;
 /// Time for a new link to show a sign of life, in milliseconds ..
 const REDIAL_MS: u64 = 400;
 /// .. and how often it doubles while it shows none: a peer that is late rather than gone
@@ -70,6 +72,8 @@
     pub(crate) heard: Option<Time>,
     /// When the latest frame of ours left that it has had, as it echoed.
     pub(crate) echoed: Time,
+    /// When the first frame left to which it has echoed nothing since.
+    pub(crate) unechoed: Option<Time>,
     /// Its own clock at its latest frame, which we echo.
     pub(crate) theirs: Time,
     /// What it told last.
@@ -149,11 +153,17 @@
             ended = old.map(|member| member.peer);
         }
         if let Some(member) = self.by_name.get_mut(name) {
+            if !member.answers(now, SILENT_MS) {
+                // The path is back: a link that was made during the silence may never be.
+                member.redials = 0;
+                member.redial_due = now;
+            }
             member.heard = Some(now);
             member.leaving = heard.leaving;
             member.theirs = member.theirs.max(heard.sent);
             if heard.echo > member.echoed {
                 member.echoed = heard.echo;
+                member.unechoed = None;
                 member.redials = 0;
             }
             if let Some(report) = heard.report {
@@ -221,6 +231,7 @@
             sent: 0,
             heard: None,
             echoed: Time::ZERO,
+            unechoed: None,
             theirs: Time::ZERO,
             report: Arc::default(),
             since: now,
@@ -246,6 +257,12 @@
         capacity(self.cpu_milli, self.link_kbps)
     }
 
+    /// Returns whether frames pass both ways: it was heard within the last `ms`
+    /// milliseconds, and no frame to it has been without an echo for longer.
+    pub(crate) fn reachable(&self, now: Time, ms: u64) -> bool {
+        self.answers(now, ms) && self.unechoed.is_none_or(|at| at.after_ms(ms) > now)
+    }
+
     /// Returns whether it owns workers, by its own word of late.
     pub(crate) fn drives(&self, now: Time) -> bool {
         self.owns() && self.answers(now, OWNS_MS)
--- a/endivestile_kernel/src/fleet/serve.rs
+++ b/endivestile_kernel/src/fleet/serve.rs
@@ -51,7 +51,7 @@
             return self.scheduler.owns() && !self.leaving;
         }
         let member = self.members.get(peer);
-        member.is_some_and(|member| member.answers(now, LOST_MS) && member.owns())
+        member.is_some_and(|member| member.reachable(now, LOST_MS) && member.owns())
     }
 
     /// Returns the placer for a new job: an owner of this zone's workers, or
@@ -64,7 +64,7 @@
             .members
             .all()
             .filter(|member| member.zone == self.setup.zone && !member.leaving && member.owns());
-        for member in near.filter(|member| member.answers(now, LOST_MS)) {
+        for member in near.filter(|member| member.reachable(now, LOST_MS)) {
             owners.entry(&member.peer).or_insert(member.report.pools);
         }
         if self.places(now, &self.setup.me) {
@@ -80,7 +80,7 @@
         let others = self
             .members
             .all()
-            .filter(|member| member.owns() && !member.leaving && member.answers(now, LOST_MS));
+            .filter(|member| member.owns() && !member.leaving && member.reachable(now, LOST_MS));
         let room =
             |free: &[crate::fleet::msg::RoomFigure]| free.iter().map(|room| room.free).sum::<u32>();
         let best = others.max_by_key(|member| room(&member.report.room));
--- a/endivestile_testkit/src/fleet/story.rs
+++ b/endivestile_testkit/src/fleet/story.rs
@@ -89,6 +89,7 @@
             }
             "stop" => self.world.stop(&name(1)?),
             "cut" => self.world.net.cut(step.word(1)?, step.word(2)?),
+            "mute" => self.world.net.mute(step.word(1)?, step.word(2)?),
             "heal" => self.world.net.heal(),
             "lose" => self.world.net.loss = step.parse(1)?,
             "jitter" => self.world.net.jitter_us = span_ms(step.word(1)?)? * 1_000,
--- a/endivestile_testkit/src/world/net.rs
+++ b/endivestile_testkit/src/world/net.rs
@@ -43,6 +43,11 @@
         self.cuts.insert((Name::from(b), Name::from(a)));
     }
 
+    /// Lets nothing pass from one to the other; the other way stays open.
+    pub(crate) fn mute(&mut self, from: &str, to: &str) {
+        self.cuts.insert((Name::from(from), Name::from(to)));
+    }
+
     /// Mends every cut.
     pub(crate) fn heal(&mut self) {
         self.cuts.clear();
