Place by the lag that owners tell; watch records and idle hosts' lists more slowly

Cause: an owner that is short of processor time answers everything late while its workers have room, so that the choice by room alone sends it more. Its own regular work is no measure of that: in virtual time, with 5 ms of processor time an event, the loop's lateness stayed small while events waited for seconds. Change: the quickest answer of a worker to an order in each tenth of a second is the owner's lag and stands in its report; from 60 ms on it gets new jobs and forwarded tasks only if no other owner can take them, and gives a pool to a host without pools. Inputs that wait are taken in before silence is judged (256 -> 2,048 a batch). Records are watched for 2.5 s at a time, workers by a host without any every 4 s; the hosts that turn to an owner are worked out from one pass over the records. The page has order_answer.

--- a/endivestile/src/fleet/listing.rs
+++ b/endivestile/src/fleet/listing.rs
@@ -18,7 +18,7 @@
 /// register, each changes its entry with every heartbeat.
 const OWNER_MS: u64 = 150;
 /// The same of another host.
-const OTHER_MS: u64 = 1_500;
+const OTHER_MS: u64 = 4_000;
 /// Longest wait of a watch of a host that owns workers, in milliseconds; a connection that
 /// has gone silent must not hide for long that a worker is leaving.
 const OWNER_WAIT_MS: u32 = 900;
@@ -141,7 +141,7 @@
     }
 
     async fn ready(&self) {
-        if self.need.owner() {
+        if self.need.owner() || self.entries.is_empty() {
             sleep(Duration::from_millis(OWNER_MS)).await;
         } else {
             let _ = timeout(Duration::from_millis(OTHER_MS), self.need.changed.notified()).await;
--- a/endivestile/src/fleet/run.rs
+++ b/endivestile/src/fleet/run.rs
@@ -36,8 +36,9 @@
 use crate::peers::{self, Links};
 use crate::run::{Reload, advertised, local};
 
-/// Inputs handled before their effects are carried out.
-const BATCH: usize = 256;
+/// Inputs handled before their effects are carried out, and before silence is judged: a
+/// late host must not take frames that it has not read yet for frames that were not sent.
+const BATCH: usize = 2_048;
 /// Longest wait for an input, in seconds.
 const WAIT_S: u64 = 60;
 /// Prefix of this system's own keys in the store.
--- a/endivestile/src/fleet/store.rs
+++ b/endivestile/src/fleet/store.rs
@@ -17,6 +17,11 @@
 /// Pause after a registration that failed, in milliseconds.
 const RETRY_MS: u64 = 300;
 
+/// Longest wait of one watch of the records, in milliseconds. Owners also show by their
+/// frames and tokens, so that a connection that has gone silent does less harm than for
+/// the configuration.
+const RECORDS_WAIT_MS: u32 = 2_500;
+
 /// What the registration task has to know: the entry that is to stand, and the
 /// key's revision as the store last told.
 #[derive(Debug, Clone)]
@@ -47,6 +52,10 @@
         }
     }
 
+    fn wait_ms(&self) -> u32 {
+        RECORDS_WAIT_MS
+    }
+
     fn store(&mut self, up: bool) {
         self.inbox.event(FleetEvent::Store(up));
     }
--- a/endivestile_kernel/src/fleet/hosts/link.rs
+++ b/endivestile_kernel/src/fleet/hosts/link.rs
@@ -9,6 +9,7 @@
 use crate::fleet::core::{Fleet, FleetEffect};
 use crate::fleet::hosts::members::{BEAT_MS, FAR_BEAT_MS, Heard, Member, REST_BEAT_MS, rank};
 use crate::fleet::job::{JobEnd, Reason};
+use crate::fleet::lag::overloaded;
 use crate::fleet::measure::Count;
 use crate::fleet::msg::{JobMsg, Report, RoomFigure};
 use crate::fleet::serve::LOST_MS;
@@ -77,7 +78,7 @@
     /// reach it: after a cut, tasks would wait on a link that is not back yet.
     fn take_room(&mut self, now: Time, from: &Peer, report: &Report) {
         let reachable = self.members.get(from).is_some_and(|it| it.reachable(now, LOST_MS));
-        if report.pools == 0 || !reachable {
+        if report.pools == 0 || !reachable || overloaded(report.lag_ms) {
             self.scheduler.others.remove(from);
             return;
         }
@@ -157,22 +158,18 @@
         }
         self.standby_due = now.after_ms(STANDBY_MS);
         let (me, zone) = (&self.setup.me.host, &self.setup.zone);
-        let own = self.scheduler.owns();
-        let here: Vec<&Name> = self.pools.owners(zone).keys().map(|peer| &peer.host).collect();
-        let kept = |member: &Member| {
-            if own {
-                return standby(&member.peer.host, &here) == Some(me);
-            }
-            let there = self.pools.owners(&member.zone);
-            let there: Vec<&Name> = there.keys().map(|peer| &peer.host).collect();
-            there.contains(&&member.peer.host) && standby(me, &there) == Some(&member.peer.host)
+        let owners = self.pools.owners_by_zone();
+        let own: Vec<_> = owners.iter().filter(|(_, here)| here.contains(me)).collect();
+        let asks = |member: &&Member| {
+            let (host, zone) = (&member.peer.host, &member.zone);
+            own.iter().any(|(pools, here)| turns_to(host, zone, pools, here).contains(&me))
         };
-        let kept: BTreeSet<Name> = self
-            .members
-            .all()
-            .filter(|member| member.zone != *zone && kept(member))
-            .map(|member| member.peer.host.clone())
-            .collect();
+        let mut kept: BTreeSet<Name> =
+            self.members.all().filter(asks).map(|member| member.peer.host.clone()).collect();
+        if own.is_empty() {
+            let all = owners.iter().flat_map(|(pools, there)| turns_to(me, zone, pools, there));
+            kept.extend(all.cloned());
+        }
         for member in self.members.all_mut() {
             member.standby = kept.contains(&member.peer.host);
         }
@@ -264,6 +261,7 @@
             address: self.setup.address.clone(),
             cpu_milli: self.setup.cpu_milli,
             link_kbps: self.setup.link_kbps,
+            lag_ms: self.scheduler.lag.ms(),
             pools,
             room: rooms
                 .map(|(service, (free, waiting))| RoomFigure { service, free, waiting })
@@ -300,7 +298,11 @@
     }
 }
 
-/// Returns the owner that a host of another zone keeps in touch with. Both sides work it out.
-fn standby<'a>(host: &str, owners: &[&'a Name]) -> Option<&'a Name> {
-    owners.iter().copied().min_by_key(|owner| rank(host, owner))
+/// Returns those of the owners of a zone's pools that a host without workers turns to: all
+/// of its own zone, one of another. Both sides work it out.
+fn turns_to<'a>(host: &str, zone: &str, pools: &str, owners: &BTreeSet<&'a Name>) -> Vec<&'a Name> {
+    if pools == zone {
+        return owners.iter().copied().collect();
+    }
+    owners.iter().copied().min_by_key(|owner| rank(host, owner)).into_iter().collect()
 }
--- a/endivestile_kernel/src/fleet/measure.rs
+++ b/endivestile_kernel/src/fleet/measure.rs
@@ -92,11 +92,14 @@
     FirstStart,
     /// From the order of a run to its end, of runs that ended well.
     TaskRun,
+    /// From an order to start to its answer.
+    OrderAnswer,
 }
 
 impl Span {
     /// All spans, in the order of the page.
-    pub const ALL: [Self; 4] = [Self::JobDone, Self::JobOther, Self::FirstStart, Self::TaskRun];
+    pub const ALL: [Self; 5] =
+        [Self::JobDone, Self::JobOther, Self::FirstStart, Self::TaskRun, Self::OrderAnswer];
 
     /// Returns the name on the page.
     pub fn name(self) -> &'static str {
@@ -105,6 +108,7 @@
             Self::JobOther => "job_other",
             Self::FirstStart => "first_start",
             Self::TaskRun => "task_run",
+            Self::OrderAnswer => "order_answer",
         }
     }
 }
--- a/endivestile_kernel/src/fleet/mod.rs
+++ b/endivestile_kernel/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod front;
 mod hosts;
 mod job;
+mod lag;
 mod measure;
 mod msg;
 mod outcome;
--- a/endivestile_kernel/src/fleet/msg.rs
+++ b/endivestile_kernel/src/fleet/msg.rs
@@ -88,6 +88,8 @@
     pub cpu_milli: u32,
     /// Bandwidth of the host's link, in kilobits a second.
     pub link_kbps: u32,
+    /// How late the host is with its own work, in milliseconds.
+    pub lag_ms: u32,
     /// Pools that it owns.
     pub pools: u32,
     /// Room for each service.
--- a/endivestile_kernel/src/fleet/outcome.rs
+++ b/endivestile_kernel/src/fleet/outcome.rs
@@ -21,10 +21,21 @@
         if let StartEnd::Fault(fault) = end {
             self.note_order(worker, id, fault.label());
         }
+        if let StartEnd::Started(_) = end {
+            self.time_order(now, worker, id);
+        }
         let past = self.drivers.get_mut(worker).and_then(|driver| driver.started(now, id, end));
         self.take_ended(now, worker, past.into_iter().collect());
     }
 
+    fn time_order(&mut self, now: Time, worker: &Name, id: &RunId) {
+        let run = self.drivers.get(worker).and_then(|driver| driver.runs.get(id));
+        let Some(run) = run.filter(|run| run.phase == Phase::Sent) else { return };
+        let took_us = now.since(run.sent).as_micros() as u64;
+        self.lag.note(took_us);
+        self.out.push(Out::Time(Span::OrderAnswer, took_us));
+    }
+
     /// Takes in how a stop ended.
     pub(crate) fn stopped(
         &mut self,
--- a/endivestile_kernel/src/fleet/ownership/balance.rs
+++ b/endivestile_kernel/src/fleet/ownership/balance.rs
@@ -12,6 +12,7 @@
 
 use crate::fleet::core::Fleet;
 use crate::fleet::hosts::members::Member;
+use crate::fleet::lag::overloaded;
 use crate::fleet::ownership::parts::{owners_wanted, zone_of};
 use crate::fleet::serve::LOST_MS;
 use crate::{Level, Peer, Time};
@@ -48,6 +49,7 @@
     host: Peer,
     pools: u32,
     capacity: u32,
+    overloaded: bool,
 }
 
 impl Share {
@@ -64,7 +66,8 @@
         shares.iter().partition(|share| share.pools > 0);
     let fullest = *owners.iter().max_by_key(|share| (share.load(0), &share.host))?;
     let strongest = others.iter().max_by_key(|share| (share.capacity, &share.host)).copied();
-    if owners.len() < wanted {
+    if owners.len() < wanted || fullest.overloaded {
+        let strongest = strongest.filter(|taker| !taker.overloaded);
         let taker = strongest.filter(|taker| taker.load(1) <= fullest.load(0));
         if let Some(taker) = taker.filter(|_| fullest.pools > 1) {
             return Some((fullest, taker));
@@ -156,10 +159,16 @@
                 host: member.peer.clone(),
                 pools: pools(&member.peer),
                 capacity: member.capacity(),
+                overloaded: overloaded(member.report.lag_ms),
             })
             .collect();
         let me = &self.setup.me;
-        shares.push(Share { host: me.clone(), pools: pools(me), capacity: self.setup.capacity() });
+        shares.push(Share {
+            host: me.clone(),
+            pools: pools(me),
+            capacity: self.setup.capacity(),
+            overloaded: overloaded(self.scheduler.lag.ms()),
+        });
         let workers = self.workers.iter().filter(|(entry, _)| entry.zone == *zone).count();
         let (giver, taker) = next_transfer(&shares, workers)?;
         let own = self.pools.owned(me).filter(|(name, _)| zone_of(name) == &**zone);
--- a/endivestile_kernel/src/fleet/ownership/pools.rs
+++ b/endivestile_kernel/src/fleet/ownership/pools.rs
@@ -7,7 +7,7 @@
 //! token; so a former owner's orders are refused by every worker that a later
 //! one has spoken to.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
 use endivestile_config::model::Name;
@@ -299,6 +299,17 @@
         owners
     }
 
+    /// Returns the hosts that own workers, by zone.
+    pub(crate) fn owners_by_zone(&self) -> BTreeMap<&str, BTreeSet<&Name>> {
+        let mut owners: BTreeMap<&str, BTreeSet<&Name>> = BTreeMap::new();
+        for (name, pool) in &self.by_name {
+            if let Some(record) = &pool.record {
+                owners.entry(zone_of(name)).or_default().insert(&record.owner.host);
+            }
+        }
+        owners
+    }
+
     /// Returns how many pools a host would own that took all of another's: its own
     /// and those that the other owns or owned lately.
     ///
--- a/endivestile_kernel/src/fleet/placement/watchdog.rs
+++ b/endivestile_kernel/src/fleet/placement/watchdog.rs
@@ -28,6 +28,7 @@
     /// Does what is due.
     pub(crate) fn tick(&mut self, now: Time) {
         self.durations.tick(now);
+        self.lag.tick(now);
         self.tick_drivers(now);
         self.pass_deadlines(now);
         self.return_forwarded(now);
--- a/endivestile_kernel/src/fleet/scheduler.rs
+++ b/endivestile_kernel/src/fleet/scheduler.rs
@@ -10,6 +10,7 @@
 use crate::fleet::admission::overload::Flows;
 use crate::fleet::admission::queue::Queue;
 use crate::fleet::job::{Job, JobEnd, Reason};
+use crate::fleet::lag::Lag;
 use crate::fleet::measure::{Count, Span};
 use crate::fleet::msg::JobMsg;
 use crate::fleet::placement::durations::Durations;
@@ -67,6 +68,7 @@
     pub(crate) health: Health,
     pub(crate) usual: HashMap<Name, f64>,
     pub(crate) flows: Flows,
+    pub(crate) lag: Lag,
     pub(crate) dirty: bool,
     pub(crate) out: Vec<Out>,
     next_job: u64,
@@ -93,6 +95,7 @@
             health: Health::new(policy),
             usual: HashMap::new(),
             flows: Flows::default(),
+            lag: Lag::default(),
             dirty: false,
             out: Vec::new(),
             next_job: 0,
--- a/endivestile_kernel/src/fleet/serve.rs
+++ b/endivestile_kernel/src/fleet/serve.rs
@@ -8,6 +8,7 @@
 use crate::fleet::core::{Fleet, FleetEffect};
 use crate::fleet::front::placeable;
 use crate::fleet::job::{Job, JobEnd, Reason};
+use crate::fleet::lag::overloaded;
 use crate::fleet::measure::{Count, Span};
 use crate::fleet::msg::JobMsg;
 use crate::fleet::placement::choice::TwoChoices;
@@ -88,12 +89,15 @@
     }
 
     /// Returns the room that a placer has beyond what waits there and what was
-    /// sent there since it told.
+    /// sent there since it told; the least of all for one that is late with its own work.
     fn spare(&self, peer: &Peer, service: &Name) -> i64 {
         let (report, sent) = match self.members.get(peer) {
             Some(member) => (&member.report, member.sent),
             None => (&self.report.1, 0),
         };
+        if overloaded(report.lag_ms) {
+            return i64::MIN;
+        }
         let figure = report.room.iter().find(|figure| figure.service == *service);
         figure.map_or(0, |room| i64::from(room.free) - i64::from(room.waiting) - i64::from(sent))
     }
--- a/endivestile_testkit/src/fleet/host.rs
+++ b/endivestile_testkit/src/fleet/host.rs
@@ -35,6 +35,10 @@
     pub(crate) flushing: bool,
     /// When it next wakes.
     pub(crate) wake: u64,
+    /// Processor time that each event takes, in microseconds.
+    pub(crate) cost_us: u64,
+    /// Until when its processor is busy with events that have come.
+    pub(crate) free_at: u64,
 }
 
 impl Host {
@@ -114,7 +118,19 @@
         self.deliver(name, birth, FleetEvent::Shutdown);
     }
 
+    /// Hands an event to a host, in its turn if the host is short of processor time.
     pub(crate) fn deliver(&mut self, name: &Name, birth: u64, event: FleetEvent) {
+        let now = self.now;
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        if host.cost_us == 0 && host.free_at <= now {
+            return self.take(name, birth, event);
+        }
+        host.free_at = host.free_at.max(now) + host.cost_us;
+        let (at, host) = (host.free_at, name.clone());
+        self.at(at, Happening::Taken { host, birth, event });
+    }
+
+    pub(crate) fn take(&mut self, name: &Name, birth: u64, event: FleetEvent) {
         let now = self.now;
         let Some(host) = self.hosts.get_mut(name).filter(|host| host.birth == birth) else {
             return;
@@ -158,6 +174,10 @@
 
     pub(crate) fn wake(&mut self, name: &Name, birth: u64) {
         let Some(host) = self.hosts.get(name).filter(|host| host.birth == birth) else { return };
+        if host.free_at > self.now {
+            let at = host.free_at;
+            return self.at(at, Happening::Wake { host: name.clone(), birth });
+        }
         if host.paused.is_none() {
             self.flush(name, birth);
         }
--- a/endivestile_testkit/src/fleet/story.rs
+++ b/endivestile_testkit/src/fleet/story.rs
@@ -63,6 +63,7 @@
             "owners" => self.owners(),
             "hosts" => self.hosts(),
             "starts" => self.starts(),
+            "later" => self.later(span_ms(step.word(1)?)?),
             "runs" => {
                 let runs: u32 = self.world.seen.starts.values().map(|count| *count as u32).sum();
                 let _ = writeln!(self.out, "runs: {runs}");
@@ -89,6 +90,11 @@
             }
             "stop" => self.world.stop(&name(1)?),
             "cut" => self.world.net.cut(step.word(1)?, step.word(2)?),
+            "cost" => {
+                let cost_us = span_ms(step.word(2)?)? * 1_000;
+                let host = self.world.hosts.get_mut(&name(1)?).ok_or("no such host")?;
+                host.cost_us = cost_us;
+            }
             "mute" => self.world.net.mute(step.word(1)?, step.word(2)?),
             "heal" => self.world.net.heal(),
             "lose" => self.world.net.loss = step.parse(1)?,
@@ -221,6 +227,16 @@
         }
     }
 
+    /// Tells how many calls took longer.
+    fn later(&mut self, ms: u64) {
+        let took = |call: &&super::calls::CallLog| {
+            let end = call.ended.as_ref().map_or(self.world.now, |(at, _)| *at);
+            end - call.made > ms * 1_000
+        };
+        let count = self.world.calls.values().filter(took).count();
+        let _ = writeln!(self.out, "later than {ms} ms: {count}");
+    }
+
     /// Tells the records that stand in the store, alike ones of a zone once.
     fn owners(&mut self) {
         let mut pools: BTreeMap<String, u32> = BTreeMap::new();
--- a/endivestile_testkit/src/fleet/world.rs
+++ b/endivestile_testkit/src/fleet/world.rs
@@ -31,6 +31,8 @@
 pub(crate) enum Happening {
     /// An event reaches one incarnation of a host.
     Event { host: Name, birth: u64, event: FleetEvent },
+    /// An event has had its turn at a host that is short of processor time.
+    Taken { host: Name, birth: u64, event: FleetEvent },
     /// A host wakes.
     Wake { host: Name, birth: u64 },
     /// A host has taken in what came together.
@@ -176,6 +178,7 @@
     fn happen(&mut self, happening: Happening) {
         match happening {
             Happening::Event { host, birth, event } => self.deliver(&host, birth, event),
+            Happening::Taken { host, birth, event } => self.take(&host, birth, event),
             Happening::Wake { host, birth } => self.wake(&host, birth),
             Happening::Flush { host, birth } => self.flush(&host, birth),
             Happening::Arrive { visit, worker } => self.arrive(visit, &worker),
@@ -244,6 +247,8 @@
             paused: None,
             flushing: false,
             wake: 0,
+            cost_us: 0,
+            free_at: 0,
         }
     }
 }
