--- a/endivestile_config/tests/settings.rs
+++ b/endivestile_config/tests/settings.rs
@@ -38,6 +38,21 @@
     }
 }
 
+#[test_case("platform.link-mbps=2.0", 2_000; "fraction")]
+#[test_case("platform.link-mbps=", 0; "not_told")]
+fn link_bandwidth(setting: &str, expected: u32) {
+    let settings = Settings::load(LEAST, "a.ini", &[setting.to_owned()]).unwrap();
+    assert_eq!(settings.platform.link_kbps, expected);
+    assert_eq!(Settings::parse(&settings.canonical(), "canonical").unwrap(), settings);
+}
+
+#[test_case("platform.link-mbps=-1"; "negative")]
+#[test_case("platform.link-mbps=fast"; "no_number")]
+fn link_bandwidth_refused(setting: &str) {
+    let error = Settings::load(LEAST, "a.ini", &[setting.to_owned()]).unwrap_err();
+    assert!(error.to_string().contains("link-mbps"), "{error}");
+}
+
 /// A word that names no policy keeps the host from starting: a trial that left nothing
 /// out would be taken for one that did.
 #[test]
--- a/endivestile_testkit/src/fleet/host.rs
+++ b/endivestile_testkit/src/fleet/host.rs
@@ -23,6 +23,8 @@
     pub(crate) zone: Name,
     /// Processor time that it may use, in thousandths of a core.
     pub(crate) cpu_milli: u32,
+    /// Bandwidth of its link, in kilobits a second; 0 when it is not known.
+    pub(crate) link_kbps: u32,
     /// Its fleet, none while it is dead.
     pub(crate) fleet: Option<Fleet>,
     /// Incarnation.
@@ -46,7 +48,14 @@
     fn entry(&self, name: &Name, leaving: bool) -> HostEntry {
         let peer = Peer::new(name.clone(), self.birth);
         let (zone, address) = (self.zone.clone(), name.clone());
-        HostEntry { peer, zone, address, leaving, cpu_milli: self.cpu_milli, link_kbps: 0 }
+        HostEntry {
+            peer,
+            zone,
+            address,
+            leaving,
+            cpu_milli: self.cpu_milli,
+            link_kbps: self.link_kbps,
+        }
     }
 
     /// Returns the host's clock.
@@ -68,7 +77,7 @@
             me: Peer::new(name.clone(), birth),
             zone: host.zone.clone(),
             cpu_milli: host.cpu_milli,
-            link_kbps: 0,
+            link_kbps: host.link_kbps,
             address: name.clone(),
             worker_lease: WORKER_LEASE_MS,
             host_lease: HOST_LEASE_MS,
--- a/endivestile_testkit/src/fleet/story.rs
+++ b/endivestile_testkit/src/fleet/story.rs
@@ -42,6 +42,9 @@
         None => FleetWorld::new(&zones, hosts, workers, cpu, seed),
     };
     world.traced = first.pairs.contains_key("trace");
+    if first.pairs.contains_key("link") {
+        world.links(first.number("link", 0)? as u32);
+    }
     world.register_over(first.span("register", 0)?);
     world.run(SETTLE_MS);
     let mut story = Story { world, out: String::new() };
--- a/endivestile_testkit/src/fleet/world.rs
+++ b/endivestile_testkit/src/fleet/world.rs
@@ -158,6 +158,18 @@
         self.now = end;
     }
 
+    /// Gives every host a link of this bandwidth and starts them anew.
+    pub(crate) fn links(&mut self, link_kbps: u32) {
+        let names: Vec<Name> = self.hosts.keys().cloned().collect();
+        for name in names {
+            self.kill(&name);
+            if let Some(host) = self.hosts.get_mut(&name) {
+                host.link_kbps = link_kbps;
+            }
+            self.start(&name);
+        }
+    }
+
     /// Lets the workers register one after the other, over `millis` milliseconds.
     pub(crate) fn register_over(&mut self, millis: u64) {
         let count = self.workers.len().max(1) as u64;
@@ -241,6 +253,7 @@
         Self {
             zone: Name::from(zone),
             cpu_milli,
+            link_kbps: 0,
             fleet: None,
             birth: 0,
             zero: 0,
