Make a link anew for want of echoes only, whatever the beat was before

Cause: links were judged by the beat of the moment. Ruled out: room that is lost (12 places free throughout), waiting (under 1 task), learnt speeds (0.65 to 0.8, no trend). Change: a link seems to carry nothing once a frame has been without an echo for 400 ms in a zone, 700 ms between zones.

--- a/endivestile_kernel/src/fleet/hosts/link.rs
+++ b/endivestile_kernel/src/fleet/hosts/link.rs
@@ -17,10 +17,11 @@
 
 /// Age at which the report of this host is worked out anew, in milliseconds.
 const REPORT_MS: u64 = 15;
-/// Frames without a sign of life after which a link is made anew ..
-const DUMB_BEATS: u64 = 3;
-/// .. and time for the way of the last, in milliseconds.
-const DUMB_RESERVE_MS: u64 = 70;
+/// Age of a frame without an echo from which on a link within a zone seems to carry
+/// nothing, in milliseconds: it is back before the lease of the tasks it carries is over.
+const QUIET_MS: u64 = 400;
+/// The same between zones, where frames may be farther apart.
+const FAR_QUIET_MS: u64 = 700;
 /// Time between two choices of the hosts of other zones that are kept in touch, in
 /// milliseconds.
 const STANDBY_MS: u64 = 500;
@@ -132,12 +133,11 @@
                 Touch::Far { standby: member.standby }
             };
             let Some(beat) = beat_ms(own, member.drives(now), touch) else { continue };
-            let dumb_ms = beat * DUMB_BEATS + DUMB_RESERVE_MS;
             let channel = self.channels.entry(member.peer.clone());
             let channel = channel.or_insert_with(|| Channel::new(member.peer.clone()));
             channel.beat_by(now.after_ms(beat));
-            let quiet = member.echoed.after_ms(dumb_ms) <= now
-                || member.heard.is_none_or(|at| at.after_ms(dumb_ms) <= now);
+            let limit = if member.zone == self.setup.zone { QUIET_MS } else { FAR_QUIET_MS };
+            let quiet = member.unechoed.is_some_and(|at| at.after_ms(limit) <= now);
             if quiet && member.redial_due <= now {
                 member.redial(now);
                 dumb.push(member.address.clone());
