Let a host without workers keep up with their list

A host without workers paused for 4 s between two watches, so that it fell behind by three answers each time: frontend-nam-wh-19 was at revision 11048 at 26.29 s where an owner was at 13892. When it took workers over it started tasks on those that had said seconds before that they leave. Ruled out: an owner short of processor time; events that a watch leaves out (each answer goes on where the one before ended). Change: no pause while an answer of a watch is nearly full; a host without workers pauses for 1 s after a change, an owner for 150 ms. A test that a leaving worker gets nothing from the host that takes it over (it passes before, too: the stand-in's store does not cut its answers).

--- a/endivestile/src/fleet/feed.rs
+++ b/endivestile/src/fleet/feed.rs
@@ -13,6 +13,9 @@
 /// silent delays what it would have told by this and the time for one call, so
 /// that a new configuration is in force within its two seconds.
 const WAIT_MS: u32 = 900;
+/// Events of one answer from which on more of them wait: the next watch begins without a
+/// pause, or the feed falls behind where events come faster than it pauses.
+const BEHIND_ITEMS: usize = 400;
 /// Pause after a call that failed, in milliseconds.
 const RETRY_MS: u64 = 100;
 /// Longest pause after calls that failed, in milliseconds.
@@ -78,10 +81,13 @@
             }
         };
         let mut at = page.at;
+        let mut behind = false;
         self.load(page);
         loop {
             self.sink.store(true);
-            self.sink.ready().await;
+            if !behind {
+                self.sink.ready().await;
+            }
             let watch = self.reader.watch(&self.prefix, at, self.sink.wait_ms());
             let watched = tokio::select! {
                 watched = watch => watched,
@@ -90,6 +96,7 @@
             match watched {
                 Ok(page) => {
                     at = page.at.max(at);
+                    behind = page.items.len() >= BEHIND_ITEMS;
                     page.items.into_iter().for_each(|item| self.put(item));
                 }
                 // What was missed is read anew.
--- a/endivestile/src/fleet/listing.rs
+++ b/endivestile/src/fleet/listing.rs
@@ -9,16 +9,17 @@
 use endivestile_kernel::fleet::{FleetEvent, WorkerEntry};
 use endivestile_wire::adapter::Adapter;
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::feed::Sink;
 use super::inbox::Inbox;
 
-/// Time between two watches of a host that owns workers, in milliseconds: while workers
+/// Pause after a change for a host that owns workers, in milliseconds: while workers
 /// register, each changes its entry with every heartbeat.
 const OWNER_MS: u64 = 150;
-/// The same of another host.
-const OTHER_MS: u64 = 4_000;
+/// The same for another host. It may take workers over at any moment, and must not start
+/// tasks then on one that said seconds ago that it is leaving.
+const OTHER_MS: u64 = 1_000;
 /// Longest wait of a watch of a host that owns workers, in milliseconds; a connection that
 /// has gone silent must not hide for long that a worker is leaving.
 const OWNER_WAIT_MS: u32 = 900;
@@ -62,6 +63,8 @@
     /// Until when a missing entry may be one that lapsed while the store was away.
     returning: Instant,
     changed: bool,
+    /// When an entry was last told.
+    told: Instant,
     repeat: Instant,
 }
 
@@ -77,6 +80,7 @@
             missing: BTreeMap::new(),
             returning: now,
             changed: false,
+            told: now,
             repeat: now,
         }
     }
@@ -101,6 +105,7 @@
     fn tell(&mut self, key: &str, _revision: u64, value: Option<Bytes>) {
         let Some(id) = key.strip_prefix(self.adapter.keys.workers) else { return };
         self.missing.remove(id);
+        self.told = Instant::now();
         let Some(value) = value else {
             if self.returning > Instant::now() {
                 self.missing.insert(id.to_owned(), self.returning);
@@ -141,11 +146,11 @@
     }
 
     async fn ready(&self) {
-        if self.need.owner() || self.entries.is_empty() {
-            sleep(Duration::from_millis(OWNER_MS)).await;
-        } else {
-            let _ = timeout(Duration::from_millis(OTHER_MS), self.need.changed.notified()).await;
+        if !self.need.owner() && !self.entries.is_empty() {
+            let end = self.told + Duration::from_millis(OTHER_MS);
+            let _ = timeout_at(end, self.need.changed.notified()).await;
         }
+        sleep_until(self.told + Duration::from_millis(OWNER_MS)).await;
     }
 
     async fn hurry(&self) {
--- a/endivestile/tests/platform_path.rs
+++ b/endivestile/tests/platform_path.rs
@@ -125,6 +125,34 @@
     assert_eq!((status, platform.breaches()), (200, Vec::new()));
 }
 
+/// A worker says that it is leaving shortly before its owner dies. The host that takes it
+/// over had read the list before; it must not start anything there by that.
+#[test]
+fn owner_killed_leaving_worker_unused() {
+    let platform = platform();
+    let mut hosts = vec![Host::start(&platform, "a1", "a"), Host::start(&platform, "a2", "a")];
+    hosts.iter().for_each(until_serving);
+    let owner = |host: &Host| host.logged("event=owner_change_ended") > 0;
+    let at = hosts.iter().position(owner).unwrap();
+    let killed = hosts.remove(at);
+    // The other host has just been told of a change when the next one comes.
+    platform.leaves("a-w1", true);
+    platform.leaves("a-w1", false);
+    until("the change is told", || {
+        killed.call("POST", "/jobs/00000000000000ab", &job(1, 1)).0 == 200
+    });
+    platform.leaves("a-w1", true);
+    drop(killed);
+    let starts = || platform.starts().iter().find(|(id, _)| id == "a-w1").map_or(0, |(_, n)| *n);
+    let before = starts();
+    until_serving(&hosts[0]);
+    for id in 0..4 {
+        let path = format!("/jobs/00000000000001a{id}");
+        assert_eq!(hosts[0].call("POST", &path, &job(2, 20)).0, 200);
+    }
+    assert_eq!(starts(), before);
+}
+
 /// A host is told to stop while a caller's job runs. The caller gets its whole
 /// answer before the process ends by itself.
 #[test]
--- a/endivestile_testkit/src/platform/mod.rs
+++ b/endivestile_testkit/src/platform/mod.rs
@@ -114,7 +114,16 @@
     /// Registers a worker anew, at another address by which it can be reached.
     pub fn reroute(&self, worker: &str, address: SocketAddr) {
         let zone = worker.split('-').next().unwrap_or_default();
-        self.register(zone, worker, address);
+        self.register(zone, worker, address, "ready");
+    }
+
+    /// Registers a worker anew, as one that leaves or that has changed its mind.
+    pub fn leaves(&self, worker: &str, leaves: bool) {
+        let zone = worker.split('-').next().unwrap_or_default();
+        let all = self.workers();
+        if let Some((_, address)) = all.iter().find(|(id, _)| id == worker) {
+            self.register(zone, worker, *address, if leaves { "draining" } else { "ready" });
+        }
     }
 
     /// Returns how many runs go on at all workers.
@@ -131,13 +140,13 @@
         let id = format!("{zone}-w{index}");
         let address = server::listen(&self.shared, Some(id.clone()));
         lock(&self.shared.workers).add(zone, &id, address);
-        self.register(zone, &id, address);
+        self.register(zone, &id, address, "ready");
     }
 
-    fn register(&self, zone: &str, id: &str, address: SocketAddr) {
+    fn register(&self, zone: &str, id: &str, address: SocketAddr, state: &str) {
         let entry = json!({
             "Service": "service", "Address": address.to_string(), "Zone": zone,
-            "Version": "v1", "Slots": 8, "State": "ready", "ColdRemainingMs": 0,
+            "Version": "v1", "Slots": 8, "State": state, "ColdRemainingMs": 0,
             "Capacity": {"Cpu": 32000, "MemoryRequestMb": 65536, "Gpu": 0},
             "Labels": ["a", format!("{zone}-r1")], "ClockMs": 0, "Sequence": 1, "born": 1,
         });
