--- a/endivestile/src/fleet/config.rs
+++ b/endivestile/src/fleet/config.rs
@@ -1,32 +1,44 @@
-//! Takes the operator's configuration from the store.
+//! Takes what operators write from the store: the configuration, and zones to be evacuated.
 
 use std::sync::Arc;
 
 use bytes::Bytes;
-use endivestile_kernel::fleet::FleetEvent;
+use endivestile_config::model::Name;
+use endivestile_kernel::fleet::{FleetEvent, ZoneState};
 use endivestile_wire::adapter::Adapter;
 
 use super::feed::Sink;
 use super::inbox::Inbox;
 
-/// Reads configurations; one that cannot be read leaves the last in force.
+/// Reads configurations; one that cannot be read leaves the last in force. A zone is
+/// evacuated while its key stands, whatever its value is.
 #[derive(Debug)]
-pub(crate) struct Configs {
+pub(crate) struct OperatorKeys {
     /// The translation.
     pub(crate) adapter: &'static Adapter,
     /// The engine.
     pub(crate) inbox: Inbox,
 }
 
-impl Sink for Configs {
+impl Sink for OperatorKeys {
     fn store(&mut self, up: bool) {
         self.inbox.event(FleetEvent::Store(up));
     }
 
     fn tell(&mut self, key: &str, revision: u64, value: Option<Bytes>) {
-        if key != self.adapter.keys.config {
-            return;
+        let keys = &self.adapter.keys;
+        if let Some(zone) = key.strip_prefix(keys.evacuations) {
+            let evacuated = value.is_some();
+            let state = ZoneState { zone: Name::from(zone), revision, evacuated };
+            self.inbox.event(FleetEvent::Evacuation(state));
+        } else if key == keys.config {
+            self.config(key, revision, value);
         }
+    }
+}
+
+impl OperatorKeys {
+    fn config(&self, key: &str, revision: u64, value: Option<Bytes>) {
         let Some(value) = value else {
             log::error!("event=config_deleted step=read-config key={key}");
             return;
--- a/endivestile/src/fleet/engine.rs
+++ b/endivestile/src/fleet/engine.rs
@@ -214,6 +214,7 @@
                 FleetEffect::Log(note) => logs::note(&note),
                 FleetEffect::Count(count) => self.parts.measures.count(count),
                 FleetEffect::Time(span, took) => self.parts.measures.time(span, took),
+                FleetEffect::Gauge(gauge, value) => self.parts.measures.gauge(gauge, value),
                 FleetEffect::Drained => {
                     self.drained = true;
                     self.linger(cx);
--- a/endivestile/src/fleet/page.rs
+++ b/endivestile/src/fleet/page.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use bytes::Bytes;
-use endivestile_kernel::fleet::{Count, Span};
+use endivestile_kernel::fleet::{Count, Gauge, Span};
 use hdrhistogram::Histogram;
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response};
@@ -29,6 +29,7 @@
 #[derive(Debug)]
 struct Inner {
     counts: [u64; Count::ALL.len()],
+    gauges: [u64; Gauge::ALL.len()],
     spans: Vec<Histogram<u64>>,
 }
 
@@ -38,7 +39,7 @@
         // The bounds are constants that the library accepts.
         let histogram = |_| Histogram::new_with_bounds(1, MAX_US, DIGITS).expect("bounds");
         let spans = Span::ALL.iter().map(histogram).collect();
-        let inner = Inner { counts: [0; Count::ALL.len()], spans };
+        let inner = Inner { counts: [0; Count::ALL.len()], gauges: [0; Gauge::ALL.len()], spans };
         Self { inner: Arc::new(Mutex::new(inner)), edges }
     }
 
@@ -47,6 +48,11 @@
         self.lock().counts[count as usize] += 1;
     }
 
+    /// Sets a gauge.
+    pub(crate) fn gauge(&self, gauge: Gauge, value: u64) {
+        self.lock().gauges[gauge as usize] = value;
+    }
+
     /// Notes a span.
     pub(crate) fn time(&self, span: Span, took_us: u64) {
         self.lock().spans[span as usize].saturating_record(took_us.max(1));
@@ -59,6 +65,9 @@
         for count in Count::ALL {
             let _ = writeln!(text, "endivestile_{} {}", count.name(), inner.counts[count as usize]);
         }
+        for gauge in Gauge::ALL {
+            let _ = writeln!(text, "endivestile_{} {}", gauge.name(), inner.gauges[gauge as usize]);
+        }
         for (name, count) in self.edges.all().filter(|(_, count)| *count > 0) {
             let _ = writeln!(text, "endivestile_edge_{name} {count}");
         }
--- a/endivestile/src/fleet/run.rs
+++ b/endivestile/src/fleet/run.rs
@@ -21,7 +21,7 @@
 
 use super::callers::{self, Desk};
 use super::client::Client;
-use super::config::Configs;
+use super::config::OperatorKeys;
 use super::engine::{Engine, Parts};
 use super::feed;
 use super::inbox::{Inbox, Inlet, Input};
@@ -179,9 +179,9 @@
     entry: HostEntry,
 ) -> watch::Sender<Wish> {
     let (wish, wishes) = watch::channel(Wish { entry, stands: None });
-    let configs = Configs { adapter: reader.adapter, inbox: inbox.clone() };
-    let config = reader.adapter.keys.config.to_owned();
-    runtime.spawn(feed::run(config, reader.clone(), configs));
+    let operator = OperatorKeys { adapter: reader.adapter, inbox: inbox.clone() };
+    let prefix = reader.adapter.keys.operator.to_owned();
+    runtime.spawn(feed::run(prefix, reader.clone(), operator));
     let records = Records { inbox: inbox.clone(), wish: wish.clone() };
     runtime.spawn(feed::run(OWN_KEYS.to_owned(), reader.clone(), records));
     let listing = Listing::new(reader.adapter, inbox.clone(), need);
--- a/endivestile/tests/platform_path.rs
+++ b/endivestile/tests/platform_path.rs
@@ -30,13 +30,18 @@
     assert_eq!(host.call("GET", "/readiness", "").0, 200);
     assert_eq!(platform.breaches(), Vec::<String>::new());
     until("the page counts the job", || {
-        let mut stream = send(&host.page, "GET", "/metrics", "");
-        let mut text = String::new();
-        stream.read_to_string(&mut text).unwrap();
+        let text = page(&host);
         text.contains("endivestile_job_done_us_count") && !text.contains("endivestile_jobs_done 0")
     });
 }
 
+/// Returns the page of a host's counts.
+fn page(host: &Host) -> String {
+    let mut text = String::new();
+    send(&host.page, "GET", "/metrics", "").read_to_string(&mut text).unwrap();
+    text
+}
+
 #[test_case("POST", "/other/00000000000000ab", r#"{"Steps":[{"Count":1}]}"#, 404; "no_route")]
 #[test_case("POST", "/jobs/short", r#"{"Steps":[{"Count":1}]}"#, 400; "id_not_hex")]
 #[test_case("POST", "/jobs/00000000000000ab", "{", 400; "body_unreadable")]
@@ -106,6 +111,36 @@
     assert_eq!(platform.breaches(), Vec::<String>::new());
 }
 
+/// Operators evacuate a zone while its host serves. Its jobs have to go to the other zone,
+/// and back once the zone is taken back; a value that cannot be read asks for it as well.
+#[test]
+fn zone_evacuated_other_serves() {
+    let platform = PlatformStandIn::start(&["a", "b"], 2);
+    platform.configure(1);
+    let hosts = [Host::start(&platform, "a1", "a"), Host::start(&platform, "b1", "b")];
+    hosts.iter().for_each(until_serving);
+    let starts_in_a = || {
+        let starts = platform.starts();
+        starts.iter().filter(|(id, _)| id.starts_with("a-")).map(|(_, count)| count).sum::<u64>()
+    };
+    platform.write("op/evacuate/a", b"\xff");
+    until("the evacuation is known", || hosts[0].logged("event=evacuation_started") > 0);
+    let before = starts_in_a();
+    assert!(before > 0);
+    for id in 0..8 {
+        let (status, _) = hosts[0].call("POST", &format!("/jobs/00000000000001e{id}"), &job(2, 5));
+        assert_eq!(status, 200);
+    }
+    assert_eq!(starts_in_a(), before);
+    until("the page shows it", || page(&hosts[0]).contains("endivestile_zones_evacuated 1"));
+    platform.evacuate("a", false);
+    until("its end is known", || hosts[0].logged("event=evacuation_ended") > 0);
+    let (status, _) = hosts[0].call("POST", "/jobs/00000000000001f0", &job(2, 5));
+    assert_eq!(status, 200);
+    assert!(starts_in_a() > before);
+    assert_eq!(platform.breaches(), Vec::<String>::new());
+}
+
 /// The host that owns the workers is killed while its callers' jobs run. The
 /// other host takes the workers over, stops what runs there, and serves: callers
 /// that send again wait for about a second, and no task runs twice at a time.
--- a/endivestile_ctl/src/cli.rs
+++ b/endivestile_ctl/src/cli.rs
@@ -107,7 +107,8 @@
 /// Arguments of `status`.
 #[derive(Debug, Args)]
 pub(crate) struct StatusArgs {
-    /// Callers' address of an entry host, IP:port; may be repeated.
+    /// Callers' address of an entry host, or that of its page of counts, IP:port; may be
+    /// repeated.
     #[arg(long = "host", required = true, value_delimiter = ',')]
     pub(crate) hosts: Vec<SocketAddr>,
 }
--- a/endivestile_ctl/src/explain/cause.rs
+++ b/endivestile_ctl/src/explain/cause.rs
@@ -10,6 +10,8 @@
 pub(crate) enum Cause {
     /// No configuration was known, or none with its route.
     NoRoute,
+    /// Operators had evacuated every zone that could run it.
+    Evacuated,
     /// No owner of workers was in reach.
     NoOwner,
     /// The owner that had it was lost or lost its workers.
@@ -73,6 +75,7 @@
 fn refused(answer: &Answer, account: Option<&Account>) -> Cause {
     match (answer.reason.as_str(), account) {
         ("no_config", _) => Cause::NoRoute,
+        ("evacuated", _) => Cause::Evacuated,
         ("no_placer", _) => Cause::NoOwner,
         ("overload" | "deadline", Some(account)) if account.free > 0 => Cause::RefusedWithRoom,
         ("overload" | "deadline", _) => Cause::RefusedFull,
--- a/endivestile_ctl/src/explain/report.rs
+++ b/endivestile_ctl/src/explain/report.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use super::cause::{Cause, cause};
-use super::story::{Stories, Story};
+use super::story::{Evacuation, Stories, Story};
 use crate::cli::Grouping;
 
 /// Jobs, and their work.
@@ -38,6 +38,8 @@
     groups: BTreeMap<String, BTreeMap<Cause, Sum>>,
     /// Calls that no job was made of, by reason.
     turned_away: BTreeMap<String, u32>,
+    /// Zones that were evacuated, and when.
+    evacuations: BTreeMap<String, Evacuation>,
 }
 
 impl Report {
@@ -63,7 +65,8 @@
         }
         let mut causes: Vec<(Cause, Sum)> = causes.into_iter().collect();
         causes.sort_by(|a, b| b.1.core_s.total_cmp(&a.1.core_s));
-        Self { jobs: stories.jobs.len() as u32, in_time, causes, groups, turned_away }
+        let evacuations = stories.evacuations.clone();
+        Self { jobs: stories.jobs.len() as u32, in_time, causes, groups, turned_away, evacuations }
     }
 }
 
@@ -88,6 +91,9 @@
                 row(out, *cause, sum)?;
             }
         }
+        for (zone, Evacuation { started, drained, ended }) in &self.evacuations {
+            writeln!(out, "zone {zone} evacuated: {started}, drained {drained}, ended {ended}")?;
+        }
         for (reason, calls) in &self.turned_away {
             writeln!(out, "turned away, {reason}: {calls} calls")?;
         }
--- a/endivestile_ctl/src/explain/story.rs
+++ b/endivestile_ctl/src/explain/story.rs
@@ -1,6 +1,8 @@
 //! What the lines of a log say about each job.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
+
+use serde::Serialize;
 
 use super::line::Line;
 
@@ -60,6 +62,19 @@
     pub(crate) jobs: HashMap<String, Story>,
     /// Calls that were turned away before a job was made of them: time, reason.
     pub(crate) turned_away: Vec<(String, String)>,
+    /// Evacuations by zone: the second in which a host first knew of one, and of its end.
+    pub(crate) evacuations: BTreeMap<String, Evacuation>,
+}
+
+/// When a zone was evacuated.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub(crate) struct Evacuation {
+    /// Second in which a host first knew of it; empty when the log does not tell.
+    pub(crate) started: String,
+    /// Second in which a host last found that nothing ran there any more.
+    pub(crate) drained: String,
+    /// Second in which the last host knew of its end.
+    pub(crate) ended: String,
 }
 
 impl Stories {
@@ -74,6 +89,21 @@
                 let reason = line.get("reason").unwrap_or("head").to_lowercase();
                 self.turned_away.push((second(line), reason));
             }
+            "evacuation_started" | "evacuation_drained" | "evacuation_ended" => {
+                self.evacuation(line);
+            }
+            _ => {}
+        }
+    }
+
+    fn evacuation(&mut self, line: &Line<'_>) {
+        let Some(zone) = line.get("zone") else { return };
+        let second = second(line);
+        let told = self.evacuations.entry(zone.to_owned()).or_default();
+        match line.event() {
+            "evacuation_drained" => told.drained = second.max(told.drained.clone()),
+            "evacuation_ended" => told.ended = second.max(told.ended.clone()),
+            _ if told.started.is_empty() || second < told.started => told.started = second,
             _ => {}
         }
     }
--- a/endivestile_ctl/src/http.rs
+++ b/endivestile_ctl/src/http.rs
@@ -187,12 +187,13 @@
         Ok(ids.ids)
     }
 
-    /// Reads the state of a host.
+    /// Reads the state of a host, or its page of counts.
     pub(crate) fn status(&self, host: SocketAddr) -> Result<serde_json::Value, Silence> {
         let request = self.agent.get(format!("http://{host}/status")).config();
         let request = request.timeout_global(Some(Duration::from_millis(GRACE_MS))).build();
         let body = self.text(request.call().map_err(silence)?)?;
-        serde_json::from_slice(&body).map_err(|error| garbled(&error))
+        let page = serde_json::from_slice(&body);
+        page.or_else(|error| counts(&body).ok_or_else(|| garbled(&error)))
     }
 
     fn text(&self, response: Response<Body>) -> Result<Vec<u8>, Silence> {
@@ -206,6 +207,16 @@
     }
 }
 
+/// Reads a page of counts, one `name value` a line; none if it is no such page.
+fn counts(body: &[u8]) -> Option<serde_json::Value> {
+    let text = std::str::from_utf8(body).ok().filter(|text| !text.is_empty())?;
+    let figures = text.lines().map(|line| {
+        let (name, value) = line.rsplit_once(' ')?;
+        Some((name.to_owned(), serde_json::from_str(value).ok()?))
+    });
+    figures.collect::<Option<serde_json::Map<_, _>>>().map(serde_json::Value::Object)
+}
+
 fn reply(response: Response<Body>, raw: bool) -> Result<Reply, Silence> {
     let status = response.status().as_u16();
     let header = response.headers().get(MINTED_HEADER).and_then(|value| value.to_str().ok());
--- a/endivestile_ctl/tests/explain.rs
+++ b/endivestile_ctl/tests/explain.rs
@@ -6,10 +6,15 @@
 use test_case::test_case;
 
 const LOG: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/logs/causes.log");
+const EVACUATED: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/logs/evacuated.log");
 
 fn explain(by: &str) -> Value {
+    explain_log(LOG, by)
+}
+
+fn explain_log(log: &str, by: &str) -> Value {
     let run = Command::new(env!("CARGO_BIN_EXE_endivectl"))
-        .args(["--json", "explain", LOG, "--by", by])
+        .args(["--json", "explain", log, "--by", by])
         .output()
         .expect("endivectl runs");
     assert!(run.status.success(), "{}", String::from_utf8_lossy(&run.stderr));
@@ -53,3 +58,14 @@
     assert_eq!(report["groups"]["long"]["refused-full"]["core_s"], 1.0);
     assert_eq!(report["groups"]["quick"]["slow-worker"]["jobs"], 1);
 }
+
+/// A job was refused while a zone was evacuated: the report names the evacuation as the
+/// cause, and when the zone was emptied and taken back.
+#[test]
+fn explain_evacuated() {
+    let report = explain_log(EVACUATED, "zone");
+    assert_eq!(jobs(&report["causes"], "evacuated"), 1);
+    let north = &report["evacuations"]["north"];
+    let seconds = ["started", "drained", "ended"].map(|at| north[at].as_str().unwrap_or(""));
+    assert_eq!(seconds, ["2026-05-27T00:06:16", "2026-05-27T00:06:17", "2026-05-27T00:06:20"]);
+}
--- a/endivestile_kernel/src/fleet/core.rs
+++ b/endivestile_kernel/src/fleet/core.rs
@@ -8,10 +8,11 @@
 use endivestile_config::model::Name;
 
 use crate::channel::Channel;
+use crate::fleet::evacuation::{Evacuations, Source, ZoneState};
 use crate::fleet::front::Front;
 use crate::fleet::hosts::members::{HostEntry, Members};
 use crate::fleet::job::{Job, JobEnd};
-use crate::fleet::measure::{Count, Span};
+use crate::fleet::measure::{Count, Gauge, Span};
 use crate::fleet::msg::{JobMsg, Report};
 use crate::fleet::ownership::balance::Transfer;
 use crate::fleet::ownership::claim::Probe;
@@ -78,6 +79,8 @@
     Hangup(CallId),
     /// The operator's routes changed.
     Table(Arc<RouteTable>),
+    /// Operators ask for a zone to be evacuated, or no longer do.
+    Evacuation(ZoneState),
     /// All workers as the store lists them.
     Workers(Vec<WorkerEntry>),
     /// A host's registration, none when it ended.
@@ -180,6 +183,8 @@
     Count(Count),
     /// Note how long something took, in microseconds.
     Time(Span, u64),
+    /// Show another value of a gauge.
+    Gauge(Gauge, u64),
     /// Everything is drained: the process may end.
     Drained,
 }
@@ -189,6 +194,7 @@
 pub struct Fleet {
     pub(crate) setup: FleetSetup,
     pub(crate) table: Option<Arc<RouteTable>>,
+    pub(crate) evacuations: Evacuations,
     pub(crate) members: Members,
     pub(crate) channels: BTreeMap<Peer, Channel>,
     pub(crate) pools: Pools,
@@ -227,6 +233,7 @@
         let me = setup.me.clone();
         Self {
             table: None,
+            evacuations: Evacuations::default(),
             members: Members::new(me.clone()),
             channels: BTreeMap::new(),
             pools: Pools::default(),
@@ -258,6 +265,7 @@
             FleetEvent::Call { call, job } => self.call(now, call, job),
             FleetEvent::Hangup(call) => self.hangup(now, call),
             FleetEvent::Table(table) => self.adopt(table),
+            FleetEvent::Evacuation(state) => self.set_evacuation(now, &state, Source::Store),
             FleetEvent::Workers(workers) => self.list_workers(now, workers),
             FleetEvent::Host { name, entry } => self.register(now, &name, entry.as_ref()),
             FleetEvent::Record { pool, revision, value } => {
@@ -288,7 +296,11 @@
         if self.due <= now {
             self.tick(now);
         }
-        self.scheduler.dispatch(now);
+        // The operators' configuration and evacuations are read together: a host that has
+        // not read them yet must not start tasks in a zone that is being evacuated.
+        if self.table.is_some() {
+            self.scheduler.dispatch(now);
+        }
         self.settle(now);
         self.send_frames(now);
         out.append(&mut self.out);
@@ -396,6 +408,7 @@
         self.replace_lost(now);
         self.pass_deadlines(now);
         self.check_drained(now);
+        self.tell_evacuations();
         let busy = !self.front.open.is_empty() || !self.scheduler.jobs.is_empty();
         let pause = if busy { TICK_MS } else { REST_MS };
         self.due = now.after_ms(pause);
--- a/endivestile_kernel/src/fleet/hosts/link.rs
+++ b/endivestile_kernel/src/fleet/hosts/link.rs
@@ -7,6 +7,7 @@
 
 use crate::channel::Channel;
 use crate::fleet::core::{Fleet, FleetEffect};
+use crate::fleet::evacuation::Source;
 use crate::fleet::hosts::members::{BEAT_MS, FAR_BEAT_MS, Heard, Member, REST_BEAT_MS, rank};
 use crate::fleet::job::{JobEnd, Reason};
 use crate::fleet::lag::overloaded;
@@ -47,6 +48,9 @@
             self.peer_ended(now, &ended);
         }
         if let Some(report) = report {
+            for state in &report.evacuations {
+                self.set_evacuation(now, state, Source::Peer);
+            }
             self.take_room(now, &from, &report);
         }
         let lease = self.setup.host_lease;
@@ -160,15 +164,21 @@
         let (me, zone) = (&self.setup.me.host, &self.setup.zone);
         let owners = self.pools.owners_by_zone();
         let own: Vec<_> = owners.iter().filter(|(_, here)| here.contains(me)).collect();
+        let turns = |host: &Name, zone: &Name, pools: &str, owners: &BTreeSet<&Name>| {
+            // The workers of an evacuated zone take nothing: one owner of another zone
+            // could not serve its hosts alone.
+            let all = self.evacuations.contains(zone) || *pools == **zone;
+            turns_to(host, all, owners)
+        };
         let asks = |member: &&Member| {
             let (host, zone) = (&member.peer.host, &member.zone);
-            own.iter().any(|(pools, here)| turns_to(host, zone, pools, here).contains(&me))
+            own.iter().any(|(pools, here)| turns(host, zone, pools, here).contains(me))
         };
         let mut kept: BTreeSet<Name> =
             self.members.all().filter(asks).map(|member| member.peer.host.clone()).collect();
         if own.is_empty() {
-            let all = owners.iter().flat_map(|(pools, there)| turns_to(me, zone, pools, there));
-            kept.extend(all.cloned());
+            let all = owners.iter().flat_map(|(pools, there)| turns(me, zone, pools, there));
+            kept.extend(all);
         }
         for member in self.members.all_mut() {
             member.standby = kept.contains(&member.peer.host);
@@ -267,6 +277,7 @@
                 .map(|(service, (free, waiting))| RoomFigure { service, free, waiting })
                 .collect(),
             pending: self.scheduler.pending().into_iter().collect(),
+            evacuations: self.evacuations.states(),
         };
         self.report = (now.after_ms(REPORT_MS), Arc::new(report));
         self.report.1.clone()
@@ -299,10 +310,11 @@
 }
 
 /// Returns those of the owners of a zone's pools that a host without workers turns to: all
-/// of its own zone, one of another. Both sides work it out.
-fn turns_to<'a>(host: &str, zone: &str, pools: &str, owners: &BTreeSet<&'a Name>) -> Vec<&'a Name> {
-    if pools == zone {
-        return owners.iter().copied().collect();
+/// or one of them. Both sides work it out.
+fn turns_to(host: &str, all: bool, owners: &BTreeSet<&Name>) -> Vec<Name> {
+    let owners = owners.iter().copied();
+    if all {
+        return owners.cloned().collect();
     }
-    owners.iter().copied().min_by_key(|owner| rank(host, owner)).into_iter().collect()
+    owners.min_by_key(|owner| rank(host, owner)).cloned().into_iter().collect()
 }
--- a/endivestile_kernel/src/fleet/job.rs
+++ b/endivestile_kernel/src/fleet/job.rs
@@ -107,6 +107,8 @@
     Cancelled,
     /// The job asks for something that this system does not do.
     Unsupported,
+    /// Operators have evacuated every zone that could run it.
+    Evacuated,
 }
 
 impl Reason {
@@ -122,6 +124,7 @@
             Self::PlacerLost => "placer_lost",
             Self::Cancelled => "cancelled",
             Self::Unsupported => "unsupported",
+            Self::Evacuated => "evacuated",
         }
     }
 }
--- a/endivestile_kernel/src/fleet/measure.rs
+++ b/endivestile_kernel/src/fleet/measure.rs
@@ -81,6 +81,28 @@
     }
 }
 
+/// A figure that stands until it is told again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Gauge {
+    /// Availability zones in which nothing may be started.
+    ZonesEvacuated,
+    /// Runs that still go on in such zones on the workers of this host.
+    RunsEvacuated,
+}
+
+impl Gauge {
+    /// All gauges, in the order of the page.
+    pub const ALL: [Self; 2] = [Self::ZonesEvacuated, Self::RunsEvacuated];
+
+    /// Returns the name on the page.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::ZonesEvacuated => "zones_evacuated",
+            Self::RunsEvacuated => "runs_evacuated",
+        }
+    }
+}
+
 /// A span that is timed, in microseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Span {
--- a/endivestile_kernel/src/fleet/mod.rs
+++ b/endivestile_kernel/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod core;
 mod course;
+mod evacuation;
 mod front;
 mod hosts;
 mod job;
@@ -20,9 +21,10 @@
 mod workers;
 
 pub use core::{Fleet, FleetEffect, FleetEvent, FleetSetup};
+pub use evacuation::ZoneState;
 pub use hosts::members::HostEntry;
 pub use job::{Job, JobEnd, Reason, Step};
-pub use measure::{Count, Span};
+pub use measure::{Count, Gauge, Span};
 pub use msg::{HandOver, JobMsg, Report, RoomFigure};
 pub use ownership::pools::{HOST_KEYS, POOL_KEYS};
 pub use table::{Limits, Route, RouteTable, ServiceRule};
--- a/endivestile_kernel/src/fleet/msg.rs
+++ b/endivestile_kernel/src/fleet/msg.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Time;
+use crate::fleet::evacuation::ZoneState;
 use crate::fleet::job::{Job, JobEnd};
 
 /// A message about one job; `serial` is the asking host's number for it.
@@ -96,4 +97,6 @@
     pub room: Vec<RoomFigure>,
     /// Jobs that wait with no task started, by route.
     pub pending: Vec<(Name, u32)>,
+    /// Zones of which it knows that they are or were evacuated.
+    pub evacuations: Vec<ZoneState>,
 }
--- a/endivestile_kernel/src/fleet/ownership/pools.rs
+++ b/endivestile_kernel/src/fleet/ownership/pools.rs
@@ -291,8 +291,13 @@
 
     /// Returns the owners of a zone's workers, each with the number of its pools.
     pub(crate) fn owners(&self, zone: &str) -> BTreeMap<&Peer, u32> {
+        self.owners_in(|it| it == zone)
+    }
+
+    /// Returns the owners of some zones' workers, each with the number of its pools there.
+    pub(crate) fn owners_in(&self, zone: impl Fn(&str) -> bool) -> BTreeMap<&Peer, u32> {
         let mut owners = BTreeMap::new();
-        let here = self.by_name.iter().filter(|(name, _)| zone_of(name) == zone);
+        let here = self.by_name.iter().filter(|(name, _)| zone(zone_of(name)));
         for record in here.filter_map(|(_, pool)| pool.record.as_ref()) {
             *owners.entry(&record.owner).or_default() += 1;
         }
--- a/endivestile_kernel/src/fleet/scheduler.rs
+++ b/endivestile_kernel/src/fleet/scheduler.rs
@@ -9,7 +9,7 @@
 use crate::fleet::admission::order::Waiting;
 use crate::fleet::admission::overload::Flows;
 use crate::fleet::admission::queue::Queue;
-use crate::fleet::job::{Job, JobEnd, Reason};
+use crate::fleet::job::{Job, JobEnd, Reason, Step};
 use crate::fleet::lag::Lag;
 use crate::fleet::measure::{Count, Span};
 use crate::fleet::msg::JobMsg;
@@ -61,6 +61,10 @@
     pub(crate) deadlines: BTreeSet<(Time, u64)>,
     /// The pool that is about to go to another owner.
     pub(crate) closing: Option<Name>,
+    /// Zones in which nothing may be started.
+    pub(crate) evacuated: BTreeSet<Name>,
+    /// Those of them in which runs of this host still go on.
+    pub(crate) emptying: BTreeSet<Name>,
     pub(crate) queues: BTreeMap<Name, Queue>,
     pub(crate) others: BTreeMap<Peer, OtherRoom>,
     pub(crate) forwards: HashMap<u64, (Peer, TaskRef)>,
@@ -88,6 +92,8 @@
             names: HashMap::new(),
             deadlines: BTreeSet::new(),
             closing: None,
+            evacuated: BTreeSet::new(),
+            emptying: BTreeSet::new(),
             queues: BTreeMap::new(),
             others: BTreeMap::new(),
             forwards: HashMap::new(),
@@ -140,20 +146,29 @@
 
     /// Returns why a job cannot be served.
     fn refusal(&self, now: Time, job: &Job) -> Option<Reason> {
-        if !self.owns() {
+        if !self.serves() {
             return Some(Reason::NoPlacer);
         }
         if job.deadline <= now.after_ms(ANSWER_MS) {
             return Some(Reason::Deadline);
         }
-        let fits = |step: &crate::fleet::job::Step| {
-            self.drivers.values().any(|driver| {
-                driver.entry.service == job.service
-                    && holds(&driver.entry.room, &step.need)
-                    && carries(&driver.entry, step.label.as_ref())
+        let fits = |step: &Step, driver: &Driver| {
+            driver.entry.service == job.service
+                && holds(&driver.entry.room, &step.need)
+                && carries(&driver.entry, step.label.as_ref())
+        };
+        let held = |open: bool| {
+            let mut steps = job.steps.iter();
+            steps.all(|step| {
+                let mut drivers = self.drivers.values();
+                drivers.any(|driver| !(open && driver.evacuated) && fits(step, driver))
             })
         };
-        (!job.steps.iter().all(fits)).then_some(Reason::NoWorker)
+        match (held(true), held(false)) {
+            (true, _) => None,
+            (false, true) => Some(Reason::Evacuated),
+            (false, false) => Some(Reason::NoWorker),
+        }
     }
 
     /// Returns until when a job's caller is served well.
--- a/endivestile_kernel/src/fleet/serve.rs
+++ b/endivestile_kernel/src/fleet/serve.rs
@@ -1,5 +1,6 @@
 //! Callers' jobs on their way to a placer and back.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use endivestile_config::Mechanism;
@@ -20,6 +21,9 @@
 /// Reserve over a host's lease before its tasks surely are stopped, in
 /// milliseconds: the way of the stops.
 const STOP_RESERVE_MS: u64 = 80;
+/// When to come back after a refusal because every zone is being evacuated, in
+/// milliseconds: operators take zones back by hand.
+const EVACUATED_RETRY_MS: u64 = 5_000;
 
 impl Fleet {
     pub(crate) fn call(&mut self, now: Time, call: CallId, job: Job) {
@@ -31,6 +35,11 @@
     fn place(&mut self, now: Time, serial: u64) {
         let Some(open) = self.front.open.get(&serial) else { return };
         let service = open.job.service.clone();
+        if self.all_evacuated() {
+            let retry = now.after_ms(EVACUATED_RETRY_MS);
+            let end = JobEnd::NotRun { reason: Reason::Evacuated, retry };
+            return self.answer(now, serial, end);
+        }
         if let Some(to) = self.placer(now, &service, serial) {
             self.place_at(now, serial, &to);
         }
@@ -46,46 +55,58 @@
         self.tell(now, to, JobMsg::Submit { serial, job, echo: Time::ZERO });
     }
 
-    /// Returns whether a peer is in reach and owns workers.
+    /// Returns whether a peer can be sent jobs: it is in reach, owns workers and goes on.
     fn places(&self, now: Time, peer: &Peer) -> bool {
         if *peer == self.setup.me {
-            return self.scheduler.owns() && !self.leaving;
+            return self.scheduler.serves() && !self.leaving;
         }
         let member = self.members.get(peer);
-        member.is_some_and(|member| member.reachable(now, LOST_MS) && member.owns())
+        member.is_some_and(|member| {
+            member.reachable(now, LOST_MS) && member.owns() && !member.leaving
+        })
     }
 
-    /// Returns the placer for a new job: an owner of this zone's workers, or
-    /// else any other that answers, with the most room first.
+    /// Returns the placer for a new job: an owner of this zone's workers unless the zone is
+    /// being evacuated, or else any other that answers; of two, the one with more room.
     fn placer(&self, now: Time, service: &Name, serial: u64) -> Option<Peer> {
-        let mut owners = self.pools.owners(&self.setup.zone);
+        let own = &self.setup.zone;
+        if !self.evacuations.contains(own) {
+            let owners = self.reachable_owners(now, |zone| *zone == **own);
+            if !owners.is_empty() {
+                return self.better_of_two(&owners, service, serial);
+            }
+        }
+        let owners = self.reachable_owners(now, |zone| !self.evacuations.contains(zone));
+        self.better_of_two(&owners, service, serial)
+    }
+
+    /// Returns the owners of some zones' workers that can be sent jobs, each with the number
+    /// of its pools.
+    fn reachable_owners(&self, now: Time, zone: impl Fn(&str) -> bool) -> BTreeMap<&Peer, u32> {
+        let mut owners = self.pools.owners_in(&zone);
         owners.retain(|owner, _| self.places(now, owner));
         // A host that has its pools by the word of one that stops stands in no record yet.
-        let near = self
-            .members
-            .all()
-            .filter(|member| member.zone == self.setup.zone && !member.leaving && member.owns());
-        for member in near.filter(|member| member.reachable(now, LOST_MS)) {
+        let told = self.members.all().filter(|member| zone(&member.zone));
+        for member in told.filter(|member| self.places(now, &member.peer)) {
             owners.entry(&member.peer).or_insert(member.report.pools);
         }
         if self.places(now, &self.setup.me) {
             let pools = self.pools.owned(&self.setup.me).count() as u32;
             owners.entry(&self.setup.me).or_insert(pools);
         }
-        if !owners.is_empty() {
-            let choice = TwoChoices::draw(&owners, serial);
-            let two = self.setup.policy.has(Mechanism::TwoChoices);
-            let spare = |peer: &Peer| if two { self.spare(peer, service) } else { 0 };
-            return choice.better(spare).cloned();
-        }
-        let others = self
-            .members
-            .all()
-            .filter(|member| member.owns() && !member.leaving && member.reachable(now, LOST_MS));
-        let room =
-            |free: &[crate::fleet::msg::RoomFigure]| free.iter().map(|room| room.free).sum::<u32>();
-        let best = others.max_by_key(|member| room(&member.report.room));
-        best.map(|member| member.peer.clone())
+        owners
+    }
+
+    fn better_of_two(
+        &self,
+        owners: &BTreeMap<&Peer, u32>,
+        service: &Name,
+        serial: u64,
+    ) -> Option<Peer> {
+        let choice = TwoChoices::draw(owners, serial);
+        let two = self.setup.policy.has(Mechanism::TwoChoices);
+        let spare = |peer: &Peer| if two { self.spare(peer, service) } else { 0 };
+        choice.better(spare).cloned()
     }
 
     /// Returns the room that a placer has beyond what waits there and what was
--- a/endivestile_kernel/src/fleet/workers/driver.rs
+++ b/endivestile_kernel/src/fleet/workers/driver.rs
@@ -75,6 +75,8 @@
     pub(crate) abandoned: bool,
     /// Whether its pool is about to go to another owner: nothing new is started there.
     pub(crate) closing: bool,
+    /// Whether its zone is being evacuated: nothing new is started there.
+    pub(crate) evacuated: bool,
     /// What takes its room.
     pub(crate) runs: BTreeMap<RunId, Run>,
     /// Length of a lease in milliseconds, a setting.
@@ -110,6 +112,7 @@
             listed: true,
             abandoned: false,
             closing: false,
+            evacuated: false,
             runs: BTreeMap::new(),
             lease_ms,
             token,
@@ -156,6 +159,7 @@
         self.listed
             && !self.abandoned
             && !self.closing
+            && !self.evacuated
             && !self.entry.leaving
             && self.stage == Stage::Owned
             && self.answers(now)
--- /dev/null
+++ b/endivestile_kernel/src/fleet/workers/evacuated.rs
@@ -0,0 +1,62 @@
+//! What a placer does about evacuated zones.
+
+use std::collections::BTreeSet;
+
+use endivestile_config::model::Name;
+
+use crate::Time;
+use crate::fleet::job::{JobEnd, Reason};
+use crate::fleet::scheduler::Scheduler;
+use crate::fleet::state::JobState;
+
+impl Scheduler {
+    /// Starts nothing more in these zones, and again in all others.
+    pub(crate) fn evacuate(&mut self, now: Time, zones: BTreeSet<Name>) {
+        for driver in self.drivers.values_mut() {
+            driver.evacuated = zones.contains(&driver.entry.zone);
+        }
+        let here: BTreeSet<&Name> = self.drivers.values().map(|it| &it.entry.zone).collect();
+        let new = zones.difference(&self.evacuated).filter(|zone| here.contains(zone));
+        self.emptying.extend(new.cloned());
+        self.emptying.retain(|zone| zones.contains(zone));
+        self.evacuated = zones;
+        self.dirty = true;
+        self.return_unservable(now);
+    }
+
+    /// Returns whether this host owns workers on which tasks may be started.
+    pub(crate) fn serves(&self) -> bool {
+        self.drivers.values().any(|driver| !driver.abandoned && !driver.evacuated)
+    }
+
+    /// Returns how many runs the workers of a zone have.
+    pub(crate) fn runs_in_zone(&self, zone: &str) -> usize {
+        let there = self.drivers.values().filter(|driver| *driver.entry.zone == *zone);
+        there.map(|driver| driver.runs.len()).sum()
+    }
+
+    /// Returns the evacuated zones in which the last run has ended since the last call.
+    pub(crate) fn take_emptied(&mut self) -> Vec<Name> {
+        let emptied = self.emptying.iter().filter(|zone| self.runs_in_zone(zone) == 0);
+        let emptied: Vec<Name> = emptied.cloned().collect();
+        for zone in &emptied {
+            self.emptying.remove(zone);
+        }
+        emptied
+    }
+
+    /// Gives jobs of which nothing has run back to their hosts, to be placed elsewhere, once
+    /// no worker of this host may start them.
+    pub(crate) fn return_unservable(&mut self, now: Time) {
+        if !self.owns() || self.serves() {
+            return;
+        }
+        let waits = |state: &JobState| !state.touched() && state.ending.is_none();
+        let untouched = self.jobs.iter().filter(|(_, state)| waits(state));
+        let numbers: Vec<u64> = untouched.map(|(number, _)| *number).collect();
+        let end = JobEnd::NotRun { reason: Reason::NoPlacer, retry: now };
+        for number in numbers {
+            self.close(now, number, end, true);
+        }
+    }
+}
--- a/endivestile_kernel/src/fleet/workers/owned.rs
+++ b/endivestile_kernel/src/fleet/workers/owned.rs
@@ -36,6 +36,7 @@
         if self.drivers.values().all(|driver| driver.abandoned) && !self.jobs.is_empty() {
             self.give_up(now);
         }
+        self.return_unservable(now);
     }
 
     /// Returns whether this host owns workers.
@@ -103,6 +104,7 @@
     fn set_worker(&mut self, now: Time, entry: &WorkerEntry, pool: &Name, token: u64) {
         if let Some(driver) = self.drivers.get_mut(&entry.id) {
             driver.entry = entry.clone();
+            driver.evacuated = self.evacuated.contains(&entry.zone);
             if driver.token() != token {
                 driver.renew(now, token);
             }
@@ -110,6 +112,7 @@
         }
         let mut driver = Driver::new(now, entry.clone(), pool.clone(), token, self.lease_ms);
         driver.closing = self.closing.as_ref() == Some(pool);
+        driver.evacuated = self.evacuated.contains(&entry.zone);
         self.drivers.insert(entry.id.clone(), driver);
     }
 
--- a/endivestile_testkit/src/fleet/check.rs
+++ b/endivestile_testkit/src/fleet/check.rs
@@ -27,7 +27,26 @@
     }
 }
 
+/// Time for an order that was sent before its host was told of an evacuation, in
+/// microseconds.
+const ORDER_US: u64 = 250_000;
+
 impl FleetWorld {
+    /// Looks at an order to start: a host that the store has told of an evacuation sends
+    /// none to that zone.
+    pub(crate) fn check_evacuated(&mut self, host: &Name, order: &StartOrder) {
+        let Some(worker) = self.workers.get(&order.worker) else { return };
+        let zone = &worker.entry.zone;
+        let Some(&(revision, true)) = self.store.evacuations.get(zone) else { return };
+        let told = self.hosts.get(host).and_then(|host| host.evacuations.get(zone));
+        let late = told.is_some_and(|told| told.0 == revision && told.1 + ORDER_US < self.now);
+        if late {
+            let now = self.now / 1_000;
+            let breach = format!("{now} ms: {host} starts {} in evacuated {zone}", order.task);
+            self.seen.breaches.push(breach);
+        }
+    }
+
     /// Looks at a worker after each order: its room, and whether a task runs
     /// anywhere else at the same time.
     pub(crate) fn check_worker(&mut self, name: &Name) {
--- a/endivestile_testkit/src/fleet/host.rs
+++ b/endivestile_testkit/src/fleet/host.rs
@@ -1,9 +1,11 @@
 //! Hosts in the world: fleets that start, pause and end.
 
+use std::collections::BTreeMap;
+
 use endivestile_config::model::Name;
 use endivestile_kernel::fleet::{
     Fleet, FleetEffect, FleetEvent, FleetSetup, HOST_KEYS, HostEntry, POOL_KEYS, WorkerCall,
-    worker_call_due,
+    ZoneState, worker_call_due,
 };
 use endivestile_kernel::{Peer, Time};
 
@@ -41,6 +43,9 @@
     pub(crate) cost_us: u64,
     /// Until when its processor is busy with events that have come.
     pub(crate) free_at: u64,
+    /// Zones that the store has told it to evacuate or to take back: the revision of that,
+    /// and when it was told.
+    pub(crate) evacuations: BTreeMap<Name, (u64, u64)>,
 }
 
 impl Host {
@@ -88,6 +93,7 @@
         host.zero = now;
         host.paused = None;
         host.flushing = false;
+        host.evacuations.clear();
         host.wake = now;
         let entry = host.entry(name, false);
         self.at(now, Happening::Wake { host: name.clone(), birth });
@@ -150,6 +156,12 @@
         }
         let time = host.time(now);
         let Some(fleet) = &mut host.fleet else { return };
+        if let FleetEvent::Evacuation(state) = &event {
+            let told = host.evacuations.entry(state.zone.clone()).or_default();
+            if told.0 < state.revision {
+                *told = (state.revision, now);
+            }
+        }
         fleet.handle(time, event);
         if !host.flushing {
             host.flushing = true;
@@ -234,7 +246,10 @@
                     ));
                 }
             }
-            FleetEffect::Redial(_) | FleetEffect::Count(_) | FleetEffect::Time(..) => {}
+            FleetEffect::Redial(_)
+            | FleetEffect::Count(_)
+            | FleetEffect::Gauge(..)
+            | FleetEffect::Time(..) => {}
         }
     }
 
@@ -282,6 +297,27 @@
         self.at(at, Happening::Event { host: host.clone(), birth, event });
     }
 
+    /// Has a zone evacuated, or takes it back, and tells every host that can hear the store.
+    pub fn evacuate(&mut self, zone: &Name, evacuated: bool) {
+        self.store.evacuate(zone, evacuated);
+        let hosts: Vec<(Name, u64)> =
+            self.hosts.iter().map(|(name, host)| (name.clone(), host.birth)).collect();
+        for (host, birth) in hosts {
+            self.tell_evacuations(&host, birth);
+        }
+    }
+
+    fn tell_evacuations(&mut self, host: &Name, birth: u64) {
+        if self.store.down || !self.net.reaches(host, crate::world::net::STORE) {
+            return;
+        }
+        let at = self.now + self.store.delay_us;
+        for (zone, (revision, evacuated)) in self.store.evacuations.clone() {
+            let event = FleetEvent::Evacuation(ZoneState { zone, revision, evacuated });
+            self.at(at, Happening::Event { host: host.clone(), birth, event });
+        }
+    }
+
     /// Reads the whole store for a host, as after each break of its watch.
     pub(crate) fn read_all(&mut self, name: &Name, birth: u64) {
         if !self.hosts.get(name).is_some_and(|host| host.birth == birth && host.fleet.is_some()) {
@@ -292,6 +328,7 @@
         if self.store.down || !self.net.reaches(name, crate::world::net::STORE) {
             return self.deliver(name, birth, FleetEvent::Store(false));
         }
+        self.tell_evacuations(name, birth);
         let keys: Vec<Name> = self.store.keys.keys().cloned().collect();
         for key in keys {
             self.tell_key(name, birth, &key);
--- a/endivestile_testkit/src/fleet/store.rs
+++ b/endivestile_testkit/src/fleet/store.rs
@@ -18,6 +18,8 @@
     pub(crate) delay_us: u64,
     /// Answers that will be lost after the change took effect.
     pub(crate) losing: u32,
+    /// Zones that operators have evacuated or taken back, with the revision of that.
+    pub(crate) evacuations: BTreeMap<Name, (u64, bool)>,
     pub(crate) revision: u64,
 }
 
@@ -35,6 +37,12 @@
         (Stored::Swapped(self.revision), Some(key.clone()))
     }
 
+    /// Has a zone evacuated, or takes it back.
+    pub(crate) fn evacuate(&mut self, zone: &Name, evacuated: bool) {
+        self.revision += 1;
+        self.evacuations.insert(zone.clone(), (self.revision, evacuated));
+    }
+
     /// Writes a key whatever stands there.
     pub(crate) fn put(&mut self, key: &Name, value: Bytes) {
         self.revision += 1;
--- a/endivestile_testkit/src/fleet/story.rs
+++ b/endivestile_testkit/src/fleet/story.rs
@@ -104,6 +104,7 @@
             "jitter" => self.world.net.jitter_us = span_ms(step.word(1)?)? * 1_000,
             "store" => self.store(step)?,
             "worker" => self.worker(step)?,
+            "evacuate" => self.world.evacuate(&name(1)?, step.words.get(2) != Some(&"off")),
             "config" => {
                 let version = self.world.table.version + 1;
                 self.world.table = RouteTable { version, ..RouteTable::default() }.into();
--- a/endivestile_testkit/src/fleet/visits.rs
+++ b/endivestile_testkit/src/fleet/visits.rs
@@ -9,6 +9,9 @@
 impl FleetWorld {
     pub(crate) fn arrive(&mut self, visit: u64, worker: &Name) {
         let Some((host, _, call)) = self.open_visits.get(&visit).cloned() else { return };
+        if let WorkerCall::Start(order) = &call {
+            self.check_evacuated(&host, order);
+        }
         let Some(state) = self.workers.get_mut(worker) else { return };
         if state.dark {
             return;
--- a/endivestile_testkit/src/fleet/world.rs
+++ b/endivestile_testkit/src/fleet/world.rs
@@ -262,6 +262,7 @@
             wake: 0,
             cost_us: 0,
             free_at: 0,
+            evacuations: BTreeMap::new(),
         }
     }
 }
--- a/endivestile_testkit/src/platform/mod.rs
+++ b/endivestile_testkit/src/platform/mod.rs
@@ -76,6 +76,17 @@
         lock(&self.shared.keys).put(key, value.to_vec());
     }
 
+    /// Has a zone evacuated, or takes it back, as an operator does.
+    pub fn evacuate(&self, zone: &str, evacuated: bool) {
+        let key = format!("op/evacuate/{zone}");
+        let mut keys = lock(&self.shared.keys);
+        if evacuated {
+            keys.put(&key, b"{}".to_vec());
+        } else {
+            keys.delete(&key);
+        }
+    }
+
     /// Returns the value of a key.
     pub fn read(&self, key: &str) -> Option<Vec<u8>> {
         lock(&self.shared.keys).get(key)
--- a/endivestile_testkit/src/platform/store.rs
+++ b/endivestile_testkit/src/platform/store.rs
@@ -22,6 +22,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Keys {
     items: BTreeMap<String, (u64, Vec<u8>)>,
+    /// Keys that were deleted, with the revision of that.
+    deleted: BTreeMap<String, u64>,
     revision: u64,
     /// Whether every call is turned away.
     pub(crate) refusing: bool,
@@ -32,6 +34,15 @@
     pub(crate) fn put(&mut self, key: &str, value: Vec<u8>) {
         self.revision += 1;
         self.items.insert(key.to_owned(), (self.revision, value));
+        self.deleted.remove(key);
+    }
+
+    /// Deletes a key.
+    pub(crate) fn delete(&mut self, key: &str) {
+        self.revision += 1;
+        if self.items.remove(key).is_some() {
+            self.deleted.insert(key.to_owned(), self.revision);
+        }
     }
 
     /// Reads a key.
@@ -48,12 +59,15 @@
     }
 
     fn changes(&self, prefix: &str, after: u64) -> Vec<Value> {
-        let new = |(key, (revision, _)): &(&String, &(u64, Vec<u8>))| {
-            key.starts_with(prefix) && *revision > after
-        };
-        let mut items: Vec<_> = self.items.iter().filter(new).collect();
-        items.sort_by_key(|(_, (revision, _))| *revision);
-        items.into_iter().map(|(key, (revision, value))| item(key, *revision, value)).collect()
+        let new = |key: &str, revision: u64| key.starts_with(prefix) && revision > after;
+        let written = self.items.iter().filter(|(key, (at, _))| new(key, *at));
+        let written = written.map(|(key, (at, value))| (*at, item(key, *at, value)));
+        let deleted = self.deleted.iter().filter(|(key, at)| new(key, **at));
+        let deleted =
+            deleted.map(|(key, at)| (*at, json!({"Key": key, "Revision": at, "Tombstone": true})));
+        let mut changes: Vec<(u64, Value)> = written.chain(deleted).collect();
+        changes.sort_by_key(|(revision, _)| *revision);
+        changes.into_iter().map(|(_, change)| change).collect()
     }
 
     fn swap(&mut self, body: &Value) -> (u16, Value) {
--- /dev/null
+++ b/endivestile_testkit/tests/fleet/zone_evacuated.story
@@ -0,0 +1,116 @@
+# A zone is evacuated while its callers press: what runs there goes on, nothing more is
+# started, and its callers are served by other zones.
+story
+world zones=a,b hosts=2 workers=2
+submit long at=a1 ms=1500 deadline=4s
+run 50ms
+submit c at=a1 ms=100 times=20 every=20ms
+starts
+evacuate a
+run 100ms
+starts
+submit d at=a1 ms=100 times=20 every=20ms
+submit e at=a2 ms=100 times=20 every=20ms
+run 3s
+starts
+counts
+later 300ms
+evacuate a off
+run 100ms
+submit f at=a1 ms=100 times=20 every=20ms
+run 1s
+starts
+check
+settled
+----
+a-w1 5
+a-w2 7
+b-w1 6
+b-w2 3
+a-w1 5
+a-w2 7
+b-w1 6
+b-w2 3
+a-w1 5
+a-w2 7
+b-w1 26
+b-w2 22
+done: 60
+not_run overload: 1
+later than 300 ms: 3
+a-w1 13
+a-w2 13
+b-w1 32
+b-w2 22
+every promise kept
+every call answered
+
+# All zones are evacuated: nothing can be served, so callers are told at once, and that
+# nothing has run.
+story
+world zones=a,b hosts=2 workers=2
+evacuate a
+evacuate b
+run 100ms
+submit c at=a1 ms=100 times=5 every=20ms
+submit d at=b2 ms=100 times=5 every=20ms
+counts
+later 1ms
+starts
+evacuate b off
+run 100ms
+submit e at=a1 ms=100 times=5 every=20ms
+run 1s
+counts
+starts
+check
+settled
+----
+not_run evacuated: 10
+later than 1 ms: 0
+done: 5
+not_run evacuated: 10
+b-w1 3
+b-w2 2
+every promise kept
+every call answered
+
+# An evacuation is asked for and taken back within a second, and asked for again.
+story
+world zones=a,b hosts=2 workers=2
+evacuate a
+run 300ms
+evacuate a off
+run 200ms
+submit c at=a1 ms=100 times=4 every=20ms
+run 300ms
+starts
+evacuate a
+run 100ms
+submit d at=a1 ms=100 times=4 every=20ms
+run 1s
+starts
+counts
+check
+----
+a-w1 2
+a-w2 2
+a-w1 2
+a-w2 2
+b-w1 2
+b-w2 2
+done: 8
+every promise kept
+
+# A zone that no worker stands in is evacuated: nothing changes.
+story
+world zones=a hosts=1 workers=2
+evacuate x
+run 100ms
+submit c at=a1 ms=100 times=4 every=20ms
+run 1s
+counts
+check
+----
+done: 4
+every promise kept
--- /dev/null
+++ b/endivestile_testkit/tests/fleet/zone_evacuated_faults.story
@@ -0,0 +1,140 @@
+# A host cannot reach the store when a zone is evacuated. It learns of that from the frames
+# of its peers, and of its end too.
+story
+world zones=a,b hosts=2 workers=2
+cut a1 store
+cut a2 store
+run 1s
+evacuate a
+run 600ms
+submit c at=a1 ms=100 times=5 every=20ms
+submit d at=a2 ms=100 times=5 every=20ms
+run 1s
+counts
+starts
+evacuate a off
+run 600ms
+submit e at=a1 ms=100 times=5 every=20ms
+run 1s
+counts
+starts
+check
+----
+done: 10
+b-w1 6
+b-w2 4
+done: 15
+a-w1 2
+a-w2 2
+b-w1 7
+b-w2 4
+every promise kept
+
+# Hosts start while their zone is being evacuated, also all of them.
+story
+world zones=a,b hosts=2 workers=2
+evacuate a
+run 100ms
+kill a1
+kill a2
+run 300ms
+start a1
+start a2
+run 1s
+submit c at=a1 ms=100 times=5 every=20ms
+submit d at=a2 ms=100 times=5 every=20ms
+run 2s
+counts
+starts
+check
+----
+done: 10
+b-w1 6
+b-w2 4
+every promise kept
+
+# The owner of an evacuated zone is killed, and another one stops: whoever takes the workers
+# over starts nothing there.
+story
+world zones=a,b hosts=3 workers=2
+submit c at=a1 ms=100 times=5 every=20ms
+evacuate a
+run 100ms
+owners
+kill a1
+run 2s
+submit d at=a2 ms=100 times=5 every=20ms
+stop a2
+run 2s
+submit e at=a3 ms=100 times=5 every=20ms
+run 2s
+owners
+counts
+starts
+check
+settled
+----
+a {"owner":{"host":"a1","birth":1},"epoch":1} pools=2
+b {"owner":{"host":"b2","birth":5},"epoch":1} pools=1
+a {"owner":{"host":"a3","birth":3},"epoch":2} pools=2
+b {"owner":{"host":"b2","birth":5},"epoch":1} pools=1
+done: 15
+a-w1 2
+a-w2 2
+b-w1 7
+b-w2 4
+every promise kept
+every call answered
+
+# The store goes away right after an evacuation was asked for, and it is taken back while
+# the store is away for some.
+story
+world zones=a,b hosts=2 workers=2
+evacuate a
+run 20ms
+store down
+run 500ms
+submit c at=a1 ms=100 times=5 every=20ms
+run 1s
+starts
+store up
+evacuate a off
+run 1s
+submit d at=a1 ms=100 times=5 every=20ms
+run 1s
+counts
+starts
+check
+----
+b-w1 3
+b-w2 2
+done: 10
+a-w1 2
+a-w2 2
+b-w1 4
+b-w2 2
+every promise kept
+
+# The zone of an evacuation is cut off from the other one: its callers are refused, since
+# nothing may be started there, and no task is.
+story
+world zones=a,b hosts=2 workers=2
+evacuate a
+run 100ms
+cut a b
+run 1s
+submit c at=a1 ms=100 times=3 every=20ms
+run 3s
+counts
+starts
+heal
+run 2s
+submit d at=a1 ms=100 times=3 every=20ms
+run 1s
+counts
+check
+----
+not_run no_placer: 3
+done: 3
+not_run no_placer: 3
+every promise kept
--- a/endivestile_testkit/tests/fleet_random.rs
+++ b/endivestile_testkit/tests/fleet_random.rs
@@ -17,8 +17,8 @@
 /// Most steps of one case.
 const STEPS: usize = 22;
 /// Steps that mend everything and wait until all must have been answered.
-const ENDING: &str =
-    "resume all\nheal\nlose 0\nstore up\nstore slow 4ms\nrun 12s\ncheck\nsettled\n";
+const ENDING: &str = "resume all\nheal\nlose 0\nstore up\nstore slow 4ms\nevacuate a off\n\
+     evacuate b off\nevacuate c off\nrun 12s\ncheck\nsettled\n";
 
 #[test]
 fn fleet_promises_random() {
@@ -62,6 +62,10 @@
     prop::sample::select(vec!["a1", "a2", "a3", "b1", "b2", "c1"])
 }
 
+fn zone() -> impl Strategy<Value = &'static str> {
+    prop::sample::select(vec!["a", "b", "c"])
+}
+
 fn worker() -> impl Strategy<Value = &'static str> {
     prop::sample::select(vec!["a-w1", "a-w2", "b-w1", "b-w2"])
 }
@@ -113,6 +117,8 @@
         Just(String::from("store up\n")),
         (1..4u32).prop_map(|calls| format!("store loses {calls}\n")),
         Just(String::from("store slow 300ms\n")),
+        zone().prop_map(|zone| format!("evacuate {zone}\n")),
+        zone().prop_map(|zone| format!("evacuate {zone} off\n")),
     ]
 }
 
--- a/endivestile_wire/src/adapter.rs
+++ b/endivestile_wire/src/adapter.rs
@@ -114,8 +114,12 @@
 /// Keys of the store that others write.
 #[derive(Debug, Clone, Copy)]
 pub struct Keys {
+    /// Prefix of everything that operators write.
+    pub operator: &'static str,
     /// The configuration.
     pub config: &'static str,
+    /// Prefix of the keys that each name a zone to be evacuated for as long as they stand.
+    pub evacuations: &'static str,
     /// Prefix of the workers' registrations.
     pub workers: &'static str,
 }
