Read a busy list of workers only where it is needed

Change: a host whose zone has owners stops watching after an answer of 50 events or more, and reads the list anew after 60 s, or at once when it comes to own workers or its zone loses its owners. An owner starts nothing until it has a list that is younger than 300 ms, for 1 s at most and only while the store answers. Pools are known by their records too.

--- a/endivestile/src/fleet/engine.rs
+++ b/endivestile/src/fleet/engine.rs
@@ -222,7 +222,7 @@
             }
         }
         self.effects = effects;
-        self.parts.need.set(self.fleet.owns_workers());
+        self.parts.need.set(self.fleet.list_role());
     }
 
     /// Sets the timer for the fleet's next deadline.
--- a/endivestile/src/fleet/feed.rs
+++ b/endivestile/src/fleet/feed.rs
@@ -13,14 +13,29 @@
 /// silent delays what it would have told by this and the time for one call, so
 /// that a new configuration is in force within its two seconds.
 const WAIT_MS: u32 = 900;
-/// Events of one answer from which on more of them wait: the next watch begins without a
-/// pause, or the feed falls behind where events come faster than it pauses.
-const BEHIND_ITEMS: usize = 400;
 /// Pause after a call that failed, in milliseconds.
 const RETRY_MS: u64 = 100;
 /// Longest pause after calls that failed, in milliseconds.
 const RETRY_MAX_MS: u64 = 300;
 
+/// How a feed goes on after an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Next {
+    /// It watches for further changes.
+    Watch,
+    /// It reads everything anew.
+    Reload,
+}
+
+/// Why a feed stopped watching.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stop {
+    /// A call failed; `answered` if another one had an answer before.
+    Failed { answered: bool },
+    /// Everything is to be read anew.
+    Reload,
+}
+
 /// What is done with the keys of a prefix.
 pub(crate) trait Sink: Send + 'static {
     /// A key has this value now; none once it was deleted.
@@ -37,12 +52,13 @@
         WAIT_MS
     }
 
-    /// Returns once the next watch may begin.
-    fn ready(&self) -> impl Future<Output = ()> + Send {
-        async {}
+    /// Waits until the feed may go on after an answer with so many changes.
+    fn next(&mut self, changes: usize) -> impl Future<Output = Next> + Send {
+        let _ = changes;
+        async { Next::Watch }
     }
 
-    /// Returns when a watch that is under way is to be begun anew with another wait.
+    /// Returns when a watch that is under way is to be given up and everything read anew.
     fn hurry(&self) -> impl Future<Output = ()> + Send {
         std::future::pending()
     }
@@ -61,8 +77,10 @@
     let mut feed = Feed { prefix, reader, sink, known: HashMap::new() };
     let mut pause = RETRY_MS;
     loop {
-        if feed.follow().await {
-            pause = RETRY_MS;
+        match feed.follow().await {
+            Stop::Reload => continue,
+            Stop::Failed { answered: true } => pause = RETRY_MS,
+            Stop::Failed { answered: false } => {}
         }
         feed.sink.store(false);
         sleep(Duration::from_millis(pause)).await;
@@ -71,39 +89,39 @@
 }
 
 impl<S: Sink> Feed<S> {
-    /// Reads everything and watches until a call fails; says whether one succeeded.
-    async fn follow(&mut self) -> bool {
+    /// Reads everything and watches.
+    async fn follow(&mut self) -> Stop {
         let page = match self.reader.range(&self.prefix).await {
             Ok(page) => page,
             Err(fault) => {
                 log::debug!("event=store_call_failed step=read-keys fault={fault:?}");
-                return false;
+                return Stop::Failed { answered: false };
             }
         };
         let mut at = page.at;
-        let mut behind = false;
+        let mut changes = 0;
         self.load(page);
         loop {
             self.sink.store(true);
-            if !behind {
-                self.sink.ready().await;
+            if self.sink.next(changes).await == Next::Reload {
+                return Stop::Reload;
             }
             let watch = self.reader.watch(&self.prefix, at, self.sink.wait_ms());
             let watched = tokio::select! {
                 watched = watch => watched,
-                () = self.sink.hurry() => continue,
+                () = self.sink.hurry() => return Stop::Reload,
             };
             match watched {
                 Ok(page) => {
                     at = page.at.max(at);
-                    behind = page.items.len() >= BEHIND_ITEMS;
+                    changes = page.items.len();
                     page.items.into_iter().for_each(|item| self.put(item));
                 }
                 // What was missed is read anew.
-                Err(StoreFault::Compacted) => return true,
+                Err(StoreFault::Compacted) => return Stop::Failed { answered: true },
                 Err(fault) => {
                     log::debug!("event=store_call_failed step=watch fault={fault:?}");
-                    return true;
+                    return Stop::Failed { answered: true };
                 }
             }
         }
--- a/endivestile/src/fleet/listing.rs
+++ b/endivestile/src/fleet/listing.rs
@@ -2,24 +2,31 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
-use endivestile_kernel::fleet::{FleetEvent, WorkerEntry};
+use endivestile_kernel::fleet::{FleetEvent, ListRole, WorkerEntry};
 use endivestile_wire::adapter::Adapter;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use super::feed::Sink;
+use super::feed::{Next, Sink};
 use super::inbox::Inbox;
 
 /// Pause after a change for a host that owns workers, in milliseconds: while workers
 /// register, each changes its entry with every heartbeat.
 const OWNER_MS: u64 = 150;
-/// The same for another host. It may take workers over at any moment, and must not start
-/// tasks then on one that said seconds ago that it is leaving.
+/// Changes of one answer from which on more of them wait: the next watch of an owner
+/// begins without a pause, or it falls behind where changes come faster than it pauses.
+const BEHIND_ITEMS: usize = 400;
+/// Pause after a change for another host, in milliseconds.
 const OTHER_MS: u64 = 1_000;
+/// Changes of one answer from which on a host that owns no workers stops watching: with
+/// every heartbeat a change, its cost would grow with the fleet.
+const BUSY_ITEMS: usize = 50;
+/// Time until such a host reads the list anew, in milliseconds. One that comes to own
+/// workers, or whose zone has lost its owners, reads it at once.
+const REST_MS: u64 = 60_000;
 /// Longest wait of a watch of a host that owns workers, in milliseconds; a connection that
 /// has gone silent must not hide for long that a worker is leaving.
 const OWNER_WAIT_MS: u32 = 900;
@@ -32,23 +39,35 @@
 /// milliseconds: workers that live register anew within two seconds.
 const RETURN_MS: u64 = 2_500;
 
-/// Tells when this host owns workers and needs the list at once.
-#[derive(Debug, Clone, Default)]
+/// Tells how urgently this host needs the list, and when it needs it more than before.
+#[derive(Debug, Clone)]
 pub(crate) struct Need {
-    owner: Arc<AtomicBool>,
+    role: Arc<watch::Sender<ListRole>>,
     changed: Arc<Notify>,
 }
 
+impl Default for Need {
+    fn default() -> Self {
+        let role = Arc::new(watch::Sender::new(ListRole::Claimant));
+        Self { role, changed: Arc::default() }
+    }
+}
+
 impl Need {
-    /// Sets whether this host owns workers.
-    pub(crate) fn set(&self, owner: bool) {
-        if self.owner.swap(owner, Ordering::Relaxed) != owner && owner {
+    /// Sets what this host needs the list for.
+    pub(crate) fn set(&self, role: ListRole) {
+        let before = self.role.send_replace(role);
+        if role > before {
             self.changed.notify_one();
         }
     }
 
+    fn role(&self) -> ListRole {
+        *self.role.borrow()
+    }
+
     fn owner(&self) -> bool {
-        self.owner.load(Ordering::Relaxed)
+        self.role() == ListRole::Owner
     }
 }
 
@@ -89,6 +108,14 @@
         self.changed |= self.entries.remove(id).is_some();
     }
 
+    /// Waits until an instant, or until the list is needed more and is read anew.
+    async fn rest(&self, next: Next, end: Instant) -> Next {
+        match timeout_at(end, self.need.changed.notified()).await {
+            Ok(()) => Next::Reload,
+            Err(_) => next,
+        }
+    }
+
     fn drop_missing(&mut self, now: Instant) {
         let due = self.missing.iter().filter(|(_, until)| **until <= now);
         let ids: Vec<String> = due.map(|(id, _)| id.clone()).collect();
@@ -145,12 +172,24 @@
         if self.need.owner() { OWNER_WAIT_MS } else { OTHER_WAIT_MS }
     }
 
-    async fn ready(&self) {
-        if !self.need.owner() && !self.entries.is_empty() {
-            let end = self.told + Duration::from_millis(OTHER_MS);
-            let _ = timeout_at(end, self.need.changed.notified()).await;
+    /// What has been read is told at once: an owner waits for it before it starts tasks.
+    fn loaded(&mut self) {
+        self.changed = true;
+    }
+
+    async fn next(&mut self, changes: usize) -> Next {
+        if self.need.owner() {
+            if changes < BEHIND_ITEMS {
+                sleep_until(self.told + Duration::from_millis(OWNER_MS)).await;
+            }
+            return Next::Watch;
+        }
+        if changes >= BUSY_ITEMS && self.need.role() == ListRole::Bystander {
+            let end = Instant::now() + Duration::from_millis(REST_MS);
+            return self.rest(Next::Reload, end).await;
         }
-        sleep_until(self.told + Duration::from_millis(OWNER_MS)).await;
+        let pause = if self.entries.is_empty() { OWNER_MS } else { OTHER_MS };
+        self.rest(Next::Watch, self.told + Duration::from_millis(pause)).await
     }
 
     async fn hurry(&self) {
--- a/endivestile/src/peers/mod.rs
+++ b/endivestile/src/peers/mod.rs
@@ -11,7 +11,7 @@
 pub(crate) use uplink::Uplink;
 
 /// Version of the encoding of frames.
-pub(crate) const VERSION: u32 = 3;
+pub(crate) const VERSION: u32 = 4;
 /// Longest frame, in bytes: a configuration of a megabyte with room to spare.
 pub(crate) const MAX_FRAME: usize = 16 << 20;
 /// Pause between two probes of a link, in milliseconds.
--- a/endivestile/tests/platform_path.rs
+++ b/endivestile/tests/platform_path.rs
@@ -188,6 +188,38 @@
     assert_eq!(starts(), before);
 }
 
+/// Every heartbeat of a large fleet changes the list of workers, so that a host without
+/// workers reads it seldom. One that takes workers over then must not start tasks by its
+/// old list: a worker may have said meanwhile that it is leaving.
+#[test]
+fn owner_killed_busy_list_read_anew() {
+    let platform = PlatformStandIn::start(&["a", "b", "c"], 24);
+    platform.configure(1);
+    let mut hosts = vec![Host::start(&platform, "a1", "a"), Host::start(&platform, "a2", "a")];
+    hosts.iter().for_each(until_serving);
+    let at = hosts.iter().position(|host| host.logged("event=owner_change_ended") > 0).unwrap();
+    let killed = hosts.remove(at);
+    let ids: Vec<String> = platform.workers().into_iter().map(|(id, _)| id).collect();
+    for _ in 0..15 {
+        ids.iter().for_each(|id| platform.leaves(id, false));
+        thread::sleep(Duration::from_millis(200));
+    }
+    let leaving: Vec<&String> = ids.iter().filter(|id| *id != "a-w24").collect();
+    leaving.iter().for_each(|id| platform.leaves(id, true));
+    let starts = || {
+        let starts = platform.starts().into_iter().filter(|(id, _)| id != "a-w24");
+        starts.map(|(_, count)| count).sum::<u64>()
+    };
+    drop(killed);
+    let before = starts();
+    until_serving(&hosts[0]);
+    for id in 0..4 {
+        let path = format!("/jobs/00000000000001a{id}");
+        assert_eq!(hosts[0].call("POST", &path, &job(2, 20)).0, 200);
+    }
+    assert_eq!(starts(), before);
+}
+
 /// A host is told to stop while a caller's job runs. The caller gets its whole
 /// answer before the process ends by itself.
 #[test]
--- a/endivestile_kernel/src/fleet/core.rs
+++ b/endivestile_kernel/src/fleet/core.rs
@@ -34,6 +34,13 @@
 /// Age up to which a peer's word on waiting jobs counts, in milliseconds.
 const PENDING_MS: u64 = 2_000;
 
+/// Age up to which the list of workers is fresh enough to start tasks by, in milliseconds:
+/// a worker may have said since that it is leaving.
+const FRESH_LIST_MS: u64 = 300;
+/// Longest wait of a host that comes to own workers for a fresh list of them, in
+/// milliseconds: the store may be lost meanwhile.
+const LIST_WAIT_MS: u64 = 1_000;
+
 /// What a fleet is told once.
 #[derive(Debug, Clone)]
 pub struct FleetSetup {
@@ -189,6 +196,17 @@
     Drained,
 }
 
+/// What a host needs the list of workers for, the least urgent need first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ListRole {
+    /// Others own the workers of its zone.
+    Bystander,
+    /// Nobody owns workers of its zone: it may claim them.
+    Claimant,
+    /// It owns workers, and starts nothing on those that are leaving.
+    Owner,
+}
+
 /// All decisions of one host.
 #[derive(Debug)]
 pub struct Fleet {
@@ -200,6 +218,10 @@
     pub(crate) pools: Pools,
     /// All workers, each with its pool.
     pub(crate) workers: Vec<(WorkerEntry, Name)>,
+    /// When the list of them came.
+    pub(crate) listed: Time,
+    /// Until when nothing is started for want of a fresh list.
+    list_due: Option<Time>,
     /// Pools that have a worker, in order.
     pub(crate) pool_names: Arc<[Name]>,
     /// When the pools' owners are looked at again.
@@ -238,6 +260,8 @@
             channels: BTreeMap::new(),
             pools: Pools::default(),
             workers: Vec::new(),
+            listed: Time::ZERO,
+            list_due: None,
             pool_names: Arc::from([]),
             claim_due: Time::ZERO,
             standby_due: Time::ZERO,
@@ -296,9 +320,7 @@
         if self.due <= now {
             self.tick(now);
         }
-        // The operators' configuration and evacuations are read together: a host that has
-        // not read them yet must not start tasks in a zone that is being evacuated.
-        if self.table.is_some() {
+        if self.may_start(now) {
             self.scheduler.dispatch(now);
         }
         self.settle(now);
@@ -306,6 +328,27 @@
         out.append(&mut self.out);
     }
 
+    /// Returns whether enough is known to start tasks: the operators' configuration and
+    /// evacuations, which are read together, and which workers are leaving.
+    fn may_start(&mut self, now: Time) -> bool {
+        self.list_due = self.list_due.filter(|due| *due > now);
+        self.table.is_some() && self.list_due.is_none()
+    }
+
+    /// Notes that this host has come to own workers: it reads their list anew, unless the
+    /// store is away.
+    pub(crate) fn await_list(&mut self, now: Time) {
+        if self.store_since.is_some() && self.listed.after_ms(FRESH_LIST_MS) <= now {
+            self.list_due = Some(now.after_ms(LIST_WAIT_MS));
+        }
+    }
+
+    /// Notes that the list of workers has come.
+    pub(crate) fn list_came(&mut self, now: Time) {
+        self.listed = now;
+        self.list_due = None;
+    }
+
     /// Returns when the fleet wants [`Self::flush`] without an event.
     pub fn deadline(&self) -> Time {
         let channels = self.channels.values().filter_map(Channel::deadline).min();
@@ -324,6 +367,17 @@
         self.scheduler.owns()
     }
 
+    /// Returns what this host needs the list of workers for.
+    pub fn list_role(&self) -> ListRole {
+        if self.scheduler.owns() {
+            ListRole::Owner
+        } else if self.pools.owners(&self.setup.zone).is_empty() {
+            ListRole::Claimant
+        } else {
+            ListRole::Bystander
+        }
+    }
+
     /// Returns the routes in force.
     pub fn table(&self) -> Option<&Arc<RouteTable>> {
         self.table.as_ref()
--- a/endivestile_kernel/src/fleet/mod.rs
+++ b/endivestile_kernel/src/fleet/mod.rs
@@ -20,7 +20,7 @@
 mod table;
 mod workers;
 
-pub use core::{Fleet, FleetEffect, FleetEvent, FleetSetup};
+pub use core::{Fleet, FleetEffect, FleetEvent, FleetSetup, ListRole};
 pub use evacuation::ZoneState;
 pub use hosts::members::HostEntry;
 pub use job::{Job, JobEnd, Reason, Step};
--- a/endivestile_kernel/src/fleet/ownership/claim.rs
+++ b/endivestile_kernel/src/fleet/ownership/claim.rs
@@ -78,6 +78,7 @@
         let pairs =
             vec![("pool", name.to_string()), ("owner", owner), ("token", token.to_string())];
         self.note(Level::Info, "owner_known", pairs);
+        self.name_pools();
         self.take_workers(now);
     }
 
@@ -87,11 +88,22 @@
             (entry, pool)
         });
         self.workers = pooled.collect();
-        let names: BTreeSet<Name> = self.workers.iter().map(|(_, pool)| pool.clone()).collect();
-        self.pool_names = names.into_iter().collect();
+        self.list_came(now);
+        self.name_pools();
         self.take_workers(now);
     }
 
+    /// Works out which pools there are: those of listed workers, and those with a record,
+    /// since a host without workers reads the list seldom.
+    fn name_pools(&mut self) {
+        let listed = self.workers.iter().map(|(_, pool)| pool);
+        let recorded = self.pools.by_name.iter().filter(|(_, pool)| pool.record.is_some());
+        let names: BTreeSet<&Name> = listed.chain(recorded.map(|(name, _)| name)).collect();
+        if !names.iter().copied().eq(self.pool_names.iter()) {
+            self.pool_names = names.into_iter().cloned().collect();
+        }
+    }
+
     /// Hands the scheduler the workers that this host owns.
     pub(crate) fn take_workers(&mut self, now: Time) {
         let owned = self.pools.owned(&self.setup.me);
@@ -103,7 +115,11 @@
         });
         let mine: Vec<(WorkerEntry, Name, u64)> = mine.collect();
         let pools: BTreeSet<Name> = tokens.into_keys().collect();
+        let owned = self.scheduler.owns();
         self.scheduler.set_workers(now, &mine, &pools);
+        if !owned && self.scheduler.owns() {
+            self.await_list(now);
+        }
         self.report.0 = Time::ZERO;
         self.settle(now);
     }
--- a/endivestile_testkit/src/fleet/host.rs
+++ b/endivestile_testkit/src/fleet/host.rs
@@ -46,6 +46,8 @@
     /// Zones that the store has told it to evacuate or to take back: the revision of that,
     /// and when it was told.
     pub(crate) evacuations: BTreeMap<Name, (u64, u64)>,
+    /// Whether it owned workers when it was last looked at.
+    pub(crate) owns: bool,
 }
 
 impl Host {
@@ -94,6 +96,7 @@
         host.paused = None;
         host.flushing = false;
         host.evacuations.clear();
+        host.owns = false;
         host.wake = now;
         let entry = host.entry(name, false);
         self.at(now, Happening::Wake { host: name.clone(), birth });
@@ -183,6 +186,8 @@
         let Some(fleet) = &mut host.fleet else { return };
         let mut effects = Vec::new();
         fleet.flush(time, &mut effects);
+        let owned = std::mem::replace(&mut host.owns, fleet.owns_workers());
+        let listed = host.owns && !owned;
         let wake = zero + fleet.deadline().as_micros();
         if wake != host.wake {
             host.wake = wake;
@@ -191,6 +196,10 @@
         for effect in effects {
             self.carry(name, birth, effect);
         }
+        if listed {
+            let host = name.clone();
+            self.at(now + self.store.delay_us / 2, Happening::List { host, birth });
+        }
     }
 
     pub(crate) fn wake(&mut self, name: &Name, birth: u64) {
@@ -333,12 +342,24 @@
         for key in keys {
             self.tell_key(name, birth, &key);
         }
-        let workers = self.workers.values().filter(|worker| worker.listed(self.now));
-        let entries = workers.map(|worker| worker.entry.clone()).collect();
         let at = self.now + self.store.delay_us;
-        let (table, workers) = (self.table.clone(), FleetEvent::Workers(entries));
-        for event in [FleetEvent::Store(true), FleetEvent::Table(table), workers] {
+        let table = self.table.clone();
+        for event in [FleetEvent::Store(true), FleetEvent::Table(table), self.list()] {
             self.at(at, Happening::Event { host: name.clone(), birth, event });
         }
     }
+
+    /// Reads the list of workers for a host.
+    pub(crate) fn read_list(&mut self, name: &Name, birth: u64) {
+        if self.store.down || !self.net.reaches(name, crate::world::net::STORE) {
+            return;
+        }
+        let (host, event) = (name.clone(), self.list());
+        self.at(self.now + self.store.delay_us / 2, Happening::Event { host, birth, event });
+    }
+
+    fn list(&self) -> FleetEvent {
+        let workers = self.workers.values().filter(|worker| worker.listed(self.now));
+        FleetEvent::Workers(workers.map(|worker| worker.entry.clone()).collect())
+    }
 }
--- a/endivestile_testkit/src/fleet/world.rs
+++ b/endivestile_testkit/src/fleet/world.rs
@@ -56,6 +56,8 @@
     Register { entry: HostEntry },
     /// A host reads the whole store.
     Read { host: Name, birth: u64 },
+    /// A host that has come to own workers reads their list.
+    List { host: Name, birth: u64 },
     /// A caller's patience ends.
     Deadline { call: u64 },
     /// A caller that got no answer sends its job again.
@@ -206,6 +208,7 @@
             Happening::Store { host, birth, token, op } => self.swap(host, birth, token, &op),
             Happening::Register { entry } => self.register(&entry),
             Happening::Read { host, birth } => self.read_all(&host, birth),
+            Happening::List { host, birth } => self.read_list(&host, birth),
             Happening::Deadline { call } => self.hang_up(call),
             Happening::Resend { call } => self.resend(call),
             Happening::Drained { host, birth } => {
@@ -263,6 +266,7 @@
             cost_us: 0,
             free_at: 0,
             evacuations: BTreeMap::new(),
+            owns: false,
         }
     }
 }
