Take the factor for tasks away from their data from the settings

Cause: the factor was a constant of 2, and the sheet says 3: a task placed away from its rack was expected to meet an objective that it misses.

Change: [platform] remote-factor, 2 by default, filled in by the platform's figure; stories know racks.

--- a/endivestile/src/fleet/run.rs
+++ b/endivestile/src/fleet/run.rs
@@ -138,6 +138,7 @@
         zone,
         cpu_milli: settings.platform.cpu_milli,
         link_kbps: settings.platform.link_kbps,
+        remote_milli: settings.platform.remote_milli,
         address,
         worker_lease: settings.platform.worker_lease(),
         host_lease: settings.platform.host_lease(),
--- a/endivestile_config/src/settings/platform.rs
+++ b/endivestile_config/src/settings/platform.rs
@@ -28,6 +28,8 @@
     pub cpu_milli: u32,
     /// Bandwidth of the host's link, in kilobits a second; 0 when that is not known.
     pub link_kbps: u32,
+    /// How many times longer a task takes away from its data, in thousandths.
+    pub remote_milli: u32,
     /// Policies in force: all of them, but for trials.
     pub policy: Policy,
 }
@@ -42,6 +44,7 @@
             grace_ms: 6_000,
             cpu_milli: 0,
             link_kbps: 0,
+            remote_milli: 2_000,
             policy: Policy::default(),
         }
     }
@@ -63,8 +66,17 @@
 }
 
 impl Keys for PlatformSettings {
-    const KEYS: &'static [&'static str] =
-        &["adapter", "ready", "resend-ms", "hold-ms", "grace-s", "cores", "link-mbps", "without"];
+    const KEYS: &'static [&'static str] = &[
+        "adapter",
+        "ready",
+        "resend-ms",
+        "hold-ms",
+        "grace-s",
+        "cores",
+        "link-mbps",
+        "remote-factor",
+        "without",
+    ];
     const REQUIRED: &'static [&'static str] = &[];
 
     fn set(&mut self, raw: &Raw) -> Result<(), ConfigError> {
@@ -76,6 +88,7 @@
             "grace-s" => set(&mut self.grace_ms, raw, 0.1..=600.0, 1_000.0)?,
             "cores" => set_small(&mut self.cpu_milli, raw, 0.0..=1_024.0, 1_000.0)?,
             "link-mbps" => set_small(&mut self.link_kbps, raw, 0.0..=1_000_000.0, 1_000.0)?,
+            "remote-factor" => set_small(&mut self.remote_milli, raw, 1.0..=1_000.0, 1_000.0)?,
             "without" => self.policy = policy(raw)?,
             _ => return Err(unknown_key::<Self>(raw)),
         }
@@ -90,6 +103,7 @@
             "hold-ms" => self.hold_ms.to_string(),
             "grace-s" => (self.grace_ms as f64 / 1_000.0).to_string(),
             "link-mbps" => (f64::from(self.link_kbps) / 1_000.0).to_string(),
+            "remote-factor" => (f64::from(self.remote_milli) / 1_000.0).to_string(),
             "without" => {
                 let words: Vec<&str> = self.policy.left_out().map(Mechanism::label).collect();
                 words.join(", ")
--- a/endivestile_kernel/src/fleet/core.rs
+++ b/endivestile_kernel/src/fleet/core.rs
@@ -53,6 +53,8 @@
     pub cpu_milli: u32,
     /// Bandwidth of its link, in kilobits a second; 0 when that is not known.
     pub link_kbps: u32,
+    /// How many times longer a task takes away from its data, in thousandths.
+    pub remote_milli: u32,
     /// Address of this host's links, `IP:port`.
     pub address: Name,
     /// Lease of a worker's runs, in milliseconds.
@@ -252,11 +254,10 @@
 impl Fleet {
     /// Starts without a configuration and without workers.
     pub fn new(setup: FleetSetup) -> Self {
-        let me = setup.me.clone();
         Self {
             table: None,
             evacuations: Evacuations::default(),
-            members: Members::new(me.clone()),
+            members: Members::new(setup.me.clone()),
             channels: BTreeMap::new(),
             pools: Pools::default(),
             workers: Vec::new(),
@@ -268,7 +269,7 @@
             balance_due: Time::ZERO,
             transfer: None,
             front: Front::default(),
-            scheduler: Scheduler::new(me, setup.worker_lease, setup.policy),
+            scheduler: Scheduler::new(&setup),
             probes: BTreeMap::new(),
             lost_fronts: BTreeSet::new(),
             ended: BTreeMap::new(),
--- a/endivestile_kernel/src/fleet/placement/dispatch.rs
+++ b/endivestile_kernel/src/fleet/placement/dispatch.rs
@@ -22,8 +22,6 @@
 /// Speed that a worker that was slow is taken to have for one task, once its time out is
 /// over: it goes behind every sound worker, and gets one while no other has room.
 const PROBED: f64 = 0.6;
-/// How many times longer a task takes away from its data.
-const FAR_FACTOR: f64 = 2.0;
 
 impl Scheduler {
     /// Starts or forwards what can be started or forwarded.
@@ -125,7 +123,7 @@
             let believed = self.durations.speed(id);
             let probe = believed < SLOW && self.health.probes(now, id, goal.late);
             let speed = if probe { PROBED } else { believed };
-            let cost = cost(step, &driver.entry.labels) / speed;
+            let cost = self.cost(step, &driver.entry.labels) / speed;
             if !goal.allows(now, run_us * cost) {
                 continue;
             }
@@ -139,6 +137,12 @@
         best.map(|(_, _, id)| id.clone())
     }
 
+    /// Returns how many times longer a task takes on a worker with these labels.
+    fn cost(&self, step: &Step, labels: &[Name]) -> f64 {
+        let near = step.near.as_ref().is_none_or(|near| labels.contains(near));
+        if near { 1.0 } else { self.remote }
+    }
+
     fn goal(&self, now: Time, state: &JobState, run_us: f64) -> Goal {
         let wanted = Wanted {
             arrived: state.job.arrived,
@@ -244,11 +248,6 @@
     }
 }
 
-fn cost(step: &Step, labels: &[Name]) -> f64 {
-    let near = step.near.as_ref().is_none_or(|near| labels.contains(near));
-    if near { 1.0 } else { FAR_FACTOR }
-}
-
 /// Returns a job of one task, to be run elsewhere under the same name.
 fn forwarded_job(job: &Job, step: &Step, slot: &crate::fleet::state::TaskSlot) -> Job {
     let only = Step {
--- a/endivestile_kernel/src/fleet/scheduler.rs
+++ b/endivestile_kernel/src/fleet/scheduler.rs
@@ -9,6 +9,7 @@
 use crate::fleet::admission::order::Waiting;
 use crate::fleet::admission::overload::Flows;
 use crate::fleet::admission::queue::Queue;
+use crate::fleet::core::FleetSetup;
 use crate::fleet::job::{Job, JobEnd, Reason, Step};
 use crate::fleet::lag::Lag;
 use crate::fleet::measure::{Count, Span};
@@ -53,6 +54,8 @@
 pub(crate) struct Scheduler {
     pub(crate) me: Peer,
     pub(crate) lease_ms: u64,
+    /// How many times longer a task takes away from its data.
+    pub(crate) remote: f64,
     pub(crate) policy: Policy,
     pub(crate) drivers: BTreeMap<Name, Driver>,
     pub(crate) jobs: BTreeMap<u64, JobState>,
@@ -81,10 +84,12 @@
 
 impl Scheduler {
     /// Starts without workers.
-    pub(crate) fn new(me: Peer, lease_ms: u64, policy: Policy) -> Self {
+    pub(crate) fn new(setup: &FleetSetup) -> Self {
+        let policy = setup.policy;
         Self {
-            me,
-            lease_ms,
+            me: setup.me.clone(),
+            lease_ms: setup.worker_lease,
+            remote: f64::from(setup.remote_milli) / 1_000.0,
             policy,
             drivers: BTreeMap::new(),
             jobs: BTreeMap::new(),
--- a/endivestile_testkit/src/fleet/calls.rs
+++ b/endivestile_testkit/src/fleet/calls.rs
@@ -5,7 +5,7 @@
 use endivestile_kernel::fleet::{FleetEvent, Job, JobEnd, Step};
 
 use super::worker::none;
-use super::world::{FleetWorld, Happening};
+use super::world::{FleetWorld, Happening, Work};
 
 /// Time after which a caller without an answer sends its job again, in microseconds.
 const RESEND_US: u64 = 1_300_000;
@@ -36,7 +36,8 @@
         let (birth, time) = (host.birth, host.time(self.now));
         let number = self.calls.len() as u64;
         let need = job.steps.first().map_or_else(none, |step: &Step| step.need);
-        self.works.insert(job.id.clone(), ((work_ms * 1_000) as f64, need));
+        let near = job.steps.first().and_then(|step| step.near.clone());
+        self.works.insert(job.id.clone(), Work { us: (work_ms * 1_000) as f64, need, near });
         let log = CallLog {
             name: name.to_owned(),
             id: job.id.clone(),
--- a/endivestile_testkit/src/fleet/host.rs
+++ b/endivestile_testkit/src/fleet/host.rs
@@ -85,6 +85,7 @@
             zone: host.zone.clone(),
             cpu_milli: host.cpu_milli,
             link_kbps: host.link_kbps,
+            remote_milli: self.remote_milli,
             address: name.clone(),
             worker_lease: WORKER_LEASE_MS,
             host_lease: HOST_LEASE_MS,
--- a/endivestile_testkit/src/fleet/story.rs
+++ b/endivestile_testkit/src/fleet/story.rs
@@ -45,6 +45,9 @@
     if first.pairs.contains_key("link") {
         world.links(first.number("link", 0)? as u32);
     }
+    if first.pairs.contains_key("remote") {
+        world.remote(first.number("remote", 2)? as u32 * 1_000);
+    }
     world.register_over(first.span("register", 0)?);
     world.run(SETTLE_MS);
     let mut story = Story { world, out: String::new() };
@@ -182,7 +185,7 @@
             estimate,
             after: (0..number as u16).collect(),
             label: step.pairs.get("label").map(|label| Name::from(*label)),
-            near: None,
+            near: step.pairs.get("near").map(|near| Name::from(*near)),
             spread: step.pairs.get("spread").map_or(0, |most| most.parse().unwrap_or(0)),
         });
         let job = Job {
--- a/endivestile_testkit/src/fleet/visits.rs
+++ b/endivestile_testkit/src/fleet/visits.rs
@@ -4,7 +4,7 @@
 use endivestile_kernel::fleet::{CallFault, FleetEvent, StartEnd, WorkerCall};
 
 use super::worker::{Behaviour, Worker, none};
-use super::world::{FleetWorld, Happening};
+use super::world::{FleetWorld, Happening, Work};
 
 impl FleetWorld {
     pub(crate) fn arrive(&mut self, visit: u64, worker: &Name) {
@@ -52,7 +52,11 @@
         let event = match call {
             WorkerCall::Start(order) => {
                 let id = order.task.split('.').next().unwrap_or_default();
-                let (work_us, need) = self.works.get(id).copied().unwrap_or((1.0, none()));
+                let work = self.works.get(id).cloned();
+                let work = work.unwrap_or(Work { us: 1.0, need: none(), near: None });
+                let far = work.near.is_some_and(|near| !state.entry.labels.contains(&near));
+                let times = if far { f64::from(self.remote_milli) / 1_000.0 } else { 1.0 };
+                let (work_us, need) = (work.us * times, work.need);
                 let new = !state.runs.contains_key(&(order.task.clone(), order.run));
                 let end = state.start(now, order, need, work_us);
                 if new && matches!(end, StartEnd::Started(_)) {
--- a/endivestile_testkit/src/fleet/world.rs
+++ b/endivestile_testkit/src/fleet/world.rs
@@ -66,6 +66,17 @@
     Drained { host: Name, birth: u64 },
 }
 
+/// What a task of a job takes.
+#[derive(Debug, Clone)]
+pub(crate) struct Work {
+    /// Time near its data on a worker of speed 1, in microseconds.
+    pub(crate) us: f64,
+    /// Room.
+    pub(crate) need: Need,
+    /// Label of the workers that are near its data.
+    pub(crate) near: Option<Name>,
+}
+
 /// A deployment in virtual time.
 #[derive(Debug)]
 pub struct FleetWorld {
@@ -76,11 +87,13 @@
     pub(crate) net: Net,
     pub(crate) table: Arc<RouteTable>,
     pub(crate) calls: BTreeMap<u64, CallLog>,
-    pub(crate) works: BTreeMap<Name, (f64, Need)>,
+    pub(crate) works: BTreeMap<Name, Work>,
     pub(crate) visits: u64,
     pub(crate) open_visits: BTreeMap<u64, (Name, u64, WorkerCall)>,
     pub(crate) births: u64,
     pub(crate) policy: Policy,
+    /// How many times longer a task takes away from its data, in thousandths.
+    pub(crate) remote_milli: u32,
     pub(crate) seen: Seen,
     pub(crate) traced: bool,
     pub(crate) trace: Vec<String>,
@@ -123,6 +136,7 @@
             open_visits: BTreeMap::new(),
             births: 0,
             policy,
+            remote_milli: 2_000,
             seen: Seen::default(),
             traced: false,
             trace: Vec::new(),
@@ -162,11 +176,22 @@
 
     /// Gives every host a link of this bandwidth and starts them anew.
     pub(crate) fn links(&mut self, link_kbps: u32) {
+        self.restart_all(|host| host.link_kbps = link_kbps);
+    }
+
+    /// Lets tasks away from their data take so many thousandths of the time, and starts the
+    /// hosts anew with that setting.
+    pub(crate) fn remote(&mut self, remote_milli: u32) {
+        self.remote_milli = remote_milli;
+        self.restart_all(|_| {});
+    }
+
+    fn restart_all(&mut self, change: impl Fn(&mut Host)) {
         let names: Vec<Name> = self.hosts.keys().cloned().collect();
         for name in names {
             self.kill(&name);
             if let Some(host) = self.hosts.get_mut(&name) {
-                host.link_kbps = link_kbps;
+                change(host);
             }
             self.start(&name);
         }
