Take over the workers of a zone whose hosts have all died

Cause: hosts of other zones claim a zone's pools once its workers have answered for 900 ms on end. A probe counted for 400 ms and the next one was sent only when it had grown old, so that each gap began the 900 ms anew: nobody ever took the pools. Seen while a story of evacuation was written in which one host was to own two zones.

Ruled out: the silence of the owner (known after 600 ms), the challenge (never written).

--- a/endivestile_testkit/tests/fleet/zone_evacuated.story
+++ b/endivestile_testkit/tests/fleet/zone_evacuated.story
@@ -114,3 +114,57 @@
 ----
 done: 4
 every promise kept
+
+# A job has begun in a zone, and more of its tasks wait there than other zones can take at
+# once, when the zone is evacuated: they run elsewhere, one after the other.
+story
+world zones=a,b hosts=2 workers=2
+submit c at=a1 tasks=16 ms=300 deadline=6s
+run 50ms
+starts
+evacuate a
+run 4s
+answers
+starts
+check
+----
+a-w1 2
+a-w2 2
+b-w1 2
+b-w2 2
+c done 910 ms
+a-w1 2
+a-w2 2
+b-w1 6
+b-w2 6
+every promise kept
+
+# The owner of two zones' workers goes on starting tasks in the one that is not evacuated.
+story
+world zones=a,b hosts=2 workers=2
+kill a1
+kill a2
+run 3s
+owners
+submit c at=b1 tasks=8 ms=100 times=3 every=300ms
+starts
+evacuate a
+run 100ms
+submit d at=b1 tasks=8 ms=100 times=3 every=300ms
+run 1s
+counts
+starts
+check
+----
+a {"owner":{"host":"b2","birth":4},"epoch":2} pools=2
+b {"owner":{"host":"b2","birth":4},"epoch":1} pools=1
+a-w1 6
+a-w2 6
+b-w1 6
+b-w2 6
+done: 6
+a-w1 6
+a-w2 6
+b-w1 18
+b-w2 18
+every promise kept
--- /dev/null
+++ b/endivestile_testkit/tests/fleet/zone_hosts_dead.story
@@ -0,0 +1,33 @@
+# All hosts of a zone die and stay away: hosts of another zone take its workers over, or a
+# third of the fleet would stand idle for as long as they are away.
+story
+world zones=a,b hosts=2 workers=2
+kill a1
+kill a2
+run 2500ms
+owners
+submit c at=b1 tasks=8 ms=100
+run 1s
+answers
+check
+----
+a {"owner":{"host":"b2","birth":4},"epoch":2} pools=2
+b {"owner":{"host":"b2","birth":4},"epoch":1} pools=1
+c done 103 ms
+every promise kept
+
+# They are back within a second: nobody outside has taken anything.
+story
+world zones=a,b hosts=2 workers=2
+kill a1
+kill a2
+run 900ms
+start a1
+start a2
+run 3s
+owners
+check
+----
+a {"owner":{"host":"a1","birth":5},"epoch":2} pools=2
+b {"owner":{"host":"b2","birth":4},"epoch":1} pools=1
+every promise kept
