Evacuate zones in the soak

The soak had no evacuation. It draws them apart from the other faults, and only where it is asked to, so that the kept seeds stay as they were; the example always does.

--- a/endivestile/examples/soak.rs
+++ b/endivestile/examples/soak.rs
@@ -73,6 +73,7 @@
             hosts: args.hosts,
             workers: args.workers,
             callers: args.callers,
+            evacuations: true,
         };
         let report = soak.run()?;
         println!(
--- a/endivestile/tests/soak.rs
+++ b/endivestile/tests/soak.rs
@@ -14,14 +14,15 @@
 /// The later seeds are those that have failed. `lapsed_elsewhere`: a run whose
 /// lease had passed at a worker that nobody reached counted as running on.
 /// `paused_host`: an answer of a host that was paused counted as late.
-#[test_case(1, 5; "first")]
-#[test_case(2, 5; "second")]
-#[test_case(3, 8; "lapsed_elsewhere")]
-#[test_case(6, 8; "paused_host")]
-fn soak_short(seed: u64, seconds: u64) {
+#[test_case(1, 5, false; "first")]
+#[test_case(2, 5, false; "second")]
+#[test_case(3, 8, false; "lapsed_elsewhere")]
+#[test_case(6, 8, false; "paused_host")]
+#[test_case(7, 6, true; "evacuations")]
+fn soak_short(seed: u64, seconds: u64, evacuations: bool) {
     let daemon = Daemon::new(env!("CARGO_BIN_EXE_endivestile"));
     let faults_ms = seconds * 1_000;
-    let soak = Soak { daemon, seed, faults_ms, hosts: 2, workers: 4, callers: 6 };
+    let soak = Soak { daemon, seed, faults_ms, hosts: 2, workers: 4, callers: 6, evacuations };
     let report = soak.run().unwrap();
     assert!(report.breaches.is_empty(), "{:#?}\n{}", report.breaches, report.trace.join("\n"));
     assert!(report.completed > 10, "hardly anything was served: {report:?}");
--- a/endivestile_testkit/src/soak/fault.rs
+++ b/endivestile_testkit/src/soak/fault.rs
@@ -28,6 +28,8 @@
     Hangs(usize),
     /// The store turns every call away.
     Refuse,
+    /// Operators have a zone evacuated, and take it back at the end.
+    Evacuate(usize),
 }
 
 /// A fault and its time, in milliseconds from the start.
@@ -62,6 +64,19 @@
     plan
 }
 
+/// Draws the evacuations of a run that begin within `ms` milliseconds.
+pub(crate) fn evacuations(rng: &mut SmallRng, ms: u64, zones: usize) -> Vec<Planned> {
+    let mut plan = Vec::new();
+    let mut at = rng.random_range(GAP_MS);
+    while at < ms {
+        let until = at + rng.random_range(100..MAX_MS);
+        let fault = Fault::Evacuate(rng.random_range(0..zones));
+        plan.push(Planned { fault, from: at, until });
+        at = until + rng.random_range(GAP_MS);
+    }
+    plan
+}
+
 fn draw(rng: &mut SmallRng, hosts: usize, workers: usize) -> Fault {
     let host = rng.random_range(0..hosts);
     let worker = rng.random_range(0..workers);
--- a/endivestile_testkit/src/soak/run.rs
+++ b/endivestile_testkit/src/soak/run.rs
@@ -10,7 +10,7 @@
 use rand::rngs::SmallRng;
 
 use super::caller::Sending;
-use super::fault::{Fault, Planned, plan};
+use super::fault::{Fault, Planned, evacuations, plan};
 use super::load::{DEADLINE, SLACK, call, send_once};
 use super::relay::{Harm, Relay};
 use crate::deploy::{Daemon, wait_for};
@@ -42,6 +42,8 @@
     pub workers: usize,
     /// Callers that send one job after the other.
     pub callers: usize,
+    /// Whether operators evacuate zones meanwhile.
+    pub evacuations: bool,
 }
 
 /// What a run has shown.
@@ -182,7 +184,10 @@
     /// Begins and ends the planned faults at their times.
     fn play(&mut self) {
         let mut rng = SmallRng::seed_from_u64(self.soak.seed);
-        let faults = plan(&mut rng, self.soak.faults_ms, self.hosts.len(), self.workers.len());
+        let mut faults = plan(&mut rng, self.soak.faults_ms, self.hosts.len(), self.workers.len());
+        if self.soak.evacuations {
+            faults.extend(evacuations(&mut rng, self.soak.faults_ms, ZONES.len()));
+        }
         let mut steps: Vec<(u64, bool, Planned)> = Vec::new();
         for planned in faults {
             steps.push((planned.from, true, planned));
@@ -221,6 +226,7 @@
             Fault::Errors(at) => self.platform.fault(&self.workers[at].0, WorkerFault::Errors),
             Fault::Hangs(at) => self.platform.fault(&self.workers[at].0, WorkerFault::Hangs),
             Fault::Refuse => self.platform.refuse(true),
+            Fault::Evacuate(zone) => self.platform.evacuate(ZONES[zone], true),
         }
     }
 
@@ -240,6 +246,7 @@
                 self.platform.fault(&self.workers[at].0, WorkerFault::None);
             }
             Fault::Refuse => self.platform.refuse(false),
+            Fault::Evacuate(zone) => self.platform.evacuate(ZONES[zone], false),
         }
     }
 
@@ -274,6 +281,7 @@
         let relays = self.links.iter().chain(&self.stores);
         relays.chain(self.workers.iter().map(|(_, relay)| relay)).for_each(|it| it.set(Harm::None));
         self.platform.refuse(false);
+        ZONES.iter().for_each(|zone| self.platform.evacuate(zone, false));
         for (name, _) in &self.workers {
             self.platform.fault(name, WorkerFault::None);
         }
