Let no peer bring an evacuation back that ended unseen

States of zones pass from host to host, the highest revision wins, and an end is known only to hosts that saw the key go. If the zone is taken back while all but one host are down, and that one cannot reach the store, it tells those that start of the evacuation; once it has died nobody is left who could know of the end, and the zone stays evacuated.

Ruled out: states that expire (an outage of the store would end an evacuation); gossip dropped (a host cut from the store would go on starting tasks there).

Change: a host that has read the operators' keys itself takes no state of a peer from before that revision, and ends what it had by a peer's word and does not find there. The world reads all keys at the first reading only, as the daemon.

--- a/endivestile/src/fleet/config.rs
+++ b/endivestile/src/fleet/config.rs
@@ -35,6 +35,10 @@
             self.config(key, revision, value);
         }
     }
+
+    fn loaded(&mut self, revision: u64) {
+        self.inbox.event(FleetEvent::EvacuationsRead(revision));
+    }
 }
 
 impl OperatorKeys {
--- a/endivestile/src/fleet/feed.rs
+++ b/endivestile/src/fleet/feed.rs
@@ -41,8 +41,10 @@
     /// A key has this value now; none once it was deleted.
     fn tell(&mut self, key: &str, revision: u64, value: Option<Bytes>);
 
-    /// All keys have been told as they stood at one time.
-    fn loaded(&mut self) {}
+    /// All keys have been told as they stood at one time, at this revision of the store.
+    fn loaded(&mut self, revision: u64) {
+        let _ = revision;
+    }
 
     /// The store answers, or does not; all that it had to say so far has been told.
     fn store(&mut self, up: bool);
@@ -138,7 +140,7 @@
         for key in gone.into_keys() {
             self.put(Item { key, value: None, revision: page.at });
         }
-        self.sink.loaded();
+        self.sink.loaded(page.at);
     }
 
     fn put(&mut self, item: Item) {
--- a/endivestile/src/fleet/listing.rs
+++ b/endivestile/src/fleet/listing.rs
@@ -173,7 +173,7 @@
     }
 
     /// What has been read is told at once: an owner waits for it before it starts tasks.
-    fn loaded(&mut self) {
+    fn loaded(&mut self, _revision: u64) {
         self.changed = true;
     }
 
--- a/endivestile/src/fleet/store.rs
+++ b/endivestile/src/fleet/store.rs
@@ -61,7 +61,7 @@
     }
 
     /// The registration waits until it is known what stands under its key.
-    fn loaded(&mut self) {
+    fn loaded(&mut self, _revision: u64) {
         if self.wish.borrow().stands.is_none() {
             self.wish.send_modify(|wish| wish.stands = Some((0, false)));
         }
--- a/endivestile_kernel/src/fleet/core.rs
+++ b/endivestile_kernel/src/fleet/core.rs
@@ -90,6 +90,8 @@
     Table(Arc<RouteTable>),
     /// Operators ask for a zone to be evacuated, or no longer do.
     Evacuation(ZoneState),
+    /// Everything that operators had written at this revision of the store has been told.
+    EvacuationsRead(u64),
     /// All workers as the store lists them.
     Workers(Vec<WorkerEntry>),
     /// A host's registration, none when it ended.
@@ -291,6 +293,7 @@
             FleetEvent::Hangup(call) => self.hangup(now, call),
             FleetEvent::Table(table) => self.adopt(table),
             FleetEvent::Evacuation(state) => self.set_evacuation(now, &state, Source::Store),
+            FleetEvent::EvacuationsRead(revision) => self.evacuations_read(now, revision),
             FleetEvent::Workers(workers) => self.list_workers(now, workers),
             FleetEvent::Host { name, entry } => self.register(now, &name, entry.as_ref()),
             FleetEvent::Record { pool, revision, value } => {
--- a/endivestile_kernel/src/fleet/evacuation.rs
+++ b/endivestile_kernel/src/fleet/evacuation.rs
@@ -4,8 +4,10 @@
 //! Each state carries the store's revision of its change, and hosts pass the states
 //! that they know to each other. The highest revision wins, so that a host that cannot
 //! reach the store learns of a change from its peers, and none returns to an older one.
+//! What a peer knows from before this host's own reading of the store counts for nothing:
+//! the zone may have been taken back, and nobody who saw that may be left to tell.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use endivestile_config::model::Name;
 use serde::{Deserialize, Serialize};
@@ -48,13 +50,27 @@
 #[derive(Debug, Default)]
 pub(crate) struct Evacuations {
     zones: BTreeMap<Name, ZoneState>,
+    /// Zones of which the store told this host that they are evacuated.
+    stored: BTreeSet<Name>,
+    /// Revision up to which this host has read the store itself.
+    read: u64,
     /// Zones and runs of the gauges that were told last.
     told: (u64, u64),
 }
 
 impl Evacuations {
     /// Takes a state in unless a later one is known; returns whether the zone's state changed.
-    pub(crate) fn merge(&mut self, state: &ZoneState) -> bool {
+    pub(crate) fn merge(&mut self, state: &ZoneState, source: Source) -> bool {
+        match source {
+            Source::Peer if state.revision <= self.read => return false,
+            Source::Store if state.evacuated => {
+                self.stored.insert(state.zone.clone());
+            }
+            Source::Store => {
+                self.stored.remove(&state.zone);
+            }
+            Source::Peer => {}
+        }
         let known = self.zones.get(&state.zone);
         if known.is_some_and(|known| known.revision >= state.revision) {
             return false;
@@ -64,6 +80,17 @@
         before != state.evacuated
     }
 
+    /// Notes that the store has been read up to a revision; returns the states of zones that
+    /// are believed to be evacuated, by a peer's word, and are not.
+    pub(crate) fn read(&mut self, revision: u64) -> Vec<ZoneState> {
+        self.read = self.read.max(revision);
+        let outdated = self.zones.values().filter(|state| {
+            state.evacuated && state.revision < revision && !self.stored.contains(&state.zone)
+        });
+        let ended = |state: &ZoneState| ZoneState { revision, evacuated: false, ..state.clone() };
+        outdated.map(ended).collect()
+    }
+
     /// Returns whether nothing may be started in a zone.
     pub(crate) fn contains(&self, zone: &str) -> bool {
         self.zones.get(zone).is_some_and(|state| state.evacuated)
@@ -83,7 +110,7 @@
 impl Fleet {
     /// Takes the state of a zone in, and puts a change in force.
     pub(crate) fn set_evacuation(&mut self, now: Time, state: &ZoneState, source: Source) {
-        if !self.evacuations.merge(state) {
+        if !self.evacuations.merge(state, source) {
             return;
         }
         let event = if state.evacuated { "evacuation_started" } else { "evacuation_ended" };
@@ -105,6 +132,13 @@
         self.settle(now);
     }
 
+    /// Takes in that the store has been read up to a revision.
+    pub(crate) fn evacuations_read(&mut self, now: Time, revision: u64) {
+        for state in self.evacuations.read(revision) {
+            self.set_evacuation(now, &state, Source::Store);
+        }
+    }
+
     /// Returns whether a worker or a host is known to stand in a zone; while no worker is
     /// known at all, any zone may exist.
     fn knows_zone(&self, zone: &str) -> bool {
--- a/endivestile_testkit/src/fleet/host.rs
+++ b/endivestile_testkit/src/fleet/host.rs
@@ -46,6 +46,8 @@
     /// Zones that the store has told it to evacuate or to take back: the revision of that,
     /// and when it was told.
     pub(crate) evacuations: BTreeMap<Name, (u64, u64)>,
+    /// Whether it has read the store, and nothing has kept it from watching since.
+    pub(crate) reads: bool,
     /// Whether it owned workers when it was last looked at.
     pub(crate) owns: bool,
 }
@@ -98,6 +100,7 @@
         host.flushing = false;
         host.evacuations.clear();
         host.owns = false;
+        host.reads = false;
         host.wake = now;
         let entry = host.entry(name, false);
         self.at(now, Happening::Wake { host: name.clone(), birth });
@@ -316,19 +319,39 @@
         let hosts: Vec<(Name, u64)> =
             self.hosts.iter().map(|(name, host)| (name.clone(), host.birth)).collect();
         for (host, birth) in hosts {
-            self.tell_evacuations(&host, birth);
+            self.tell_evacuation(&host, birth, zone);
         }
     }
 
-    fn tell_evacuations(&mut self, host: &Name, birth: u64) {
+    /// Tells a host of a zone's state, as a watch does.
+    fn tell_evacuation(&mut self, host: &Name, birth: u64, zone: &Name) {
         if self.store.down || !self.net.reaches(host, crate::world::net::STORE) {
             return;
         }
+        let Some(&(revision, evacuated)) = self.store.evacuations.get(zone) else { return };
+        let event = FleetEvent::Evacuation(ZoneState { zone: zone.clone(), revision, evacuated });
         let at = self.now + self.store.delay_us;
-        for (zone, (revision, evacuated)) in self.store.evacuations.clone() {
-            let event = FleetEvent::Evacuation(ZoneState { zone, revision, evacuated });
-            self.at(at, Happening::Event { host: host.clone(), birth, event });
+        self.at(at, Happening::Event { host: host.clone(), birth, event });
+    }
+
+    /// Tells a host what operators have written: all that stands at the first reading, also
+    /// after the store was away, and later what it was told of before, as watches do.
+    fn tell_evacuations(&mut self, host: &Name, birth: u64) {
+        let told = self.hosts.get(host).map(|host| host.evacuations.clone()).unwrap_or_default();
+        let zones: Vec<Name> = self.store.evacuations.keys().cloned().collect();
+        for zone in zones {
+            let stands = self.store.evacuations.get(&zone).is_some_and(|(_, evacuated)| *evacuated);
+            if stands || told.contains_key(&zone) {
+                self.tell_evacuation(host, birth, &zone);
+            }
         }
+        let Some(state) = self.hosts.get_mut(host) else { return };
+        if std::mem::replace(&mut state.reads, true) {
+            return;
+        }
+        let event = FleetEvent::EvacuationsRead(self.store.revision);
+        let at = self.now + self.store.delay_us;
+        self.at(at, Happening::Event { host: host.clone(), birth, event });
     }
 
     /// Reads the whole store for a host, as after each break of its watch.
@@ -339,6 +362,9 @@
         let again = Happening::Read { host: name.clone(), birth };
         self.at(self.now + 500_000, again);
         if self.store.down || !self.net.reaches(name, crate::world::net::STORE) {
+            if let Some(host) = self.hosts.get_mut(name) {
+                host.reads = false;
+            }
             return self.deliver(name, birth, FleetEvent::Store(false));
         }
         self.tell_evacuations(name, birth);
--- a/endivestile_testkit/src/fleet/world.rs
+++ b/endivestile_testkit/src/fleet/world.rs
@@ -292,6 +292,7 @@
             free_at: 0,
             evacuations: BTreeMap::new(),
             owns: false,
+            reads: false,
         }
     }
 }
--- a/endivestile_testkit/tests/fleet/zone_evacuated_faults.story
+++ b/endivestile_testkit/tests/fleet/zone_evacuated_faults.story
@@ -138,3 +138,38 @@
 done: 3
 not_run no_placer: 3
 every promise kept
+
+# A zone is taken back while all hosts but one are down, and that one cannot reach the store.
+# It tells those that start of the evacuation, and dies. They have read the store since, and
+# nobody who saw the end is left to tell: the zone would stay evacuated for ever.
+story
+world zones=a,b hosts=2 workers=2
+cut a1 store
+evacuate a
+run 600ms
+kill a2
+kill b1
+kill b2
+run 100ms
+evacuate a off
+run 100ms
+start a2
+start b1
+start b2
+run 1600ms
+kill a1
+heal
+run 3s
+start a1
+run 2s
+submit c at=a2 ms=100 times=10 every=20ms
+run 1s
+counts
+starts
+check
+----
+done: 10
+a-w1 4
+a-w2 4
+b-w1 2
+every promise kept
