Check in one place that a take-over starts nothing on leaving workers

Cause: two tests of the take-over ended with the same lines. Ruled out: merging the tests; each makes the list old in its own way. Change: assert_none_started holds the lines; the assertions are the same. Conclusion: no code of the daemon changes.

--- a/endivestile/tests/platform_path.rs
+++ b/endivestile/tests/platform_path.rs
@@ -164,6 +164,18 @@
     assert_eq!((status, platform.breaches()), (200, Vec::new()));
 }
 
+/// Kills the owner; the other host serves, and the count of `starts` stays as it was.
+fn assert_none_started(killed: Host, other: &Host, starts: impl Fn() -> u64) {
+    drop(killed);
+    let before = starts();
+    until_serving(other);
+    for id in 0..4 {
+        let path = format!("/jobs/00000000000001a{id}");
+        assert_eq!(other.call("POST", &path, &job(2, 20)).0, 200);
+    }
+    assert_eq!(starts(), before);
+}
+
 /// A worker says that it is leaving shortly before its owner dies. The host that takes it
 /// over had read the list before; it must not start anything there by that.
 #[test]
@@ -177,15 +189,8 @@
         killed.call("POST", "/jobs/00000000000000ab", &job(1, 1)).0 == 200
     });
     platform.leaves("a-w1", true);
-    drop(killed);
     let starts = || platform.starts().iter().find(|(id, _)| id == "a-w1").map_or(0, |(_, n)| *n);
-    let before = starts();
-    until_serving(&other);
-    for id in 0..4 {
-        let path = format!("/jobs/00000000000001a{id}");
-        assert_eq!(other.call("POST", &path, &job(2, 20)).0, 200);
-    }
-    assert_eq!(starts(), before);
+    assert_none_started(killed, &other, starts);
 }
 
 /// Every heartbeat of a large fleet changes the list of workers, so that a host without
@@ -207,14 +212,7 @@
         let starts = platform.starts().into_iter().filter(|(id, _)| id != "a-w24");
         starts.map(|(_, count)| count).sum::<u64>()
     };
-    drop(killed);
-    let before = starts();
-    until_serving(&other);
-    for id in 0..4 {
-        let path = format!("/jobs/00000000000001a{id}");
-        assert_eq!(other.call("POST", &path, &job(2, 20)).0, 200);
-    }
-    assert_eq!(starts(), before);
+    assert_none_started(killed, &other, starts);
 }
 
 /// A host is told to stop while a caller's job runs. The caller gets its whole
