Add the optional mechanisms, reasons and messages for hard load

Cause: two customers bring contention, uneven demand, tasks that crash workers and workers whose capacity changes. The parts that answer them are built side by side and need the same enum, settings, counters and messages. Ruled out: new fields in reports and jobs, which would change every frame also where no part is enabled. Conclusion: interfaces for the parts; behaviour is unchanged.

--- a/endivestile/src/peers/mod.rs
+++ b/endivestile/src/peers/mod.rs
@@ -11,7 +11,7 @@
 pub(crate) use links::Links;
 
 /// Version of the frame encoding.
-pub(crate) const FRAME_VERSION: u32 = 4;
+pub(crate) const FRAME_VERSION: u32 = 5;
 /// Longest frame, in bytes; a configuration of one megabyte fits several times.
 pub(crate) const MAX_FRAME_BYTES: usize = 16 << 20;
 /// Interval between two keep-alive pings on a link, in milliseconds.
--- a/endivestile_config/src/mechanism.rs
+++ b/endivestile_config/src/mechanism.rs
@@ -33,11 +33,21 @@
     LeastWork,
     /// Pools are transferred from owners with many pools to hosts that could own more.
     Balance,
+    /// Jobs are admitted or rejected on arrival, by a forecast of their completion.
+    Forecast,
+    /// The whole queue is searched for a task that fits the free capacity.
+    Backfill,
+    /// Jobs are sent to another zone before a queue forms in their own.
+    ZoneBalance,
+    /// A job whose task has crashed several workers is given up.
+    CrashLimit,
+    /// The capacity of workers may change while they run.
+    CapacityChanges,
 }
 
 impl Mechanism {
     /// All mechanisms.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 20] = [
         Self::Priority,
         Self::StartedFirst,
         Self::Shedding,
@@ -53,6 +63,20 @@
         Self::Reserve,
         Self::LeastWork,
         Self::Balance,
+        Self::Forecast,
+        Self::Backfill,
+        Self::ZoneBalance,
+        Self::CrashLimit,
+        Self::CapacityChanges,
+    ];
+
+    /// Mechanisms that are disabled unless the settings enable them.
+    const OPTIONAL: [Self; 5] = [
+        Self::Forecast,
+        Self::Backfill,
+        Self::ZoneBalance,
+        Self::CrashLimit,
+        Self::CapacityChanges,
     ];
 
     /// Returns the name used in settings.
@@ -73,6 +97,11 @@
             Self::Reserve => "reserve",
             Self::LeastWork => "least-work",
             Self::Balance => "balance",
+            Self::Forecast => "forecast",
+            Self::Backfill => "backfill",
+            Self::ZoneBalance => "zone-balance",
+            Self::CrashLimit => "crash-limit",
+            Self::CapacityChanges => "capacity-changes",
         }
     }
 
@@ -82,14 +111,28 @@
     }
 }
 
-/// The set of enabled mechanisms; all by default, fewer in experiments.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+/// The set of enabled mechanisms. By default those that every deployment needs are enabled.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Policy {
     /// Bit set of the disabled mechanisms.
     disabled: u32,
 }
 
+impl Default for Policy {
+    fn default() -> Self {
+        let disabled = Mechanism::OPTIONAL.into_iter().map(bit).fold(0, |all, one| all | one);
+        Self { disabled }
+    }
+}
+
 impl Policy {
+    /// Returns the policy with a mechanism enabled.
+    #[must_use]
+    pub fn with(mut self, mechanism: Mechanism) -> Self {
+        self.disabled &= !bit(mechanism);
+        self
+    }
+
     /// Returns the policy with a mechanism disabled.
     #[must_use]
     pub fn without(mut self, mechanism: Mechanism) -> Self {
@@ -102,9 +145,16 @@
         self.disabled & bit(mechanism) == 0
     }
 
-    /// Returns the disabled mechanisms.
+    /// Returns the mechanisms that are enabled by default and disabled here.
     pub fn disabled(self) -> impl Iterator<Item = Mechanism> {
-        Mechanism::ALL.into_iter().filter(move |mechanism| !self.has(*mechanism))
+        let default = Self::default();
+        let all = Mechanism::ALL.into_iter();
+        all.filter(move |mechanism| default.has(*mechanism) && !self.has(*mechanism))
+    }
+
+    /// Returns the mechanisms that are disabled by default and enabled here.
+    pub fn enabled(self) -> impl Iterator<Item = Mechanism> {
+        Mechanism::OPTIONAL.into_iter().filter(move |mechanism| self.has(*mechanism))
     }
 }
 
--- a/endivestile_config/src/settings/platform.rs
+++ b/endivestile_config/src/settings/platform.rs
@@ -30,7 +30,7 @@
     pub link_kbps: u32,
     /// Factor by which a task's run time grows on a worker without its data, in thousandths.
     pub remote_factor_milli: u32,
-    /// Enabled scheduling mechanisms; all of them except in experiments.
+    /// Enabled scheduling mechanisms.
     pub policy: Policy,
 }
 
@@ -78,6 +78,7 @@
         "cores",
         "link-mbps",
         "remote-factor",
+        "with",
         "without",
     ];
     const REQUIRED: &'static [&'static str] = &[];
@@ -94,7 +95,8 @@
             "remote-factor" => {
                 set_scaled_u32(&mut self.remote_factor_milli, raw, 1.0..=1_000.0, 1_000.0)?
             }
-            "without" => self.policy = parse_policy(raw)?,
+            "with" => self.policy = apply_mechanisms(self.policy, raw, Policy::with)?,
+            "without" => self.policy = apply_mechanisms(self.policy, raw, Policy::without)?,
             _ => return Err(unknown_key::<Self>(raw)),
         }
         Ok(())
@@ -109,10 +111,8 @@
             "grace-s" => (self.grace_ms as f64 / 1_000.0).to_string(),
             "link-mbps" => (f64::from(self.link_kbps) / 1_000.0).to_string(),
             "remote-factor" => (f64::from(self.remote_factor_milli) / 1_000.0).to_string(),
-            "without" => {
-                let labels: Vec<&str> = self.policy.disabled().map(Mechanism::label).collect();
-                labels.join(", ")
-            }
+            "with" => join_labels(self.policy.enabled()),
+            "without" => join_labels(self.policy.disabled()),
             _ => (f64::from(self.cpu_milli) / 1_000.0).to_string(),
         }
     }
@@ -154,15 +154,24 @@
     Ok(())
 }
 
-/// Parses the list of disabled mechanisms.
-fn parse_policy(raw: &RawValue) -> Result<Policy, ConfigError> {
-    let mut policy = Policy::default();
+/// Applies a list of mechanisms to a policy.
+fn apply_mechanisms(
+    policy: Policy,
+    raw: &RawValue,
+    apply: impl Fn(Policy, Mechanism) -> Policy,
+) -> Result<Policy, ConfigError> {
+    let mut policy = policy;
     for item in raw.list()? {
         let labels = Mechanism::ALL.map(Mechanism::label);
         let Some(mechanism) = Mechanism::by_label(&item.text) else {
             return Err(item.invalid(labels.join(", ")));
         };
-        policy = policy.without(mechanism);
+        policy = apply(policy, mechanism);
     }
     Ok(policy)
 }
+
+fn join_labels(mechanisms: impl Iterator<Item = Mechanism>) -> String {
+    let labels: Vec<&str> = mechanisms.map(Mechanism::label).collect();
+    labels.join(", ")
+}
--- a/endivestile_kernel/src/fleet/assignment.rs
+++ b/endivestile_kernel/src/fleet/assignment.rs
@@ -166,6 +166,7 @@
                     self.scheduler.handle_forward_end(now, from, serial, end);
                 }
             }
+            JobMsg::Crashes(_) => {}
         }
     }
 
--- a/endivestile_kernel/src/fleet/job.rs
+++ b/endivestile_kernel/src/fleet/job.rs
@@ -109,6 +109,10 @@
     Unsupported,
     /// Every zone that could run it is evacuated.
     Evacuated,
+    /// The owner predicts that it cannot end the job before its deadline.
+    NoRoom,
+    /// A task crashed as many workers as one task may.
+    Crashes,
 }
 
 impl Reason {
@@ -125,6 +129,8 @@
             Self::Cancelled => "cancelled",
             Self::Unsupported => "unsupported",
             Self::Evacuated => "evacuated",
+            Self::NoRoom => "no_room",
+            Self::Crashes => "crashes",
         }
     }
 }
--- a/endivestile_kernel/src/fleet/metrics.rs
+++ b/endivestile_kernel/src/fleet/metrics.rs
@@ -35,11 +35,27 @@
     RecordChanges,
     /// Pools lost to an owner with a higher fencing token.
     Deposed,
+    /// Jobs rejected on arrival by the forecast of their completion.
+    JobsRejectedEarly,
+    /// Jobs admitted under the guaranteed share of their kind.
+    JobsGuaranteed,
+    /// Tasks started ahead of one that fits no free capacity.
+    TasksBackfilled,
+    /// Callers' jobs sent to another zone while their own has an owner.
+    JobsSentAway,
+    /// Workers that crashed while tasks of this host ran on them.
+    WorkersCrashed,
+    /// Suspected tasks started alone on a worker.
+    TasksIsolated,
+    /// Jobs given up because a task crashed too many workers.
+    JobsCrashing,
+    /// Changes of the capacity that a worker of this host reports.
+    CapacityChanges,
 }
 
 impl Count {
     /// All counters, in the order of the metrics page.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 24] = [
         Self::JobsSent,
         Self::JobsDone,
         Self::JobsFailed,
@@ -56,6 +72,14 @@
         Self::RunsStalled,
         Self::RecordChanges,
         Self::Deposed,
+        Self::JobsRejectedEarly,
+        Self::JobsGuaranteed,
+        Self::TasksBackfilled,
+        Self::JobsSentAway,
+        Self::WorkersCrashed,
+        Self::TasksIsolated,
+        Self::JobsCrashing,
+        Self::CapacityChanges,
     ];
 
     /// Returns the name on the metrics page.
@@ -77,6 +101,14 @@
             Self::RunsStalled => "runs_stalled",
             Self::RecordChanges => "record_changes",
             Self::Deposed => "deposed",
+            Self::JobsRejectedEarly => "jobs_rejected_early",
+            Self::JobsGuaranteed => "jobs_guaranteed",
+            Self::TasksBackfilled => "tasks_backfilled",
+            Self::JobsSentAway => "jobs_sent_away",
+            Self::WorkersCrashed => "workers_crashed",
+            Self::TasksIsolated => "tasks_isolated",
+            Self::JobsCrashing => "jobs_crashing",
+            Self::CapacityChanges => "capacity_changes",
         }
     }
 }
@@ -88,17 +120,21 @@
     ZonesEvacuated,
     /// Runs in progress in evacuated zones on the workers of this host.
     RunsEvacuated,
+    /// Processor time, in thousandths of a core, by which runs exceed the capacity that
+    /// their workers report.
+    CapacityExceeded,
 }
 
 impl Gauge {
     /// All gauges, in the order of the metrics page.
-    pub const ALL: [Self; 2] = [Self::ZonesEvacuated, Self::RunsEvacuated];
+    pub const ALL: [Self; 3] = [Self::ZonesEvacuated, Self::RunsEvacuated, Self::CapacityExceeded];
 
     /// Returns the name on the metrics page.
     pub fn name(self) -> &'static str {
         match self {
             Self::ZonesEvacuated => "zones_evacuated",
             Self::RunsEvacuated => "runs_evacuated",
+            Self::CapacityExceeded => "capacity_exceeded",
         }
     }
 }
--- a/endivestile_kernel/src/fleet/msg.rs
+++ b/endivestile_kernel/src/fleet/msg.rs
@@ -34,6 +34,29 @@
         /// Result.
         end: JobEnd,
     },
+    /// Reports worker crashes under tasks of a job to the hosts that may get the job next.
+    Crashes(JobCrashes),
+}
+
+/// Worker crashes under the tasks of one job.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobCrashes {
+    /// The caller's id of the job.
+    pub job: Name,
+    /// Tasks under which a worker has crashed.
+    pub tasks: Vec<TaskCrashes>,
+}
+
+/// Worker crashes under one task.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskCrashes {
+    /// Number of the step in the caller's job.
+    pub step: u16,
+    /// Number of the task within its step.
+    pub task: u16,
+    /// Workers that crashed under it, by id and incarnation, so that several reports of one
+    /// crash count once.
+    pub workers: Vec<(Name, u64)>,
 }
 
 /// Direct transfer of a pool to another owner while the store is unreachable. From then on
@@ -62,7 +85,7 @@
         match self {
             Self::Submit { job, .. } => Arc::make_mut(job).rebase(theirs, ours),
             Self::Ended { end, .. } => end.rebase(theirs, ours),
-            Self::Cancel { .. } => {}
+            Self::Cancel { .. } | Self::Crashes(_) => {}
         }
     }
 }
