Assume a worker's capacity by its incarnation, and stop barely begun runs that exceed it

Ruled out: using the platform's 5,500 ms as grace for starts; using nothing of a restarted worker until its registration is read. Change: workers/capacity.rs holds the assumed capacity with its source and age, and decides which run is stopped; enabled by `capacity-changes`. The simulated worker's capacity may change, it may stay down after a crash, and its capacity check counts a change once every live host has read it.

--- a/endivestile_kernel/src/fleet/completion.rs
+++ b/endivestile_kernel/src/fleet/completion.rs
@@ -62,6 +62,7 @@
         let usable = driver.usable(now);
         let ended = driver.handle_renewal(now, number, end);
         let changed = usable != driver.usable(now);
+        self.observe_capacity(now, worker);
         if changed || !ended.is_empty() {
             self.dirty = true;
         }
--- a/endivestile_kernel/src/fleet/core.rs
+++ b/endivestile_kernel/src/fleet/core.rs
@@ -29,7 +29,6 @@
 const TICK_MS: u64 = 15;
 /// Time between two ticks while there are no jobs, in milliseconds.
 const IDLE_TICK_MS: u64 = 60;
-
 /// Age up to which a peer's report of pending jobs is counted, in milliseconds.
 const PENDING_MAX_AGE_MS: u64 = 2_000;
 
@@ -433,6 +432,7 @@
                     Output::Log(note) => self.out.push(FleetEffect::Log(note)),
                     Output::Count(count) => self.out.push(FleetEffect::Count(count)),
                     Output::Time(span, took) => self.out.push(FleetEffect::Time(span, took)),
+                    Output::Gauge(gauge, it) => self.out.push(FleetEffect::Gauge(gauge, it)),
                 }
             }
         }
--- a/endivestile_kernel/src/fleet/job_log.rs
+++ b/endivestile_kernel/src/fleet/job_log.rs
@@ -1,4 +1,8 @@
-//! The log line that an owner writes when a job ends.
+//! The log line that an owner writes when a job ends, and the count of jobs that wait.
+
+use std::collections::BTreeMap;
+
+use endivestile_config::model::Name;
 
 use crate::fleet::admission::queue::Queue;
 use crate::fleet::job::{JobEnd, Reason};
@@ -22,6 +26,18 @@
 }
 
 impl Scheduler {
+    /// Returns the number of jobs with no task started, by route.
+    pub(crate) fn pending(&self) -> BTreeMap<Name, u32> {
+        let mut pending: BTreeMap<Name, u32> = BTreeMap::new();
+        let waiting = |state: &&JobState| {
+            state.started.is_none() && state.ending.is_none() && !state.job.forwarded
+        };
+        for state in self.jobs.values().filter(waiting) {
+            *pending.entry(state.job.route.clone()).or_default() += 1;
+        }
+        pending
+    }
+
     /// Logs the end of a job with the inputs of the decisions about it.
     ///
     /// A job that met its objective gets a short line at debug level, to save the cost of
--- a/endivestile_kernel/src/fleet/placement/tick.rs
+++ b/endivestile_kernel/src/fleet/placement/tick.rs
@@ -29,6 +29,7 @@
         self.durations.tick(now);
         self.lag.tick(now);
         self.tick_drivers(now);
+        self.check_capacity(now);
         self.expire_deadlines(now);
         self.return_forwarded(now);
         self.stop_stalled_runs(now);
--- a/endivestile_kernel/src/fleet/scheduler.rs
+++ b/endivestile_kernel/src/fleet/scheduler.rs
@@ -13,7 +13,7 @@
 use crate::fleet::job::{Job, JobEnd, Reason, Step};
 use crate::fleet::job_state::{JobState, TaskState};
 use crate::fleet::lag::Lag;
-use crate::fleet::metrics::{Count, Span};
+use crate::fleet::metrics::{Count, Gauge, Span};
 use crate::fleet::msg::JobMsg;
 use crate::fleet::placement::durations::Durations;
 use crate::fleet::placement::health::Health;
@@ -46,6 +46,8 @@
     Count(Count),
     /// Record a duration in microseconds.
     Time(Span, u64),
+    /// Set a gauge.
+    Gauge(Gauge, u64),
 }
 
 /// Free capacity of another owner by service, in average tasks: its last report less what
@@ -88,6 +90,8 @@
     pub(crate) usual_cpu: HashMap<Name, f64>,
     pub(crate) start_rates: StartRates,
     pub(crate) lag: Lag,
+    /// Last value of [`Gauge::CapacityExceeded`].
+    pub(crate) reported_excess: u64,
     /// Whether something changed that can let a queued task start.
     pub(crate) dirty: bool,
     pub(crate) out: Vec<Output>,
@@ -120,6 +124,7 @@
             usual_cpu: HashMap::new(),
             start_rates: StartRates::default(),
             lag: Lag::default(),
+            reported_excess: 0,
             dirty: false,
             out: Vec::new(),
             next_job: 0,
@@ -376,18 +381,6 @@
         waiting.rank(now, self.policy)
     }
 
-    /// Returns the number of jobs with no task started, by route.
-    pub(crate) fn pending(&self) -> BTreeMap<Name, u32> {
-        let mut pending: BTreeMap<Name, u32> = BTreeMap::new();
-        let waiting = |state: &&JobState| {
-            state.started.is_none() && state.ending.is_none() && !state.job.forwarded
-        };
-        for state in self.jobs.values().filter(waiting) {
-            *pending.entry(state.job.route.clone()).or_default() += 1;
-        }
-        pending
-    }
-
     /// Returns a new serial number for a task to be forwarded.
     pub(crate) fn next_forward_serial(&mut self) -> u64 {
         self.last_forward += 1;
--- a/endivestile_kernel/src/fleet/workers/driver.rs
+++ b/endivestile_kernel/src/fleet/workers/driver.rs
@@ -12,6 +12,7 @@
 use endivestile_config::model::Name;
 
 use crate::fleet::workers::call::{RENEW_MARGIN_MS, REQUEST_TIMEOUT_MS, WorkerCall};
+use crate::fleet::workers::capacity::{CapacityUse, WorkerCapacity};
 use crate::fleet::workers::protocol::{
     CallError, RenewRequest, StartRequest, StartResult, StopRequest, WorkerEntry,
 };
@@ -71,6 +72,8 @@
 pub(crate) struct Driver {
     /// Registration.
     pub(crate) entry: WorkerEntry,
+    /// Capacity that it is assumed to have; `None` if that of its registration always counts.
+    pub(crate) capacity: Option<WorkerCapacity>,
     /// Pool that it belongs to.
     pub(crate) pool: Name,
     /// Whether it is still registered.
@@ -122,6 +125,7 @@
         Self {
             incarnation: entry.incarnation,
             entry,
+            capacity: None,
             pool,
             registered: true,
             abandoned: false,
@@ -183,6 +187,9 @@
 
     /// Returns the capacity that no run occupies.
     pub(crate) fn free_capacity(&self) -> Need {
+        if let Some(capacity) = &self.capacity {
+            return capacity.free(self.capacity_uses());
+        }
         let mut free = self.entry.capacity;
         for run in self.runs.values() {
             free.cpu_milli = free.cpu_milli.saturating_sub(run.need.cpu_milli);
@@ -192,6 +199,21 @@
         free
     }
 
+    /// Returns what each run uses of the worker, in the order of the runs.
+    pub(crate) fn capacity_uses(&self) -> impl Iterator<Item = CapacityUse> {
+        self.runs.values().map(|run| CapacityUse {
+            need: run.task.is_some().then_some(run.need),
+            sent: run.sent,
+            percent: (run.phase == Phase::Running).then_some(run.percent),
+            stopping: run.stopping,
+        })
+    }
+
+    /// Returns the incarnation that replies, in milliseconds since 1970; 0 if unknown.
+    pub(crate) fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     /// Returns a lower bound of the worker's clock, in milliseconds.
     fn clock_at(&self, now: Time) -> Option<u64> {
         let (clock, at) = self.clock?;
--- a/endivestile_kernel/src/fleet/workers/owned.rs
+++ b/endivestile_kernel/src/fleet/workers/owned.rs
@@ -2,13 +2,16 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use endivestile_config::Mechanism;
 use endivestile_config::model::Name;
 
 use crate::fleet::job_state::JobState;
-use crate::fleet::scheduler::Scheduler;
+use crate::fleet::metrics::{Count, Gauge};
+use crate::fleet::scheduler::{Output, Scheduler};
+use crate::fleet::workers::capacity::{WorkerCapacity, least};
 use crate::fleet::workers::driver::Driver;
 use crate::fleet::workers::protocol::WorkerEntry;
-use crate::{Peer, Time};
+use crate::{Level, Need, Note, Peer, Time};
 
 /// Speed, 1 for the usual, below which a worker's capacity counts for late jobs only: hardly
 /// any job meets an objective of one and a half times its work there.
@@ -104,18 +107,99 @@
     fn set_worker(&mut self, now: Time, entry: &WorkerEntry, pool: &Name, token: u64) {
         if let Some(driver) = self.drivers.get_mut(&entry.id) {
             driver.entry = entry.clone();
+            let capacity = driver.capacity.as_mut();
+            let before = capacity.as_ref().map(|it| (it.assumed(), it.age_ms(now)));
+            let changed =
+                capacity.is_some_and(|it| it.register(now, entry.incarnation, entry.capacity));
             driver.evacuated = self.evacuated_zones.contains(&entry.zone);
             if driver.token() != token {
                 driver.set_token(now, token);
             }
+            if changed {
+                self.report_capacity_change(&entry.id, before);
+            }
             return;
         }
         let mut driver = Driver::new(now, entry.clone(), pool.clone(), token, self.lease_ms);
+        let changes = self.policy.has(Mechanism::CapacityChanges);
+        driver.capacity =
+            changes.then(|| WorkerCapacity::new(now, entry.incarnation, entry.capacity));
         driver.transferring = self.transferring.as_ref() == Some(pool);
         driver.evacuated = self.evacuated_zones.contains(&entry.zone);
         self.drivers.insert(entry.id.clone(), driver);
     }
 
+    /// Updates the assumed capacity of a worker that may have been restarted.
+    pub(crate) fn observe_capacity(&mut self, now: Time, worker: &Name) {
+        let Some(driver) = self.drivers.get(worker) else { return };
+        let Some(capacity) = &driver.capacity else { return };
+        let (incarnation, before) = (driver.incarnation(), capacity.assumed());
+        let age_ms = capacity.age_ms(now);
+        if capacity.incarnation() == incarnation {
+            return;
+        }
+        let service = &driver.entry.service;
+        let alike =
+            self.drivers.values().filter(|it| it.registered && it.entry.service == *service);
+        let smallest = alike.map(|it| it.entry.capacity).fold(before, least);
+        let driver = self.drivers.get_mut(worker);
+        let capacity = driver.and_then(|driver| driver.capacity.as_mut());
+        if capacity.is_some_and(|it| it.observe(now, incarnation, smallest)) {
+            self.dirty = true;
+            self.report_capacity_change(worker, Some((before, age_ms)));
+        }
+    }
+
+    fn report_capacity_change(&mut self, worker: &Name, before: Option<(Need, u64)>) {
+        let Some(driver) = self.drivers.get(worker) else { return };
+        let Some(capacity) = &driver.capacity else { return };
+        let (before, age_ms) = before.unwrap_or((driver.entry.capacity, 0));
+        let pairs = vec![
+            ("worker", worker.to_string()),
+            ("cpu_milli", capacity.assumed().cpu_milli.to_string()),
+            ("memory_mb", capacity.assumed().memory_mb.to_string()),
+            ("former_cpu_milli", before.cpu_milli.to_string()),
+            ("former_memory_mb", before.memory_mb.to_string()),
+            ("former_age_ms", age_ms.to_string()),
+            ("source", capacity.source().label().to_owned()),
+            ("incarnation", capacity.incarnation().to_string()),
+            ("runs", driver.runs.len().to_string()),
+            ("excess_cpu_milli", capacity.excess_cpu_milli(driver.capacity_uses()).to_string()),
+        ];
+        self.out.push(Output::Count(Count::CapacityChanges));
+        let note = Note { level: Level::Info, event: "capacity_changed", id: None, pairs };
+        self.out.push(Output::Log(note));
+    }
+
+    /// Stops runs that have barely begun where runs exceed a shrunk capacity for long, and
+    /// reports by how much all runs exceed it.
+    pub(crate) fn check_capacity(&mut self, now: Time) {
+        if !self.policy.has(Mechanism::CapacityChanges) {
+            return;
+        }
+        let mut excess = 0;
+        for (worker, driver) in &mut self.drivers {
+            let uses: Vec<_> = driver.capacity_uses().collect();
+            let Some(capacity) = &mut driver.capacity else { continue };
+            excess += u64::from(capacity.excess_cpu_milli(uses.iter().copied()));
+            let Some(index) = capacity.run_to_stop(now, &uses) else { continue };
+            let age_ms = capacity.age_ms(now).to_string();
+            let Some(id) = driver.runs.keys().nth(index).cloned() else { continue };
+            driver.stop_run(now, &id);
+            let pairs = vec![
+                ("run", id.run.to_string()),
+                ("worker", worker.to_string()),
+                ("percent", uses[index].percent.unwrap_or(0).to_string()),
+                ("capacity_age_ms", age_ms),
+            ];
+            let (level, event) = (Level::Info, "run_exceeds_capacity");
+            self.out.push(Output::Log(Note { level, event, id: Some(id.task), pairs }));
+        }
+        if std::mem::replace(&mut self.reported_excess, excess) != excess {
+            self.out.push(Output::Gauge(Gauge::CapacityExceeded, excess));
+        }
+    }
+
     /// Marks the pool that is being transferred, on whose workers no task is started;
     /// unmarks any other.
     pub(crate) fn set_transferring(&mut self, pool: Option<&Name>) {
--- a/endivestile_testkit/src/fleet/host.rs
+++ b/endivestile_testkit/src/fleet/host.rs
@@ -47,6 +47,9 @@
     /// Evacuation state of each zone that this incarnation received: the revision, and the
     /// virtual time at which it arrived.
     pub(crate) evacuations: BTreeMap<Name, (u64, u64)>,
+    /// Registration of each worker that this incarnation received: the worker's incarnation, its
+    /// processor time in thousandths of a core, and the virtual time at which it arrived.
+    pub(crate) capacities: BTreeMap<Name, (u64, u32, u64)>,
     /// Whether the host has read the store and its watch has not broken since.
     pub(crate) synced: bool,
     /// Whether the host owned workers at the last flush.
@@ -100,6 +103,7 @@
         host.paused = None;
         host.flush_scheduled = false;
         host.evacuations.clear();
+        host.capacities.clear();
         host.owned_workers = false;
         host.synced = false;
         host.wake_at = now;
@@ -178,6 +182,15 @@
                 *known = (state.revision, now);
             }
         }
+        if let FleetEvent::Workers(workers) = &event {
+            for entry in workers {
+                let (incarnation, cpu) = (entry.incarnation, entry.capacity.cpu_milli);
+                let known = host.capacities.entry(entry.id.clone()).or_insert((0, 0, now));
+                if (known.0, known.1) != (incarnation, cpu) {
+                    *known = (incarnation, cpu, now);
+                }
+            }
+        }
         fleet.handle(time, event);
         if !host.flush_scheduled {
             host.flush_scheduled = true;
--- a/endivestile_testkit/src/fleet/story.rs
+++ b/endivestile_testkit/src/fleet/story.rs
@@ -6,6 +6,7 @@
 use std::fmt::Write;
 
 use endivestile_config::model::Name;
+use endivestile_config::{Mechanism, Policy};
 use endivestile_kernel::fleet::{Job, JobEnd, RouteTable, Step as JobStep};
 use endivestile_kernel::{Need, Time};
 
@@ -49,6 +50,9 @@
     if first.pairs.contains_key("remote") {
         world.set_remote_factor(first.number("remote", 2)? as u32 * 1_000);
     }
+    if let Some(names) = first.pairs.get("with") {
+        world.set_policy(policy(names)?);
+    }
     world.stagger_registration(first.duration_ms("register", 0)?);
     world.run(SETTLE_MS);
     let mut story = Story { world, output: String::new() };
@@ -152,7 +156,15 @@
             "slow" => worker.behaviour = Behaviour::Slow(step.parse_word(3)?),
             "late" => worker.behaviour = Behaviour::Late(parse_duration_ms(step.word(3)?)?),
             "speed" => worker.speed = step.parse_word(3)?,
-            "crash" => worker.restart(now),
+            "crash" => match step.words.get(3) {
+                None => worker.restart(now),
+                Some(down) => {
+                    let cpu = worker.entry.capacity.cpu_milli;
+                    let cpu = if step.words.len() > 4 { step.parse_word(4)? } else { cpu };
+                    self.world.crash_worker(&name, parse_duration_ms(down)? * 1_000, cpu);
+                }
+            },
+            "cpu" => worker.entry.capacity.cpu_milli = step.parse_word(3)?,
             "drains" => worker.entry.leaving = true,
             "gone" => worker.entry.address = Name::from(""),
             word => return Err(format!("unknown worker behaviour `{word}`")),
@@ -317,6 +329,14 @@
     }
 }
 
+/// Returns the default policy with these mechanisms enabled, named in a comma-separated list.
+fn policy(names: &str) -> Result<Policy, String> {
+    names.split(',').try_fold(Policy::default(), |policy, name| {
+        let mechanism = Mechanism::by_label(name).ok_or(format!("no mechanism `{name}`"))?;
+        Ok(policy.with(mechanism))
+    })
+}
+
 /// Parses a comma-separated list of numbers.
 fn numbers(list: &str) -> Result<Vec<u32>, String> {
     list.split(',')
--- a/endivestile_testkit/src/fleet/worker.rs
+++ b/endivestile_testkit/src/fleet/worker.rs
@@ -55,6 +55,11 @@
     pub(crate) entry: WorkerEntry,
     /// Current behaviour.
     pub(crate) behaviour: Behaviour,
+    /// Whether its process has ended: every call is refused.
+    pub(crate) down: bool,
+    /// Processor time that its runs may use, in thousandths of a core: its capacity, or more while
+    /// a host may not have learned of a shrink, or while runs from before it go on.
+    pub(crate) limit_cpu: u32,
     /// Whether the worker leaves every call unanswered.
     pub(crate) unresponsive: bool,
     /// Virtual time from which the store lists the worker.
@@ -81,6 +86,8 @@
     /// Creates a worker that starts at `now`.
     pub(crate) fn new(now: u64, entry: WorkerEntry, speed: f64) -> Self {
         Self {
+            limit_cpu: entry.capacity.cpu_milli,
+            down: false,
             entry,
             behaviour: Behaviour::Good,
             unresponsive: false,
@@ -103,6 +110,18 @@
         *self = Self::new(now, entry, self.speed);
     }
 
+    /// Ends the process: its runs end unreported, and calls are refused until a restart.
+    pub(crate) fn crash(&mut self) {
+        self.runs.clear();
+        self.ends.clear();
+        self.down = true;
+    }
+
+    /// Returns the processor time that its runs use, in thousandths of a core.
+    pub(crate) fn used_cpu(&self) -> u32 {
+        self.runs.values().map(|run| run.need.cpu_milli).sum()
+    }
+
     fn clock_ms(&self, now: u64) -> u64 {
         (now - self.clock_zero) / 1_000
     }
--- a/endivestile_testkit/src/fleet/world.rs
+++ b/endivestile_testkit/src/fleet/world.rs
@@ -6,7 +6,9 @@
 use bytes::Bytes;
 use endivestile_config::Policy;
 use endivestile_config::model::Name;
-use endivestile_kernel::fleet::{FleetEvent, HOST_KEY_PREFIX, HostEntry, RouteTable, WorkerCall};
+use endivestile_kernel::fleet::{
+    CallError, FleetEvent, HOST_KEY_PREFIX, HostEntry, RouteTable, WorkerCall,
+};
 use endivestile_kernel::{Need, StoreOp, StoreResult};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -43,6 +45,8 @@
     AnswerRenewal { call_id: u64, worker: Name },
     /// The answer to a worker call reaches its host.
     Reply { call_id: u64, event: FleetEvent },
+    /// The process of a worker that has crashed starts again.
+    Restart { worker: Name, cpu_milli: u32 },
     /// A worker call has got no answer in time.
     CallTimeout { call_id: u64 },
     /// A run or the lease ends at a worker.
@@ -195,6 +199,12 @@
         self.restart_all(|_| {});
     }
 
+    /// Sets the scheduling policy and restarts all hosts.
+    pub(crate) fn set_policy(&mut self, policy: Policy) {
+        self.policy = policy;
+        self.restart_all(|_| {});
+    }
+
     fn restart_all(&mut self, change: impl Fn(&mut Host)) {
         let names: Vec<Name> = self.hosts.keys().cloned().collect();
         for name in names {
@@ -243,7 +253,10 @@
                     self.deliver(&host, incarnation, event);
                 }
             }
-            ScheduledEvent::CallTimeout { call_id } => self.time_out_call(call_id),
+            ScheduledEvent::CallTimeout { call_id } => self.fail_call(call_id, CallError::Lost),
+            ScheduledEvent::Restart { worker, cpu_milli } => {
+                self.restart_worker(&worker, cpu_milli)
+            }
             ScheduledEvent::WorkerWake { worker } => self.handle_worker_wake(&worker),
             ScheduledEvent::LateCall { call, worker, worker_incarnation } => {
                 self.execute_late_call(&call, &worker, worker_incarnation)
@@ -322,6 +335,7 @@
             event_cost_us: 0,
             busy_until: 0,
             evacuations: BTreeMap::new(),
+            capacities: BTreeMap::new(),
             owned_workers: false,
             synced: false,
         }
