Suspect tasks under which workers crash, run them alone, and give their jobs up

Ruled out: counting a refused connection as a crash, since a connection that times out in a network cut is reported the same way; waiting for proof before a lost task is started again, since a worker may never come back. Change: workers/crash_evidence.rs records workers that were lost with their runs, proven by another incarnation, and decides whether a task is started, started alone, held back or given up; hooks in completion.rs, owned.rs and dispatch.rs; JobMsg::Crashes is sent to fronts and owners; with `crash-limit`, a renewal that was not sent no longer extends the lease by which runs of a dead worker end. The simulated worker can be crashed by its tasks; the check counts starts after three crashes.

--- a/endivestile_kernel/src/fleet/assignment.rs
+++ b/endivestile_kernel/src/fleet/assignment.rs
@@ -54,6 +54,12 @@
         }
         self.log_sent(&job, owner, serial);
         self.out.push(FleetEffect::Count(Count::JobsSent));
+        // Ahead of the job, so that its new owner does not start it without the evidence.
+        if let Some(report) = self.scheduler.crashes.report(now, &job.id)
+            && *owner != self.setup.me
+        {
+            self.deliver_job_msg(now, owner, JobMsg::Crashes(report));
+        }
         self.deliver_job_msg(now, owner, JobMsg::Submit { serial, job, echo: Time::ZERO });
     }
 
@@ -166,7 +172,7 @@
                     self.scheduler.handle_forward_end(now, from, serial, end);
                 }
             }
-            JobMsg::Crashes(_) => {}
+            JobMsg::Crashes(report) => self.scheduler.merge_crashes(now, from, report),
         }
     }
 
--- a/endivestile_kernel/src/fleet/completion.rs
+++ b/endivestile_kernel/src/fleet/completion.rs
@@ -1,14 +1,19 @@
 //! Handling of the end of runs and of forwarded tasks: success, retry or failure.
 
+use std::collections::BTreeSet;
+
+use endivestile_config::Mechanism;
 use endivestile_config::model::Name;
 
 use crate::fleet::job::{JobEnd, Reason};
 use crate::fleet::job_state::TaskState;
 use crate::fleet::metrics::{Count, Span};
+use crate::fleet::msg::{JobCrashes, JobMsg};
 use crate::fleet::scheduler::{Output, Scheduler};
+use crate::fleet::workers::crash_evidence::{LostWorker, TaskKey};
 use crate::fleet::workers::protocol::{CallError, RenewReply, RunEnd, StartResult};
 use crate::fleet::workers::run::{EndedRun, Phase, RunId, RunOutcome, TaskRef};
-use crate::{Level, Peer, Time};
+use crate::{Level, Note, Peer, Time};
 
 /// Run numbers reserved for the runs that another owner made of a task it returned.
 const FORWARD_RUNS: u32 = 8;
@@ -60,15 +65,113 @@
     ) {
         let Some(driver) = self.drivers.get_mut(worker) else { return };
         let usable = driver.usable(now);
+        let replied = end.is_ok();
         let ended = driver.handle_renewal(now, number, end);
         let changed = usable != driver.usable(now);
         self.observe_capacity(now, worker);
+        self.observe_losses(now, worker, replied);
         if changed || !ended.is_empty() {
             self.dirty = true;
         }
         self.handle_ended(now, worker, ended);
     }
 
+    /// Records the runs that were lost with a worker, and what its reply shows about those lost
+    /// before.
+    pub(crate) fn observe_losses(&mut self, now: Time, worker: &Name, replied: bool) {
+        if !self.policy.has(Mechanism::CrashLimit) {
+            return;
+        }
+        let Some(driver) = self.drivers.get_mut(worker) else { return };
+        let (incarnation, lost) = (driver.incarnation(), driver.lost.take());
+        let mut crashed = BTreeSet::new();
+        if let Some(lost) = lost {
+            let key = |(task, alone): &(TaskRef, bool)| {
+                let state = self.jobs.get(&task.job)?;
+                Some((state.task_key(task.task as usize), *alone))
+            };
+            let lost = LostWorker {
+                worker: worker.clone(),
+                incarnation: lost.incarnation,
+                at: lost.at,
+                crashed: lost.crashed,
+                tasks: lost.tasks.iter().filter_map(key).collect(),
+            };
+            self.crashes.record(now, &lost);
+            if lost.crashed {
+                crashed.extend(lost.tasks.into_iter().map(|(key, _)| key));
+            }
+        }
+        if replied && self.crashes.is_unclear(worker) {
+            crashed.extend(self.crashes.observe(worker, incarnation));
+            self.dirty = true;
+        }
+        self.report_crash(now, worker, &crashed);
+    }
+
+    /// Reports a worker that crashed under these tasks, also to the hosts that may get their
+    /// jobs next.
+    pub(crate) fn report_crash(&mut self, now: Time, worker: &Name, tasks: &BTreeSet<TaskKey>) {
+        if tasks.is_empty() {
+            return;
+        }
+        self.dirty = true;
+        self.out.push(Output::Count(Count::WorkersCrashed));
+        let driver = self.drivers.get(worker);
+        let age_ms = driver.map_or(0, |it| now.since(it.lost_at).as_millis());
+        for key in tasks {
+            let (losses, crashes) = self.crashes.counts(key);
+            let pairs = vec![
+                ("worker", worker.to_string()),
+                ("incarnation", driver.map_or(0, |it| it.incarnation()).to_string()),
+                ("step", key.step.to_string()),
+                ("task", key.task.to_string()),
+                ("lost_ms", age_ms.to_string()),
+                ("losses", losses.to_string()),
+                ("crashes", crashes.to_string()),
+            ];
+            let (level, event) = (Level::Info, "worker_crashed");
+            self.out.push(Output::Log(Note { level, event, id: Some(key.job.clone()), pairs }));
+        }
+        let jobs: BTreeSet<&Name> = tasks.iter().map(|key| &key.job).collect();
+        for job in jobs {
+            let Some(report) = self.crashes.report(now, job) else { continue };
+            let mut peers: BTreeSet<Peer> = self.peer_capacity.keys().cloned().collect();
+            let own = self.jobs.values().filter(|state| state.job.id == *job);
+            peers.extend(own.map(|state| state.sender.clone()));
+            peers.remove(&self.me);
+            let send = |peer| Output::Message(peer, JobMsg::Crashes(report.clone()));
+            self.out.extend(peers.into_iter().map(send));
+        }
+    }
+
+    /// Adds what another host reports about crashes, and passes it on to the fronts of the job.
+    pub(crate) fn merge_crashes(&mut self, now: Time, from: &Peer, report: JobCrashes) {
+        if !self.policy.has(Mechanism::CrashLimit) || !self.crashes.merge(now, &report) {
+            return;
+        }
+        self.dirty = true;
+        let own = self.jobs.values().filter(|it| !it.job.forwarded && it.job.id == report.job);
+        let fronts: BTreeSet<Peer> = own.map(|state| state.sender.clone()).collect();
+        let others = fronts.into_iter().filter(|front| front != from && *front != self.me);
+        let send = |front| Output::Message(front, JobMsg::Crashes(report.clone()));
+        self.out.extend(others.map(send));
+    }
+
+    /// Gives up the job of a queued task that crashed too many workers.
+    pub(crate) fn give_up(&mut self, now: Time, task: TaskRef, key: &TaskKey) {
+        let (losses, crashes) = self.crashes.counts(key);
+        let more = [
+            ("step", key.step.to_string()),
+            ("task", key.task.to_string()),
+            ("losses", losses.to_string()),
+            ("crashes", crashes.to_string()),
+        ];
+        self.log_job(Level::Info, "job_crashing", task.job, &more);
+        self.out.push(Output::Count(Count::JobsCrashing));
+        self.close(now, task.job, JobEnd::Failed(Reason::Crashes), true);
+    }
+
     /// Handles runs that have ended.
     pub(crate) fn handle_ended(&mut self, now: Time, worker: &Name, ended_runs: Vec<EndedRun>) {
         for ended in ended_runs {
@@ -109,7 +212,13 @@
                 }
                 // A worker that neither answers nor carries out start calls stays free,
                 // and would be given the same task again and again.
-                if ended.outcome == RunOutcome::Vanished && ended.run.phase == Phase::Unconfirmed {
+                let unconfirmed =
+                    ended.outcome == RunOutcome::Vanished && ended.run.phase == Phase::Unconfirmed;
+                let crashed = self
+                    .drivers
+                    .get(worker)
+                    .is_some_and(|it| it.records_losses && ended.run.sent < it.lost_at);
+                if unconfirmed && !crashed {
                     self.health.record_failure(now, worker);
                 } else {
                     self.health.record_inconclusive(worker);
@@ -136,6 +245,9 @@
         let Some(state) = self.jobs.get_mut(&task.job) else { return };
         let index = task.task as usize;
         let step = state.tasks[index].step;
+        if !self.crashes.is_empty() {
+            self.crashes.forget(&state.task_key(index));
+        }
         state.tasks[index].state = TaskState::Done;
         state.remaining[step] -= 1;
         if state.ending.is_some() {
@@ -165,17 +277,17 @@
         ];
         self.log_job(Level::Info, "task_failed", task.job, &more);
         if failures >= attempts {
-            self.fail_job(now, task);
+            self.fail_job(now, task, Reason::Attempts);
         } else {
             self.requeue(now, task);
         }
     }
 
-    fn fail_job(&mut self, now: Time, task: TaskRef) {
+    fn fail_job(&mut self, now: Time, task: TaskRef, reason: Reason) {
         if let Some(state) = self.jobs.get_mut(&task.job) {
             state.tasks[task.task as usize].state = TaskState::Blocked;
         }
-        self.close(now, task.job, JobEnd::Failed(Reason::Attempts), true);
+        self.close(now, task.job, JobEnd::Failed(reason), true);
     }
 
     /// Queues a task again whose run is no longer in progress, unless its job is closed.
@@ -204,7 +316,7 @@
         let service = state.job.service.clone();
         match end {
             JobEnd::Done => self.end_task(now, task),
-            JobEnd::Failed(_) => self.fail_job(now, task),
+            JobEnd::Failed(reason) => self.fail_job(now, task, reason),
             JobEnd::NotRun { .. } | JobEnd::Lost(_) => {
                 self.out.push(Output::Count(Count::ForwardsReturned));
                 // The peer has no free capacity after all: nothing more is forwarded
--- a/endivestile_kernel/src/fleet/job_state.rs
+++ b/endivestile_kernel/src/fleet/job_state.rs
@@ -7,6 +7,7 @@
 use crate::fleet::admission::queue::QueueKey;
 use crate::fleet::job::{Job, JobEnd, Step};
 use crate::fleet::job_log::RunStats;
+use crate::fleet::workers::crash_evidence::TaskKey;
 use crate::fleet::workers::run::RunId;
 use crate::{Peer, Time};
 
@@ -138,6 +139,12 @@
         Name::from(format!("{}.0.{number}.{}", self.job.id, self.tasks[task].index))
     }
 
+    /// Returns the name of a task in evidence of crashes, the same at all hosts.
+    pub(crate) fn task_key(&self, task: usize) -> TaskKey {
+        let (step, task) = (self.step(task).number, self.tasks[task].index);
+        TaskKey { job: self.job.id.clone(), step, task }
+    }
+
     /// Returns whether all steps that a step depends on have ended.
     fn ready(&self, step: usize) -> bool {
         self.job.steps[step].after.iter().all(|at| self.remaining[usize::from(*at)] == 0)
--- a/endivestile_kernel/src/fleet/mod.rs
+++ b/endivestile_kernel/src/fleet/mod.rs
@@ -30,6 +30,7 @@
 pub use route_table::{Limits, Route, RouteTable, ServiceLimits};
 pub use workers::call::{WorkerCall, worker_call_deadline};
 pub use workers::capacity::{CapacitySource, CapacityUse, WorkerCapacity};
+pub use workers::crash_evidence::{CrashEvidence, CrashVerdict, LostWorker, TaskKey};
 pub use workers::protocol::{
     CallError, EndRecord, RenewReply, RenewRequest, RunEnd, RunStatus, StartRequest, StartResult,
     StopRequest, WorkerEntry,
--- a/endivestile_kernel/src/fleet/placement/dispatch.rs
+++ b/endivestile_kernel/src/fleet/placement/dispatch.rs
@@ -29,6 +29,7 @@
         if !std::mem::take(&mut self.dirty) {
             return;
         }
+        self.check_isolation(now);
         let services: Vec<Name> = self.queues.keys().cloned().collect();
         for service in services {
             self.dispatch_service(now, &service);
@@ -44,6 +45,10 @@
             if self.drop_or_requeue(now, service, key, task) {
                 continue;
             }
+            if let Some(left_queue) = self.handle_suspected(now, task) {
+                position = if left_queue { position } else { Some(key) };
+                continue;
+            }
             if missed.is_some_and(|missed| self.same_step(missed, task)) {
                 position = Some(key);
                 continue;
@@ -145,7 +150,7 @@
     }
 
     /// Returns the factor on a task's duration for the distance of a worker from its data.
-    fn locality_factor(&self, step: &Step, labels: &[Name]) -> f64 {
+    pub(crate) fn locality_factor(&self, step: &Step, labels: &[Name]) -> f64 {
         let near = step.near_label.as_ref().is_none_or(|near| labels.contains(near));
         if near { 1.0 } else { self.remote_factor }
     }
@@ -161,7 +166,8 @@
         Goal::new(now, &timing, self.policy)
     }
 
-    fn start(&mut self, now: Time, task: TaskRef, worker: &Name) -> bool {
+    /// Starts a queued task on a worker; returns whether it did.
+    pub(crate) fn start(&mut self, now: Time, task: TaskRef, worker: &Name) -> bool {
         let index = task.task as usize;
         let Some(state) = self.jobs.get_mut(&task.job) else { return false };
         let Some(driver) = self.drivers.get_mut(worker) else { return false };
--- a/endivestile_kernel/src/fleet/placement/tick.rs
+++ b/endivestile_kernel/src/fleet/placement/tick.rs
@@ -52,6 +52,9 @@
             }
         }
         self.out.extend(calls.into_iter().map(Output::Call));
+        for (worker, _) in &ended_runs {
+            self.observe_losses(now, worker, false);
+        }
         for worker in &removed {
             self.drivers.remove(worker);
         }
--- a/endivestile_kernel/src/fleet/scheduler.rs
+++ b/endivestile_kernel/src/fleet/scheduler.rs
@@ -18,6 +18,7 @@
 use crate::fleet::placement::durations::Durations;
 use crate::fleet::placement::health::Health;
 use crate::fleet::workers::call::WorkerCall;
+use crate::fleet::workers::crash_evidence::CrashEvidence;
 use crate::fleet::workers::driver::Driver;
 use crate::fleet::workers::protocol::WorkerEntry;
 use crate::fleet::workers::run::TaskRef;
@@ -86,6 +87,9 @@
     pub(crate) forwards: HashMap<u64, (Peer, TaskRef)>,
     pub(crate) durations: Durations,
     pub(crate) health: Health,
+    pub(crate) crashes: CrashEvidence,
+    /// The suspected task that may run, and the worker that is reserved for it.
+    pub(crate) isolation: Option<(TaskRef, Name)>,
     /// Moving average of a task's processor need by service, in thousandths of a core.
     pub(crate) usual_cpu: HashMap<Name, f64>,
     pub(crate) start_rates: StartRates,
@@ -121,6 +125,8 @@
             forwards: HashMap::new(),
             durations: Durations::new(policy),
             health: Health::new(policy),
+            crashes: CrashEvidence::default(),
+            isolation: None,
             usual_cpu: HashMap::new(),
             start_rates: StartRates::default(),
             lag: Lag::default(),
--- a/endivestile_kernel/src/fleet/workers/driver.rs
+++ b/endivestile_kernel/src/fleet/workers/driver.rs
@@ -17,7 +17,7 @@
     CallError, RenewRequest, StartRequest, StartResult, StopRequest, WorkerEntry,
 };
 use crate::fleet::workers::run::{
-    EndedRun, Phase, Run, RunId, RunOutcome, STOP_TIMEOUT_MS, TaskRef,
+    EndedRun, LostRuns, Phase, Run, RunId, RunOutcome, STOP_TIMEOUT_MS, TaskRef,
 };
 use crate::{Need, Time};
 
@@ -65,6 +65,8 @@
     sent: Time,
     /// Long-poll time, in milliseconds.
     wait_ms: u64,
+    /// When every lease granted before it has expired.
+    lease_end_before: Time,
 }
 
 /// Owner's state of one worker.
@@ -74,6 +76,14 @@
     pub(crate) entry: WorkerEntry,
     /// Capacity that it is assumed to have; `None` if that of its registration always counts.
     pub(crate) capacity: Option<WorkerCapacity>,
+    /// Whether lost runs are recorded as evidence of crashes.
+    pub(crate) records_losses: bool,
+    /// Runs lost since the scheduler last took them.
+    pub(crate) lost: Option<LostRuns>,
+    /// When runs were last lost; the worker's health does not suffer from earlier ones.
+    pub(crate) lost_at: Time,
+    /// Whether it is reserved for a suspected task, which runs alone on it.
+    pub(crate) isolated: bool,
     /// Pool that it belongs to.
     pub(crate) pool: Name,
     /// Whether it is still registered.
@@ -103,6 +113,9 @@
     number: u64,
     /// When to send the next renewal.
     next_renewal: Time,
+    /// When the first renewal failed since the last reply, and whether a crash may be the cause:
+    /// the worker was registered and not draining.
+    failing: Option<(Time, bool)>,
     /// Failed renewals in a row.
     failures: u32,
     /// Until when it counts as responsive.
@@ -126,6 +139,11 @@
             incarnation: entry.incarnation,
             entry,
             capacity: None,
+            records_losses: false,
+            lost: None,
+            lost_at: Time::ZERO,
+            isolated: false,
+            failing: None,
             pool,
             registered: true,
             abandoned: false,
@@ -173,8 +191,13 @@
         self.responsive_until > now
     }
 
-    /// Returns whether new tasks may be started on the worker.
+    /// Returns whether new tasks may be started on the worker beside others.
     pub(crate) fn usable(&self, now: Time) -> bool {
+        !self.isolated && self.accepts_runs(now)
+    }
+
+    /// Returns whether new tasks may be started on the worker, if only a suspected one.
+    pub(crate) fn accepts_runs(&self, now: Time) -> bool {
         self.registered
             && !self.abandoned
             && !self.transferring
@@ -253,6 +276,7 @@
             sent: now,
             percent: 0,
             seen: now,
+            alone: self.isolated,
             stopping: false,
             phase: Phase::Sent,
             start_by,
@@ -350,6 +374,10 @@
         let not_owner = self.abandoned || self.stage == Stage::Fenced;
         let expired = self.lease_end <= now && !self.runs.is_empty();
         let ended = if expired && (not_owner || !self.responsive(now)) {
+            if !not_owner {
+                // Not even its registration is left of a worker that is gone.
+                self.note_lost(now, !self.registered, |_| false);
+            }
             self.end_all_runs(RunOutcome::Vanished)
         } else {
             Vec::new()
@@ -385,7 +413,8 @@
     fn renew_lease(&mut self, now: Time, out: &mut Vec<WorkerCall>) {
         self.number += 1;
         let wait_ms = self.next_wait_ms(now);
-        self.in_flight = Some(Renewal { number: self.number, sent: now, wait_ms });
+        let (number, lease_end_before) = (self.number, self.lease_end);
+        self.in_flight = Some(Renewal { number, sent: now, wait_ms, lease_end_before });
         if self.failures == 0 && self.responsive(now) {
             self.responsive_until =
                 self.responsive_until.max(now.after_ms(wait_ms + UNRESPONSIVE_MS));
--- a/endivestile_kernel/src/fleet/workers/driver/renewal.rs
+++ b/endivestile_kernel/src/fleet/workers/driver/renewal.rs
@@ -5,7 +5,9 @@
 };
 use crate::Time;
 use crate::fleet::workers::protocol::{CallError, EndRecord, RenewReply, RunStatus};
-use crate::fleet::workers::run::{EndedRun, Phase, Run, RunId, RunOutcome, STOP_TIMEOUT_MS};
+use crate::fleet::workers::run::{
+    EndedRun, LostRuns, Phase, Run, RunId, RunOutcome, STOP_TIMEOUT_MS,
+};
 
 impl Driver {
     /// Handles the result of a renewal; returns the runs that have ended.
@@ -21,12 +23,13 @@
         self.in_flight = None;
         match result {
             Ok(reply) => self.apply_reply(now, renewal, reply),
-            Err(error) => self.renewal_failed(now, error),
+            Err(error) => self.renewal_failed(now, renewal, error),
         }
     }
 
-    fn renewal_failed(&mut self, now: Time, error: CallError) -> Vec<EndedRun> {
+    fn renewal_failed(&mut self, now: Time, renewal: Renewal, error: CallError) -> Vec<EndedRun> {
         self.failures += 1;
+        self.failing.get_or_insert((now, self.registered && !self.entry.leaving));
         self.stop_unconfirmed(now);
         let backoff = (BACKOFF_MS << self.failures.min(4)).min(BACKOFF_MAX_MS) / 2;
         self.next_renewal = now.after_ms(backoff);
@@ -34,9 +37,20 @@
             CallError::Fenced => self.stage = Stage::Fenced,
             // Another worker answers at the address, so this one has ended.
             CallError::OtherIncarnation => {
+                self.note_lost(now, true, |_| false);
                 self.registered = false;
+                if self.records_losses {
+                    // What runs there is unknown until a worker replies again.
+                    self.stage = Stage::Claiming;
+                }
                 return self.end_all_runs(RunOutcome::Vanished);
             }
+            // Nothing was sent, so the lease was not renewed. Otherwise runs on a worker that
+            // never comes back would count as in progress until their callers' deadlines.
+            CallError::Unreachable if self.records_losses => {
+                let starts = self.runs.values().map(|run| run.sent.after_ms(self.max_lease_ms()));
+                self.lease_end = starts.fold(renewal.lease_end_before, Time::max);
+            }
             _ => {}
         }
         Vec::new()
@@ -49,8 +63,10 @@
         let mut ended_runs = Vec::new();
         if reply.incarnation != 0 && self.incarnation != 0 && reply.incarnation != self.incarnation
         {
+            self.note_lost(now, true, |id| lists(&reply, id));
             self.worker_restarted(now);
         }
+        self.failing = None;
         if reply.incarnation != 0 {
             self.incarnation = reply.incarnation;
         }
@@ -83,6 +99,28 @@
         }
     }
 
+    /// Notes the runs that were lost with the worker, unless it was draining. Those that the
+    /// new incarnation lists were started by it.
+    ///
+    /// A start without a reply counts if it was sent before the worker failed: a task that
+    /// crashes its worker at once is never confirmed.
+    pub(super) fn note_lost(&mut self, now: Time, crashed: bool, listed: impl Fn(&RunId) -> bool) {
+        let registered = self.registered && !self.entry.leaving;
+        let (at, suspect) = self.failing.unwrap_or((now, registered));
+        if !self.records_losses || !suspect {
+            return;
+        }
+        let confirmed = |run: &Run| match run.phase {
+            Phase::Running => true,
+            Phase::Unconfirmed => run.sent < at,
+            Phase::Sent => false,
+        };
+        let runs = self.runs.iter().filter(|(id, run)| confirmed(run) && !listed(id));
+        let tasks = runs.filter_map(|(_, run)| Some((run.task?, run.alone))).collect();
+        self.lost_at = now;
+        self.lost = Some(LostRuns { incarnation: self.incarnation, at, crashed, tasks });
+    }
+
     fn apply_end(&mut self, record: &EndRecord) -> Option<EndedRun> {
         if record.number <= self.observed {
             return None;
@@ -111,6 +149,7 @@
             sent: now,
             percent: status.percent,
             seen: now,
+            alone: false,
             stopping: true,
             phase: Phase::Running,
             start_by: 0,
@@ -124,11 +163,8 @@
     /// Drops runs that must have ended, since the worker does not list them: stopped before
     /// the reply, not started in time, or confirmed before the renewal was even sent.
     fn drop_absent(&mut self, renewal: Renewal, reply: &RenewReply) -> Vec<EndedRun> {
-        let lists = |id: &RunId| {
-            reply.running.iter().any(|status| status.run == id.run && status.task == id.task)
-        };
         let absent = |id: &RunId, run: &Run| match run.phase {
-            _ if lists(id) => false,
+            _ if lists(reply, id) => false,
             _ if run.stopped_clock.is_some_and(|clock| reply.clock > clock) => true,
             Phase::Unconfirmed => reply.clock > run.start_by,
             Phase::Running => run.seen < renewal.sent && run.sent < renewal.sent,
@@ -160,3 +196,8 @@
         self.stage = if foreign { Stage::Clearing } else { Stage::Owned };
     }
 }
+
+/// Returns whether a reply lists a run as in progress.
+fn lists(reply: &RenewReply, id: &RunId) -> bool {
+    reply.running.iter().any(|status| status.run == id.run && status.task == id.task)
+}
--- a/endivestile_kernel/src/fleet/workers/mod.rs
+++ b/endivestile_kernel/src/fleet/workers/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod call;
 pub(crate) mod capacity;
+pub(crate) mod crash_evidence;
 pub(crate) mod driver;
 pub(crate) mod evacuation;
 pub(crate) mod owned;
--- a/endivestile_kernel/src/fleet/workers/owned.rs
+++ b/endivestile_kernel/src/fleet/workers/owned.rs
@@ -5,12 +5,14 @@
 use endivestile_config::Mechanism;
 use endivestile_config::model::Name;
 
-use crate::fleet::job_state::JobState;
+use crate::fleet::job_state::{JobState, TaskState};
 use crate::fleet::metrics::{Count, Gauge};
-use crate::fleet::scheduler::{Output, Scheduler};
+use crate::fleet::scheduler::{Output, Scheduler, has_capacity, has_label};
 use crate::fleet::workers::capacity::{WorkerCapacity, least};
+use crate::fleet::workers::crash_evidence::{CrashVerdict, TaskKey};
 use crate::fleet::workers::driver::Driver;
 use crate::fleet::workers::protocol::WorkerEntry;
+use crate::fleet::workers::run::TaskRef;
 use crate::{Level, Need, Note, Peer, Time};
 
 /// Speed, 1 for the usual, below which a worker's capacity counts for late jobs only: hardly
@@ -32,6 +34,7 @@
             driver.registered = ids.contains(&driver.entry.id);
             driver.abandoned = !pools.contains(&driver.pool);
         }
+        self.observe_registrations(now, workers, pools);
         for (entry, pool, token) in workers {
             self.set_worker(now, entry, pool, *token);
         }
@@ -124,11 +127,128 @@
         let changes = self.policy.has(Mechanism::CapacityChanges);
         driver.capacity =
             changes.then(|| WorkerCapacity::new(now, entry.incarnation, entry.capacity));
+        driver.records_losses = self.policy.has(Mechanism::CrashLimit);
         driver.transferring = self.transferring.as_ref() == Some(pool);
         driver.evacuated = self.evacuated_zones.contains(&entry.zone);
         self.drivers.insert(entry.id.clone(), driver);
     }
 
+    /// Applies what the registrations show about workers that were lost: another incarnation
+    /// registers, or the worker's registration has ended too.
+    fn observe_registrations(
+        &mut self,
+        now: Time,
+        workers: &[(WorkerEntry, Name, u64)],
+        pools: &BTreeSet<Name>,
+    ) {
+        if self.crashes.is_empty() {
+            return;
+        }
+        let listed = workers.iter().map(|(entry, ..)| (&entry.id, Some(entry.incarnation)));
+        let ended = self.drivers.values().filter(|it| !it.registered && pools.contains(&it.pool));
+        let shown: Vec<(Name, Option<u64>)> = listed
+            .chain(ended.map(|it| (&it.entry.id, None)))
+            .filter(|(id, _)| self.crashes.is_unclear(id))
+            .map(|(id, incarnation)| (id.clone(), incarnation))
+            .collect();
+        for (worker, incarnation) in shown {
+            let crashed = self.crashes.observe_registration(&worker, incarnation);
+            self.report_crash(now, &worker, &crashed.into_iter().collect());
+        }
+    }
+
+    /// Handles a queued task under which workers were lost; returns whether it has left the
+    /// queue, or `None` if it may be started like any other.
+    pub(crate) fn handle_suspected(&mut self, now: Time, task: TaskRef) -> Option<bool> {
+        if self.crashes.is_empty() {
+            return None;
+        }
+        let key = self.jobs.get(&task.job)?.task_key(task.task as usize);
+        match self.crashes.verdict(now, &key) {
+            CrashVerdict::Start => None,
+            CrashVerdict::StartAlone => Some(self.start_alone(now, task, &key)),
+            CrashVerdict::Wait => Some(false),
+            CrashVerdict::GiveUp => {
+                self.give_up(now, task, &key);
+                Some(true)
+            }
+        }
+    }
+
+    /// Starts a suspected task on a worker without other runs; if there is none, reserves the
+    /// worker with the fewest. Only one such task is handled at a time.
+    fn start_alone(&mut self, now: Time, task: TaskRef, key: &TaskKey) -> bool {
+        if self.isolation.as_ref().is_some_and(|(other, _)| *other != task) {
+            return false;
+        }
+        self.release_isolated();
+        let Some((worker, runs)) = self.pick_isolated(now, task) else { return false };
+        if let Some(driver) = self.drivers.get_mut(&worker) {
+            driver.isolated = true;
+        }
+        self.isolation = Some((task, worker.clone()));
+        if runs > 0 || !self.start(now, task, &worker) {
+            return false;
+        }
+        let (losses, crashes) = self.crashes.counts(key);
+        let more = [
+            ("worker", worker.to_string()),
+            ("step", key.step.to_string()),
+            ("task", key.task.to_string()),
+            ("losses", losses.to_string()),
+            ("crashes", crashes.to_string()),
+        ];
+        self.log_job(Level::Info, "task_isolated", task.job, &more);
+        self.out.push(Output::Count(Count::TasksIsolated));
+        true
+    }
+
+    /// Returns the worker for a suspected task, with the number of its runs: one with the
+    /// fewest runs, and among those the one on which the task ends first.
+    fn pick_isolated(&self, now: Time, task: TaskRef) -> Option<(Name, usize)> {
+        let state = self.jobs.get(&task.job)?;
+        let step = state.step(task.task as usize);
+        let fits = self.drivers.iter().filter(|(id, driver)| {
+            let capacity =
+                driver.capacity.as_ref().map_or(driver.entry.capacity, |it| it.assumed());
+            driver.entry.service == state.job.service
+                && driver.accepts_runs(now)
+                && has_capacity(&capacity, &step.need)
+                && has_label(&driver.entry, step.required_label.as_ref())
+                && self.health.allows(now, id, false)
+        });
+        let factor = |id: &Name, driver: &Driver| {
+            self.locality_factor(step, &driver.entry.labels) / self.durations.speed(id)
+        };
+        let ranked = fits.map(|(id, driver)| (driver.runs.len(), factor(id, driver), id));
+        let best = ranked.min_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)));
+        best.map(|(runs, _, id)| (id.clone(), runs))
+    }
+
+    /// Releases the worker that is reserved for a suspected task once that does not need it.
+    pub(crate) fn check_isolation(&mut self, now: Time) {
+        let Some((task, worker)) = &self.isolation else { return };
+        let state = self.jobs.get(&task.job);
+        let needed = state.is_some_and(|state| match &state.tasks[task.task as usize].state {
+            TaskState::Running { worker: at, .. } => at == worker,
+            TaskState::Queued(_) => {
+                let key = state.task_key(task.task as usize);
+                self.crashes.verdict(now, &key) == CrashVerdict::StartAlone
+            }
+            _ => false,
+        });
+        if !needed {
+            self.release_isolated();
+        }
+    }
+
+    fn release_isolated(&mut self) {
+        let Some((_, worker)) = self.isolation.take() else { return };
+        if let Some(driver) = self.drivers.get_mut(&worker) {
+            driver.isolated = false;
+        }
+    }
+
     /// Updates the assumed capacity of a worker that may have been restarted.
     pub(crate) fn observe_capacity(&mut self, now: Time, worker: &Name) {
         let Some(driver) = self.drivers.get(worker) else { return };
--- a/endivestile_kernel/src/fleet/workers/run.rs
+++ b/endivestile_kernel/src/fleet/workers/run.rs
@@ -51,6 +51,8 @@
     pub(crate) percent: u8,
     /// When the worker last reported it.
     pub(crate) seen: Time,
+    /// Whether its task is suspected of crashing workers, so that nothing else runs beside it.
+    pub(crate) alone: bool,
     /// Whether a stop was requested.
     pub(crate) stopping: bool,
     /// Progress of the start request.
@@ -90,6 +92,19 @@
     Vanished,
 }
 
+/// Runs that were lost with their worker.
+#[derive(Debug, Clone)]
+pub(crate) struct LostRuns {
+    /// The incarnation that was lost, in milliseconds since 1970.
+    pub(crate) incarnation: u64,
+    /// When the first call to it failed, or when another incarnation replied.
+    pub(crate) at: Time,
+    /// Whether the worker is known to have crashed.
+    pub(crate) crashed: bool,
+    /// Their tasks, each with whether it ran alone.
+    pub(crate) tasks: Vec<(TaskRef, bool)>,
+}
+
 /// An ended run.
 #[derive(Debug, Clone)]
 pub(crate) struct EndedRun {
--- a/endivestile_testkit/src/fleet/calls.rs
+++ b/endivestile_testkit/src/fleet/calls.rs
@@ -46,7 +46,10 @@
         let number = self.calls.len() as u64;
         let need = job.steps.first().map_or_else(zero_need, |step: &Step| step.need);
         let near = job.steps.first().and_then(|step| step.near_label.clone());
-        self.job_work.insert(job.id.clone(), Work { us: (work_ms * 1_000) as f64, need, near });
+        // Callers submit the same job again with the same work.
+        let crash_us = self.job_work.get(&job.id).and_then(|work| work.crash_us);
+        let work = Work { us: (work_ms * 1_000) as f64, need, near, crash_us };
+        self.job_work.insert(job.id.clone(), work);
         let log = CallLog {
             name: name.to_owned(),
             id: job.id.clone(),
--- a/endivestile_testkit/src/fleet/check.rs
+++ b/endivestile_testkit/src/fleet/check.rs
@@ -3,8 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use endivestile_config::model::Name;
-use endivestile_kernel::fleet::{JobEnd, StartRequest};
+use endivestile_kernel::fleet::{JobEnd, Reason, StartRequest};
 
+use super::worker::Worker;
 use super::world::FleetWorld;
 
 /// Observations of a run so far.
@@ -14,6 +15,10 @@
     pub(crate) started_ids: BTreeSet<Name>,
     /// Number of task starts by worker.
     pub(crate) starts: BTreeMap<Name, u64>,
+    /// Crashes of workers under each task, and its starts after the third of them.
+    pub(crate) crashes: BTreeMap<Name, (u32, u32)>,
+    /// Number of crashes that no task caused.
+    pub(crate) other_crashes: u32,
     /// Lease renewals sent since the story last printed the count.
     pub(crate) renewals: u64,
     /// Breaches of guarantees, in the order in which they were detected.
@@ -21,8 +26,26 @@
 }
 
 impl Observed {
-    /// Records the start of a task.
-    pub(crate) fn record_start(&mut self, request: &StartRequest) {
+    /// Records the crash of a worker under its runs.
+    pub(crate) fn record_crash(&mut self, worker: &Worker) {
+        for (task, _) in worker.runs.keys() {
+            self.crashes.entry(task.clone()).or_default().0 += 1;
+        }
+    }
+
+    /// Records the start of a task; `limited` if one that has crashed three workers must not be
+    /// started three more times.
+    pub(crate) fn record_start(&mut self, request: &StartRequest, limited: bool) {
+        if let Some((crashes, starts)) = self.crashes.get_mut(&request.task)
+            && *crashes >= 3
+        {
+            *starts += 1;
+            if limited && *starts >= 3 {
+                let count = *starts;
+                let task = &request.task;
+                self.breaches.push(format!("{task} was started {count} times after three crashes"));
+            }
+        }
         let id = request.task.split('.').next().unwrap_or_default();
         self.started_ids.insert(Name::from(id));
         *self.starts.entry(request.worker.clone()).or_default() += 1;
@@ -69,9 +92,11 @@
 
     /// Restarts the process of a worker that has crashed. A host that has not read its new
     /// registration may assume its former capacity, or the smallest of all workers if that is less.
-    pub(crate) fn restart_worker(&mut self, name: &Name, cpu_milli: u32) {
+    pub(crate) fn restart_worker(&mut self, name: &Name, cpu_milli: Option<u32>) {
         let smallest = self.workers.values().map(|worker| worker.limit_cpu).min().unwrap_or(0);
         let Some(worker) = self.workers.get_mut(name) else { return };
+        self.observed.record_crash(worker);
+        let cpu_milli = cpu_milli.unwrap_or(worker.entry.capacity.cpu_milli);
         worker.restart(self.now);
         worker.entry.capacity.cpu_milli = cpu_milli;
         worker.limit_cpu = smallest.max(cpu_milli);
@@ -105,6 +130,13 @@
     /// Returns all breaches of guarantees so far.
     pub fn breaches(&self) -> Vec<String> {
         let mut breaches = self.observed.breaches.clone();
+        for call in self.calls.values() {
+            let crashes = self.job_work.get(&call.id).and_then(|work| work.crash_us);
+            let given_up = matches!(call.ended, Some((_, Some(JobEnd::Failed(Reason::Crashes)))));
+            if given_up && crashes.is_none() && self.observed.other_crashes <= 1 {
+                breaches.push(format!("{} was given up, but its tasks crash no worker", call.name));
+            }
+        }
         let mut ends: BTreeMap<&Name, Vec<bool>> = BTreeMap::new();
         for call in self.calls.values() {
             let refused = matches!(call.ended, Some((_, Some(JobEnd::NotRun { .. }))));
--- a/endivestile_testkit/src/fleet/story.rs
+++ b/endivestile_testkit/src/fleet/story.rs
@@ -156,14 +156,17 @@
             "slow" => worker.behaviour = Behaviour::Slow(step.parse_word(3)?),
             "late" => worker.behaviour = Behaviour::Late(parse_duration_ms(step.word(3)?)?),
             "speed" => worker.speed = step.parse_word(3)?,
-            "crash" => match step.words.get(3) {
-                None => worker.restart(now),
-                Some(down) => {
-                    let cpu = worker.entry.capacity.cpu_milli;
-                    let cpu = if step.words.len() > 4 { step.parse_word(4)? } else { cpu };
-                    self.world.crash_worker(&name, parse_duration_ms(down)? * 1_000, cpu);
+            "crash" => {
+                self.world.observed.other_crashes += 1;
+                let cpu = step.words.get(4).map(|_| step.parse_word(4)).transpose()?;
+                match step.words.get(3) {
+                    None => self.world.restart_worker(&name, cpu),
+                    Some(down) => {
+                        let down_us = parse_duration_ms(down)? * 1_000;
+                        self.world.crash_worker(&name, down_us, cpu);
+                    }
                 }
-            },
+            }
             "cpu" => worker.entry.capacity.cpu_milli = step.parse_word(3)?,
             "drains" => worker.entry.leaving = true,
             "gone" => worker.entry.address = Name::from(""),
@@ -220,7 +223,12 @@
             run_base: 0,
             forwarded: false,
         };
+        let id = job.id.clone();
         self.world.submit(&name, &front, job, work, step.number("again", 1)? == 1);
+        let crash_us = step.pairs.get("crash").map(|after| parse_duration_ms(after)).transpose()?;
+        if let Some(work) = self.world.job_work.get_mut(&id) {
+            work.crash_us = work.crash_us.or(crash_us.map(|ms| ms * 1_000));
+        }
         Ok(())
     }
 
--- a/endivestile_testkit/src/fleet/worker.rs
+++ b/endivestile_testkit/src/fleet/worker.rs
@@ -44,6 +44,8 @@
     updated_at: u64,
     /// Virtual time at which the run fails, if it does.
     fails_at: Option<u64>,
+    /// Virtual time at which the run crashes the worker, if it does.
+    pub(crate) crashes_at: Option<u64>,
     /// Virtual time at which a requested stop takes effect.
     stops_at: Option<u64>,
 }
@@ -110,6 +112,11 @@
         *self = Self::new(now, entry, self.speed);
     }
 
+    /// Returns whether a run crashes the worker by now.
+    pub(crate) fn crashes(&self, now: u64) -> bool {
+        self.runs.values().any(|run| run.crashes_at.is_some_and(|at| at <= now))
+    }
+
     /// Ends the process: its runs end unreported, and calls are refused until a restart.
     pub(crate) fn crash(&mut self) {
         self.runs.clear();
@@ -141,7 +148,7 @@
         let ends = self.runs.values().flat_map(|run| {
             let done =
                 (rate > 0.0).then(|| run.updated_at + (run.remaining_us / rate).ceil() as u64);
-            done.into_iter().chain(run.fails_at).chain(run.stops_at)
+            done.into_iter().chain(run.fails_at).chain(run.crashes_at).chain(run.stops_at)
         });
         let expiry = (!self.runs.is_empty()).then(|| self.clock_zero + self.lease_until_ms * 1_000);
         ends.chain(expiry).min()
@@ -231,6 +238,7 @@
             total_us: work_us,
             updated_at: now,
             fails_at,
+            crashes_at: None,
             stops_at: None,
         };
         self.runs.insert(id, run);
--- a/endivestile_testkit/src/fleet/worker_calls.rs
+++ b/endivestile_testkit/src/fleet/worker_calls.rs
@@ -1,11 +1,15 @@
 //! Calls of hosts to workers: transport, timeouts and execution.
 
+use endivestile_config::Mechanism;
 use endivestile_config::model::Name;
 use endivestile_kernel::fleet::{CallError, FleetEvent, StartResult, WorkerCall};
 
 use super::worker::{Behaviour, Worker, zero_need};
 use super::world::{FleetWorld, ScheduledEvent, Work};
 
+/// Time for which a worker that a task has crashed is down, in microseconds.
+const CRASH_US: u64 = 2_000_000;
+
 impl FleetWorld {
     /// Handles a call that reaches a worker. Renewals without ended runs are held open.
     pub(crate) fn handle_worker_call(&mut self, call_id: u64, worker: &Name) {
@@ -64,14 +68,20 @@
             WorkerCall::Start(request) => {
                 let id = request.task.split('.').next().unwrap_or_default();
                 let work = self.job_work.get(id).cloned();
-                let work = work.unwrap_or(Work { us: 1.0, need: zero_need(), near: None });
+                let work =
+                    work.unwrap_or(Work { us: 1.0, need: zero_need(), near: None, crash_us: None });
                 let remote = work.near.is_some_and(|near| !state.entry.labels.contains(&near));
                 let factor = if remote { f64::from(self.remote_milli) / 1_000.0 } else { 1.0 };
                 let (work_us, need) = (work.us * factor, work.need);
                 let new = !state.runs.contains_key(&(request.task.clone(), request.run));
                 let end = state.start(now, request, need, work_us);
                 if new && matches!(end, StartResult::Started(_)) {
-                    self.observed.record_start(request);
+                    let run = state.runs.get_mut(&(request.task.clone(), request.run));
+                    if let Some(run) = run {
+                        run.crashes_at = work.crash_us.map(|us| now + us);
+                    }
+                    let limited = self.policy.has(Mechanism::CrashLimit);
+                    self.observed.record_start(request, limited);
                 }
                 FleetEvent::StartEnded {
                     worker: request.worker.clone(),
@@ -150,10 +160,11 @@
         self.send_reply(call_id, &host, worker, event);
     }
 
-    /// Ends a worker's process; it restarts after `down_us` microseconds with this capacity, in
-    /// thousandths of a core.
-    pub(crate) fn crash_worker(&mut self, worker: &Name, down_us: u64, cpu_milli: u32) {
+    /// Ends a worker's process; it restarts after `down_us` microseconds, with another capacity
+    /// if one is given, in thousandths of a core.
+    pub(crate) fn crash_worker(&mut self, worker: &Name, down_us: u64, cpu_milli: Option<u32>) {
         let Some(state) = self.workers.get_mut(worker).filter(|state| !state.down) else { return };
+        self.observed.record_crash(state);
         state.crash();
         let open = self.open_renewals.iter().filter(|(_, at)| *at == worker);
         let open: Vec<u64> = open.map(|(call_id, _)| *call_id).collect();
@@ -200,6 +211,9 @@
 
     /// Handles an end of a run or of the lease at a worker.
     pub(crate) fn handle_worker_wake(&mut self, worker: &Name) {
+        if self.workers.get(worker).is_some_and(|state| state.crashes(self.now)) {
+            return self.crash_worker(worker, CRASH_US, None);
+        }
         self.advance_worker(worker);
         self.report_ends(worker);
         self.schedule_worker(worker);
--- a/endivestile_testkit/src/fleet/world.rs
+++ b/endivestile_testkit/src/fleet/world.rs
@@ -46,7 +46,7 @@
     /// The answer to a worker call reaches its host.
     Reply { call_id: u64, event: FleetEvent },
     /// The process of a worker that has crashed starts again.
-    Restart { worker: Name, cpu_milli: u32 },
+    Restart { worker: Name, cpu_milli: Option<u32> },
     /// A worker call has got no answer in time.
     CallTimeout { call_id: u64 },
     /// A run or the lease ends at a worker.
@@ -78,6 +78,9 @@
     pub(crate) need: Need,
     /// Label of the workers that are near the task's data.
     pub(crate) near: Option<Name>,
+    /// Time from the start of a task to the crash of its worker, in microseconds; `None` if it
+    /// crashes none.
+    pub(crate) crash_us: Option<u64>,
 }
 
 /// Simulated deployment in virtual time.
--- a/endivestile_testkit/tests/fleet_random.rs
+++ b/endivestile_testkit/tests/fleet_random.rs
@@ -15,6 +15,8 @@
 const CASES: u32 = 300;
 /// Exclusive limit on the steps of one case.
 const STEP_LIMIT: usize = 22;
+/// Part of a world's first step that enables both mechanisms for workers that change.
+const BOTH: &str = " with=capacity-changes,crash-limit";
 /// Changes of a worker's capacity, only where hosts expect them.
 const CAPACITY: [&str; 5] =
     ["cpu 15000", "cpu 32000", "cpu 45000", "crash 2s 15000", "crash 1s 45000"];
@@ -55,7 +57,7 @@
     // The last of them has two owners in each zone.
     let sizes = prop::sample::select(vec![(1, 1), (1, 2), (1, 3), (2, 1), (2, 2), (2, 3), (3, 40)]);
     let register = prop::sample::select(vec!["0ms", "3s"]);
-    let with = prop::sample::select(vec!["", " with=capacity-changes"]);
+    let with = prop::sample::select(vec!["", " with=capacity-changes", " with=crash-limit", BOTH]);
     (zones, sizes, register, with, 0..1_000u32).prop_map(
         |(zones, (hosts, workers), register, with, seed)| {
             format!(
@@ -99,11 +101,12 @@
     let work = prop::sample::select(vec![20, 200, 900]);
     let deadline = prop::sample::select(vec!["400ms", "2s", "5s"]);
     let times = prop::sample::select(vec![1, 1, 6]);
-    (host(), 1..5u32, 1..3u32, work, deadline, times).prop_map(
-        |(host, tasks, steps, work, deadline, times)| {
+    let crash = prop::sample::select(vec!["", "", "", "", "", " crash=1ms", " crash=60ms"]);
+    (host(), 1..5u32, 1..3u32, work, deadline, times, crash).prop_map(
+        |(host, tasks, steps, work, deadline, times, crash)| {
             format!(
                 "submit c? at={host} tasks={tasks} steps={steps} ms={work} \
-                 deadline={deadline} times={times} every=10ms\n"
+                 deadline={deadline} times={times} every=10ms{crash}\n"
             )
         },
     )
