Choose another zone for a job that ends clearly sooner there

Cause: a zone that callers move to queues and rejects jobs while its neighbour has free capacity (3,580 of 15,800 against 142 of 12,100 in 10 s); fronts look only at owners of their own zone. Ruled out: fields in reports or jobs; sums over reports for each job, which hosts of 0.09 cores cannot afford. Change: mechanism zone-balance: figures by zone kept up to date when reports arrive, a decision on them, a second owner for a job returned with no_room, no forwarding of single tasks of a job that was sent away.

--- a/endivestile_kernel/src/fleet/assignment.rs
+++ b/endivestile_kernel/src/fleet/assignment.rs
@@ -11,8 +11,9 @@
 use crate::fleet::job::{Job, JobEnd, Reason};
 use crate::fleet::lag::overloaded;
 use crate::fleet::metrics::{Count, Span};
-use crate::fleet::msg::JobMsg;
+use crate::fleet::msg::{HostReport, JobMsg};
 use crate::fleet::placement::two_choices::TwoChoices;
+use crate::fleet::placement::zone_figures::{ZoneChoice, ZoneLayout};
 use crate::fleet::scheduler::RETRY_AFTER_MS;
 use crate::{CallId, Level, Note, Peer, Time};
 
@@ -29,6 +30,9 @@
 impl Fleet {
     /// Accepts a job from a caller and assigns it to an owner.
     pub(crate) fn submit_call(&mut self, now: Time, call: CallId, job: Job) {
+        if self.balances_zones() {
+            self.front.zones.record_job(now, &job);
+        }
         let serial = self.front.add(now, call, job);
         self.assign_job(now, serial);
     }
@@ -52,6 +56,10 @@
         if let Some(member) = self.members.get_mut(owner) {
             member.sent_tasks += job.tasks() as u32;
         }
+        if self.balances_zones() {
+            let zone = self.members.get(owner).map_or(&self.setup.zone, |member| &member.zone);
+            self.front.zones.record_sent(owner, zone, &job.service, job.tasks() as u32);
+        }
         self.log_sent(&job, owner, serial);
         self.out.push(FleetEffect::Count(Count::JobsSent));
         self.deliver_job_msg(now, owner, JobMsg::Submit { serial, job, echo: Time::ZERO });
@@ -69,9 +77,13 @@
         })
     }
 
-    /// Returns the owner to assign a job to: one of this zone's owners or, if none is
-    /// reachable or the zone is evacuated, one of any zone that is not evacuated.
-    fn choose_owner(&self, now: Time, service: &Name, serial: u64) -> Option<Peer> {
+    /// Returns the owner to assign a job to: one of this zone's owners unless the job ends
+    /// clearly sooner in another zone or, if none is reachable or the zone is evacuated, one of
+    /// any zone that is not evacuated.
+    fn choose_owner(&mut self, now: Time, service: &Name, serial: u64) -> Option<Peer> {
+        if let Some(owner) = self.choose_other_zone(now, serial, false) {
+            return Some(owner);
+        }
         let own = &self.setup.zone;
         if !self.evacuations.contains(own) {
             let owners = self.reachable_owners(now, |zone| *zone == **own);
@@ -83,6 +95,127 @@
         self.better_of_two(&owners, service, serial)
     }
 
+    fn balances_zones(&self) -> bool {
+        self.setup.policy.has(Mechanism::ZoneBalance)
+    }
+
+    /// Returns an owner in another zone if a job should leave its own zone: before it is sent
+    /// to an owner for the first time, or when its owner `returned` it.
+    fn choose_other_zone(&mut self, now: Time, serial: u64, returned: bool) -> Option<Peer> {
+        if !self.balances_zones() || self.evacuations.contains(&self.setup.zone) {
+            return None;
+        }
+        let open = self.front.open.get(&serial)?;
+        // A job that may have run stays where its former owner's runs are stopped.
+        if open.sent_away || open.may_have_run || (open.tries > 0 && !returned) {
+            return None;
+        }
+        let job = open.job.clone();
+        let evacuated = |zone: &str| self.evacuations.contains(zone);
+        let (home, factor) = (&self.setup.zone, self.scheduler.remote_factor);
+        let choice =
+            self.front.zones.choose(now, home, &job, factor, returned, |zone| !evacuated(zone))?;
+        if !self.accepts_jobs(now, &choice.owner) {
+            return None;
+        }
+        self.front.open.get_mut(&serial)?.sent_away = true;
+        self.out.push(FleetEffect::Count(Count::JobsSentAway));
+        self.log_sent_away(&job, &choice, returned);
+        Some(choice.owner)
+    }
+
+    /// Sends a job that its owner returned because it cannot end it in time to one other owner:
+    /// in another zone or, if it comes back from there, in its own. Returns whether it did.
+    fn assign_returned(&mut self, now: Time, serial: u64, end: &JobEnd) -> bool {
+        let JobEnd::NotRun { reason, .. } = end else { return false };
+        if !self.balances_zones() || !matches!(reason, Reason::NoRoom | Reason::Overload) {
+            return false;
+        }
+        let Some(open) = self.front.open.get(&serial) else { return false };
+        let (away, tries, may_have_run) = (open.sent_away, open.tries, open.may_have_run);
+        let (former, service) = (open.assigned_to.clone(), open.job.service.clone());
+        if let Some(former) = former.filter(|_| away)
+            && let Some(member) = self.members.get(&former)
+        {
+            // Its report showed free capacity that it does not have.
+            self.front.zones.exclude(now, &former, &member.zone);
+        }
+        if *reason != Reason::NoRoom || may_have_run {
+            return false;
+        }
+        let owner = if !away {
+            self.choose_other_zone(now, serial, true)
+        } else if tries == 1 {
+            let owners = self.reachable_owners(now, |zone| *zone == *self.setup.zone);
+            self.better_of_two(&owners, &service, serial)
+        } else {
+            None
+        };
+        let Some(owner) = owner else { return false };
+        self.assign_to(now, serial, &owner);
+        true
+    }
+
+    /// Stores the report of an owner for the choice of a zone, with the times of its frame: the
+    /// sender's clock, and this host's clock in the latest frame that the sender had received.
+    pub(crate) fn record_zone_report(
+        &mut self,
+        now: Time,
+        from: &Peer,
+        report: &HostReport,
+        frame: Option<(Time, Time)>,
+    ) {
+        if !self.balances_zones() {
+            return;
+        }
+        let home = &self.setup.zone;
+        if let Some((sent, echo)) = frame {
+            let Some(member) = self.members.get(from) else { return };
+            // The frame of another zone is not older than its echo. It may have been held up by
+            // a network cut, and a later frame may have overtaken it.
+            let delayed = report.zone != *home && echo.after_ms(UNREACHABLE_MS) <= now;
+            if sent < member.peer_clock || delayed {
+                return;
+            }
+            if member.leaving || !member.is_reachable(now, UNREACHABLE_MS) {
+                return self.front.zones.forget(now, from, &report.zone, home);
+            }
+        }
+        self.front.zones.record_report(now, from, report, home);
+    }
+
+    /// Counts each zone's hosts, owners and workers for the choice of a zone.
+    pub(crate) fn update_zone_layouts(&mut self, now: Time) {
+        if !self.balances_zones() {
+            return;
+        }
+        let mut layouts: BTreeMap<Name, ZoneLayout> = BTreeMap::new();
+        layouts.entry(self.setup.zone.clone()).or_default().hosts += 1;
+        for member in self.members.all() {
+            layouts.entry(member.zone.clone()).or_default().hosts += 1;
+        }
+        for (zone, owners) in self.pools.owners_by_zone() {
+            layouts.entry(Name::from(zone)).or_default().owners = owners.len() as u32;
+        }
+        for (entry, _) in self.workers.iter().filter(|(entry, _)| !entry.leaving) {
+            let layout = layouts.entry(entry.zone.clone()).or_default();
+            let cpu = u64::from(entry.capacity.cpu_milli);
+            *layout.cpu_milli.entry(entry.service.clone()).or_default() += cpu;
+            layout.labels.extend(entry.labels.iter().cloned());
+        }
+        self.front.zones.set_layouts(now, layouts);
+    }
+
+    /// Returns whether a front has chosen this zone for its jobs: its own zone has owners, to
+    /// which it would send them otherwise.
+    fn chosen_by(&self, now: Time, front: &Peer) -> bool {
+        let Some(member) = self.members.get(front).filter(|it| it.zone != self.setup.zone) else {
+            return false;
+        };
+        let zone = &member.zone;
+        !self.evacuations.contains(zone) && self.front.zones.has_owner(now, zone)
+    }
+
     /// Returns the owners of workers in matching zones to which jobs can be sent, each with
     /// the number of its pools.
     fn reachable_owners(&self, now: Time, zone: impl Fn(&str) -> bool) -> BTreeMap<&Peer, u32> {
@@ -156,6 +289,11 @@
                     self.deliver_job_msg(now, from, JobMsg::Ended { serial, end });
                 } else {
                     self.scheduler.submit(now, from, serial, job);
+                    if self.balances_zones() && self.chosen_by(now, from) {
+                        let number = self.scheduler.by_sender.get(&(from.clone(), serial));
+                        let state = number.and_then(|number| self.scheduler.jobs.get_mut(number));
+                        state.into_iter().for_each(|state| state.keep_here = true);
+                    }
                 }
             }
             JobMsg::Cancel { serial } => self.scheduler.cancel(now, from, serial),
@@ -176,7 +314,9 @@
             self.front.unassign(now, serial, may_have_run);
             return;
         }
-        self.answer(now, serial, end);
+        if !self.assign_returned(now, serial, &end) {
+            self.answer(now, serial, end);
+        }
     }
 
     /// Answers the caller of a job.
@@ -300,6 +440,31 @@
         self.log_job("job_sent", job, &more);
     }
 
+    fn log_sent_away(&mut self, job: &Job, choice: &ZoneChoice, returned: bool) {
+        let (home, other) = (&choice.home, &choice.other);
+        let more = [
+            ("from", self.setup.zone.to_string()),
+            ("to", choice.zone.to_string()),
+            ("placer", choice.owner.to_string()),
+            ("reason", if returned { "no_room" } else { "queue" }.to_owned()),
+            ("gain_ms", format!("{:.0}", choice.gain_ms)),
+            ("wait_ms", format!("{:.0}", home.wait_ms())),
+            ("from_free", home.free.to_string()),
+            ("from_waiting", home.waiting.to_string()),
+            ("from_sent", home.sent.to_string()),
+            ("from_trend", format!("{:.0}", home.trend)),
+            ("from_age_ms", choice.home_age_ms.to_string()),
+            ("to_free", other.free.to_string()),
+            ("to_waiting", other.waiting.to_string()),
+            ("to_sent", other.sent.to_string()),
+            ("to_trend", format!("{:.0}", other.trend)),
+            ("to_age_ms", other.age_ms.to_string()),
+            ("share", format!("{:.3}", other.share)),
+            ("bytes", job.spec.len().to_string()),
+        ];
+        self.log_job("job_sent_away", job, &more);
+    }
+
     fn log_job(&mut self, event: &'static str, job: &Job, more: &[(&'static str, String)]) {
         let id = Some(job.id.clone());
         let note = Note { level: Level::Info, event, id, pairs: more.to_vec() };
--- a/endivestile_kernel/src/fleet/front.rs
+++ b/endivestile_kernel/src/fleet/front.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::fleet::job::{Job, JobEnd, Reason};
+use crate::fleet::placement::zone_figures::ZoneFigures;
 use crate::{CallId, Peer, Time};
 
 /// Longest wait of a job for a reachable owner, in milliseconds; enough for a successor to
@@ -31,6 +32,8 @@
     /// Whether a former owner may have started tasks of the job, in which case the
     /// response must not say that the job has not run.
     pub(crate) may_have_run: bool,
+    /// Whether the job was sent to another zone although its own has an owner.
+    pub(crate) sent_away: bool,
 }
 
 /// All open jobs.
@@ -38,6 +41,10 @@
 pub(crate) struct Front {
     /// Open jobs by this host's serial number.
     pub(crate) open: BTreeMap<u64, OpenJob>,
+    /// Load of all zones; empty without [`Mechanism::ZoneBalance`].
+    ///
+    /// [`Mechanism::ZoneBalance`]: endivestile_config::Mechanism::ZoneBalance
+    pub(crate) zones: ZoneFigures,
     calls: HashMap<CallId, u64>,
     serial: u64,
 }
@@ -56,6 +63,7 @@
             tries: 0,
             assign_deadline,
             may_have_run: false,
+            sent_away: false,
         };
         self.open.insert(self.serial, open);
         self.calls.insert(call, self.serial);
--- a/endivestile_kernel/src/fleet/hosts/frames.rs
+++ b/endivestile_kernel/src/fleet/hosts/frames.rs
@@ -54,6 +54,7 @@
                 self.set_evacuation(now, state, Source::Peer);
             }
             self.update_free_capacity(now, &from, &report);
+            self.record_zone_report(now, &from, &report, Some((frame.sent, frame.echo)));
         }
         let lease = self.setup.host_lease_ms;
         let channel = self.channel(&from);
@@ -171,6 +172,7 @@
             return;
         }
         self.standby_due = now.after_ms(STANDBY_INTERVAL_MS);
+        self.update_zone_layouts(now);
         let (me, zone) = (&self.setup.me.host, &self.setup.zone);
         let owners = self.pools.owners_by_zone();
         let own: Vec<_> = owners.iter().filter(|(_, here)| here.contains(me)).collect();
@@ -289,8 +291,10 @@
             pending: self.scheduler.pending().into_iter().collect(),
             evacuations: self.evacuations.states(),
         };
-        self.report = (now.after_ms(REPORT_MAX_AGE_MS), Arc::new(report));
-        self.report.1.clone()
+        let report = Arc::new(report);
+        self.report = (now.after_ms(REPORT_MAX_AGE_MS), report.clone());
+        self.record_zone_report(now, &self.setup.me.clone(), &report, None);
+        report
     }
 }
 
--- a/endivestile_kernel/src/fleet/job_state.rs
+++ b/endivestile_kernel/src/fleet/job_state.rs
@@ -79,6 +79,8 @@
     pub(crate) received_at: Time,
     /// Whether the job waits until no run of an earlier attempt can be in progress.
     pub(crate) deferred: bool,
+    /// Whether its tasks are not forwarded: its front chose this zone for the whole job.
+    pub(crate) keep_here: bool,
     /// Duration of the task that ended first, scaled to a worker of usual speed, in
     /// microseconds. Predicts the others: tasks of one job are similar.
     pub(crate) work_us: Option<f64>,
@@ -122,6 +124,7 @@
             end_sent: false,
             received_at: now,
             deferred: false,
+            keep_here: false,
             work_us: None,
             stats: RunStats::default(),
         }
--- a/endivestile_kernel/src/fleet/mod.rs
+++ b/endivestile_kernel/src/fleet/mod.rs
@@ -27,6 +27,10 @@
 pub use metrics::{Count, Gauge, Span};
 pub use msg::{DirectTransfer, HostReport, JobCrashes, JobMsg, ServiceCapacity, TaskCrashes};
 pub use ownership::pools::{HOST_KEY_PREFIX, POOL_KEY_PREFIX};
+pub use placement::zone_choice::{
+    HomeZone, JobShape, OtherZone, StayReason, ZoneVerdict, choose_zone,
+};
+pub use placement::zone_figures::{ZoneChoice, ZoneFigures, ZoneLayout};
 pub use route_table::{Limits, Route, RouteTable, ServiceLimits};
 pub use workers::call::{WorkerCall, worker_call_deadline};
 pub use workers::protocol::{
--- a/endivestile_kernel/src/fleet/placement/dispatch.rs
+++ b/endivestile_kernel/src/fleet/placement/dispatch.rs
@@ -220,9 +220,8 @@
         if !self.policy.has(Mechanism::Forwarding) {
             return false;
         }
-        let Some(state) = self.jobs.get(&task.job).filter(|state| !state.job.forwarded) else {
-            return false;
-        };
+        let movable = |state: &&JobState| !state.job.forwarded && !state.keep_here;
+        let Some(state) = self.jobs.get(&task.job).filter(movable) else { return false };
         let service = state.job.service.clone();
         let Some(peer) = self.forward_target(&service) else { return false };
         let index = task.task as usize;
--- a/endivestile_kernel/src/fleet/placement/mod.rs
+++ b/endivestile_kernel/src/fleet/placement/mod.rs
@@ -8,3 +8,5 @@
 pub(crate) mod stalls;
 pub(crate) mod tick;
 pub(crate) mod two_choices;
+pub(crate) mod zone_choice;
+pub(crate) mod zone_figures;
--- /dev/null
+++ b/endivestile_kernel/src/fleet/placement/zone_choice.rs
@@ -0,0 +1,182 @@
+//! Choice of a zone for a job: its own, or another one where it is expected to end sooner.
+//!
+//! Answers demand that differs between zones and changes within seconds, and callers that move
+//! to another zone: the zone that they move to queues and rejects jobs while workers of the
+//! zone that they left are idle.
+//!
+//! A zone rejected 3,580 of 15,800 jobs in 10 s in which its neighbour rejected 142 of 12,100:
+//! owners forward only single tasks, and only after these have queued.
+
+/// Share of a zone's spare capacity that jobs of other zones may use together. The rest is
+/// kept for the zone's own demand, which can double before the next report.
+const SHARED_PART: f64 = 0.5;
+/// Time until the next report of another zone, in seconds: the heartbeat interval between zones.
+const REPORT_INTERVAL_S: f64 = 0.3;
+/// Time that a job takes longer in another zone because of the way there and back, in
+/// milliseconds: two transits of up to 1.4 ms, and the flush delays of both hosts.
+const TRANSIT_MS: f64 = 5.0;
+/// Additional gain for which a kibibyte of a job's description is sent to another zone, in
+/// milliseconds. At the slowest link of the users, 19 Mbit/s, it occupies two links for 0.9 ms
+/// in all; more than that, because bytes between zones are expensive.
+const MS_PER_KIB: f64 = 2.0;
+/// Part of a job's slack that it has to gain before sending starts. A shorter queue costs no
+/// job its objective.
+pub(crate) const START_PART: f64 = 0.5;
+/// Part of a job's slack that it has to gain once jobs are being sent; below
+/// [`START_PART`], so that a zone whose queue drains a little does not take turns with another.
+pub(crate) const CONTINUE_PART: f64 = 0.25;
+/// Least gain, in milliseconds; the figures of a zone are not more exact than that.
+const MIN_GAIN_MS: f64 = 20.0;
+
+/// The figures of a job's own zone, for the job's service.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct HomeZone {
+    /// Tasks for which there is free capacity.
+    pub free: u32,
+    /// Queued tasks.
+    pub waiting: u32,
+    /// Tasks that this host has sent there since the reports.
+    pub sent: u32,
+    /// Change of the free less the waiting tasks in the last second.
+    pub trend: f64,
+    /// Tasks per second that the zone's workers can end; 0 if unknown.
+    pub tasks_per_s: f64,
+    /// Whether jobs are being sent away, which takes less gain than starting to.
+    pub sending: bool,
+}
+
+/// The figures of another zone, for the job's service, from the owners there whose reports
+/// are recent.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct OtherZone {
+    /// Tasks for which there is free capacity.
+    pub free: u32,
+    /// Queued tasks.
+    pub waiting: u32,
+    /// Tasks that this host has sent there since the reports.
+    pub sent: u32,
+    /// Change of the free less the waiting tasks in the last second.
+    pub trend: f64,
+    /// Age of the oldest report, in milliseconds.
+    pub age_ms: u32,
+    /// This host's share of what all hosts may send there, 0 to 1.
+    pub share: f64,
+    /// Factor by which the job's tasks take longer there than in their own zone.
+    pub run_factor: f64,
+}
+
+/// What the choice depends on of a job.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct JobShape {
+    /// Number of tasks.
+    pub tasks: u32,
+    /// Expected run time of its critical path, in milliseconds.
+    pub run_ms: f64,
+    /// Time between the end of that path and its objective, in milliseconds.
+    pub slack_ms: f64,
+    /// Time until its caller's deadline, in milliseconds.
+    pub left_ms: f64,
+    /// Size of its description, in bytes.
+    pub bytes: u32,
+    /// Number from 0 to 1 (exclusive), from the hash of its id, that selects jobs to send.
+    pub draw: f64,
+    /// Tasks that arrive at this host between two reports of another zone.
+    pub arriving: f64,
+    /// Whether an owner of its own zone returned it because it cannot end it in time.
+    pub returned: bool,
+}
+
+/// Why a job stays in its zone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StayReason {
+    /// Its zone has free capacity, or a queue that costs no job its objective.
+    ShortQueue,
+    /// It would not end clearly sooner elsewhere.
+    NoGain,
+    /// No other zone has capacity to spare for this host.
+    NoSpare,
+    /// Other jobs of this host use the spare capacity.
+    NotDrawn,
+}
+
+/// Where a job goes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum ZoneVerdict {
+    /// It stays in its own zone; if it was returned, its caller is answered.
+    Stay(StayReason),
+    /// It is sent to another zone.
+    Send {
+        /// Position of the zone in the list of other zones.
+        zone: usize,
+        /// How much sooner it is expected to end there, in milliseconds.
+        gain_ms: f64,
+    },
+}
+
+impl HomeZone {
+    /// Returns how long a task that is queued now waits, in milliseconds.
+    ///
+    /// While there is a queue, the growth that the last second shows is added up to the next
+    /// report: jobs are sent away as it forms. A zone with free capacity has no wait, whatever
+    /// its trend.
+    pub fn wait_ms(&self) -> f64 {
+        let queue = f64::from(self.waiting) + f64::from(self.sent) - f64::from(self.free);
+        if queue <= 0.0 || self.tasks_per_s <= 0.0 {
+            return 0.0;
+        }
+        let growth = (-self.trend).max(0.0) * REPORT_INTERVAL_S;
+        (queue + growth) / self.tasks_per_s * 1_000.0
+    }
+}
+
+impl OtherZone {
+    /// Returns how many more tasks this host may send there before the next report.
+    ///
+    /// All hosts decide on the same reports, so each uses only its share. What the zone's own
+    /// demand is expected to take until the next report is not offered.
+    pub fn allowance(&self) -> f64 {
+        let spare = f64::from(self.free) - f64::from(self.waiting);
+        let until_report_s = f64::from(self.age_ms) / 1_000.0 + REPORT_INTERVAL_S;
+        let taken = (-self.trend).max(0.0) * until_report_s;
+        (spare - taken).max(0.0) * SHARED_PART * self.share - f64::from(self.sent)
+    }
+}
+
+/// Chooses the zone of a job: its own, or one of the others.
+pub fn choose_zone(home: &HomeZone, others: &[OtherZone], job: &JobShape) -> ZoneVerdict {
+    let wait_ms = home.wait_ms();
+    let needed_ms = (job.slack_ms * gain_part(home.sending)).max(MIN_GAIN_MS);
+    if !job.returned && wait_ms < needed_ms {
+        return ZoneVerdict::Stay(StayReason::ShortQueue);
+    }
+    let mut reason = StayReason::NoSpare;
+    let mut drawn = 0.0;
+    for (zone, other) in others.iter().enumerate() {
+        let allowance = other.allowance();
+        if allowance <= 0.0 {
+            continue;
+        }
+        let run_ms = job.run_ms * other.run_factor;
+        let away_ms = run_ms + TRANSIT_MS + f64::from(job.bytes) / 1_024.0 * MS_PER_KIB;
+        // A returned job has no end in its own zone: it gains what is left after its end here.
+        let home_ms = if job.returned { job.left_ms } else { wait_ms + job.run_ms };
+        let gain_ms = home_ms - away_ms;
+        if gain_ms < if job.returned { MIN_GAIN_MS } else { needed_ms } {
+            reason = StayReason::NoGain;
+            continue;
+        }
+        // The same draw selects the same part of a host's jobs, and no job for two zones.
+        let rivals = if job.returned { 0.0 } else { job.arriving };
+        drawn += allowance / rivals.max(f64::from(job.tasks)).max(1.0);
+        if job.draw < drawn {
+            return ZoneVerdict::Send { zone, gain_ms };
+        }
+        reason = StayReason::NotDrawn;
+    }
+    ZoneVerdict::Stay(reason)
+}
+
+/// Returns the part of a job's slack that it has to gain.
+fn gain_part(sending: bool) -> f64 {
+    if sending { CONTINUE_PART } else { START_PART }
+}
