--- a/endivestile_kernel/src/fleet/placement/zone_choice.rs
+++ b/endivestile_kernel/src/fleet/placement/zone_choice.rs
@@ -11,7 +11,7 @@
 /// The rest is kept for the zone's own demand, which can double by then.
 const SHARED_PART: f64 = 0.5;
 /// Time until the next report of another zone, in seconds: the heartbeat interval between zones.
-const REPORT_INTERVAL_S: f64 = 0.3;
+pub(crate) const REPORT_INTERVAL_S: f64 = 0.3;
 /// Time that a job takes longer in another zone because of the way there and back, in
 /// milliseconds: two transits of up to 1.4 ms, and the flush delays of both hosts.
 const TRANSIT_MS: f64 = 5.0;
@@ -60,6 +60,9 @@
     pub sent: u32,
     /// Change of the free less the waiting tasks in the last second.
     pub trend: f64,
+    /// Tasks that this host may send because it sent about as many before the reports, and the
+    /// figures already show their effect.
+    pub carry: f64,
     /// Tasks per second that the workers of these owners can end.
     pub tasks_per_s: f64,
     /// Wait in its queue up to which it takes jobs of other zones, in milliseconds; below the
@@ -158,10 +161,12 @@
     /// Returns how many more tasks this host may send there before the next report, if they may
     /// wait for `wait_ms` milliseconds.
     ///
-    /// All hosts decide on the same reports, so each uses only its share.
+    /// All hosts decide on the same reports, so each uses only its share. As long as the queue
+    /// is shorter than the limit, a host sends more than before, and less while it is longer.
     pub fn allowance(&self, wait_ms: f64) -> f64 {
         let limit = self.tasks_per_s * wait_ms.clamp(0.0, self.limit_ms) / 1_000.0;
-        (limit - self.queue()).max(0.0) * SHARED_PART * self.share - f64::from(self.sent)
+        let more = (limit - self.queue()) * SHARED_PART * self.share;
+        self.carry + more - f64::from(self.sent)
     }
 }
 
--- a/endivestile_kernel/src/fleet/placement/zone_figures.rs
+++ b/endivestile_kernel/src/fleet/placement/zone_figures.rs
@@ -12,7 +12,8 @@
 use crate::fleet::lag::overloaded;
 use crate::fleet::msg::HostReport;
 use crate::fleet::placement::zone_choice::{
-    CONTINUE_PART, HomeZone, JobShape, OtherZone, START_PART, ZoneVerdict, choose_zone,
+    CONTINUE_PART, HomeZone, JobShape, OtherZone, REPORT_INTERVAL_S, START_PART, ZoneVerdict,
+    choose_zone,
 };
 use crate::{Peer, Time};
 
@@ -23,11 +24,12 @@
 const EXCLUDED_MS: u64 = 1_000;
 /// Weight of one job in the usual job of its service.
 const USUAL_WEIGHT: f64 = 0.05;
+/// Part of the flow of jobs to an owner that continues from report to report. The rest ends by
+/// itself, so that the flows of hosts that no longer need it make way for others.
+const CARRIED_PART: f64 = 0.8;
 /// Part of the workers' processor time that tasks of the usual size can use: the rest of each
 /// worker is too small for another task.
 const PACKED_PART: f64 = 0.8;
-/// Time between two reports of another zone, in seconds.
-const REPORT_INTERVAL_S: f64 = 0.3;
 
 /// What is known of a zone apart from its owners' reports.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -66,6 +68,10 @@
     waiting: u32,
     sent: u32,
     trend: f64,
+    /// Tasks that this host sent in about the last second before the report.
+    flow: f64,
+    /// Tasks of that flow that may be sent again before the next report.
+    carry: f64,
 }
 
 /// The latest report of an owner.
@@ -127,19 +133,11 @@
         }
         let zone = self.zones.entry(report.zone.clone()).or_default();
         let old = zone.reporters.remove(from);
+        let gap_s = old.as_ref().map_or(0.0, |old| now.since(old.at).as_secs_f64().min(1.0));
         let figures = report.capacity.iter().map(|load| {
-            let net = |free: u32, waiting: u32| f64::from(free) - f64::from(waiting);
-            let before =
-                old.as_ref().and_then(|old| Some((old.at, old.figures.get(&load.service)?)));
-            let trend = before.map_or(0.0, |(at, before)| {
-                let kept = 1.0 - now.since(at).as_secs_f64().min(1.0);
-                before.trend * kept + net(load.free, load.waiting)
-                    - net(before.free, before.waiting)
-            });
-            (
-                load.service.clone(),
-                Figure { free: load.free, waiting: load.waiting, sent: 0, trend },
-            )
+            let before = old.as_ref().and_then(|old| old.figures.get(&load.service));
+            let figure = Figure { free: load.free, waiting: load.waiting, ..Figure::default() };
+            (load.service.clone(), before.map_or(figure, |before| figure.after(before, gap_s)))
         });
         let reporter = Reporter {
             at: now,
@@ -261,6 +259,7 @@
                 waiting: sum.waiting,
                 sent: sum.sent,
                 trend: sum.trend,
+                carry: sum.carry,
                 age_ms: age_ms(now, zone.oldest),
                 share: (heard / f64::from(senders.max(1))).min(1.0),
                 run_factor: 1.0,
@@ -325,6 +324,19 @@
     }
 }
 
+impl Figure {
+    /// Returns the figure with what the one before it, `gap_s` seconds earlier, says about the
+    /// last second.
+    fn after(mut self, before: &Self, gap_s: f64) -> Self {
+        let spare = |figure: &Self| f64::from(figure.free) - f64::from(figure.waiting);
+        let kept = 1.0 - gap_s;
+        self.trend = before.trend * kept + spare(&self) - spare(before);
+        self.flow = before.flow * kept + f64::from(before.sent);
+        self.carry = self.flow * REPORT_INTERVAL_S * CARRIED_PART;
+        self
+    }
+}
+
 impl Usual {
     /// Returns the tasks per second that workers with this processor time, in thousandths of a
     /// core, can end.
@@ -352,6 +364,7 @@
                 sum.waiting += figure.waiting;
                 sum.sent += figure.sent;
                 sum.trend += figure.trend;
+                sum.carry += figure.carry;
             }
         }
     }
--- /dev/null
+++ b/endivestile_testkit/tests/fleet/zone_balance_returned.story
@@ -0,0 +1,48 @@
+# The owner of a zone returns every job because it cannot end it in time. With the balance
+# between zones, a job is sent once to the other zone; when that returns it too, its caller
+# gets the answer. A job that went back and forth would keep its caller waiting for nothing.
+story
+world zones=a,b cpus=500,90 workers=3 with=zone-balance
+full a1
+submit c at=a2 tasks=1 ms=100 times=8 every=100ms
+run 1s
+counts
+counter jobs_sent
+counter jobs_sent_away
+full b1
+submit d at=a2 tasks=1 ms=100 times=8 every=100ms
+run 1s
+counts
+counter jobs_sent
+counter jobs_sent_away
+later 150ms
+check
+settled
+----
+done: 2
+not_run no_room: 6
+jobs_sent: 10
+jobs_sent_away: 2
+done: 2
+not_run no_room: 14
+jobs_sent: 19
+jobs_sent_away: 3
+later than 150 ms: 0
+every promise kept
+every call answered
+
+# With the mechanism off, a returned job is answered at once.
+story
+world zones=a,b cpus=500,90 workers=3
+full a1
+submit c at=a2 tasks=1 ms=100 times=8 every=100ms
+run 1s
+counts
+counter jobs_sent
+counter jobs_sent_away
+settled
+----
+not_run no_room: 8
+jobs_sent: 8
+jobs_sent_away: 0
+every call answered
