--- a/endivestile_kernel/src/fleet/job_state.rs
+++ b/endivestile_kernel/src/fleet/job_state.rs
@@ -83,6 +83,8 @@
     /// Number of an earlier submission of the same job that has to end first, so that no task
     /// runs twice at the same time.
     pub(crate) earlier: Option<u64>,
+    /// Whether its tasks are not forwarded: its front chose this zone for the whole job.
+    pub(crate) keep_here: bool,
     /// Duration of the task that ended first, scaled to a worker of usual speed, in
     /// microseconds. Predicts the others: tasks of one job are similar.
     pub(crate) work_us: Option<f64>,
@@ -127,6 +129,7 @@
             received_at: now,
             deferred: false,
             earlier: None,
+            keep_here: false,
             work_us: None,
             stats: RunStats::default(),
         }
--- a/endivestile_testkit/src/fleet/story.rs
+++ b/endivestile_testkit/src/fleet/story.rs
@@ -11,7 +11,7 @@
 use endivestile_kernel::{Need, Time};
 
 use super::worker::Behaviour;
-use super::world::FleetWorld;
+use super::world::{FleetWorld, HOST_CPU_MILLI};
 use crate::step::{Step, parse_duration_ms};
 
 /// Time for the hosts of a new world to find each other, in milliseconds.
@@ -39,10 +39,12 @@
     let cpu = first.number("cpu", 32_000)? as u32;
     let (hosts, workers) = (first.number("hosts", 2)?, first.number("workers", 2)?);
     let seed = first.number("seed", 1)?;
-    let mut world = match first.pairs.get("cpus") {
-        Some(cpus) => FleetWorld::with_hosts(&zones, &numbers(cpus)?, workers, cpu, seed),
-        None => FleetWorld::new(&zones, hosts, workers, cpu, seed),
+    let cpus = match first.pairs.get("cpus") {
+        Some(cpus) => numbers(cpus)?,
+        None => vec![HOST_CPU_MILLI; hosts as usize],
     };
+    let policy = policy(first.pairs.get("with").copied())?;
+    let mut world = FleetWorld::with_policy(policy, &zones, &cpus, workers, cpu, seed);
     world.trace_enabled = first.pairs.contains_key("trace");
     if first.pairs.contains_key("link") {
         world.set_link_bandwidth(first.number("link", 0)? as u32);
@@ -50,9 +52,6 @@
     if first.pairs.contains_key("remote") {
         world.set_remote_factor(first.number("remote", 2)? as u32 * 1_000);
     }
-    if let Some(names) = first.pairs.get("with") {
-        world.set_policy(policy(names)?);
-    }
     world.stagger_registration(first.duration_ms("register", 0)?);
     world.run(SETTLE_MS);
     let mut story = Story { world, output: String::new() };
@@ -85,6 +84,10 @@
                     self.world.observed.starts.values().map(|count| *count as u32).sum();
                 let _ = writeln!(self.output, "runs: {runs}");
             }
+            "counter" => {
+                let name = step.word(1)?;
+                let _ = writeln!(self.output, "{name}: {}", self.world.counter(name));
+            }
             "check" => self.check(),
             "settled" => self.settled(),
             "trace" => self.output.push_str(&self.world.trace.join("\n")),
@@ -113,6 +116,10 @@
                 let host = self.world.hosts.get_mut(&name(1)?).ok_or("unknown host")?;
                 host.event_cost_us = event_cost_us;
             }
+            "full" => {
+                let host = self.world.hosts.get_mut(&name(1)?).ok_or("unknown host")?;
+                host.returns_jobs = step.words.get(2) != Some(&"off");
+            }
             "mute" => self.world.net.block(step.word(1)?, step.word(2)?),
             "heal" => self.world.net.heal(),
             "lose" => self.world.net.loss_percent = step.parse_word(1)?,
@@ -337,12 +344,14 @@
     }
 }
 
-/// Returns the default policy with these mechanisms enabled, named in a comma-separated list.
-fn policy(names: &str) -> Result<Policy, String> {
-    names.split(',').try_fold(Policy::default(), |policy, name| {
-        let mechanism = Mechanism::by_label(name).ok_or(format!("no mechanism `{name}`"))?;
-        Ok(policy.with(mechanism))
-    })
+/// Returns the default policy with the listed mechanisms enabled.
+fn policy(with: Option<&str>) -> Result<Policy, String> {
+    let mut policy = Policy::default();
+    for label in with.into_iter().flat_map(|with| with.split(',')) {
+        let mechanism = Mechanism::by_label(label).ok_or(format!("not a mechanism: `{label}`"))?;
+        policy = policy.with(mechanism);
+    }
+    Ok(policy)
 }
 
 /// Parses a comma-separated list of numbers.
--- a/endivestile_testkit/src/fleet/world.rs
+++ b/endivestile_testkit/src/fleet/world.rs
@@ -24,7 +24,7 @@
 /// Time from a request to the store to its answer, in microseconds.
 const STORE_DELAY_US: u64 = 4_000;
 /// Default processor time of a host, in thousandths of a core.
-const HOST_CPU_MILLI: u32 = 250;
+pub(crate) const HOST_CPU_MILLI: u32 = 250;
 /// Additional one-way delay between zones, in microseconds.
 const CROSS_ZONE_US: u64 = 1_400;
 
@@ -202,12 +202,6 @@
         self.restart_all(|_| {});
     }
 
-    /// Sets the scheduling policy and restarts all hosts.
-    pub(crate) fn set_policy(&mut self, policy: Policy) {
-        self.policy = policy;
-        self.restart_all(|_| {});
-    }
-
     fn restart_all(&mut self, change: impl Fn(&mut Host)) {
         let names: Vec<Name> = self.hosts.keys().cloned().collect();
         for name in names {
@@ -336,6 +330,7 @@
             flush_scheduled: false,
             wake_at: 0,
             event_cost_us: 0,
+            returns_jobs: false,
             busy_until: 0,
             evacuations: BTreeMap::new(),
             capacities: BTreeMap::new(),
