--- a/endivestile_kernel/src/fleet/placement/zone_choice.rs
+++ b/endivestile_kernel/src/fleet/placement/zone_choice.rs
@@ -135,7 +135,7 @@
         if queue <= 0.0 || self.tasks_per_s <= 0.0 {
             return 0.0;
         }
-        let growth = (-self.trend).max(0.0) * REPORT_INTERVAL_S;
+        let growth = growth_per_s(self.trend, self.tasks_per_s) * REPORT_INTERVAL_S;
         (queue + growth) / self.tasks_per_s * 1_000.0
     }
 }
@@ -148,7 +148,7 @@
     /// are on their way.
     fn queue(&self) -> f64 {
         let until_report_s = f64::from(self.age_ms) / 1_000.0 + REPORT_INTERVAL_S;
-        let growth = (-self.trend).max(0.0) * until_report_s;
+        let growth = growth_per_s(self.trend, self.tasks_per_s) * until_report_s;
         f64::from(self.waiting) - f64::from(self.free) + growth
     }
 
@@ -207,6 +207,15 @@
     ZoneVerdict::Stay(reason)
 }
 
+/// Returns by how many tasks per second a zone's queue grows, given the change of its free less
+/// its waiting tasks in the last second.
+///
+/// Bounded by a demand of one and a half times the capacity: a larger change of the figure is
+/// that of a task's usual size, in which free capacity is counted.
+fn growth_per_s(trend: f64, tasks_per_s: f64) -> f64 {
+    (-trend).clamp(0.0, tasks_per_s / 2.0)
+}
+
 /// Returns the part of a job's slack that it has to gain.
 fn gain_part(sending: bool) -> f64 {
     if sending { CONTINUE_PART } else { START_PART }
