Admit jobs by a forecast of their completion

Cause: nothing is predicted on arrival; rejected long jobs wait 1.5 s in the median. Ruled out: reading all workers for every job, which costs more than the job.

--- a/endivestile_kernel/src/fleet/admission/mod.rs
+++ b/endivestile_kernel/src/fleet/admission/mod.rs
@@ -1,5 +1,8 @@
-//! Queueing order of waiting tasks, and load shedding.
+//! Admission and queueing order of jobs and their tasks, and load shedding.
 
+pub(crate) mod forecast;
+pub(crate) mod load;
 pub(crate) mod order;
 pub(crate) mod queue;
+pub(crate) mod share;
 pub(crate) mod shedding;
--- a/endivestile_kernel/src/fleet/admission/shedding.rs
+++ b/endivestile_kernel/src/fleet/admission/shedding.rs
@@ -10,10 +10,16 @@
 use endivestile_config::Mechanism;
 use endivestile_config::model::Name;
 
-use crate::Time;
-use crate::fleet::admission::queue::QueueKey;
-use crate::fleet::job::{JobEnd, Reason};
-use crate::fleet::scheduler::Scheduler;
+use crate::fleet::admission::forecast::{Ahead, Demand, Grounds, Verdict};
+use crate::fleet::admission::load::Reading;
+use crate::fleet::admission::queue::{Queue, QueueKey};
+use crate::fleet::job::{Job, JobEnd, Reason, Step};
+use crate::fleet::job_state::{Admission, TaskState};
+use crate::fleet::metrics::Count;
+use crate::fleet::scheduler::{Output, Scheduler, has_capacity, has_label, job_name};
+use crate::fleet::workers::driver::Driver;
+use crate::fleet::workers::run::TaskRef;
+use crate::{Level, Need, Note, Time};
 
 /// Interval between two checks of the late jobs, in milliseconds.
 const INTERVAL_MS: u64 = 50;
@@ -91,7 +97,11 @@
 impl Scheduler {
     /// Refuses late jobs with no started task whose turn is predicted to come too late.
     pub(crate) fn shed(&mut self, now: Time) {
-        if !self.start_rates.update(now) || !self.policy.has(Mechanism::Shedding) {
+        if !self.start_rates.update(now) {
+            return;
+        }
+        self.update_forecast(now);
+        if !self.policy.has(Mechanism::Shedding) {
             return;
         }
         let services: Vec<Name> = self.queues.keys().cloned().collect();
@@ -126,9 +136,276 @@
         }
         for (number, wait_s) in refused {
             let wait_ms = (wait_s * 1_000.0) as u64;
-            let retry = now.after_ms(wait_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS));
+            let Some(state) = self.jobs.get(&number) else { continue };
+            let wait_ms = wait_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS);
+            let retry = self.retry_time(now, &state.job, wait_ms);
             let end = JobEnd::NotRun { reason: Reason::Overload, retry };
             self.close(now, number, end, true);
         }
     }
+
+    /// Admits a job that arrives, or returns when its caller should retry.
+    ///
+    /// A task forwarded by another owner is returned to it if it has to wait. A job whose earlier
+    /// submission may have run must not be answered as not run.
+    pub(crate) fn admit(&mut self, now: Time, job: &Job) -> Result<Admission, Time> {
+        let judged = self.policy.has(Mechanism::Forecast)
+            && !job.forwarded
+            && !self.by_name.contains_key(&job_name(job));
+        if !judged || self.loads.get(&job.service).is_none() {
+            return Ok(Admission::default());
+        }
+        let mut demand = self.demand(job);
+        let Some(load) = self.loads.get_mut(&job.service) else { return Ok(Admission::default()) };
+        let largest = load.shares.record_arrival(now, &job.route, demand.work);
+        let mut verdict = load.snapshot.decide(now, &demand);
+        if !verdict.accepts() && self.claim_free_worker(now, job) {
+            demand.worker_free = true;
+            verdict = Verdict::Accept(Grounds::WorkerFree);
+        }
+        let Some(load) = self.loads.get_mut(&job.service) else { return Ok(Admission::default()) };
+        let mut admission = Admission { largest, guaranteed: false };
+        if !verdict.accepts() {
+            let first = Demand { priority: 0, ..demand };
+            admission.guaranteed = load.shares.due_for_try(now, &job.route)
+                || load.shares.guarantees(&job.route, largest)
+                    && load.snapshot.decide(now, &first).accepts();
+        }
+        let priority = if admission.guaranteed { 0 } else { job.priority };
+        load.record_arrival(now, job.arrived, priority, demand.work);
+        if verdict.accepts() || admission.guaranteed {
+            load.record_accepted(priority, demand.work);
+            load.shares.record_accepted(now, &job.route, largest);
+            if admission.guaranteed {
+                self.out.push(Output::Count(Count::JobsGuaranteed));
+                self.log_forecast(now, "job_guaranteed", job, &demand, verdict);
+            }
+            return Ok(admission);
+        }
+        load.record_rejected(demand.work);
+        self.out.push(Output::Count(Count::JobsRejectedEarly));
+        self.log_forecast(now, "job_rejected", job, &demand, verdict);
+        Err(self.retry_time(now, job, RETRY_MIN_MS))
+    }
+
+    /// Returns when the caller of a rejected job should retry; without a forecast after `wait_ms`
+    /// milliseconds.
+    pub(crate) fn retry_time(&self, now: Time, job: &Job, wait_ms: u64) -> Time {
+        match self.loads.get(&job.service) {
+            Some(load) => load.snapshot.retry_at(now, &job.id),
+            None => now.after_ms(wait_ms),
+        }
+    }
+
+    /// Takes back the share of an admitted job that was not served.
+    pub(crate) fn record_outcome(&mut self, number: u64, end: JobEnd) {
+        let unserved = match end {
+            JobEnd::Done | JobEnd::Failed(_) | JobEnd::Lost(Reason::Cancelled) => false,
+            JobEnd::NotRun { .. } | JobEnd::Lost(_) => true,
+        };
+        let Some(state) = self.jobs.get(&number).filter(|_| unserved) else { return };
+        if let Some(load) = self.loads.get_mut(&state.job.service) {
+            load.shares.record_unserved(&state.job.route, state.admission.largest);
+        }
+    }
+
+    fn demand(&self, job: &Job) -> Demand {
+        let steps = || job.steps.iter();
+        let work = |step: &Step| self.durations.task_work(job, step) * f64::from(step.count);
+        let path_us = self.durations.critical_path_us(job);
+        Demand {
+            work: steps().map(work).sum(),
+            width: steps().map(|step| u32::from(step.count)).max().unwrap_or(1),
+            priority: job.priority,
+            path_us,
+            objective: self.durations.objective(job),
+            deadline: job.deadline,
+            worker_free: false,
+        }
+    }
+
+    /// Promises a job the capacity of workers that are free and would end its first step in
+    /// time; returns whether there is one.
+    fn claim_free_worker(&mut self, now: Time, job: &Job) -> bool {
+        let Some(step) = job.steps.first() else { return false };
+        let free_milli = self.free_for(now, job, step, self.durations.objective(job));
+        let Some(load) = self.loads.get_mut(&job.service) else { return false };
+        let claim = u64::from(step.need.cpu_milli);
+        let free = free_milli > 0 && load.claimed(now) + claim <= free_milli;
+        if free {
+            load.claim(now, claim * u64::from(step.count));
+        }
+        free
+    }
+
+    /// Returns the free capacity of the workers that can run a task of a step now and end it by
+    /// an instant, in thousandths of a core.
+    fn free_for(&self, now: Time, job: &Job, step: &Step, end_by: Time) -> u64 {
+        let run_us = self.durations.task_us(job, step.estimate_ms);
+        let suits = |id: &Name, driver: &Driver, free: &Need| {
+            let factor =
+                self.locality_factor(step, &driver.entry.labels) / self.durations.speed(id);
+            driver.entry.service == job.service
+                && has_capacity(free, &step.need)
+                && has_label(&driver.entry, step.required_label.as_ref())
+                && driver.usable(now)
+                && self.healthy(now, id)
+                && now.after_us((run_us * factor) as u64) <= end_by
+        };
+        let free = self.drivers.iter().filter_map(|(id, driver)| {
+            let free = driver.free_capacity();
+            suits(id, driver, &free).then_some(u64::from(free.cpu_milli))
+        });
+        free.sum()
+    }
+
+    /// Reads the load of each service, and reconsiders the jobs that wait.
+    fn update_forecast(&mut self, now: Time) {
+        if !self.policy.has(Mechanism::Forecast) {
+            return;
+        }
+        let mut readings = self.read_workers(now);
+        let mut waiting: Vec<(u64, Ahead)> = Vec::new();
+        for (service, queue) in &self.queues {
+            if let Some(reading) = readings.get_mut(service) {
+                self.read_queue(queue, reading, &mut waiting);
+            }
+        }
+        self.loads.refresh(now, readings);
+        for (number, ahead) in waiting {
+            self.reconsider(now, number, ahead);
+        }
+    }
+
+    /// Reads the capacity and the remaining work of each service's workers.
+    fn read_workers(&self, now: Time) -> BTreeMap<Name, Reading> {
+        let mut readings: BTreeMap<Name, Reading> = BTreeMap::new();
+        for (id, driver) in self.drivers.iter().filter(|(_, driver)| !driver.abandoned) {
+            let reading = readings.entry(driver.entry.service.clone()).or_default();
+            if driver.usable(now) && self.healthy(now, id) {
+                let speed = self.durations.speed(id) / 1_000.0;
+                reading.capacity += f64::from(driver.entry.capacity.cpu_milli) * speed;
+                reading.free += f64::from(driver.free_capacity().cpu_milli) * speed;
+            }
+            for run in driver.runs.values() {
+                let state = run.task.and_then(|task| Some((task, self.jobs.get(&task.job)?)));
+                let Some((task, state)) = state else { continue };
+                let work = self.durations.task_work(&state.job, state.step(task.task as usize));
+                reading.running += work * f64::from(100 - run.percent.min(100)) / 100.0;
+            }
+        }
+        readings
+    }
+
+    /// Reads the work of a queue, and collects the jobs with no started task together with the
+    /// work ahead of them.
+    fn read_queue(&self, queue: &Queue, reading: &mut Reading, waiting: &mut Vec<(u64, Ahead)>) {
+        let mut ahead = Ahead::default();
+        let mut last_job = None;
+        let mut position = None;
+        while let Some((key, task)) = queue.next_after(position) {
+            position = Some(key);
+            let Some(state) = self.jobs.get(&task.job) else { continue };
+            if last_job.replace(task.job) != Some(task.job) && !state.may_have_run() {
+                waiting.push((task.job, ahead));
+            }
+            let work = self.durations.task_work(&state.job, state.step(task.task as usize));
+            let queued = if key.late { &mut reading.late } else { &mut reading.on_time };
+            *queued.entry(key.rank.0).or_default() += work;
+            ahead.late += work;
+            if !key.late {
+                ahead.on_time += work;
+            }
+        }
+    }
+
+    /// Rejects a waiting job whose forecast has become bad, or moves it to the front of the queue
+    /// if its kind gets less than its guaranteed share.
+    fn reconsider(&mut self, now: Time, number: u64, ahead: Ahead) {
+        let Some(state) = self.jobs.get(&number).filter(|state| !state.job.forwarded) else {
+            return;
+        };
+        let job = state.job.clone();
+        let Some(load) = self.loads.get(&job.service) else { return };
+        let demand = Demand { priority: state.priority(), ..self.demand(&job) };
+        let verdict = load.snapshot.reconsider(now, &demand, ahead);
+        if verdict.accepts() {
+            return;
+        }
+        let guaranteed = !state.admission.guaranteed
+            && load.shares.guarantees(&job.route, state.admission.largest)
+            && load.snapshot.decide(now, &Demand { priority: 0, ..demand }).accepts();
+        if guaranteed {
+            return self.promote(now, number);
+        }
+        let Some(step) = job.steps.first() else { return };
+        if self.free_for(now, &job, step, job.deadline) > 0 {
+            return;
+        }
+        self.log_forecast(now, "job_rejected", &job, &demand, verdict);
+        if let Some(load) = self.loads.get_mut(&job.service) {
+            load.record_rejected(demand.work);
+        }
+        let retry = self.retry_time(now, &job, RETRY_MIN_MS);
+        self.close(now, number, JobEnd::NotRun { reason: Reason::NoRoom, retry }, true);
+    }
+
+    /// Queues a waiting job with the highest priority.
+    fn promote(&mut self, now: Time, number: u64) {
+        let Some(state) = self.jobs.get_mut(&number) else { return };
+        state.admission.guaranteed = true;
+        let queued = state.tasks.iter().enumerate().filter_map(|(task, slot)| match slot.state {
+            TaskState::Queued(key) => Some((task as u32, key)),
+            _ => None,
+        });
+        let queued: Vec<(u32, QueueKey)> = queued.collect();
+        let service = state.job.service.clone();
+        for (task, key) in queued {
+            if let Some(queue) = self.queues.get_mut(&service) {
+                queue.remove(&key);
+            }
+            self.enqueue(now, TaskRef { job: number, task });
+        }
+        self.out.push(Output::Count(Count::JobsGuaranteed));
+    }
+
+    /// Logs a decision about a job with its inputs and their age.
+    fn log_forecast(
+        &mut self,
+        now: Time,
+        event: &'static str,
+        job: &Job,
+        demand: &Demand,
+        verdict: Verdict,
+    ) {
+        let Some(load) = self.loads.get(&job.service) else { return };
+        let snapshot = &load.snapshot;
+        let ms = |us: f64| format!("{:.0}", us / 1_000.0);
+        let after = |at: Time| at.since(job.arrived).as_millis().to_string();
+        let rate = snapshot.rate(now).max(1e-3);
+        let ahead = snapshot.ahead(demand.priority);
+        let end = match verdict {
+            Verdict::Reject(Time::NEVER) | Verdict::Accept(_) => "never".to_owned(),
+            Verdict::Reject(end) => after(end),
+        };
+        let pairs = vec![
+            ("route", job.route.to_string()),
+            ("priority", job.priority.to_string()),
+            ("ms", after(now)),
+            ("end_ms", end),
+            ("objective_ms", after(demand.objective)),
+            ("deadline_ms", after(demand.deadline)),
+            ("core_ms", ms(demand.work)),
+            ("capacity", format!("{:.1}", snapshot.capacity)),
+            ("free", format!("{:.1}", snapshot.free)),
+            ("rate", format!("{rate:.1}")),
+            ("offered", format!("{:.1}", snapshot.offered.values().sum::<f64>())),
+            ("ahead_ms", ms(ahead.on_time / rate)),
+            ("waiting_ms", ms(ahead.late / rate)),
+            ("running_ms", ms(snapshot.running / rate)),
+            ("age_ms", now.since(snapshot.taken).as_millis().to_string()),
+        ];
+        let id = Some(job.id.clone());
+        self.out.push(Output::Log(Note { level: Level::Info, event, id, pairs }));
+    }
 }
--- a/endivestile_kernel/src/fleet/completion.rs
+++ b/endivestile_kernel/src/fleet/completion.rs
@@ -126,6 +126,8 @@
         let took = now.since(ended.run.sent).as_micros() as f64;
         self.out.push(Output::Time(Span::TaskRun, took as u64));
         state.work_us.get_or_insert(took * self.durations.speed(worker));
+        let work = || self.durations.task_work(&state.job, state.step(index));
+        self.loads.record_end(&state.job.service, work);
         self.durations.learn(&state.job, estimate, worker, took);
         self.end_task(now, task);
     }
--- a/endivestile_kernel/src/fleet/job_log.rs
+++ b/endivestile_kernel/src/fleet/job_log.rs
@@ -64,7 +64,7 @@
         let after = |at: Time| at.since(state.received_at).as_millis().to_string();
         let (free, excluded) = self.workers_for(now, state);
         let waiting = self.queues.get(&state.job.service).map_or(0, Queue::len);
-        let usual_us = self.critical_path_us(&state.job);
+        let usual_us = self.durations.critical_path_us(&state.job);
         vec![
             ("end", end.label().to_owned()),
             ("reason", end.reason().map_or("", Reason::label).to_owned()),
--- a/endivestile_kernel/src/fleet/job_state.rs
+++ b/endivestile_kernel/src/fleet/job_state.rs
@@ -52,6 +52,15 @@
     }
 }
 
+/// How a job was admitted.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Admission {
+    /// Whether it is among the largest tenth of its route's jobs.
+    pub(crate) largest: bool,
+    /// Whether it is queued with the highest priority, under the guaranteed share of its kind.
+    pub(crate) guaranteed: bool,
+}
+
 /// A job that this host has accepted as an owner.
 #[derive(Debug)]
 pub(crate) struct JobState {
@@ -69,6 +78,8 @@
     pub(crate) objective: Time,
     /// When the first task was sent to a worker.
     pub(crate) started: Option<Time>,
+    /// How it was admitted.
+    pub(crate) admission: Admission,
     /// Number of tasks started or forwarded, repeats included.
     pub(crate) starts: u32,
     /// Result, set while runs of the job may still be in progress.
@@ -117,6 +128,7 @@
             remaining,
             objective,
             started: None,
+            admission: Admission::default(),
             starts: 0,
             ending: None,
             end_sent: false,
@@ -127,6 +139,11 @@
         }
     }
 
+    /// Returns the priority with which its tasks are queued; 0 is the highest.
+    pub(crate) fn priority(&self) -> u32 {
+        if self.admission.guaranteed { 0 } else { self.job.priority }
+    }
+
     /// Returns the step to which a task belongs.
     pub(crate) fn step(&self, task: usize) -> &Step {
         &self.job.steps[self.tasks[task].step]
--- a/endivestile_kernel/src/fleet/placement/dispatch.rs
+++ b/endivestile_kernel/src/fleet/placement/dispatch.rs
@@ -145,7 +145,7 @@
     }
 
     /// Returns the factor on a task's duration for the distance of a worker from its data.
-    fn locality_factor(&self, step: &Step, labels: &[Name]) -> f64 {
+    pub(crate) fn locality_factor(&self, step: &Step, labels: &[Name]) -> f64 {
         let near = step.near_label.as_ref().is_none_or(|near| labels.contains(near));
         if near { 1.0 } else { self.remote_factor }
     }
@@ -175,6 +175,8 @@
         {
             queue.remove(key);
             self.start_rates.record_start(&state.job.service, key);
+            let work = || self.durations.task_work(&state.job, state.step(index));
+            self.loads.record_start(&state.job.service, key, work);
         }
         let slot = &mut state.tasks[index];
         slot.next_run += 1;
--- a/endivestile_kernel/src/fleet/placement/durations.rs
+++ b/endivestile_kernel/src/fleet/placement/durations.rs
@@ -6,7 +6,7 @@
 use endivestile_config::{Mechanism, Policy};
 
 use crate::Time;
-use crate::fleet::job::Job;
+use crate::fleet::job::{Job, Step};
 use crate::fleet::placement::duration_model::{DurationModel, Hints};
 
 /// Weight of one task in the speed of its worker. Averages over some eight tasks, so that a
@@ -75,6 +75,29 @@
         }
     }
 
+    /// Returns the expected duration of a job's critical path, in microseconds.
+    pub(crate) fn critical_path_us(&self, job: &Job) -> f64 {
+        let mut ends: Vec<f64> = Vec::with_capacity(job.steps.len());
+        for step in &job.steps {
+            let before = step.after.iter().filter_map(|at| ends.get(usize::from(*at)));
+            let start = before.copied().fold(0.0, f64::max);
+            ends.push(start + self.task_us(job, step.estimate_ms));
+        }
+        ends.into_iter().fold(0.0, f64::max)
+    }
+
+    /// Returns the time by which a job has to end to meet its objective.
+    pub(crate) fn objective(&self, job: &Job) -> Time {
+        let path_us = self.critical_path_us(job);
+        let stretched = path_us * f64::from(job.stretch_milli) / 1_000.0;
+        job.arrived.after_ms(u64::from(job.allowance_ms)).after_us(stretched as u64)
+    }
+
+    /// Returns the expected work of one task of a step, in microseconds of a core at speed 1.
+    pub(crate) fn task_work(&self, job: &Job, step: &Step) -> f64 {
+        self.task_us(job, step.estimate_ms) * f64::from(step.need.cpu_milli) / 1_000.0
+    }
+
     /// Returns a low estimate of a task's duration, in microseconds.
     ///
     /// Decides whether a job can still end before its deadline. An estimate that is far too
--- a/endivestile_kernel/src/fleet/scheduler.rs
+++ b/endivestile_kernel/src/fleet/scheduler.rs
@@ -6,6 +6,7 @@
 use endivestile_config::Policy;
 use endivestile_config::model::Name;
 
+use crate::fleet::admission::load::Loads;
 use crate::fleet::admission::order::WaitingTask;
 use crate::fleet::admission::queue::Queue;
 use crate::fleet::admission::shedding::StartRates;
@@ -87,6 +88,8 @@
     /// Moving average of a task's processor need by service, in thousandths of a core.
     pub(crate) usual_cpu: HashMap<Name, f64>,
     pub(crate) start_rates: StartRates,
+    /// Load of each service; empty unless jobs are admitted by forecast.
+    pub(crate) loads: Loads,
     pub(crate) lag: Lag,
     /// Whether something changed that can let a queued task start.
     pub(crate) dirty: bool,
@@ -119,6 +122,7 @@
             health: Health::new(policy),
             usual_cpu: HashMap::new(),
             start_rates: StartRates::default(),
+            loads: Loads::default(),
             lag: Lag::default(),
             dirty: false,
             out: Vec::new(),
@@ -139,9 +143,16 @@
             self.send_end(from, serial, end);
             return;
         }
+        let admission = match self.admit(now, &job) {
+            Ok(admission) => admission,
+            Err(retry) => {
+                let end = JobEnd::NotRun { reason: Reason::NoRoom, retry };
+                return self.send_end(from, serial, end);
+            }
+        };
         let number = self.next_job;
         self.next_job += 1;
-        let objective = self.objective(&job);
+        let objective = self.durations.objective(&job);
         self.update_usual_cpu(&job);
         let name = job_name(&job);
         // A caller that got no answer resubmits its job, possibly to another host. The
@@ -150,6 +161,7 @@
         self.by_sender.insert(sender_key, number);
         self.deadlines.insert((job.deadline, number));
         let mut state = JobState::new(now, from.clone(), serial, job, objective);
+        state.admission = admission;
         state.deferred = state.job.run_base > 0 && !state.job.forwarded && !self.cleared(now);
         self.jobs.insert(number, state);
         match earlier.filter(|earlier| self.jobs.contains_key(earlier)) {
@@ -188,24 +200,6 @@
         }
     }
 
-    /// Returns the time by which a job has to end to meet its objective.
-    fn objective(&self, job: &Job) -> Time {
-        let path_us = self.critical_path_us(job);
-        let stretched = path_us * f64::from(job.stretch_milli) / 1_000.0;
-        job.arrived.after_ms(u64::from(job.allowance_ms)).after_us(stretched as u64)
-    }
-
-    /// Returns the expected duration of a job's critical path, in microseconds.
-    pub(crate) fn critical_path_us(&self, job: &Job) -> f64 {
-        let mut ends: Vec<f64> = Vec::with_capacity(job.steps.len());
-        for step in &job.steps {
-            let before = step.after.iter().filter_map(|at| ends.get(usize::from(*at)));
-            let start = before.copied().fold(0.0, f64::max);
-            ends.push(start + self.durations.task_us(job, step.estimate_ms));
-        }
-        ends.into_iter().fold(0.0, f64::max)
-    }
-
     fn update_usual_cpu(&mut self, job: &Job) {
         let Some(step) = job.steps.first() else { return };
         let cpu = f64::from(step.need.cpu_milli.max(1));
@@ -252,6 +246,7 @@
             let started = state.started.is_some();
             state.ending = Some(end);
             self.stop_tasks(now, number);
+            self.record_outcome(number, end);
             self.log_end(now, number, end, started);
         }
         let Some(state) = self.jobs.get_mut(&number) else { return };
@@ -269,7 +264,7 @@
     /// Abandons a job that cannot end before its deadline; the result is sent at once.
     pub(crate) fn abandon_job(&mut self, now: Time, number: u64) {
         let Some(state) = self.jobs.get(&number) else { return };
-        let retry = now.after_ms(RETRY_AFTER_MS);
+        let retry = self.retry_time(now, &state.job, RETRY_AFTER_MS);
         let end = if state.may_have_run() {
             JobEnd::Lost(Reason::Deadline)
         } else {
@@ -366,7 +361,7 @@
     pub(crate) fn rank(&self, now: Time, state: &JobState, task: usize) -> (bool, (u32, Time)) {
         let step = state.step(task);
         let waiting = WaitingTask {
-            priority: state.job.priority,
+            priority: state.priority(),
             arrived: state.job.arrived,
             objective: state.objective,
             run_us: self.durations.task_us(&state.job, step.estimate_ms) as u64,
@@ -429,7 +424,7 @@
 
 /// Returns the name under which repeated submissions of a job, or of a forwarded task, are
 /// recognized.
-fn job_name(job: &Job) -> Name {
+pub(crate) fn job_name(job: &Job) -> Name {
     match job.steps.first().filter(|_| job.forwarded) {
         Some(step) => Name::from(format!("{}.{}.{}", job.id, step.number, step.first_task)),
         None => job.id.clone(),
--- a/endivestile_testkit/src/fleet/load.rs
+++ b/endivestile_testkit/src/fleet/load.rs
@@ -44,6 +44,8 @@
     pub lost: u32,
     /// Refused after more than three quarters of the time to their deadline.
     pub refused_late: u32,
+    /// Refused after more than a quarter of the time to their objective.
+    pub refused_slowly: u32,
     /// Total time until refusals were answered, in milliseconds.
     pub refusal_wait_ms: u64,
     /// Submitted jobs whose work is among the largest tenth of their kind.
@@ -61,6 +63,7 @@
         self.refused += other.refused;
         self.lost += other.lost;
         self.refused_late += other.refused_late;
+        self.refused_slowly += other.refused_slowly;
         self.refusal_wait_ms += other.refusal_wait_ms;
         self.large += other.large;
         self.large_done += other.large_done;
@@ -148,6 +151,7 @@
                     JobEnd::NotRun { .. } => {
                         result.refused += 1;
                         result.refused_late += u32::from(took * 4 > time_budget * 3);
+                        result.refused_slowly += u32::from(took * 4 > objective);
                         result.refusal_wait_ms += took;
                     }
                     JobEnd::Failed(_) | JobEnd::Lost(_) => result.lost += 1,
