Forecast by the rank within a priority

Cause: a forecast that ignores the rank rejected small jobs that the queue would have started first. Ruled out: a wait factor above 1 in place of the rank. Change: queued work by priority and rank, jobs that overtake, capacity promised to waiting jobs. Conclusion: the factor is still to be chosen.

--- a/endivestile_kernel/src/fleet/admission/forecast.rs
+++ b/endivestile_kernel/src/fleet/admission/forecast.rs
@@ -27,10 +27,13 @@
 const MARGIN: f64 = 0.2;
 /// Factor on the wait that is predicted for a new job, since jobs with less work that arrive
 /// later overtake it.
-const ARRIVAL_FACTOR: f64 = 1.2;
+const ARRIVAL_FACTOR: f64 = 1.5;
 /// Factor on the wait that is predicted for a waiting job. It was accepted by the same forecast
 /// and is rejected only if the forecast has become clearly worse.
 const WAITING_FACTOR: f64 = 0.5;
+/// Step to which ranks are rounded, in microseconds; a sixth of the shortest slack of the users'
+/// jobs.
+const RANK_STEP_US: u64 = 10_000;
 /// Shortest retry delay, in milliseconds.
 const RETRY_MIN_MS: u64 = 1_000;
 /// Longest delay until the first retry, and longest time over which retries are spread, in
@@ -50,8 +53,9 @@
     pub capacity: f64,
     /// Part of the healthy capacity that no run occupies, in cores of usual speed.
     pub free: f64,
-    /// Work of the waiting tasks that can still meet their objective, by priority.
-    pub on_time: BTreeMap<u32, f64>,
+    /// Work of the waiting tasks that can still meet their objective, by priority and rank. Ranks
+    /// are rounded, see [`Snapshot::rounded`].
+    pub on_time: BTreeMap<(u32, Time), f64>,
     /// Work of the waiting tasks of late jobs, by priority.
     pub late: BTreeMap<u32, f64>,
     /// Remaining work of the runs.
@@ -63,6 +67,9 @@
     /// Work that arrived per microsecond during the last second, rejected work included, by
     /// the priority with which it was or would have been queued; in cores.
     pub offered: BTreeMap<u32, f64>,
+    /// Mean time by which jobs are ranked after their arrival, by priority; in microseconds,
+    /// weighted by work.
+    pub delay_us: BTreeMap<u32, f64>,
     /// Mean time from a caller's call to the job's arrival at the owner, in microseconds.
     pub transit_us: f64,
     /// Work that was rejected during the last seconds and may return.
@@ -78,13 +85,16 @@
     pub width: u32,
     /// Priority with which it is queued; 0 is the highest.
     pub priority: u32,
+    /// Rank of its first tasks in the queue, among the jobs of the same priority that are on time.
+    pub rank: Time,
     /// Expected length of its critical path at the usual speed, in microseconds.
     pub path_us: f64,
     /// Time by which it has to end to meet its objective.
     pub objective: Time,
     /// When its caller stops waiting.
     pub deadline: Time,
-    /// Whether a healthy worker has free capacity for its first step and would end it in time.
+    /// Whether a healthy worker has free capacity for its first step and would end it before the
+    /// deadline.
     pub worker_free: bool,
 }
 
@@ -104,7 +114,7 @@
     Uncontended,
     /// The load has been recorded for too short a time.
     NoHistory,
-    /// A worker with free capacity can run its first step in time.
+    /// A worker with free capacity can end its first step before the deadline.
     WorkerFree,
     /// It is predicted to meet its objective.
     OnTime,
@@ -131,7 +141,7 @@
 impl Snapshot {
     /// Decides whether to accept a job that arrives now.
     pub fn decide(&self, now: Time, demand: &Demand) -> Verdict {
-        self.judge(now, demand, self.ahead(demand.priority), ARRIVAL_FACTOR)
+        self.judge(now, demand, self.ahead(demand), ARRIVAL_FACTOR)
     }
 
     /// Decides whether a job that has not been started should go on waiting behind `ahead`.
@@ -161,18 +171,23 @@
 
     /// Returns the work ahead of a new job. Work that is still on its way from the callers'
     /// hosts is estimated from what arrived.
-    pub fn ahead(&self, priority: u32) -> Ahead {
-        let queued = |by_priority: &BTreeMap<u32, f64>| -> f64 {
-            by_priority.range(..=priority).map(|(_, work)| work).sum()
-        };
-        let coming = queued(&self.offered) * self.transit_us;
-        let all_on_time: f64 = self.on_time.values().sum();
+    pub fn ahead(&self, demand: &Demand) -> Ahead {
+        let offered: f64 = self.offered.range(..=demand.priority).map(|(_, rate)| rate).sum();
+        let coming = offered * self.transit_us;
+        let last = (demand.priority, Self::rounded(demand.rank));
+        let on_time: f64 = self.on_time.range(..=last).map(|(_, work)| work).sum();
+        let late: f64 = self.late.range(..=demand.priority).map(|(_, work)| work).sum();
         Ahead {
-            on_time: queued(&self.on_time) + coming,
-            late: all_on_time + queued(&self.late) + coming,
+            on_time: on_time + coming,
+            late: self.on_time.values().sum::<f64>() + late + coming,
         }
     }
 
+    /// Rounds a rank up, so that a queue of any length has few distinct ranks.
+    pub fn rounded(rank: Time) -> Time {
+        Time::from_micros(rank.as_micros().next_multiple_of(RANK_STEP_US))
+    }
+
     /// Returns the rate at which the workers do work, in cores.
     ///
     /// Under contention it is measured in the same estimates as the queue, so that estimates
@@ -185,11 +200,19 @@
         if saturated { measured.max(nominal * MIN_RATE) } else { measured.max(nominal) }
     }
 
-    /// Returns when a job ends if it is started before all late ones. Jobs of higher priority
-    /// that arrive meanwhile go first.
+    /// Returns when a job ends if it is started before all late ones. Jobs that arrive meanwhile
+    /// go first if they have a higher priority, or the same and a lower rank.
     fn on_time_end(&self, now: Time, demand: &Demand, ahead: f64) -> Time {
         let higher: f64 = self.offered.range(..demand.priority).map(|(_, rate)| rate).sum();
-        self.end_at(now, demand, ahead, self.rate(now) - higher)
+        let rate = self.rate(now) - higher;
+        let same = self.offered.get(&demand.priority).copied().unwrap_or(0.0);
+        let usual_delay = self.delay_us.get(&demand.priority).copied().unwrap_or(0.0);
+        let delay = demand.rank.since(now).as_micros() as f64;
+        // Jobs that arrive within this time are ranked before this one.
+        let overtaken_us = (delay - usual_delay).max(0.0);
+        let end = self.end_at(now, demand, ahead + same * overtaken_us, rate);
+        // The job may be started before they have all arrived.
+        end.min(self.end_at(now, demand, ahead, rate - same))
     }
 
     /// Returns when a job ends if it is started after all jobs that are on time. While more work
--- a/endivestile_kernel/src/fleet/admission/load.rs
+++ b/endivestile_kernel/src/fleet/admission/load.rs
@@ -9,7 +9,7 @@
 use endivestile_config::model::Name;
 
 use crate::Time;
-use crate::fleet::admission::forecast::Snapshot;
+use crate::fleet::admission::forecast::{Demand, Snapshot};
 use crate::fleet::admission::queue::QueueKey;
 use crate::fleet::admission::share::Shares;
 
@@ -60,8 +60,10 @@
     pub(crate) free: f64,
     /// Remaining work of the runs.
     pub(crate) running: f64,
-    /// Work of the waiting tasks that are on time, by priority.
-    pub(crate) on_time: BTreeMap<u32, f64>,
+    /// Capacity promised to waiting jobs, in thousandths of a core.
+    pub(crate) claimed_milli: u64,
+    /// Work of the waiting tasks that are on time, by priority and rounded rank.
+    pub(crate) on_time: BTreeMap<(u32, Time), f64>,
     /// Work of the waiting tasks of late jobs, by priority.
     pub(crate) late: BTreeMap<u32, f64>,
 }
@@ -74,9 +76,11 @@
     started: Window,
     ended: Window,
     offered: BTreeMap<u32, Window>,
-    /// Capacity given to jobs accepted at an instant because a worker was free, in thousandths
-    /// of a core. The dispatch follows after all messages of that instant.
-    claimed: (Time, u64),
+    /// Mean delay of the rank, in microseconds, and mean work of a job, by priority.
+    delays: BTreeMap<u32, (f64, f64)>,
+    /// Capacity promised to waiting jobs that were accepted because a worker was free, in
+    /// thousandths of a core.
+    claimed_milli: u64,
 }
 
 impl ServiceLoad {
@@ -87,22 +91,30 @@
             started: Window::new(now),
             ended: Window::new(now),
             offered: BTreeMap::new(),
-            claimed: (now, 0),
+            delays: BTreeMap::new(),
+            claimed_milli: 0,
         }
     }
 
-    /// Counts an arrived job, with its work and the priority with which it would be queued.
-    pub(crate) fn record_arrival(&mut self, now: Time, arrived: Time, priority: u32, work: f64) {
-        let window = self.offered.entry(priority).or_insert_with(|| Window::new(now));
-        window.current += work;
+    /// Counts an arrived job with its demand.
+    pub(crate) fn record_arrival(&mut self, now: Time, arrived: Time, demand: &Demand) {
+        let window = self.offered.entry(demand.priority).or_insert_with(|| Window::new(now));
+        window.current += demand.work;
+        let delay = demand.rank.since(now).as_micros() as f64;
+        let (mean, work) = self.delays.entry(demand.priority).or_insert((delay, 0.0));
+        // Weighted by work, over about as many jobs as the transit time.
+        *work += TRANSIT_WEIGHT * (demand.work - *work);
+        *mean += TRANSIT_WEIGHT * (delay - *mean) * (demand.work / work.max(1.0)).min(4.0);
+        self.snapshot.delay_us.insert(demand.priority, *mean);
         let transit = now.since(arrived).as_micros() as f64;
         let mean = &mut self.snapshot.transit_us;
         *mean += TRANSIT_WEIGHT * (transit - *mean);
     }
 
     /// Adds the work of an accepted job to the queue.
-    pub(crate) fn record_accepted(&mut self, priority: u32, work: f64) {
-        *self.snapshot.on_time.entry(priority).or_default() += work;
+    pub(crate) fn record_accepted(&mut self, demand: &Demand) {
+        let position = (demand.priority, Snapshot::rounded(demand.rank));
+        *self.snapshot.on_time.entry(position).or_default() += demand.work;
     }
 
     /// Adds the work of a rejected job to what may return.
@@ -110,15 +122,14 @@
         self.snapshot.rejected += work;
     }
 
-    /// Returns the capacity that earlier jobs of the same instant were promised, in thousandths
-    /// of a core.
-    pub(crate) fn claimed(&self, now: Time) -> u64 {
-        if self.claimed.0 == now { self.claimed.1 } else { 0 }
-    }
-
-    /// Promises capacity to a job, in thousandths of a core.
-    pub(crate) fn claim(&mut self, now: Time, cpu_milli: u64) {
-        self.claimed = (now, self.claimed(now) + cpu_milli);
+    /// Promises free capacity to a job, in thousandths of a core, unless it is promised to others
+    /// that still wait; returns whether it did.
+    pub(crate) fn claim(&mut self, free_milli: u64, task_milli: u64, tasks: u64) -> bool {
+        let enough = free_milli >= self.claimed_milli + task_milli.max(1);
+        if enough {
+            self.claimed_milli += task_milli * tasks;
+        }
+        enough
     }
 
     /// Takes over what was read from the workers and the queue.
@@ -132,6 +143,7 @@
         snapshot.capacity = reading.capacity;
         snapshot.free = reading.free;
         snapshot.running = reading.running;
+        self.claimed_milli = reading.claimed_milli;
         snapshot.on_time = reading.on_time;
         snapshot.late = reading.late;
         snapshot.started = self.started.close_interval(now);
@@ -171,8 +183,13 @@
         let work = work();
         load.started.current += work;
         let snapshot = &mut load.snapshot;
-        let queued = if key.late { &mut snapshot.late } else { &mut snapshot.on_time };
-        if let Some(queued) = queued.get_mut(&key.rank.0) {
+        let (priority, rank) = key.rank;
+        let queued = if key.late {
+            snapshot.late.get_mut(&priority)
+        } else {
+            snapshot.on_time.get_mut(&(priority, Snapshot::rounded(rank)))
+        };
+        if let Some(queued) = queued {
             *queued = (*queued - work).max(0.0);
         }
     }
--- a/endivestile_kernel/src/fleet/admission/shedding.rs
+++ b/endivestile_kernel/src/fleet/admission/shedding.rs
@@ -10,8 +10,9 @@
 use endivestile_config::Mechanism;
 use endivestile_config::model::Name;
 
-use crate::fleet::admission::forecast::{Ahead, Demand, Grounds, Verdict};
+use crate::fleet::admission::forecast::{Ahead, Demand, Grounds, Snapshot, Verdict};
 use crate::fleet::admission::load::Reading;
+use crate::fleet::admission::order::WaitingTask;
 use crate::fleet::admission::queue::{Queue, QueueKey};
 use crate::fleet::job::{Job, JobEnd, Reason, Step};
 use crate::fleet::job_state::{Admission, TaskState};
@@ -155,7 +156,7 @@
         if !judged || self.loads.get(&job.service).is_none() {
             return Ok(Admission::default());
         }
-        let mut demand = self.demand(job);
+        let mut demand = self.demand(now, job);
         let Some(load) = self.loads.get_mut(&job.service) else { return Ok(Admission::default()) };
         let largest = load.shares.record_arrival(now, &job.route, demand.work);
         let mut verdict = load.snapshot.decide(now, &demand);
@@ -164,17 +165,19 @@
             verdict = Verdict::Accept(Grounds::WorkerFree);
         }
         let Some(load) = self.loads.get_mut(&job.service) else { return Ok(Admission::default()) };
-        let mut admission = Admission { largest, guaranteed: false };
+        let mut admission = Admission { largest, guaranteed: false, claims: demand.worker_free };
         if !verdict.accepts() {
             let first = Demand { priority: 0, ..demand };
             admission.guaranteed = load.shares.due_for_try(now, &job.route)
                 || load.shares.guarantees(&job.route, largest)
                     && load.snapshot.decide(now, &first).accepts();
+            if admission.guaranteed {
+                demand = first;
+            }
         }
-        let priority = if admission.guaranteed { 0 } else { job.priority };
-        load.record_arrival(now, job.arrived, priority, demand.work);
+        load.record_arrival(now, job.arrived, &demand);
         if verdict.accepts() || admission.guaranteed {
-            load.record_accepted(priority, demand.work);
+            load.record_accepted(&demand);
             load.shares.record_accepted(now, &job.route, largest);
             if admission.guaranteed {
                 self.out.push(Output::Count(Count::JobsGuaranteed));
@@ -209,38 +212,47 @@
         }
     }
 
-    fn demand(&self, job: &Job) -> Demand {
+    fn demand(&self, now: Time, job: &Job) -> Demand {
         let steps = || job.steps.iter();
         let work = |step: &Step| self.durations.task_work(job, step) * f64::from(step.count);
         let path_us = self.durations.critical_path_us(job);
+        let objective = self.durations.objective(job);
+        let first = WaitingTask {
+            priority: job.priority,
+            arrived: job.arrived,
+            objective,
+            run_us: job
+                .steps
+                .first()
+                .map_or(0.0, |step| self.durations.task_us(job, step.estimate_ms))
+                as u64,
+            remaining: job.tasks() as u64,
+            started: false,
+        };
         Demand {
+            rank: first.rank(now, self.policy).1.1,
             work: steps().map(work).sum(),
             width: steps().map(|step| u32::from(step.count)).max().unwrap_or(1),
             priority: job.priority,
             path_us,
-            objective: self.durations.objective(job),
+            objective,
             deadline: job.deadline,
             worker_free: false,
         }
     }
 
-    /// Promises a job the capacity of workers that are free and would end its first step in
-    /// time; returns whether there is one.
+    /// Promises a job the capacity of a worker that is free and would end its first step before
+    /// the deadline; returns whether there is one.
     fn claim_free_worker(&mut self, now: Time, job: &Job) -> bool {
         let Some(step) = job.steps.first() else { return false };
-        let free_milli = self.free_for(now, job, step, self.durations.objective(job));
+        let free_milli = self.free_for(now, job, step);
         let Some(load) = self.loads.get_mut(&job.service) else { return false };
-        let claim = u64::from(step.need.cpu_milli);
-        let free = free_milli > 0 && load.claimed(now) + claim <= free_milli;
-        if free {
-            load.claim(now, claim * u64::from(step.count));
-        }
-        free
+        load.claim(free_milli, u64::from(step.need.cpu_milli), u64::from(step.count))
     }
 
-    /// Returns the free capacity of the workers that can run a task of a step now and end it by
-    /// an instant, in thousandths of a core.
-    fn free_for(&self, now: Time, job: &Job, step: &Step, end_by: Time) -> u64 {
+    /// Returns the free capacity of the workers that can start a task of a step now and end it
+    /// before the deadline, in thousandths of a core.
+    fn free_for(&self, now: Time, job: &Job, step: &Step) -> u64 {
         let run_us = self.durations.task_us(job, step.estimate_ms);
         let suits = |id: &Name, driver: &Driver, free: &Need| {
             let factor =
@@ -250,7 +262,7 @@
                 && has_label(&driver.entry, step.required_label.as_ref())
                 && driver.usable(now)
                 && self.healthy(now, id)
-                && now.after_us((run_us * factor) as u64) <= end_by
+                && now.after_us((run_us * factor) as u64) <= job.deadline
         };
         let free = self.drivers.iter().filter_map(|(id, driver)| {
             let free = driver.free_capacity();
@@ -308,13 +320,19 @@
             let Some(state) = self.jobs.get(&task.job) else { continue };
             if last_job.replace(task.job) != Some(task.job) && !state.may_have_run() {
                 waiting.push((task.job, ahead));
+                if let Some(step) = state.job.steps.first().filter(|_| state.admission.claims) {
+                    reading.claimed_milli += u64::from(step.need.cpu_milli) * u64::from(step.count);
+                }
             }
             let work = self.durations.task_work(&state.job, state.step(task.task as usize));
-            let queued = if key.late { &mut reading.late } else { &mut reading.on_time };
-            *queued.entry(key.rank.0).or_default() += work;
+            let (priority, rank) = key.rank;
             ahead.late += work;
-            if !key.late {
+            if key.late {
+                *reading.late.entry(priority).or_default() += work;
+            } else {
                 ahead.on_time += work;
+                let position = (priority, Snapshot::rounded(rank));
+                *reading.on_time.entry(position).or_default() += work;
             }
         }
     }
@@ -327,7 +345,7 @@
         };
         let job = state.job.clone();
         let Some(load) = self.loads.get(&job.service) else { return };
-        let demand = Demand { priority: state.priority(), ..self.demand(&job) };
+        let demand = Demand { priority: state.priority(), ..self.demand(now, &job) };
         let verdict = load.snapshot.reconsider(now, &demand, ahead);
         if verdict.accepts() {
             return;
@@ -339,10 +357,10 @@
             return self.promote(now, number);
         }
         let Some(step) = job.steps.first() else { return };
-        if self.free_for(now, &job, step, job.deadline) > 0 {
+        if self.free_for(now, &job, step) > 0 {
             return;
         }
-        self.log_forecast(now, "job_rejected", &job, &demand, verdict);
+        self.log_forecast(now, "job_forecast_worse", &job, &demand, verdict);
         if let Some(load) = self.loads.get_mut(&job.service) {
             load.record_rejected(demand.work);
         }
@@ -380,10 +398,11 @@
     ) {
         let Some(load) = self.loads.get(&job.service) else { return };
         let snapshot = &load.snapshot;
+        let suitable = job.steps.first().map_or(0, |step| self.free_for(now, job, step));
         let ms = |us: f64| format!("{:.0}", us / 1_000.0);
         let after = |at: Time| at.since(job.arrived).as_millis().to_string();
         let rate = snapshot.rate(now).max(1e-3);
-        let ahead = snapshot.ahead(demand.priority);
+        let ahead = snapshot.ahead(demand);
         let end = match verdict {
             Verdict::Reject(Time::NEVER) | Verdict::Accept(_) => "never".to_owned(),
             Verdict::Reject(end) => after(end),
@@ -398,6 +417,7 @@
             ("core_ms", ms(demand.work)),
             ("capacity", format!("{:.1}", snapshot.capacity)),
             ("free", format!("{:.1}", snapshot.free)),
+            ("suitable", suitable.to_string()),
             ("rate", format!("{rate:.1}")),
             ("offered", format!("{:.1}", snapshot.offered.values().sum::<f64>())),
             ("ahead_ms", ms(ahead.on_time / rate)),
--- a/endivestile_kernel/src/fleet/job_state.rs
+++ b/endivestile_kernel/src/fleet/job_state.rs
@@ -59,6 +59,8 @@
     pub(crate) largest: bool,
     /// Whether it is queued with the highest priority, under the guaranteed share of its kind.
     pub(crate) guaranteed: bool,
+    /// Whether it was admitted because a worker was free, and free capacity is kept for it.
+    pub(crate) claims: bool,
 }
 
 /// A job that this host has accepted as an owner.
--- a/endivestile_testkit/src/fleet/check.rs
+++ b/endivestile_testkit/src/fleet/check.rs
@@ -5,6 +5,8 @@
 use endivestile_config::model::Name;
 use endivestile_kernel::fleet::{JobEnd, StartRequest};
 
+use endivestile_kernel::Note;
+
 use super::world::FleetWorld;
 
 /// Observations of a run so far.
@@ -16,6 +18,8 @@
     pub(crate) starts: BTreeMap<Name, u64>,
     /// Lease renewals sent since the story last printed the count.
     pub(crate) renewals: u64,
+    /// Jobs rejected while a healthy worker of the owner had capacity for their first step.
+    pub(crate) rejected_beside_free: u32,
     /// Breaches of guarantees, in the order in which they were detected.
     pub(crate) breaches: Vec<String>,
 }
@@ -27,6 +31,20 @@
         self.started_ids.insert(Name::from(id));
         *self.starts.entry(request.worker.clone()).or_default() += 1;
     }
+
+    /// Records an owner's log line about the rejection of a job.
+    pub(crate) fn record_log(&mut self, note: &Note) {
+        let value = |name: &str| {
+            let pair = note.pairs.iter().find(|(key, _)| *key == name);
+            pair.map(|(_, value)| value.as_str())
+        };
+        let free = match note.event {
+            "job_rejected" => value("suitable"),
+            "placed_job_ended" if value("end") == Some("not_run") => value("free"),
+            _ => None,
+        };
+        self.rejected_beside_free += u32::from(free.is_some_and(|workers| workers != "0"));
+    }
 }
 
 /// Grace period for start requests that a host sent before it learned of an evacuation, in
@@ -76,6 +94,12 @@
         self.observed.breaches.extend(breaches);
     }
 
+    /// Returns how many jobs were rejected while a healthy worker of the owner had capacity for
+    /// their first step.
+    pub fn rejected_beside_free(&self) -> u32 {
+        self.observed.rejected_beside_free
+    }
+
     /// Returns all breaches of guarantees so far.
     pub fn breaches(&self) -> Vec<String> {
         let mut breaches = self.observed.breaches.clone();
--- a/endivestile_testkit/src/fleet/host.rs
+++ b/endivestile_testkit/src/fleet/host.rs
@@ -279,6 +279,7 @@
                 );
             }
             FleetEffect::Log(note) => {
+                self.observed.record_log(&note);
                 if self.trace_enabled {
                     self.trace.push(format!(
                         "{:>9} {name} {} {:?} {:?}",
