--- a/endivestile_kernel/src/fleet/admission/forecast.rs
+++ b/endivestile_kernel/src/fleet/admission/forecast.rs
@@ -31,6 +31,9 @@
 /// Factor on the wait that is predicted for a waiting job. It was accepted by the same forecast
 /// and is rejected only if the forecast has become clearly worse.
 const WAITING_FACTOR: f64 = 0.5;
+/// Share of the work of its priority that is ranked before a job although it arrives later, while
+/// it can be: the jobs with less work than this one.
+const OVERTAKING: f64 = 1.0;
 /// Step to which ranks are rounded, in microseconds; a sixth of the shortest slack of the users'
 /// jobs.
 const RANK_STEP_US: u64 = 10_000;
@@ -205,7 +208,7 @@
     fn on_time_end(&self, now: Time, demand: &Demand, ahead: f64) -> Time {
         let higher: f64 = self.offered.range(..demand.priority).map(|(_, rate)| rate).sum();
         let rate = self.rate(now) - higher;
-        let same = self.offered.get(&demand.priority).copied().unwrap_or(0.0);
+        let same = self.offered.get(&demand.priority).copied().unwrap_or(0.0) * OVERTAKING;
         let usual_delay = self.delay_us.get(&demand.priority).copied().unwrap_or(0.0);
         let delay = demand.rank.since(now).as_micros() as f64;
         // Jobs that arrive within this time are ranked before this one.
