Count overtaking work by the delay of its rank

Cause: one mean delay for each priority mixed short jobs with long ones under the guarantee, and forecast no overtaking for small jobs.

--- a/endivestile_kernel/src/fleet/admission/forecast.rs
+++ b/endivestile_kernel/src/fleet/admission/forecast.rs
@@ -31,9 +31,8 @@
 /// Factor on the wait that is predicted for a waiting job. It was accepted by the same forecast
 /// and is rejected only if the forecast has become clearly worse.
 const WAITING_FACTOR: f64 = 0.5;
-/// Share of the work of its priority that is ranked before a job although it arrives later, while
-/// it can be: the jobs with less work than this one.
-const OVERTAKING: f64 = 1.0;
+/// Ratio between the delays of two classes; the callers' estimates are no more precise.
+const CLASS_RATIO: f64 = 1.4;
 /// Step to which ranks are rounded, in microseconds; a sixth of the shortest slack of the users'
 /// jobs.
 const RANK_STEP_US: u64 = 10_000;
@@ -68,11 +67,9 @@
     /// Work ended per microsecond during the last second, in cores.
     pub ended: f64,
     /// Work that arrived per microsecond during the last second, rejected work included, by
-    /// the priority with which it was or would have been queued; in cores.
-    pub offered: BTreeMap<u32, f64>,
-    /// Mean time by which jobs are ranked after their arrival, by priority; in microseconds,
-    /// weighted by work.
-    pub delay_us: BTreeMap<u32, f64>,
+    /// the priority with which it was or would have been queued and the class of its delay, see
+    /// [`delay_class`]; in cores.
+    pub offered: BTreeMap<(u32, u32), f64>,
     /// Mean time from a caller's call to the job's arrival at the owner, in microseconds.
     pub transit_us: f64,
     /// Work that was rejected during the last seconds and may return.
@@ -175,7 +172,8 @@
     /// Returns the work ahead of a new job. Work that is still on its way from the callers'
     /// hosts is estimated from what arrived.
     pub fn ahead(&self, demand: &Demand) -> Ahead {
-        let offered: f64 = self.offered.range(..=demand.priority).map(|(_, rate)| rate).sum();
+        let last_class = (demand.priority, u32::MAX);
+        let offered: f64 = self.offered.range(..=last_class).map(|(_, rate)| rate).sum();
         let coming = offered * self.transit_us;
         let last = (demand.priority, Self::rounded(demand.rank));
         let on_time: f64 = self.on_time.range(..=last).map(|(_, work)| work).sum();
@@ -206,16 +204,22 @@
     /// Returns when a job ends if it is started before all late ones. Jobs that arrive meanwhile
     /// go first if they have a higher priority, or the same and a lower rank.
     fn on_time_end(&self, now: Time, demand: &Demand, ahead: f64) -> Time {
-        let higher: f64 = self.offered.range(..demand.priority).map(|(_, rate)| rate).sum();
+        let first_class = (demand.priority, 0);
+        let higher: f64 = self.offered.range(..first_class).map(|(_, rate)| rate).sum();
         let rate = self.rate(now) - higher;
-        let same = self.offered.get(&demand.priority).copied().unwrap_or(0.0) * OVERTAKING;
-        let usual_delay = self.delay_us.get(&demand.priority).copied().unwrap_or(0.0);
         let delay = demand.rank.since(now).as_micros() as f64;
-        // Jobs that arrive within this time are ranked before this one.
-        let overtaken_us = (delay - usual_delay).max(0.0);
-        let end = self.end_at(now, demand, ahead + same * overtaken_us, rate);
+        let mut overtaking = 0.0;
+        let mut overtaking_rate = 0.0;
+        for ((_, class), offered) in self.offered.range(first_class..=(demand.priority, u32::MAX)) {
+            let lead = delay - class_delay_us(*class);
+            if lead > 0.0 {
+                overtaking += offered * lead;
+                overtaking_rate += offered;
+            }
+        }
+        let end = self.end_at(now, demand, ahead + overtaking, rate);
         // The job may be started before they have all arrived.
-        end.min(self.end_at(now, demand, ahead, rate - same))
+        end.min(self.end_at(now, demand, ahead, rate - overtaking_rate))
     }
 
     /// Returns when a job ends if it is started after all jobs that are on time. While more work
@@ -249,5 +253,15 @@
     }
 }
 
+/// Returns the class of the delay by which a job is ranked after its arrival, in microseconds.
+pub fn delay_class(delay_us: f64) -> u32 {
+    ((delay_us / 1_000.0).max(1.0).ln() / CLASS_RATIO.ln()).round() as u32
+}
+
+/// Returns the usual delay of a class, in microseconds.
+fn class_delay_us(class: u32) -> f64 {
+    1_000.0 * CLASS_RATIO.powi(class as i32)
+}
+
 /// [`RETRY_MAX_MS`] in microseconds.
 const MAX_US: f64 = (RETRY_MAX_MS * 1_000) as f64;
--- a/endivestile_kernel/src/fleet/admission/load.rs
+++ b/endivestile_kernel/src/fleet/admission/load.rs
@@ -9,7 +9,7 @@
 use endivestile_config::model::Name;
 
 use crate::Time;
-use crate::fleet::admission::forecast::{Demand, Snapshot};
+use crate::fleet::admission::forecast::{Demand, Snapshot, delay_class};
 use crate::fleet::admission::queue::QueueKey;
 use crate::fleet::admission::share::Shares;
 
@@ -75,9 +75,7 @@
     pub(crate) shares: Shares,
     started: Window,
     ended: Window,
-    offered: BTreeMap<u32, Window>,
-    /// Mean delay of the rank, in microseconds, and mean work of a job, by priority.
-    delays: BTreeMap<u32, (f64, f64)>,
+    offered: BTreeMap<(u32, u32), Window>,
     /// Capacity promised to waiting jobs that were accepted because a worker was free, in
     /// thousandths of a core.
     claimed_milli: u64,
@@ -91,21 +89,15 @@
             started: Window::new(now),
             ended: Window::new(now),
             offered: BTreeMap::new(),
-            delays: BTreeMap::new(),
             claimed_milli: 0,
         }
     }
 
     /// Counts an arrived job with its demand.
     pub(crate) fn record_arrival(&mut self, now: Time, arrived: Time, demand: &Demand) {
-        let window = self.offered.entry(demand.priority).or_insert_with(|| Window::new(now));
-        window.current += demand.work;
-        let delay = demand.rank.since(now).as_micros() as f64;
-        let (mean, work) = self.delays.entry(demand.priority).or_insert((delay, 0.0));
-        // Weighted by work, over about as many jobs as the transit time.
-        *work += TRANSIT_WEIGHT * (demand.work - *work);
-        *mean += TRANSIT_WEIGHT * (delay - *mean) * (demand.work / work.max(1.0)).min(4.0);
-        self.snapshot.delay_us.insert(demand.priority, *mean);
+        let class = delay_class(demand.rank.since(now).as_micros() as f64);
+        let window = self.offered.entry((demand.priority, class));
+        window.or_insert_with(|| Window::new(now)).current += demand.work;
         let transit = now.since(arrived).as_micros() as f64;
         let mean = &mut self.snapshot.transit_us;
         *mean += TRANSIT_WEIGHT * (transit - *mean);
--- a/endivestile_kernel/src/fleet/mod.rs
+++ b/endivestile_kernel/src/fleet/mod.rs
@@ -20,7 +20,7 @@
 mod scheduler;
 mod workers;
 
-pub use admission::forecast::{Ahead, Demand, Grounds, Snapshot, Verdict};
+pub use admission::forecast::{Ahead, Demand, Grounds, Snapshot, Verdict, delay_class};
 pub use admission::share::Shares;
 pub use core::{Fleet, FleetEffect, FleetEvent, FleetSetup, PoolRole};
 pub use evacuation::EvacuationState;
