--- a/endivestile_kernel/src/fleet/placement/dispatch.rs
+++ b/endivestile_kernel/src/fleet/placement/dispatch.rs
@@ -181,6 +181,8 @@
         {
             queue.remove(key);
             self.start_rates.record_start(&state.job.service, key);
+            let work = || self.durations.task_work(&state.job, state.step(index));
+            self.loads.record_start(&state.job.service, key, work);
         }
         let slot = &mut state.tasks[index];
         slot.next_run += 1;
