--- a/endivestile_kernel/src/fleet/job_state.rs
+++ b/endivestile_kernel/src/fleet/job_state.rs
@@ -172,6 +172,23 @@
         self.remaining.iter().all(|n| *n == 0)
     }
 
+    /// Returns the workers on which as many tasks of the step of `task` run as are allowed.
+    pub(crate) fn full_workers(&self, task: usize) -> Vec<Name> {
+        let limit = usize::from(self.step(task).max_per_worker);
+        let step = self.tasks[task].step;
+        let running = self.tasks.iter().filter(|slot| limit > 0 && slot.step == step);
+        let mut workers: Vec<Name> = Vec::new();
+        for slot in running {
+            if let TaskState::Running { worker, .. } = &slot.state
+                && !workers.contains(worker)
+                && self.running_on(task, worker) >= limit
+            {
+                workers.push(worker.clone());
+            }
+        }
+        workers
+    }
+
     /// Returns how many tasks of the same step as `task` run on a worker.
     pub(crate) fn running_on(&self, task: usize, worker: &str) -> usize {
         let step = self.tasks[task].step;
--- a/endivestile_kernel/src/fleet/mod.rs
+++ b/endivestile_kernel/src/fleet/mod.rs
@@ -20,6 +20,7 @@
 mod scheduler;
 mod workers;
 
+pub use admission::queue::{Queue, QueueKey, SizeClass};
 pub use core::{Fleet, FleetEffect, FleetEvent, FleetSetup, PoolRole};
 pub use evacuation::EvacuationState;
 pub use hosts::membership::HostEntry;
@@ -27,6 +28,11 @@
 pub use metrics::{Count, Gauge, Span};
 pub use msg::{DirectTransfer, HostReport, JobCrashes, JobMsg, ServiceCapacity, TaskCrashes};
 pub use ownership::pools::{HOST_KEY_PREFIX, POOL_KEY_PREFIX};
+pub use placement::matching::{
+    Conditions, NoMatch, Reservation, RunView, TaskView, UsualRange, UsualSizes, WorkerView,
+    choose_worker, reserve_worker,
+};
+pub use placement::round::Round;
 pub use route_table::{Limits, Route, RouteTable, ServiceLimits};
 pub use workers::call::{WorkerCall, worker_call_deadline};
 pub use workers::protocol::{
--- a/endivestile_kernel/src/fleet/placement/dispatch.rs
+++ b/endivestile_kernel/src/fleet/placement/dispatch.rs
@@ -5,16 +5,20 @@
 use endivestile_config::Mechanism;
 use endivestile_config::model::Name;
 
-use crate::fleet::admission::queue::QueueKey;
+use crate::fleet::admission::order::WaitingTask;
+use crate::fleet::admission::queue::{QueueKey, SizeClass};
 use crate::fleet::job::{Job, Step};
 use crate::fleet::job_state::{JobState, TaskState};
 use crate::fleet::metrics::{Count, Span};
 use crate::fleet::msg::JobMsg;
 use crate::fleet::placement::goal::{Goal, TaskTiming};
+use crate::fleet::placement::matching::{RunView, TaskView, WorkerView};
+use crate::fleet::placement::round::Round;
 use crate::fleet::scheduler::{Output, Scheduler, has_capacity, has_label};
+use crate::fleet::workers::driver::Driver;
 use crate::fleet::workers::owned::SLOW_SPEED;
-use crate::fleet::workers::run::{RunId, TaskRef};
-use crate::{Peer, Time};
+use crate::fleet::workers::run::{Run, RunId, TaskRef};
+use crate::{Level, Need, Peer, Time};
 
 /// Number of tasks that may fail to be placed before the rest of the queue is skipped. More
 /// than one, since a small task may fit where a large one does not.
@@ -22,6 +26,8 @@
 /// Assumed speed of a slow worker for its probe after an ejection. It ranks behind every
 /// healthy worker and gets the probe when no other has free capacity.
 const PROBE_SPEED: f64 = 0.6;
+/// Time that a worker takes at most to stop a run, in milliseconds.
+const STOP_MS: u64 = 50;
 
 impl Scheduler {
     /// Starts or forwards waiting tasks wherever there is free capacity.
@@ -36,6 +42,9 @@
     }
 
     fn dispatch_service(&mut self, now: Time, service: &Name) {
+        if self.policy.has(Mechanism::Backfill) {
+            return self.backfill_service(now, service);
+        }
         let mut misses = 0;
         let mut missed: Option<TaskRef> = None;
         let mut position: Option<QueueKey> = None;
@@ -59,6 +68,154 @@
         }
     }
 
+    /// Starts or forwards waiting tasks in queue order, and behind those that fit no free
+    /// capacity the ones that the size index finds and that delay none of them.
+    fn backfill_service(&mut self, now: Time, service: &Name) {
+        let Some(mut round) = self.start_round(now, service) else { return };
+        let mut missed: Option<TaskRef> = None;
+        while let Some((key, task)) = self.queues.get(service).and_then(|queue| round.next(queue)) {
+            if self.drop_or_requeue(now, service, key, task) {
+                continue;
+            }
+            let Some(state) = self.jobs.get(&task.job) else { return };
+            let step = state.step(task.task as usize);
+            let class = SizeClass::of(&step.need, step.required_label.as_ref());
+            if missed.is_some_and(|missed| self.same_step(missed, task)) {
+                round.skip(key, &class);
+            } else if !self.start_matched(now, task, &mut round) && !self.forward(task) {
+                missed = Some(task);
+                if round.at_head() {
+                    self.keep_reservation(now, key, task, &mut round);
+                }
+                round.miss(key, &class);
+            }
+        }
+    }
+
+    /// Starts a pass over a queue; `None` if no task waits.
+    fn start_round(&self, now: Time, service: &Name) -> Option<Round> {
+        let queue = self.queues.get(service).filter(|queue| !queue.is_empty())?;
+        let smallest = queue.smallest_need();
+        let workers = self.worker_views(now, service, |free| has_capacity(free, &smallest));
+        Some(Round::new(now, workers, queue.usual().range(), queue.cpu_milli()))
+    }
+
+    /// Returns the workers of a service that may get tasks and whose free capacity is `wanted`.
+    fn worker_views(
+        &self,
+        now: Time,
+        service: &Name,
+        wanted: impl Fn(&Need) -> bool,
+    ) -> Vec<WorkerView> {
+        let drivers = self.drivers.iter().filter(|(_, driver)| driver.entry.service == *service);
+        let usable = drivers.filter(|(_, driver)| driver.usable(now));
+        let views = usable.filter_map(|(id, driver)| {
+            let free = driver.free_capacity();
+            wanted(&free).then(|| self.worker_view(now, id, driver, free))
+        });
+        views.collect()
+    }
+
+    fn worker_view(&self, now: Time, id: &Name, driver: &Driver, free: Need) -> WorkerView {
+        let known_speed = self.durations.speed(id);
+        let probe = known_speed < SLOW_SPEED && self.health.due_for_probe(now, id, true);
+        WorkerView {
+            id: id.clone(),
+            free,
+            capacity: driver.entry.capacity,
+            speed: if probe { PROBE_SPEED } else { known_speed },
+            labels: driver.entry.labels.clone(),
+            allowed: self.health.allows(now, id, false),
+            allowed_late: self.health.allows(now, id, true),
+            probe,
+            runs: driver.runs.values().map(|run| run_view(now, run)).collect(),
+            reserved_at: Time::NEVER,
+        }
+    }
+
+    /// Starts a task on the worker that matches it best, if any.
+    fn start_matched(&mut self, now: Time, task: TaskRef, round: &mut Round) -> bool {
+        let Some(state) = self.jobs.get(&task.job) else { return false };
+        let index = task.task as usize;
+        let full = state.full_workers(index);
+        let view = self.task_view(now, state, index, &full);
+        let Ok(worker) = round.choose(&view) else { return false };
+        let end = now.after_us(view.run_us_on(worker));
+        let id = worker.id.clone();
+        if !self.start(now, task, &id) {
+            return false;
+        }
+        if round.passed_over() {
+            self.out.push(Output::Count(Count::TasksBackfilled));
+        }
+        if let Some(driver) = self.drivers.get_mut(&id) {
+            let own = driver.runs.values_mut().filter(|run| run.task == Some(task));
+            own.for_each(|run| run.expected_end = end);
+        }
+        if let Some(driver) = self.drivers.get(&id) {
+            round.update(self.worker_view(now, &id, driver, driver.free_capacity()));
+        }
+        true
+    }
+
+    /// Reserves for a task that got no worker the one that will first have capacity for it.
+    fn keep_reservation(&mut self, now: Time, key: QueueKey, task: TaskRef, round: &mut Round) {
+        let Some(state) = self.jobs.get(&task.job) else { return };
+        let service = &state.job.service;
+        let Some(queue) = self.queues.get(service) else { return };
+        let index = task.task as usize;
+        let full = state.full_workers(index);
+        let view = self.task_view(now, state, index, &full);
+        let former = queue.reservation(&key);
+        let all = || self.worker_views(now, service, |_| true);
+        let reservation = round.reserve(former, &view, all);
+        if reservation.as_ref() == former {
+            return;
+        }
+        let fields = reservation.as_ref().map(|reservation| {
+            let driver = self.drivers.get(&reservation.worker);
+            let seen = driver.and_then(|driver| driver.runs.values().map(|run| run.seen).min());
+            [
+                ("worker", reservation.worker.to_string()),
+                ("task", task.task.to_string()),
+                ("cpu_milli", view.need.cpu_milli.to_string()),
+                ("in_us", reservation.at.since(now).as_micros().to_string()),
+                ("age_us", now.since(seen.unwrap_or(now)).as_micros().to_string()),
+                ("waiting", queue.len().to_string()),
+            ]
+        });
+        let service = service.clone();
+        if let Some(fields) = fields {
+            self.log_job(Level::Debug, "worker_reserved", task.job, &fields);
+        }
+        if let Some(queue) = self.queues.get_mut(&service) {
+            queue.reserve(key, reservation);
+        }
+    }
+
+    fn task_view<'a>(
+        &self,
+        now: Time,
+        state: &'a JobState,
+        index: usize,
+        full_workers: &'a [Name],
+    ) -> TaskView<'a> {
+        let step = state.step(index);
+        let run_us = self.durations.task_us(&state.job, step.estimate_ms);
+        let goal = self.goal(now, state, run_us);
+        TaskView {
+            need: step.need,
+            run_us,
+            latest_end: goal.end_by,
+            margin: goal.factor,
+            late: goal.late,
+            required_label: step.required_label.as_ref(),
+            near_label: step.near_label.as_ref(),
+            remote_factor: self.remote_factor,
+            full_workers,
+        }
+    }
+
     /// Returns whether two tasks belong to the same step and so fit on the same workers.
     fn same_step(&self, one: TaskRef, other: TaskRef) -> bool {
         let step = |task: TaskRef| {
@@ -94,6 +251,20 @@
         true
     }
 
+    /// Returns whether a task can no longer meet its objective, and its rank in the queue.
+    pub(crate) fn rank(&self, now: Time, state: &JobState, task: usize) -> (bool, (u32, Time)) {
+        let step = state.step(task);
+        let waiting = WaitingTask {
+            priority: state.job.priority,
+            arrived: state.job.arrived,
+            objective: state.objective,
+            run_us: self.durations.task_us(&state.job, step.estimate_ms) as u64,
+            remaining: state.remaining.iter().map(|n| u64::from(*n)).sum(),
+            started: state.started.is_some(),
+        };
+        waiting.rank(now, self.policy)
+    }
+
     /// Starts a task on a worker of this host, if one has free capacity.
     fn start_here(&mut self, now: Time, task: TaskRef) -> bool {
         let Some(worker) = self.pick_worker(now, task) else { return false };
@@ -258,6 +429,12 @@
     }
 }
 
+fn run_view(now: Time, run: &Run) -> RunView {
+    let (percent, expected_end) =
+        if run.stopping { (0, now.after_ms(STOP_MS)) } else { (run.percent, run.expected_end) };
+    RunView { need: run.need, sent: run.sent, percent, seen: run.seen, expected_end }
+}
+
 /// Returns a job of one task, to be run by another scheduler under the same name.
 fn forwarded_job(job: &Job, step: &Step, slot: &crate::fleet::job_state::TaskSlot) -> Job {
     let only = Step {
--- a/endivestile_kernel/src/fleet/placement/goal.rs
+++ b/endivestile_kernel/src/fleet/placement/goal.rs
@@ -32,9 +32,9 @@
 /// Time limit that a worker has to meet to get a task.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Goal {
-    end_by: Time,
+    pub(crate) end_by: Time,
     /// Factor on the expected run time.
-    factor: f64,
+    pub(crate) factor: f64,
     /// Whether the objective can no longer be met, so that the deadline is the limit.
     pub(crate) late: bool,
 }
--- a/endivestile_kernel/src/fleet/placement/mod.rs
+++ b/endivestile_kernel/src/fleet/placement/mod.rs
@@ -5,6 +5,8 @@
 pub(crate) mod durations;
 pub(crate) mod goal;
 pub(crate) mod health;
+pub(crate) mod matching;
+pub(crate) mod round;
 pub(crate) mod stalls;
 pub(crate) mod tick;
 pub(crate) mod two_choices;
--- a/endivestile_kernel/src/fleet/placement/tick.rs
+++ b/endivestile_kernel/src/fleet/placement/tick.rs
@@ -34,7 +34,7 @@
         self.stop_stalled_runs(now);
         self.resume_deferred(now);
         self.shed(now);
-        self.dirty |= self.queues.values().any(|queue| queue.len() > 0);
+        self.dirty |= self.queues.values().any(|queue| !queue.is_empty());
     }
 
     fn tick_drivers(&mut self, now: Time) {
--- a/endivestile_kernel/src/fleet/scheduler.rs
+++ b/endivestile_kernel/src/fleet/scheduler.rs
@@ -6,7 +6,6 @@
 use endivestile_config::Policy;
 use endivestile_config::model::Name;
 
-use crate::fleet::admission::order::WaitingTask;
 use crate::fleet::admission::queue::Queue;
 use crate::fleet::admission::shedding::StartRates;
 use crate::fleet::core::FleetSetup;
@@ -78,7 +77,7 @@
     /// Evacuated zones in which runs of this host are still in progress.
     pub(crate) draining_zones: BTreeSet<Name>,
     /// Queued tasks by service.
-    pub(crate) queues: BTreeMap<Name, Queue>,
+    pub(crate) queues: BTreeMap<Name, Queue<TaskRef>>,
     pub(crate) peer_capacity: BTreeMap<Peer, PeerCapacity>,
     /// Forwarded tasks by serial number, with the host that has them.
     pub(crate) forwards: HashMap<u64, (Peer, TaskRef)>,
@@ -355,27 +354,15 @@
         let Some(state) = self.jobs.get(&task.job) else { return };
         let (late, rank) = self.rank(now, state, task.task as usize);
         let service = state.job.service.clone();
-        let key = self.queues.entry(service).or_default().push(late, rank, task);
+        let step = state.step(task.task as usize);
+        let size = (&step.need, step.required_label.as_ref());
+        let key = self.queues.entry(service).or_default().push(late, rank, size, task);
         if let Some(state) = self.jobs.get_mut(&task.job) {
             state.tasks[task.task as usize].state = TaskState::Queued(key);
         }
         self.dirty = true;
     }
 
-    /// Returns whether a task can no longer meet its objective, and its rank in the queue.
-    pub(crate) fn rank(&self, now: Time, state: &JobState, task: usize) -> (bool, (u32, Time)) {
-        let step = state.step(task);
-        let waiting = WaitingTask {
-            priority: state.job.priority,
-            arrived: state.job.arrived,
-            objective: state.objective,
-            run_us: self.durations.task_us(&state.job, step.estimate_ms) as u64,
-            remaining: state.remaining.iter().map(|n| u64::from(*n)).sum(),
-            started: state.started.is_some(),
-        };
-        waiting.rank(now, self.policy)
-    }
-
     /// Returns the number of jobs with no task started, by route.
     pub(crate) fn pending(&self) -> BTreeMap<Name, u32> {
         let mut pending: BTreeMap<Name, u32> = BTreeMap::new();
--- a/endivestile_kernel/src/fleet/workers/driver.rs
+++ b/endivestile_kernel/src/fleet/workers/driver.rs
@@ -229,6 +229,7 @@
             task: Some(task),
             need,
             sent: now,
+            expected_end: Time::NEVER,
             percent: 0,
             seen: now,
             stopping: false,
--- a/endivestile_kernel/src/fleet/workers/driver/renewal.rs
+++ b/endivestile_kernel/src/fleet/workers/driver/renewal.rs
@@ -109,6 +109,7 @@
             task: None,
             need: self.entry.capacity,
             sent: now,
+            expected_end: Time::NEVER,
             percent: status.percent,
             seen: now,
             stopping: true,
--- a/endivestile_kernel/src/fleet/workers/run.rs
+++ b/endivestile_kernel/src/fleet/workers/run.rs
@@ -47,6 +47,8 @@
     pub(crate) need: Need,
     /// When the start was sent.
     pub(crate) sent: Time,
+    /// When it is expected to end; [`Time::NEVER`] if that was not predicted.
+    pub(crate) expected_end: Time,
     /// Last reported progress, in percent.
     pub(crate) percent: u8,
     /// When the worker last reported it.
