--- a/endivestile_kernel/src/fleet/mod.rs
+++ b/endivestile_kernel/src/fleet/mod.rs
@@ -33,6 +33,7 @@
     choose_worker, reserve_worker,
 };
 pub use placement::round::Round;
+pub use placement::stalls::{AwaitedRun, Prospect};
 pub use route_table::{Limits, Route, RouteTable, ServiceLimits};
 pub use workers::call::{WorkerCall, worker_call_deadline};
 pub use workers::protocol::{
--- a/endivestile_kernel/src/fleet/placement/matching.rs
+++ b/endivestile_kernel/src/fleet/placement/matching.rs
@@ -9,6 +9,7 @@
 
 use endivestile_config::model::Name;
 
+use crate::fleet::workers::owned::SLOW_SPEED;
 use crate::{Need, Time};
 
 /// Number of queued tasks whose sizes count as usual; some tenths of a second of arrivals.
@@ -173,6 +174,9 @@
     /// Whether more work waits than the free capacity can start, so that fast workers are kept
     /// for tasks that cannot do without them.
     pub scarce: bool,
+    /// Whether tasks ahead that can still meet their objective wait, so that tasks of late
+    /// jobs get only workers that those cannot use.
+    pub late_behind: bool,
 }
 
 /// A worker where a task may run.
@@ -193,7 +197,8 @@
     let mut reason = NoMatch::NoCapacity;
     let mut candidates: Vec<Candidate<'a>> = Vec::new();
     for worker in workers {
-        if !worker.has_room(&task.need) || !task.may_use(worker) {
+        let kept = conditions.late_behind && task.late && worker.serves_objectives();
+        if kept || !worker.has_room(&task.need) || !task.may_use(worker) {
             continue;
         }
         let factor = task.factor(worker);
@@ -305,6 +310,11 @@
 }
 
 impl WorkerView {
+    /// Returns whether tasks that can meet their objective may use the worker.
+    pub fn serves_objectives(&self) -> bool {
+        self.allowed && self.speed >= SLOW_SPEED
+    }
+
     /// Returns whether the worker has free capacity for a need.
     pub fn has_room(&self, need: &Need) -> bool {
         has_capacity(&self.free, need)
--- a/endivestile_kernel/src/fleet/placement/round.rs
+++ b/endivestile_kernel/src/fleet/placement/round.rs
@@ -59,7 +59,7 @@
     ) -> Self {
         let free: u64 = workers.iter().map(|worker| u64::from(worker.free.cpu_milli)).sum();
         Self {
-            conditions: Conditions { now, usual, scarce: waiting_cpu > free },
+            conditions: Conditions { now, usual, scarce: waiting_cpu > free, late_behind: false },
             workers,
             all: None,
             reserved: BTreeSet::new(),
@@ -88,10 +88,18 @@
             }
             position => position,
         };
-        if self.late_misses >= LATE_MISSES {
-            return None;
-        }
-        queue.next_fitting(position, |class| self.may_fit(class))
+        let found = queue.next_fitting(position, |class| self.may_fit(class));
+        found.filter(|(key, _)| !key.late || self.may_serve_late())
+    }
+
+    /// Returns whether tasks of late jobs are tried behind the head.
+    ///
+    /// There they get only workers that tasks which meet their objective cannot use. If they
+    /// got any capacity that the tasks ahead do not fit, late jobs, which are worth little,
+    /// would take the place of jobs that arrive milliseconds later.
+    fn may_serve_late(&self) -> bool {
+        let mut workers = self.workers.iter();
+        self.late_misses < LATE_MISSES && workers.any(|worker| !worker.serves_objectives())
     }
 
     /// Returns whether a task of a size class may fit on a worker.
@@ -103,7 +111,8 @@
 
     /// Chooses the worker for a task.
     pub fn choose(&self, task: &TaskView<'_>) -> Result<&WorkerView, NoMatch> {
-        choose_worker(&self.conditions, task, &self.workers)
+        let conditions = Conditions { late_behind: !self.at_head(), ..self.conditions };
+        choose_worker(&conditions, task, &self.workers)
     }
 
     /// Passes over a task of a step that got no worker before.
--- a/endivestile_kernel/src/fleet/placement/stalls.rs
+++ b/endivestile_kernel/src/fleet/placement/stalls.rs
@@ -9,6 +9,7 @@
 
 use endivestile_config::model::Name;
 
+use crate::Time;
 use crate::fleet::workers::run::{RunId, TaskRef};
 
 /// Factor over the expected duration at which a run counts as stalled. Restarting it wastes
@@ -22,6 +23,62 @@
 /// Progress, in percent, from which on a run's duration can be extrapolated.
 const MIN_PERCENT: u8 = 2;
 
+/// Share of a run's extrapolated remaining time that it takes at least. Tasks of one job vary
+/// by some 15%, and a slow worker may recover.
+const MIN_REMAINING: f64 = 0.8;
+/// Margin on the expected duration of a new run, in percent, as for the objective.
+const NEW_RUN_PERCENT: u64 = 125;
+/// Time that a worker takes at most to stop a run, in microseconds.
+const STOP_US: u64 = 50_000;
+
+/// A run whose caller waits until a deadline.
+#[derive(Debug, Clone, Copy)]
+pub struct AwaitedRun {
+    /// When the start was sent.
+    pub sent: Time,
+    /// When the worker last reported the progress.
+    pub seen: Time,
+    /// Reported progress, in percent, rounded down.
+    pub percent: u8,
+    /// When the caller stops waiting.
+    pub deadline: Time,
+    /// Expected duration of a new run on a fast worker, in microseconds.
+    pub new_run_us: u64,
+}
+
+/// Whether a run can end before its caller's deadline.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Prospect {
+    /// It may.
+    InTime,
+    /// It cannot, but a new run on a fast worker can.
+    Restart,
+    /// Neither can.
+    Hopeless,
+}
+
+impl AwaitedRun {
+    /// Returns the earliest end that the reported progress allows.
+    pub fn earliest_end(&self) -> Time {
+        let age_us = self.seen.since(self.sent).as_micros() as f64;
+        let most = f64::from(self.percent.min(99)) + 1.0;
+        let remaining_us = age_us * (100.0 - most) / most * MIN_REMAINING;
+        self.seen.after_us(remaining_us as u64)
+    }
+
+    /// Returns whether the run can end in time, given that it was reported often enough.
+    pub fn prospect(&self, now: Time) -> Prospect {
+        let new_end = now.after_us(STOP_US + self.new_run_us * NEW_RUN_PERCENT / 100);
+        if self.earliest_end() <= self.deadline {
+            Prospect::InTime
+        } else if new_end <= self.deadline {
+            Prospect::Restart
+        } else {
+            Prospect::Hopeless
+        }
+    }
+}
+
 /// Progress of a run.
 #[derive(Debug, Clone)]
 pub(crate) struct Progress {
--- a/endivestile_kernel/src/fleet/placement/tick.rs
+++ b/endivestile_kernel/src/fleet/placement/tick.rs
@@ -5,10 +5,10 @@
 
 use crate::fleet::job_state::TaskState;
 use crate::fleet::metrics::Count;
-use crate::fleet::placement::stalls::{Progress, stalled_runs};
+use crate::fleet::placement::stalls::{AwaitedRun, Progress, Prospect, stalled_runs};
 use crate::fleet::scheduler::{Output, Scheduler};
 use crate::fleet::workers::call::WorkerCall;
-use crate::fleet::workers::run::{EndedRun, Run, RunId};
+use crate::fleet::workers::run::{EndedRun, Run, RunId, TaskRef};
 use crate::{Level, Time};
 
 /// Longest wait of a forwarded task for free capacity, in milliseconds; then it is returned,
@@ -32,6 +32,7 @@
         self.expire_deadlines(now);
         self.return_forwarded(now);
         self.stop_stalled_runs(now);
+        self.stop_hopeless_runs(now);
         self.resume_deferred(now);
         self.shed(now);
         self.dirty |= self.queues.values().any(|queue| !queue.is_empty());
@@ -115,6 +116,62 @@
         }
     }
 
+    /// Stops runs that cannot end before their callers' deadlines, and gives up their jobs
+    /// unless a new run can. Their capacity is free once the workers list the ends.
+    fn stop_hopeless_runs(&mut self, now: Time) {
+        if !self.policy.has(Mechanism::Backfill) {
+            return;
+        }
+        let mut stopped: Vec<(Name, RunId, TaskRef, AwaitedRun)> = Vec::new();
+        for (worker, driver) in &self.drivers {
+            let active = driver.runs.iter().filter(|(_, run)| !run.stopping);
+            stopped.extend(active.filter_map(|(id, run)| {
+                let (task, awaited) = self.awaited_run(run)?;
+                let hopeless = awaited.prospect(now) != Prospect::InTime;
+                hopeless.then(|| (worker.clone(), id.clone(), task, awaited))
+            }));
+        }
+        for (worker, id, task, run) in stopped {
+            if self.jobs.get(&task.job).is_none_or(|state| state.ending.is_some()) {
+                continue;
+            }
+            let prospect = run.prospect(now);
+            let us = |later: Time, earlier: Time| later.since(earlier).as_micros().to_string();
+            let fields = [
+                ("worker", worker.to_string()),
+                ("task", task.task.to_string()),
+                ("percent", run.percent.to_string()),
+                ("age_us", us(now, run.seen)),
+                ("run_us", us(run.seen, run.sent)),
+                ("left_us", us(run.deadline, now)),
+                ("restart", (prospect == Prospect::Restart).to_string()),
+            ];
+            self.log_job(Level::Info, "run_hopeless", task.job, &fields);
+            self.out.push(Output::Count(Count::RunsStalled));
+            if prospect == Prospect::Hopeless {
+                self.abandon_job(now, task.job);
+            } else if let Some(driver) = self.drivers.get_mut(&worker) {
+                driver.stop_run(now, &id);
+            }
+        }
+    }
+
+    /// Returns a run's task and progress, if it is old enough and would miss the deadline.
+    fn awaited_run(&self, run: &Run) -> Option<(TaskRef, AwaitedRun)> {
+        let task = run.task.filter(|_| run.sent.after_ms(MIN_AGE_MS) <= run.seen)?;
+        let state = self.jobs.get(&task.job).filter(|state| state.ending.is_none())?;
+        let Run { sent, seen, percent, .. } = *run;
+        let deadline = state.job.deadline;
+        let awaited = AwaitedRun { sent, seen, percent, deadline, new_run_us: 0 };
+        if awaited.earliest_end() <= deadline {
+            return None;
+        }
+        let estimate = state.step(task.task as usize).estimate_ms;
+        let expected = self.durations.task_us(&state.job, estimate);
+        let us = state.work_us.unwrap_or(expected) / self.durations.fast_speed();
+        Some((task, AwaitedRun { new_run_us: us as u64, ..awaited }))
+    }
+
     /// Returns the progress of all runs that are old enough and not being stopped.
     fn reported_runs(&self) -> Vec<Progress> {
         let mut runs = Vec::new();
