--- a/endivestile_testkit/src/fleet/load.rs
+++ b/endivestile_testkit/src/fleet/load.rs
@@ -21,6 +21,8 @@
     pub tasks: u16,
     /// Median run time of a task at speed 1, in milliseconds.
     pub work_ms: u64,
+    /// Smallest and largest processor need of a task, in thousandths of a core.
+    pub cpu_milli: (u32, u32),
     /// Priority; 0 is the highest.
     pub priority: u32,
     /// Time from a job's arrival to its deadline, in milliseconds.
@@ -165,6 +167,14 @@
         }
     }
 
+    /// Assigns the processor capacities, in thousandths of a core, to the workers in turn. Has to
+    /// be called before hosts read the list of workers.
+    pub fn set_capacities(&mut self, cpu_milli: &[u32]) {
+        for (worker, cpu_milli) in self.workers.values_mut().zip(cpu_milli.iter().cycle()) {
+            worker.entry.capacity.cpu_milli = *cpu_milli;
+        }
+    }
+
     /// Makes one of `hang_every` workers hang and one of `slow_every` `times` slower.
     pub fn degrade_workers(&mut self, hang_every: usize, slow_every: usize, times: f64) {
         let now = self.now;
@@ -201,7 +211,7 @@
 fn job(kind: &JobKind, name: &str, rng: &mut SmallRng) -> (Job, u64) {
     let work_ms = log_uniform(kind.work_ms, SPREAD, rng);
     let count = log_uniform(u64::from(kind.tasks), SPREAD, rng) as u16;
-    let cpu_milli = rng.random_range(11_000..17_000);
+    let cpu_milli = rng.random_range(kind.cpu_milli.0..kind.cpu_milli.1);
     let step = Step {
         count: count.max(1),
         first_task: 0,
--- a/endivestile_testkit/src/fleet/story.rs
+++ b/endivestile_testkit/src/fleet/story.rs
@@ -6,11 +6,12 @@
 use std::fmt::Write;
 
 use endivestile_config::model::Name;
+use endivestile_config::{Mechanism, Policy};
 use endivestile_kernel::fleet::{Job, JobEnd, RouteTable, Step as JobStep};
 use endivestile_kernel::{Need, Time};
 
 use super::worker::Behaviour;
-use super::world::FleetWorld;
+use super::world::{FleetWorld, HOST_CPU_MILLI};
 use crate::step::{Step, parse_duration_ms};
 
 /// Time for the hosts of a new world to find each other, in milliseconds.
@@ -24,6 +25,14 @@
     output: String,
 }
 
+/// Returns the default policy with the named mechanisms enabled, separated by commas.
+fn policy(names: &str) -> Result<Policy, String> {
+    names.split(',').filter(|name| !name.is_empty()).try_fold(Policy::default(), |policy, name| {
+        let mechanism = Mechanism::by_label(name).ok_or(format!("no mechanism `{name}`"))?;
+        Ok(policy.with(mechanism))
+    })
+}
+
 /// Runs a story of fleets and returns its output.
 ///
 /// # Errors
@@ -38,10 +47,12 @@
     let cpu = first.number("cpu", 32_000)? as u32;
     let (hosts, workers) = (first.number("hosts", 2)?, first.number("workers", 2)?);
     let seed = first.number("seed", 1)?;
-    let mut world = match first.pairs.get("cpus") {
-        Some(cpus) => FleetWorld::with_hosts(&zones, &numbers(cpus)?, workers, cpu, seed),
-        None => FleetWorld::new(&zones, hosts, workers, cpu, seed),
+    let host_cpus = match first.pairs.get("cpus") {
+        Some(cpus) => numbers(cpus)?,
+        None => vec![HOST_CPU_MILLI; hosts as usize],
     };
+    let policy = policy(first.pairs.get("with").copied().unwrap_or_default())?;
+    let mut world = FleetWorld::with_policy(policy, &zones, &host_cpus, workers, cpu, seed);
     world.trace_enabled = first.pairs.contains_key("trace");
     if first.pairs.contains_key("link") {
         world.set_link_bandwidth(first.number("link", 0)? as u32);
--- a/endivestile_testkit/src/fleet/world.rs
+++ b/endivestile_testkit/src/fleet/world.rs
@@ -22,7 +22,7 @@
 /// Time from a request to the store to its answer, in microseconds.
 const STORE_DELAY_US: u64 = 4_000;
 /// Default processor time of a host, in thousandths of a core.
-const HOST_CPU_MILLI: u32 = 250;
+pub(super) const HOST_CPU_MILLI: u32 = 250;
 /// Additional one-way delay between zones, in microseconds.
 const CROSS_ZONE_US: u64 = 1_400;
 
--- a/endivestile_testkit/tests/fleet_load.rs
+++ b/endivestile_testkit/tests/fleet_load.rs
@@ -18,6 +18,7 @@
         rate: 34.0,
         tasks: 8,
         work_ms: 60,
+        cpu_milli: (11_000, 17_000),
         priority: 0,
         deadline_ms: 2_000,
         estimate_factor: 1.0,
@@ -27,6 +28,7 @@
         rate: 6.0,
         tasks: 4,
         work_ms: 900,
+        cpu_milli: (11_000, 17_000),
         priority: 2,
         deadline_ms: 5_000,
         estimate_factor: 1.0,
@@ -36,6 +38,7 @@
         rate: 100.0,
         tasks: 2,
         work_ms: 200,
+        cpu_milli: (11_000, 17_000),
         priority: 1,
         deadline_ms: 2_500,
         estimate_factor: 1.0,
@@ -200,3 +203,80 @@
         assert!(large > done / 2.0, "{kind}: {large:.2} of the largest, {done:.2} of all");
     }
 }
+
+/// Capacities of workers on which two or three tasks of [`scarce_kinds`] fit.
+const SCARCE_CAPACITIES: [u32; 2] = [64_000, 96_000];
+/// Number of these workers in each zone, all owned by one host.
+const SCARCE_WORKERS: u64 = 24;
+/// Speeds of these workers.
+const SCARCE_SPEEDS: [f64; 3] = [0.6, 1.0, 1.6];
+/// Worth of a job of each kind that ends within its objective.
+const WORTH: [(&str, f64); 3] = [("wide", 0.00485), ("long", 0.0267), ("small", 0.00167)];
+
+/// Returns jobs with large tasks, which use the workers fully at a factor of about 1.
+fn scarce_kinds(factor: f64) -> Vec<JobKind> {
+    let rates = [("wide", 206.0), ("long", 37.5), ("small", 600.0)];
+    let per_s = 2.7 * 3.0 * SCARCE_WORKERS as f64 * factor / 843.5;
+    let kinds = KINDS.iter().zip(rates);
+    kinds
+        .map(|(kind, (name, rate))| {
+            assert_eq!(kind.name, name);
+            let deadline_ms = 3 * (kind.work_ms * 16 / 10 + 60);
+            JobKind { rate: rate * per_s, cpu_milli: (26_000, 48_000), deadline_ms, ..*kind }
+        })
+        .collect()
+}
+
+/// Returns the share of the worth of all jobs that was served; late jobs count a fifth.
+fn worth(served: &BTreeMap<&'static str, LoadResult>) -> f64 {
+    let sum = |part: fn(&LoadResult) -> f64| -> f64 {
+        WORTH.iter().map(|(kind, worth)| worth * part(&served[kind])).sum()
+    };
+    sum(|kind| f64::from(kind.in_time) + f64::from(kind.late) / 5.0)
+        / sum(|kind| f64::from(kind.submitted))
+}
+
+/// Sums the results of a load of large tasks over some seeds.
+fn scarce(policy: Policy, factor: f64, seeds: u64) -> BTreeMap<&'static str, LoadResult> {
+    let mut total: BTreeMap<&'static str, LoadResult> = BTreeMap::new();
+    for seed in 1..=seeds {
+        let mut world =
+            FleetWorld::with_policy(policy, &["a", "b", "c"], &[250], SCARCE_WORKERS, 0, seed);
+        world.set_speeds(&SCARCE_SPEEDS);
+        world.set_capacities(&SCARCE_CAPACITIES);
+        world.run(2_000);
+        world.run_load(&scarce_kinds(0.4), 3_000, seed + 100);
+        for (kind, served) in world.run_load(&scarce_kinds(factor), 6_000, seed) {
+            total.entry(kind).or_default().add(&served);
+        }
+        assert_eq!(world.breaches(), Vec::<String>::new());
+    }
+    total
+}
+
+/// Guards against free capacity that no task gets because the search for one gives up at the
+/// head of the queue. The bound is above the variation between seeds, about 0.01.
+#[test]
+fn load_backfill_burst() {
+    let without = scarce(Policy::default(), 2.4, 3);
+    let with = scarce(Policy::default().with(Mechanism::Backfill), 2.4, 3);
+    print("without", &without);
+    print("with", &with);
+    println!("backfill: worth {:.3} without, {:.3} with", worth(&without), worth(&with));
+    assert!(worth(&with) >= worth(&without) + 0.01);
+    assert!(with["long"].in_time > without["long"].in_time);
+    assert!(
+        with["long"].in_time + with["long"].late > without["long"].in_time + without["long"].late
+    );
+    assert!(share(&with, |kind| kind.lost) < 0.01);
+}
+
+/// Guards against a loss by the mechanism where capacity suffices. The bound is the variation
+/// between seeds.
+#[test]
+fn load_backfill_calm() {
+    let without = scarce(Policy::default(), 0.8, 1);
+    let with = scarce(Policy::default().with(Mechanism::Backfill), 0.8, 1);
+    println!("backfill, calm: worth {:.3} without, {:.3} with", worth(&without), worth(&with));
+    assert!(worth(&with) >= worth(&without) - 0.01);
+}
--- a/endivestile_testkit/tests/fleet_random.rs
+++ b/endivestile_testkit/tests/fleet_random.rs
@@ -21,6 +21,17 @@
 
 #[test]
 fn fleet_guarantees_random() {
+    check_random("");
+}
+
+/// Guards against breaches by the search of the whole queue, which is disabled by default.
+#[test]
+fn fleet_guarantees_random_backfill() {
+    check_random("with=backfill");
+}
+
+/// Runs random stories in worlds with these settings.
+fn check_random(settings: &str) {
     let number = |key: &str| env::var(key).ok().and_then(|text| text.parse::<u64>().ok());
     let cases = number("RANDOM_CASES").map_or(CASES, |cases| cases as u32);
     let config = Config { cases, failure_persistence: None, ..Config::default() };
@@ -33,7 +44,8 @@
         // Every caller gets an id of its own, also after shrinking.
         let numbered = steps.iter().enumerate();
         let body: String = numbered.map(|(at, step)| step.replace('?', &at.to_string())).collect();
-        let story = format!("{world}{body}{FINAL_STEPS}");
+        let world = world.trim_end();
+        let story = format!("{world} {settings}\n{body}{FINAL_STEPS}");
         let output = run_fleet_story(&story).map_err(TestCaseError::fail)?;
         let passed = |line: &str| line == "every promise kept" || line == "every call answered";
         let breach = output.lines().find(|line| !passed(line));
