--- a/endivestile_kernel/src/fleet/admission/queue.rs
+++ b/endivestile_kernel/src/fleet/admission/queue.rs
@@ -219,12 +219,11 @@
         self.reservations.get(key)
     }
 
-    /// Reserves a worker for the task at a position, or cancels its reservation.
-    pub(crate) fn reserve(&mut self, key: QueueKey, reservation: Option<Reservation>) {
-        match reservation.filter(|_| self.tasks.contains_key(&key)) {
-            Some(reservation) => self.reservations.insert(key, reservation),
-            None => self.reservations.remove(&key),
-        };
+    /// Records the reservation of the task at a position.
+    pub(crate) fn reserve(&mut self, key: QueueKey, reservation: Reservation) {
+        if self.tasks.contains_key(&key) {
+            self.reservations.insert(key, reservation);
+        }
     }
 
     /// Returns how many positions of the queue are in no size class, in several, or in a class
--- a/endivestile_kernel/src/fleet/placement/dispatch.rs
+++ b/endivestile_kernel/src/fleet/placement/dispatch.rs
@@ -169,18 +169,18 @@
         let former = queue.reservation(&key);
         let all = || self.worker_views(now, service, |_| true);
         let reservation = round.reserve(former, &view, all);
-        if reservation.as_ref() == former {
+        if Some(&reservation) == former {
             return;
         }
-        let fields = reservation.as_ref().map(|reservation| {
-            let driver = self.drivers.get(&reservation.worker);
-            let seen = driver.and_then(|driver| driver.runs.values().map(|run| run.seen).min());
+        let fields = reservation.worker.as_ref().map(|worker| {
+            let runs = self.drivers.get(worker).map(|driver| driver.runs.values());
+            let seen = runs.and_then(|runs| runs.map(|run| run.seen).min()).unwrap_or(now);
             [
-                ("worker", reservation.worker.to_string()),
+                ("worker", worker.to_string()),
                 ("task", task.task.to_string()),
                 ("cpu_milli", view.need.cpu_milli.to_string()),
                 ("in_us", reservation.at.since(now).as_micros().to_string()),
-                ("age_us", now.since(seen.unwrap_or(now)).as_micros().to_string()),
+                ("age_us", now.since(seen).as_micros().to_string()),
                 ("waiting", queue.len().to_string()),
             ]
         });
--- a/endivestile_kernel/src/fleet/placement/matching.rs
+++ b/endivestile_kernel/src/fleet/placement/matching.rs
@@ -23,6 +23,10 @@
 const SPEED_BAND: f64 = 0.1;
 /// Progress, in percent, from which on a run's end is extrapolated from its reports.
 const MIN_PERCENT: u8 = 10;
+/// Time until all workers are looked at again for a task that can end in time on none of them,
+/// in milliseconds; a tick. Under overload this holds for most tasks at the head of a queue, and
+/// a search with each dispatch would take a sixth of the smallest owner's processor time.
+const SEARCH_AGAIN_MS: u64 = 15;
 
 /// A waiting task.
 #[derive(Debug, Clone, Copy)]
@@ -91,9 +95,10 @@
 /// Reservation of a worker for a task that waits for capacity.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Reservation {
-    /// The worker.
-    pub worker: Name,
-    /// When it is expected to have free capacity for the task.
+    /// The worker; `None` if the task can end in time on no worker.
+    pub worker: Option<Name>,
+    /// When it is expected to have free capacity for the task; without a worker, when one is
+    /// looked for again.
     pub at: Time,
 }
 
@@ -291,13 +296,13 @@
 }
 
 /// Returns the worker that will first have free capacity for a task on which it still ends in
-/// time, if any. Workers that are reserved for another task are not considered.
+/// time. Workers that are reserved for another task are not considered.
 pub fn reserve_worker(
     now: Time,
     task: &TaskView<'_>,
     workers: &[WorkerView],
     reserved: impl Fn(&Name) -> bool,
-) -> Option<Reservation> {
+) -> Reservation {
     let usable = workers.iter().filter(|worker| {
         has_capacity(&worker.capacity, &task.need) && task.may_use(worker) && !reserved(&worker.id)
     });
@@ -306,7 +311,10 @@
         task.ends_in_time(at, task.factor(worker)).then_some((at, worker))
     });
     let first = starts.min_by_key(|(at, worker)| (*at, worker.free.cpu_milli));
-    first.map(|(at, worker)| Reservation { worker: worker.id.clone(), at })
+    match first {
+        Some((at, worker)) => Reservation { worker: Some(worker.id.clone()), at },
+        None => Reservation { worker: None, at: now.after_ms(SEARCH_AGAIN_MS) },
+    }
 }
 
 impl WorkerView {
--- a/endivestile_kernel/src/fleet/placement/round.rs
+++ b/endivestile_kernel/src/fleet/placement/round.rs
@@ -117,24 +117,25 @@
 
     /// Passes over a task of a step that got no worker before.
     pub fn skip(&mut self, key: QueueKey, class: &SizeClass) {
+        self.position = Some(key);
         if self.at_head() {
             self.head_visits += 1;
         } else {
             *self.class_misses.entry(class.clone()).or_default() += 1;
         }
-        self.position = Some(key);
     }
 
     /// Records that a task got no worker and remains queued.
     pub fn miss(&mut self, key: QueueKey, class: &SizeClass) {
-        if self.at_head() {
+        let at_head = self.at_head();
+        self.skip(key, class);
+        if at_head {
             self.head_misses += 1;
         } else if key.late {
             self.late_misses += 1;
         } else {
             self.fitting_misses += 1;
         }
-        self.skip(key, class);
     }
 
     /// Returns whether a task that remains queued was passed over.
@@ -151,30 +152,31 @@
     }
 
     /// Returns the reservation that a task keeps: the former one until its time has passed, or
-    /// that of the worker that will first have capacity, if there is one. `all_workers` is
-    /// called at most once between two starts.
+    /// that of the worker that will first have capacity. `all_workers` is called at most once
+    /// between two starts.
     pub fn reserve(
         &mut self,
         former: Option<&Reservation>,
         task: &TaskView<'_>,
         all_workers: impl FnOnce() -> Vec<WorkerView>,
-    ) -> Option<Reservation> {
+    ) -> Reservation {
         let now = self.conditions.now;
-        let kept = former.filter(|it| it.at > now && !self.reserved.contains(&it.worker));
-        let reservation = match kept {
+        let taken =
+            |it: &Reservation| it.worker.as_ref().is_some_and(|at| self.reserved.contains(at));
+        let reservation = match former.filter(|it| it.at > now && !taken(it)) {
             Some(kept) => kept.clone(),
             None => {
-                let reserved = |worker: &Name| self.reserved.contains(worker);
                 let workers = self.all.get_or_insert_with(all_workers);
-                reserve_worker(now, task, workers, reserved)?
+                reserve_worker(now, task, workers, |worker| self.reserved.contains(worker))
             }
         };
-        let Reservation { worker, at } = &reservation;
-        if let Some(view) = self.workers.iter_mut().find(|view| view.id == *worker) {
-            view.reserved_at = *at;
+        if let Some(worker) = &reservation.worker {
+            if let Some(view) = self.workers.iter_mut().find(|view| view.id == *worker) {
+                view.reserved_at = reservation.at;
+            }
+            self.reserved.insert(worker.clone());
         }
-        self.reserved.insert(worker.clone());
-        Some(reservation)
+        reservation
     }
 }
 
--- a/endivestile_kernel/tests/matching.rs
+++ b/endivestile_kernel/tests/matching.rs
@@ -5,8 +5,8 @@
 
 use endivestile_config::model::Name;
 use endivestile_kernel::fleet::{
-    AwaitedRun, Conditions, NoMatch, Prospect, Queue, QueueKey, Round, RunView, SizeClass,
-    TaskView, UsualRange, WorkerView, choose_worker, reserve_worker,
+    AwaitedRun, Conditions, NoMatch, Prospect, Queue, QueueKey, Reservation, Round, RunView,
+    SizeClass, TaskView, UsualRange, WorkerView, choose_worker, reserve_worker,
 };
 use endivestile_kernel::{Need, Time};
 use proptest::prelude::*;
@@ -298,9 +298,9 @@
     let soon = WorkerView { runs: vec![run_until(34, 100)], ..worker("soon", 64, 30, 1.0) };
     let later = WorkerView { runs: vec![run_until(34, 400)], ..worker("later", 64, 30, 1.0) };
     let workers = [soon, later];
-    let reservation =
-        reserve_worker(NOW, &task(48), &workers, |_| false).expect("a worker is reserved");
-    assert_eq!((&*reservation.worker, reservation.at), ("soon", NOW.after_ms(100)));
+    let reservation = reserve_worker(NOW, &task(48), &workers, |_| false);
+    let soon = Some(Name::from("soon"));
+    assert_eq!(reservation, Reservation { worker: soon, at: NOW.after_ms(100) });
 
     let mut round = Round::new(NOW, workers.to_vec(), Some(USUAL), 1_000_000);
     round.reserve(None, &task(48), || workers.to_vec());
@@ -324,14 +324,15 @@
 fn reservation_kept_until_due() {
     let workers = [WorkerView { runs: vec![run_until(34, 100)], ..worker("a", 64, 30, 1.0) }];
     let mut round = Round::new(NOW, workers.to_vec(), None, 0);
-    let former = round.reserve(None, &task(48), || workers.to_vec()).expect("reserved");
+    let former = round.reserve(None, &task(48), || workers.to_vec());
     let sooner = [WorkerView { runs: vec![run_until(34, 20)], ..worker("b", 64, 30, 1.0) }];
     let mut round = Round::new(NOW, sooner.to_vec(), None, 0);
     let kept = round.reserve(Some(&former), &task(48), || sooner.to_vec());
-    assert_eq!(kept, Some(former.clone()));
+    assert_eq!(former.worker, Some(Name::from("a")));
+    assert_eq!(kept, former);
     let mut round = Round::new(NOW.after_ms(101), sooner.to_vec(), None, 0);
     let renewed = round.reserve(Some(&former), &task(48), || sooner.to_vec());
-    assert_eq!(renewed.map(|it| it.worker.to_string()), Some("b".to_owned()));
+    assert_eq!(renewed.worker, Some(Name::from("b")));
 }
 
 /// Guards against two tasks ahead that wait for the same worker.
@@ -341,13 +342,26 @@
         |id: &str, ms: u64| WorkerView { runs: vec![run_until(64, ms)], ..worker(id, 64, 0, 1.0) };
     let workers = [at("a", 50), at("b", 80), at("c", 500)];
     let mut round = Round::new(NOW, Vec::new(), None, 0);
-    let mut reserve = || round.reserve(None, &task(48), || workers.to_vec());
-    let first: Vec<String> =
-        (0..3).filter_map(|_| reserve()).map(|it| it.worker.to_string()).collect();
-    assert_eq!(first, ["a", "b", "c"]);
+    let mut reserve = || round.reserve(None, &task(48), || workers.to_vec()).worker;
+    for id in ["a", "b", "c"] {
+        assert_eq!(reserve(), Some(Name::from(id)));
+    }
     assert_eq!(reserve(), None);
 }
 
+/// Guards against a search of all workers with each dispatch for a task that can end in time on
+/// none of them.
+#[test]
+fn reservation_none_not_searched_again() {
+    let workers = [WorkerView { runs: vec![run_until(64, 990)], ..worker("a", 64, 0, 1.0) }];
+    let mut round = Round::new(NOW, Vec::new(), None, 0);
+    let none = round.reserve(None, &task(48), || workers.to_vec());
+    assert_eq!(none.worker, None);
+    let mut round = Round::new(NOW.after_ms(10), Vec::new(), None, 0);
+    let kept = round.reserve(Some(&none), &task(48), || panic!("searched again"));
+    assert_eq!(kept, none);
+}
+
 /// Guards against a reservation of a worker that hangs: a run that is overdue is expected to take
 /// longer the older it is, and reported progress counts more than the estimate.
 #[test]
