Keep the wake-up time of the engine outside the actor's timers

Cause: duplicate timers. When the engine's timer expired in the same run of the event loop as a batch of inputs, the batch set the next timer first; the handler of the expired timer then dropped the only reference to it and set a second one for the same time. Each of the two set a successor when it expired, so that duplicates lasted for as long as the process, and each coincidence added one. Also, a call to a worker registered two timers with the same deadline, one for the head of the response and one for its body. Ruled out: a check in the handler alone, which would still delete and insert a timer with nearly every batch. Change: the engine leaves the time of its next wake-up to the event loop, which waits no longer than that and then finishes an empty batch. One timer covers a whole exchange with a worker. The metrics page shows the engine's batches and their time, and the processor time of the process.

--- a/endivestile/src/fleet/engine.rs
+++ b/endivestile/src/fleet/engine.rs
@@ -3,14 +3,14 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::{Arc, PoisonError, RwLock};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use endivestile_kernel::Time;
 use endivestile_kernel::fleet::{
     Fleet, FleetEffect, FleetEvent, FleetSetup, JobEnd, Limits, Reason,
 };
 use endivestile_wire::adapter::{Adapter, CallerRequest, CallerResponse};
-use stakker::{CX, FixedTimerKey, StopCause, after, at};
+use stakker::{CX, StopCause, after};
 use tokio::sync::watch;
 
 use super::inbox::{HttpCall, Inbox, Input};
@@ -73,6 +73,9 @@
     pub(crate) grace_ms: u64,
     /// How the process ended; set when the engine stops.
     pub(crate) exit: Rc<Cell<Exit>>,
+    /// When the event loop has to finish a batch although no input has arrived. It changes with
+    /// nearly every batch, for which the actor runtime's timers are too expensive.
+    pub(crate) wake_at: Rc<Cell<Option<Instant>>>,
 }
 
 /// The fleet with its open calls and timer.
@@ -81,7 +84,6 @@
     open_calls: OpenCalls,
     parts: EngineParts,
     effects: Vec<FleetEffect>,
-    timer: Option<(Time, FixedTimerKey)>,
     stopping: bool,
     refusing_jobs: bool,
     drained: bool,
@@ -96,7 +98,6 @@
             open_calls: OpenCalls::new(parts.adapter),
             parts,
             effects: Vec::new(),
-            timer: None,
             stopping: false,
             refusing_jobs: false,
             drained: false,
@@ -120,12 +121,12 @@
         }
     }
 
-    /// Finishes a batch of inputs: carries out the effects and sets the timer.
+    /// Finishes a batch of inputs: carries out the effects and sets the time of the next wake-up.
     pub(crate) fn finish_batch(&mut self, cx: CX![]) {
         let now = self.parts.clock.to_time(cx.now());
         self.fleet.flush(now, &mut self.effects);
         self.run_effects(cx, now);
-        self.set_timer(cx);
+        self.parts.wake_at.set(self.parts.clock.to_instant(self.fleet.deadline()));
     }
 
     fn handle_event(&mut self, now: Time, event: FleetEvent) {
@@ -232,25 +233,6 @@
         self.parts.pool_role.set(self.fleet.pool_role());
     }
 
-    /// Sets the timer for the fleet's next deadline.
-    fn set_timer(&mut self, cx: CX![]) {
-        let deadline = self.fleet.deadline();
-        if self.timer.as_ref().is_some_and(|(time, _)| *time == deadline) {
-            return;
-        }
-        if let Some((_, key)) = self.timer.take() {
-            cx.timer_del(key);
-        }
-        if let Some(instant) = self.parts.clock.to_instant(deadline) {
-            self.timer = Some((deadline, at!(instant, [cx], handle_timer())));
-        }
-    }
-
-    fn handle_timer(&mut self, cx: CX![]) {
-        self.timer = None;
-        self.finish_batch(cx);
-    }
-
     /// Starts a graceful shutdown at the first signal; the second one ends the process.
     fn handle_stop(&mut self, cx: CX![], now: Time) {
         if self.stopping {
--- a/endivestile/src/fleet/http_client.rs
+++ b/endivestile/src/fleet/http_client.rs
@@ -48,43 +48,37 @@
             request.headers_mut().insert(HOST, host);
         }
         let mut request = request.map(Full::new);
-        while let Some(mut sender) = self.take_idle(address) {
-            match timeout_at(deadline, sender.try_send_request(request)).await {
-                Ok(Ok(response)) => return self.read(address, sender, response, deadline).await,
+        while let Some(sender) = self.take_idle(address) {
+            match timeout_at(deadline, self.exchange(address, sender, request)).await {
+                Ok(Ok(answer)) => return Ok(answer),
                 // The peer had closed the idle connection, and nothing was sent.
-                Ok(Err(mut e)) => match e.take_message() {
-                    Some(unsent) => request = unsent,
-                    None => return Err(HttpError::Lost),
-                },
-                Err(_) => return Err(HttpError::Lost),
+                Ok(Err(Some(unsent))) => request = unsent,
+                _ => return Err(HttpError::Lost),
             }
         }
-        let mut sender = match timeout_at(deadline, open_connection(address)).await {
+        let sender = match timeout_at(deadline, open_connection(address)).await {
             Ok(Some(sender)) => sender,
             _ => return Err(HttpError::Unreachable),
         };
-        match timeout_at(deadline, sender.send_request(request)).await {
-            Ok(Ok(response)) => self.read(address, sender, response, deadline).await,
+        match timeout_at(deadline, self.exchange(address, sender, request)).await {
+            Ok(Ok(answer)) => Ok(answer),
             _ => Err(HttpError::Lost),
         }
     }
 
-    /// Reads the body of a response, and keeps the connection for further calls.
-    async fn read(
+    /// Sends a request, reads the whole response, and keeps the connection for further calls.
+    /// Fails with the request if nothing of it was sent.
+    async fn exchange(
         &self,
         address: &Name,
-        sender: Sender,
-        response: hyper::Response<hyper::body::Incoming>,
-        deadline: Instant,
-    ) -> Result<(StatusCode, Bytes), HttpError> {
+        mut sender: Sender,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(StatusCode, Bytes), Option<Request<Full<Bytes>>>> {
+        let response = sender.try_send_request(request).await.map_err(|mut e| e.take_message())?;
         let (head, body) = response.into_parts();
-        match timeout_at(deadline, Limited::new(body, MAX_BODY_BYTES).collect()).await {
-            Ok(Ok(body)) => {
-                self.keep_idle(address, sender);
-                Ok((head.status, body.to_bytes()))
-            }
-            _ => Err(HttpError::Lost),
-        }
+        let body = Limited::new(body, MAX_BODY_BYTES).collect().await.map_err(|_| None)?;
+        self.keep_idle(address, sender);
+        Ok((head.status, body.to_bytes()))
     }
 
     fn take_idle(&self, address: &Name) -> Option<Sender> {
--- a/endivestile/src/fleet/metrics.rs
+++ b/endivestile/src/fleet/metrics.rs
@@ -10,7 +10,7 @@
 use http::{HeaderValue, Response};
 
 use crate::counters::Counters;
-use crate::status::rss_kb;
+use crate::status::{cpu_ms, rss_kb};
 
 /// Longest recorded span, in microseconds: one hour. Longer spans count as this.
 const MAX_SPAN_US: u64 = 3_600_000_000;
@@ -31,6 +31,10 @@
     counts: [u64; Count::ALL.len()],
     gauges: [u64; Gauge::ALL.len()],
     spans: Vec<Histogram<u64>>,
+    /// Batches of inputs that the engine has handled.
+    batches: u64,
+    /// Time spent in them, in microseconds.
+    engine_us: u64,
 }
 
 impl Metrics {
@@ -40,7 +44,13 @@
         let histogram =
             |_| Histogram::new_with_bounds(1, MAX_SPAN_US, SIGNIFICANT_DIGITS).expect("bounds");
         let spans = Span::ALL.iter().map(histogram).collect();
-        let inner = Inner { counts: [0; Count::ALL.len()], gauges: [0; Gauge::ALL.len()], spans };
+        let inner = Inner {
+            counts: [0; Count::ALL.len()],
+            gauges: [0; Gauge::ALL.len()],
+            spans,
+            batches: 0,
+            engine_us: 0,
+        };
         Self { inner: Arc::new(Mutex::new(inner)), io }
     }
 
@@ -59,6 +69,14 @@
         self.lock().spans[span as usize].saturating_record(took_us.max(1));
     }
 
+    /// Records a batch of inputs that the engine handled, and how long that took, in
+    /// microseconds.
+    pub(crate) fn record_batch(&self, took_us: u64) {
+        let mut inner = self.lock();
+        inner.batches += 1;
+        inner.engine_us += took_us;
+    }
+
     /// Returns the page, one value per line.
     pub(crate) fn page(&self) -> Response<Bytes> {
         let mut text = String::new();
@@ -81,6 +99,9 @@
             }
             let _ = writeln!(text, "endivestile_{name}_us_count {}", histogram.len());
         }
+        let _ = writeln!(text, "endivestile_engine_batches {}", inner.batches);
+        let _ = writeln!(text, "endivestile_engine_us {}", inner.engine_us);
+        let _ = writeln!(text, "endivestile_cpu_ms {}", cpu_ms());
         let _ = writeln!(text, "endivestile_rss_kb {}", rss_kb());
         let mut response = Response::new(Bytes::from(text));
         let plain = HeaderValue::from_static("text/plain; charset=utf-8");
--- a/endivestile/src/fleet/run.rs
+++ b/endivestile/src/fleet/run.rs
@@ -161,6 +161,7 @@
         reloader,
         grace_ms: settings.platform.grace_ms,
         exit,
+        wake_at: Rc::default(),
     })
 }
 
@@ -233,13 +234,18 @@
 /// Runs the event loop until the engine ends it.
 async fn run_loop(mut receiver: InboxReceiver, parts: EngineParts) {
     let mut stakker = Stakker::new(Instant::now());
+    let (metrics, wake_at) = (parts.metrics.clone(), Rc::clone(&parts.wake_at));
     let engine = actor!(&mut stakker, Engine::init(parts), ret_nop!());
     call!([engine], finish_batch());
     stakker.run(Instant::now(), false);
     while stakker.not_shutdown() {
-        let wait = stakker.next_wait_max(Instant::now(), Duration::from_secs(MAX_WAIT_S), false);
-        handle_batch(&mut receiver, &engine, wait).await;
-        stakker.run(Instant::now(), false);
+        let now = Instant::now();
+        let wait = stakker.next_wait_max(now, Duration::from_secs(MAX_WAIT_S), false);
+        let wait = wake_at.get().map_or(wait, |at| wait.min(at.saturating_duration_since(now)));
+        handle_batch(&mut receiver, &engine, wait, wake_at.get()).await;
+        let started = Instant::now();
+        stakker.run(started, false);
+        metrics.record_batch(started.elapsed().as_micros() as u64);
     }
     // The last responses still have to be written to their sockets.
     tokio::time::sleep(Duration::from_millis(LAST_RESPONSES_MS)).await;
@@ -248,9 +254,20 @@
 /// Time for the last responses to be written to their sockets, in milliseconds.
 const LAST_RESPONSES_MS: u64 = 20;
 
-/// Passes all queued inputs to the engine at once, so that their frames share batches.
-async fn handle_batch(receiver: &mut InboxReceiver, engine: &Actor<Engine>, wait: Duration) {
-    let Ok(Some(first)) = timeout(wait, receiver.recv()).await else { return };
+/// Passes all queued inputs to the engine at once, so that their frames share batches. Finishes
+/// an empty batch if none has arrived at `wake_at`.
+async fn handle_batch(
+    receiver: &mut InboxReceiver,
+    engine: &Actor<Engine>,
+    wait: Duration,
+    wake_at: Option<Instant>,
+) {
+    let Ok(Some(first)) = timeout(wait, receiver.recv()).await else {
+        if wake_at.is_some_and(|at| at <= Instant::now()) {
+            call!([engine], finish_batch());
+        }
+        return;
+    };
     call!([engine], handle_input(first));
     for _ in 1..MAX_BATCH {
         let Ok(input) = receiver.try_recv() else { break };
--- a/endivestile/src/status.rs
+++ b/endivestile/src/status.rs
@@ -15,6 +15,19 @@
     line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
 }
 
+/// Length of a clock tick in `/proc`, in milliseconds.
+const TICK_MS: u64 = 10;
+
+/// Returns the processor time that the process has used, in milliseconds, or 0 if it cannot be
+/// read.
+pub(crate) fn cpu_ms() -> u64 {
+    let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    // The program's name in parentheses may contain spaces; user and system time are the 12th and
+    // 13th field after it.
+    let fields = stat.rsplit(')').next().unwrap_or_default().split_whitespace();
+    fields.skip(11).take(2).filter_map(|ticks| ticks.parse::<u64>().ok()).sum::<u64>() * TICK_MS
+}
+
 /// Returns the status of the host as JSON.
 pub(crate) fn status_json(
     kernel: &Kernel,
