Ignore an expired timer of the product's engine after the next one is set

Cause: the engine of the product's own interface had the same duplicate timers as the one of the users' platform: the handler of an expired timer dropped a timer that a batch in the same run had just set, and set a second one. Ruled out: the wake-up time outside the actor, as on the users' platform; this loop receives its inputs on another thread and its cost is not what customers measure. Change: the handler returns if the timer that is set is for another time. A test on the users' platform guards against an event loop that spins. The new test `event_loop_rests` passes with 10 to 399 batches in 2 s.

--- a/endivestile/src/engine.rs
+++ b/endivestile/src/engine.rs
@@ -224,12 +224,19 @@
         }
         let instant = deadline.and_then(|time| self.clock.to_instant(time));
         if let (Some(time), Some(instant)) = (deadline, instant) {
-            self.timer = Some((time, at!(instant, [cx], handle_timer())));
+            self.timer = Some((time, at!(instant, [cx], handle_timer(time))));
         }
     }
 
     /// Handles the kernel's timer.
-    fn handle_timer(&mut self, cx: CX![]) {
+    ///
+    /// A batch of inputs in the same run of the event loop may already have set the next timer.
+    /// Dropping that one here would leave it set in addition to its replacement, and duplicates
+    /// would add up for as long as the process lives.
+    fn handle_timer(&mut self, cx: CX![], due: Time) {
+        if self.timer.as_ref().is_some_and(|(time, _)| *time != due) {
+            return;
+        }
         self.timer = None;
         self.finish_batch(cx);
     }
--- a/endivestile/tests/platform_path.rs
+++ b/endivestile/tests/platform_path.rs
@@ -35,6 +35,28 @@
     });
 }
 
+/// A host at rest wakes up for its ticks, every 60 ms, and for the replies of its workers, each up
+/// to seven times a second. A wake-up time that stays in the past would make its event loop spin.
+#[test]
+fn event_loop_rests() {
+    const MAX_BATCHES_PER_S: u64 = 200;
+    let platform = start_platform();
+    let host = Host::start(&platform, "a1", "a");
+    wait_until_serving(&host);
+    assert_eq!(host.call("POST", "/jobs/00000000000000ab", &job(4, 30)).0, 200);
+    let figure = |name: &str| -> u64 {
+        let page = metrics_page(&host);
+        let line = page.lines().find_map(|line| line.strip_prefix(name));
+        line.and_then(|value| value.trim().parse().ok()).expect("a figure")
+    };
+    let before = figure("endivestile_engine_batches ");
+    std::thread::sleep(std::time::Duration::from_secs(2));
+    let batches = figure("endivestile_engine_batches ") - before;
+    assert!((10..2 * MAX_BATCHES_PER_S).contains(&batches), "{batches} batches in 2 s");
+    assert!(figure("endivestile_engine_us ") > 0);
+    assert!(figure("endivestile_cpu_ms ") > 0);
+}
+
 /// Returns the metrics page of a host.
 fn metrics_page(host: &Host) -> String {
     let mut text = String::new();
