--- a/endivestile_kernel/src/fleet/completion.rs
+++ b/endivestile_kernel/src/fleet/completion.rs
@@ -10,7 +10,7 @@
 use crate::fleet::metrics::{Count, Span};
 use crate::fleet::msg::{JobCrashes, JobMsg};
 use crate::fleet::scheduler::{Output, Scheduler};
-use crate::fleet::workers::crash_evidence::{CrashVerdict, LostWorker, TaskKey};
+use crate::fleet::workers::crash_evidence::{LostWorker, TaskKey};
 use crate::fleet::workers::protocol::{CallError, RenewReply, RunEnd, StartResult};
 use crate::fleet::workers::run::{EndedRun, Phase, RunId, RunOutcome, TaskRef};
 use crate::{Level, Note, Peer, Time};
@@ -143,13 +143,10 @@
     /// Sends the evidence about jobs to their senders; that about suspected tasks also to the
     /// owners that report to this host.
     fn send_evidence(&mut self, now: Time, jobs: &BTreeSet<Name>) {
+        let suspected = self.crashes.suspected_jobs(now);
         for job in jobs {
             let Some(report) = self.crashes.report(job) else { continue };
-            let suspected = report.tasks.iter().any(|it| {
-                let key = TaskKey { job: job.clone(), step: it.step, task: it.task };
-                self.crashes.verdict(now, &key) != CrashVerdict::Start
-            });
-            let owners = self.peer_capacity.keys().filter(|_| suspected);
+            let owners = self.peer_capacity.keys().filter(|_| suspected.contains(job));
             let mut peers: BTreeSet<Peer> = owners.cloned().collect();
             let own = self.jobs.values().filter(|state| state.job.id == *job);
             peers.extend(own.map(|state| state.sender.clone()));
@@ -159,6 +156,15 @@
         }
     }
 
+    /// Sends the evidence about all suspected tasks to an owner that did not report before.
+    pub(crate) fn send_all_evidence(&mut self, now: Time, to: &Peer) {
+        for job in self.crashes.suspected_jobs(now) {
+            if let Some(report) = self.crashes.report(&job) {
+                self.out.push(Output::Message(to.clone(), JobMsg::Crashes(report)));
+            }
+        }
+    }
+
     /// Adds what another host reports about crashes, and passes it on to the fronts of the job.
     pub(crate) fn merge_crashes(&mut self, now: Time, from: &Peer, report: JobCrashes) {
         if !self.policy.has(Mechanism::CrashLimit) || !self.crashes.merge(now, &report) {
--- a/endivestile_kernel/src/fleet/hosts/frames.rs
+++ b/endivestile_kernel/src/fleet/hosts/frames.rs
@@ -92,7 +92,9 @@
         let spare =
             |load: &ServiceCapacity| (load.service.clone(), load.free.saturating_sub(load.waiting));
         let by_service = report.capacity.iter().map(spare).collect();
-        self.scheduler.peer_capacity.insert(from.clone(), by_service);
+        if self.scheduler.peer_capacity.insert(from.clone(), by_service).is_none() {
+            self.scheduler.send_all_evidence(now, from);
+        }
         self.scheduler.dirty = true;
     }
 
--- a/endivestile_kernel/src/fleet/workers/crash_evidence.rs
+++ b/endivestile_kernel/src/fleet/workers/crash_evidence.rs
@@ -226,6 +226,19 @@
         self.jobs.is_empty()
     }
 
+    /// Returns the jobs of which a task is suspected.
+    pub fn suspected_jobs(&self, now: Time) -> Vec<Name> {
+        let suspected = |(job, evidence): (&Name, &JobEvidence)| {
+            let mut keys = evidence.tasks.keys();
+            let any = keys.any(|&(step, task)| {
+                let key = TaskKey { job: job.clone(), step, task };
+                self.verdict(now, &key) != CrashVerdict::Start
+            });
+            any.then(|| job.clone())
+        };
+        self.jobs.iter().filter_map(suspected).collect()
+    }
+
     /// Returns the evidence about the tasks of a job, for the hosts that may get it next.
     pub fn report(&self, job: &Name) -> Option<JobCrashes> {
         let tasks = self.jobs.get(job)?.tasks.iter();
--- a/endivestile_kernel/src/fleet/workers/driver.rs
+++ b/endivestile_kernel/src/fleet/workers/driver.rs
@@ -320,16 +320,16 @@
                 self.next_renewal = now;
                 None
             }
+            StartResult::Failed(CallError::Fenced) => {
+                self.stage = Stage::Fenced;
+                self.end_run(id, RunOutcome::NotStarted(result))
+            }
             StartResult::Failed(CallError::Unreachable) if self.records_losses => {
                 // Nobody is at the address: the same task would fail there again at once.
                 self.responsive_until = now;
                 self.next_renewal = now;
                 self.end_run(id, RunOutcome::NotStarted(result))
             }
-            StartResult::Failed(CallError::Fenced) => {
-                self.stage = Stage::Fenced;
-                self.end_run(id, RunOutcome::NotStarted(result))
-            }
             _ => self.end_run(id, RunOutcome::NotStarted(result)),
         }
     }
--- a/endivestile_kernel/src/fleet/workers/driver/renewal.rs
+++ b/endivestile_kernel/src/fleet/workers/driver/renewal.rs
@@ -163,8 +163,9 @@
     /// Drops runs that must have ended, since the worker does not list them: stopped before
     /// the reply, not started in time, or confirmed before the renewal was even sent.
     fn drop_absent(&mut self, renewal: Renewal, reply: &RenewReply) -> Vec<EndedRun> {
+        let lists = |id: &RunId| lists(reply, id);
         let absent = |id: &RunId, run: &Run| match run.phase {
-            _ if lists(reply, id) => false,
+            _ if lists(id) => false,
             _ if run.stopped_clock.is_some_and(|clock| reply.clock > clock) => true,
             Phase::Unconfirmed => reply.clock > run.start_by,
             Phase::Running => run.seen < renewal.sent && run.sent < renewal.sent,
