Keep the port of a machine that refuses connections

Cause: test_case_1_connection_refused failed once with a lost answer in place of a refused connection. The simulated machine closed its port, and the system may assign a closed port to another socket, or to the caller's own end of the connection. No trace of the one failure exists, so the cause is inferred. Change: while a machine refuses, its address stays bound to a socket that does not listen, so that the connection is refused by construction.

--- a/endivestile_testkit/src/machine/connection.rs
+++ b/endivestile_testkit/src/machine/connection.rs
@@ -1,13 +1,14 @@
 //! Serves the connections to a machine and runs the tasks received on them.
 
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use endivestile_wire::call::{LEASE_HEADER, NOT_RUN_HEADER, TASK_HEADER};
 use tokio::io::{AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
 use super::fault::MachineFault;
@@ -38,11 +39,16 @@
 pub(crate) async fn serve(machine: Arc<Machine>, first: TcpListener, origin: Instant) {
     let mut port = machine.port.subscribe();
     let mut listener = Some(first);
+    // Keeps the closed port: the system could assign it to another socket, or to the caller's
+    // own end of the connection, which would then not be refused.
+    let mut reserved: Option<TcpSocket> = None;
     loop {
         let (_, open) = *port.borrow_and_update();
         if !open {
             listener = None;
+            reserved = reserve(machine.address).ok();
         } else if listener.is_none() {
+            drop(reserved.take());
             listener = TcpListener::bind(machine.address).await.ok();
         }
         machine.listens.store(listener.is_some(), Ordering::Release);
@@ -56,6 +62,14 @@
     }
 }
 
+/// Binds an address without listening, so that connections to it are refused.
+fn reserve(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
 /// Accepts a connection, or waits forever without a listener.
 async fn accept(listener: Option<&TcpListener>) -> Option<TcpStream> {
     match listener {
