Send a rejected job to the zone where it ends first

Cause: with admission by forecast owners have short queues, so that nearly all jobs leave a zone after it has rejected them. Ruled out: a larger share for all jobs, which hosts would use on the same reports. Change: a job that its zone has rejected goes to the zone where it ends first and before its deadline, without a limit; a rejection there excludes the owner only if the job was sent for the room that it reported.

--- a/endivestile_kernel/src/fleet/assignment.rs
+++ b/endivestile_kernel/src/fleet/assignment.rs
@@ -140,7 +140,8 @@
         let Some(open) = self.front.open.get(&serial) else { return false };
         let (away, tries, may_have_run) = (open.sent_away, open.tries, open.may_have_run);
         let (former, service) = (open.assigned_to.clone(), open.job.service.clone());
-        if let Some(former) = former.filter(|_| away)
+        // A job that its own zone had returned was sent there without regard to the report.
+        if let Some(former) = former.filter(|_| away && tries == 1)
             && let Some(member) = self.members.get(&former)
         {
             // Its report showed free capacity that it does not have.
--- a/endivestile_kernel/src/fleet/placement/zone_choice.rs
+++ b/endivestile_kernel/src/fleet/placement/zone_choice.rs
@@ -158,6 +158,12 @@
         if self.tasks_per_s > 0.0 { queue / self.tasks_per_s * 1_000.0 } else { 0.0 }
     }
 
+    /// Returns when a job ends that is sent there now, in milliseconds from now.
+    fn end_ms(&self, job: &JobShape) -> f64 {
+        let bytes_ms = f64::from(job.bytes) / 1_024.0 * MS_PER_KIB;
+        self.wait_ms() + job.run_ms * self.run_factor + TRANSIT_MS + bytes_ms
+    }
+
     /// Returns how many more tasks this host may send there before the next report, if they may
     /// wait for `wait_ms` milliseconds.
     ///
@@ -172,33 +178,29 @@
 
 /// Chooses the zone of a job: its own, or one of the others.
 pub fn choose_zone(home: &HomeZone, others: &[OtherZone], job: &JobShape) -> ZoneVerdict {
+    if job.returned {
+        return choose_for_returned(others, job);
+    }
     let wait_ms = home.wait_ms();
     let needed_ms = (job.slack_ms * gain_part(home.sending)).max(MIN_GAIN_MS);
-    if !job.returned && wait_ms < needed_ms {
+    if wait_ms < needed_ms {
         return ZoneVerdict::Stay(StayReason::ShortQueue);
     }
     let mut reason = StayReason::NoRoom;
     let mut drawn = 0.0;
-    // Sending ends where the job no longer gains.
-    let tolerated_ms = if job.returned { job.left_ms - job.run_ms } else { wait_ms - needed_ms };
     for (zone, other) in others.iter().enumerate() {
-        let allowance = other.allowance(tolerated_ms);
+        // Sending ends where the job no longer gains.
+        let allowance = other.allowance(wait_ms - needed_ms);
         if allowance <= 0.0 {
             continue;
         }
-        let run_ms = job.run_ms * other.run_factor;
-        let bytes_ms = f64::from(job.bytes) / 1_024.0 * MS_PER_KIB;
-        let away_ms = other.wait_ms() + run_ms + TRANSIT_MS + bytes_ms;
-        // A returned job has no end in its own zone: it gains what is left after its end here.
-        let home_ms = if job.returned { job.left_ms } else { wait_ms + job.run_ms };
-        let gain_ms = home_ms - away_ms;
-        if gain_ms < if job.returned { MIN_GAIN_MS } else { needed_ms } {
+        let gain_ms = wait_ms + job.run_ms - other.end_ms(job);
+        if gain_ms < needed_ms {
             reason = StayReason::NoGain;
             continue;
         }
         // The same draw selects the same part of a host's jobs, and no job for two zones.
-        let rivals = if job.returned { 0.0 } else { job.arriving };
-        drawn += allowance / rivals.max(f64::from(job.tasks)).max(1.0);
+        drawn += allowance / job.arriving.max(f64::from(job.tasks)).max(1.0);
         if job.draw < drawn {
             return ZoneVerdict::Send { zone, gain_ms };
         }
@@ -207,6 +209,20 @@
     ZoneVerdict::Stay(reason)
 }
 
+/// Chooses the zone where a job ends first that its own zone has rejected.
+///
+/// No share of the other zone's room limits it: the job has no end in its own zone, and an owner
+/// that cannot end it either rejects it at once.
+fn choose_for_returned(others: &[OtherZone], job: &JobShape) -> ZoneVerdict {
+    let gains = others.iter().enumerate().filter(|(_, other)| other.tasks_per_s > 0.0);
+    let gains = gains.map(|(zone, other)| (zone, job.left_ms - other.end_ms(job)));
+    match gains.max_by(|one, other| one.1.total_cmp(&other.1)) {
+        None => ZoneVerdict::Stay(StayReason::NoRoom),
+        Some((_, gain_ms)) if gain_ms < MIN_GAIN_MS => ZoneVerdict::Stay(StayReason::NoGain),
+        Some((zone, gain_ms)) => ZoneVerdict::Send { zone, gain_ms },
+    }
+}
+
 /// Returns by how many tasks per second a zone's queue grows, given the change of its free less
 /// its waiting tasks in the last second.
 ///
--- a/endivestile_kernel/tests/zone_choice.rs
+++ b/endivestile_kernel/tests/zone_choice.rs
@@ -208,6 +208,20 @@
     assert!(!sends(choose_zone(&home, &[idle_zone()], &late)));
 }
 
+/// Guards against rejecting a job in its own zone while another zone ends it in time, in a burst
+/// in which owners reject on arrival and no zone has a queue: the share of a zone's room that its
+/// reports allow is used up by the first jobs.
+#[test]
+fn choose_returned_beyond_share() {
+    let other = OtherZone { free: 3, sent: 40, share: 0.05, ..idle_zone() };
+    let busier = OtherZone { waiting: 200, ..other };
+    let returned = JobShape { returned: true, draw: 0.99, ..shape() };
+    match choose_zone(&HomeZone::default(), &[busier, other], &returned) {
+        ZoneVerdict::Send { zone, .. } => assert_eq!(zone, 1),
+        stay => panic!("{stay:?}"),
+    }
+}
+
 /// Guards against many hosts that fill a zone on the same report: together they use no more than
 /// half of its room.
 #[test]
