--- a/endivestile_kernel/src/fleet/workers/capacity.rs
+++ b/endivestile_kernel/src/fleet/workers/capacity.rs
@@ -135,6 +135,16 @@
         }
     }
 
+    /// Returns whether the runs exceed the assumed capacity in any resource; otherwise no run is
+    /// due to be stopped because of an earlier excess.
+    pub fn check_excess(&mut self, runs: impl IntoIterator<Item = CapacityUse>) -> bool {
+        let exceeded = self.used(runs).is_some_and(|used| exceeds(&used, &self.assumed));
+        if !exceeded {
+            self.stop_due = None;
+        }
+        exceeded
+    }
+
     /// Returns the processor time by which the runs exceed the assumed capacity, in thousandths
     /// of a core.
     pub fn excess_cpu_milli(&self, runs: impl IntoIterator<Item = CapacityUse>) -> u32 {
--- a/endivestile_kernel/src/fleet/workers/owned.rs
+++ b/endivestile_kernel/src/fleet/workers/owned.rs
@@ -308,6 +308,12 @@
         }
         let mut excess = 0;
         for (worker, driver) in &mut self.drivers {
+            let Some(mut capacity) = driver.capacity.take() else { continue };
+            let exceeded = capacity.check_excess(driver.capacity_uses());
+            driver.capacity = Some(capacity);
+            if !exceeded {
+                continue;
+            }
             let uses: Vec<_> = driver.capacity_uses().collect();
             let Some(capacity) = &mut driver.capacity else { continue };
             excess += u64::from(capacity.excess_cpu_milli(uses.iter().copied()));
