Apply the crash limit in the search of the whole queue

Cause: the search of the whole queue was built beside the crash limit, and started suspected tasks like all others. Change: the search asks for the verdict on a task before it tries it; reservations use the capacity that a worker is assumed to have.

--- a/endivestile_kernel/src/fleet/placement/dispatch.rs
+++ b/endivestile_kernel/src/fleet/placement/dispatch.rs
@@ -85,7 +85,11 @@
             let Some(state) = self.jobs.get(&task.job) else { return };
             let step = state.step(task.task as usize);
             let class = SizeClass::of(&step.need, step.required_label.as_ref());
-            if missed.is_some_and(|missed| self.same_step(missed, task)) {
+            if let Some(left_queue) = self.handle_suspected(now, task) {
+                if !left_queue {
+                    round.skip(key, &class);
+                }
+            } else if missed.is_some_and(|missed| self.same_step(missed, task)) {
                 round.skip(key, &class);
             } else if !self.start_matched(now, task, &mut round) && !self.forward(task) {
                 missed = Some(task);
@@ -127,7 +131,7 @@
         WorkerView {
             id: id.clone(),
             free,
-            capacity: driver.entry.capacity,
+            capacity: driver.total_capacity(),
             speed: if probe { PROBE_SPEED } else { known_speed },
             labels: driver.entry.labels.clone(),
             allowed: self.health.allows(now, id, false),
--- a/endivestile_kernel/src/fleet/workers/driver.rs
+++ b/endivestile_kernel/src/fleet/workers/driver.rs
@@ -222,6 +222,11 @@
         free
     }
 
+    /// Returns the capacity that the worker is assumed to have.
+    pub(crate) fn total_capacity(&self) -> Need {
+        self.capacity.as_ref().map_or(self.entry.capacity, WorkerCapacity::assumed)
+    }
+
     /// Returns what each run uses of the worker, in the order of the runs.
     pub(crate) fn capacity_uses(&self) -> impl Iterator<Item = CapacityUse> {
         self.runs.values().map(|run| CapacityUse {
--- a/endivestile_kernel/src/fleet/workers/owned.rs
+++ b/endivestile_kernel/src/fleet/workers/owned.rs
@@ -218,11 +218,9 @@
         let state = self.jobs.get(&task.job)?;
         let step = state.step(task.task as usize);
         let fits = self.drivers.iter().filter(|(id, driver)| {
-            let capacity =
-                driver.capacity.as_ref().map_or(driver.entry.capacity, |it| it.assumed());
             driver.entry.service == state.job.service
                 && driver.accepts_runs(now)
-                && has_capacity(&capacity, &step.need)
+                && has_capacity(&driver.total_capacity(), &step.need)
                 && has_label(&driver.entry, step.required_label.as_ref())
                 && self.health.allows(now, id, false)
         });
