Send frames of version 5 only where a host of the former release cannot read them

Cause: with version 5 on every frame, hosts of the former and of this release could not exchange anything: in a fleet of both, a host without an owner of its own release in reach refused jobs. Ruled out: version 4 throughout, which an older host could not decode where a new message or reason is in it. Change: a frame has version 5 if it carries a message about crashes or one of the reasons no_room and crashes, else 4; both are accepted.

--- a/endivestile/src/peers/incoming.rs
+++ b/endivestile/src/peers/incoming.rs
@@ -12,7 +12,7 @@
 use tonic::{Request, Response, Status, Streaming};
 
 use super::event_handler::PeerEventHandler;
-use super::{FRAME_VERSION, KEEPALIVE_INTERVAL_MS, KEEPALIVE_TIMEOUT_MS, MAX_FRAME_BYTES};
+use super::{FRAME_VERSIONS, KEEPALIVE_INTERVAL_MS, KEEPALIVE_TIMEOUT_MS, MAX_FRAME_BYTES};
 use crate::error::RunError;
 
 /// Binds the peers' socket.
@@ -85,8 +85,8 @@
 /// Decodes a frame. One of another version is refused, since its bytes could
 /// decode to different values.
 fn decode(frame: &wire::Frame) -> Result<Frame, Status> {
-    if frame.version != FRAME_VERSION {
-        let text = format!("version {}, known: {FRAME_VERSION}", frame.version);
+    if !FRAME_VERSIONS.contains(&frame.version) {
+        let text = format!("version {}, known: {FRAME_VERSIONS:?}", frame.version);
         return Err(Status::failed_precondition(text));
     }
     postcard::from_bytes(&frame.body).map_err(|e| Status::invalid_argument(e.to_string()))
--- a/endivestile/src/peers/links.rs
+++ b/endivestile/src/peers/links.rs
@@ -9,7 +9,6 @@
 use tokio::runtime::Handle;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
-use super::FRAME_VERSION;
 use super::event_handler::PeerEventHandler;
 use super::frame_queue::{FrameSender, frame_queue};
 use super::outgoing::run_link;
@@ -105,7 +104,7 @@
             }
         };
         let bytes = body.len() as u64;
-        let encoded = wire::Frame { version: FRAME_VERSION, body };
+        let encoded = wire::Frame { version: frame.version(), body };
         let queued = self.link(address, &frame.to).is_some_and(|link| link.sender.push(encoded));
         if queued {
             self.counters.count_io(IoMetric::FrameBytes, bytes);
--- a/endivestile/src/peers/mod.rs
+++ b/endivestile/src/peers/mod.rs
@@ -6,12 +6,14 @@
 mod links;
 mod outgoing;
 
+use std::ops::RangeInclusive;
+
 pub(crate) use event_handler::PeerEventHandler;
 pub(crate) use incoming::{bind, serve};
 pub(crate) use links::Links;
 
-/// Version of the frame encoding.
-pub(crate) const FRAME_VERSION: u32 = 5;
+/// Versions of the frame encoding that this release knows.
+pub(crate) const FRAME_VERSIONS: RangeInclusive<u32> = 4..=5;
 /// Longest frame, in bytes; a configuration of one megabyte fits several times.
 pub(crate) const MAX_FRAME_BYTES: usize = 16 << 20;
 /// Interval between two keep-alive pings on a link, in milliseconds.
--- a/endivestile_kernel/src/fleet/msg.rs
+++ b/endivestile_kernel/src/fleet/msg.rs
@@ -7,7 +7,7 @@
 
 use crate::Time;
 use crate::fleet::evacuation::EvacuationState;
-use crate::fleet::job::{Job, JobEnd};
+use crate::fleet::job::{Job, JobEnd, Reason};
 
 /// A message about one job; `serial` is the number that the submitting host gave it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -87,6 +87,17 @@
 }
 
 impl JobMsg {
+    /// Returns whether hosts that know only frames of version 4 cannot decode the message.
+    pub(crate) fn needs_version_5(&self) -> bool {
+        match self {
+            Self::Crashes(_) => true,
+            Self::Ended { end, .. } => {
+                matches!(end.reason(), Some(Reason::NoRoom | Reason::Crashes))
+            }
+            Self::Submit { .. } | Self::Cancel { .. } => false,
+        }
+    }
+
     /// Returns the size of the job description in the message, in bytes.
     pub(crate) fn payload(&self) -> usize {
         match self {
--- a/endivestile_kernel/src/msg.rs
+++ b/endivestile_kernel/src/msg.rs
@@ -220,6 +220,15 @@
     pub msgs: Vec<Msg>,
 }
 
+impl Frame {
+    /// Returns the version of the encoding that a receiver has to know: 5 if the frame has a
+    /// message that version 4 lacks, so that hosts of both releases exchange all other frames.
+    pub fn version(&self) -> u32 {
+        let newer = |msg: &Msg| matches!(msg, Msg::Job(job) if job.needs_version_5());
+        if self.msgs.iter().any(newer) { 5 } else { 4 }
+    }
+}
+
 /// Registration of an incarnation in the platform's store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registration {
