Count store calls by purpose and outcome

Cause: with 997 hosts the system does not come up, and nothing in a host's logs or metrics shows which of its store calls are refused: store_calls and store_errors count the product's own interface. Ruled out: raising the log level of event=store_call_failed, one line per call during an outage. Change: counts by purpose (operator keys, own keys, workers, writes) and outcome on the metrics page, and one log line per second at most while calls are refused or lost. Conclusion: the store's answers over time can be read from a host's log.

--- a/endivestile/src/fleet/metrics.rs
+++ b/endivestile/src/fleet/metrics.rs
@@ -9,6 +9,7 @@
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response};
 
+use super::store_calls::StoreCalls;
 use crate::counters::Counters;
 use crate::status::{cpu_ms, rss_kb};
 
@@ -24,6 +25,7 @@
 pub(crate) struct Metrics {
     inner: Arc<Mutex<Inner>>,
     io: Counters,
+    store_calls: StoreCalls,
 }
 
 #[derive(Debug)]
@@ -39,7 +41,7 @@
 
 impl Metrics {
     /// Starts at zero. `io` holds the counters of links and log lines.
-    pub(crate) fn new(io: Counters) -> Self {
+    pub(crate) fn new(io: Counters, store_calls: StoreCalls) -> Self {
         // The library accepts these constant bounds.
         let histogram =
             |_| Histogram::new_with_bounds(1, MAX_SPAN_US, SIGNIFICANT_DIGITS).expect("bounds");
@@ -51,7 +53,7 @@
             batches: 0,
             engine_us: 0,
         };
-        Self { inner: Arc::new(Mutex::new(inner)), io }
+        Self { inner: Arc::new(Mutex::new(inner)), io, store_calls }
     }
 
     /// Counts an event.
@@ -90,6 +92,7 @@
         for (name, count) in self.io.all().filter(|(_, count)| *count > 0) {
             let _ = writeln!(text, "endivestile_edge_{name} {count}");
         }
+        self.store_calls.write_page(&mut text);
         for span in Span::ALL {
             let histogram = &inner.spans[span as usize];
             let name = span.name();
--- a/endivestile/src/fleet/mod.rs
+++ b/endivestile/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 mod prefix_watch;
 mod records;
 mod run;
+mod store_calls;
 mod store_client;
 mod worker_client;
 mod worker_list;
--- a/endivestile/src/fleet/prefix_watch.rs
+++ b/endivestile/src/fleet/prefix_watch.rs
@@ -7,6 +7,7 @@
 use endivestile_wire::adapter::{Item, Page, StoreCallError};
 use tokio::time::sleep;
 
+use super::store_calls::StorePurpose;
 use super::store_client::StoreClient;
 
 /// Longest wait of one watch, in milliseconds. An unresponsive connection delays
@@ -69,6 +70,7 @@
 
 /// The keys under a prefix and their last handled revisions.
 struct PrefixWatch<S> {
+    purpose: StorePurpose,
     prefix: String,
     store: StoreClient,
     handler: S,
@@ -76,8 +78,14 @@
 }
 
 /// Follows a prefix until the process ends.
-pub(crate) async fn run<S: KeyHandler>(prefix: String, store: StoreClient, handler: S) {
-    let mut prefix_watch = PrefixWatch { prefix, store, handler, revisions: HashMap::new() };
+pub(crate) async fn run<S: KeyHandler>(
+    purpose: StorePurpose,
+    prefix: String,
+    store: StoreClient,
+    handler: S,
+) {
+    let revisions = HashMap::new();
+    let mut prefix_watch = PrefixWatch { purpose, prefix, store, handler, revisions };
     let mut pause = MIN_RETRY_MS;
     loop {
         match prefix_watch.load_and_watch().await {
@@ -94,7 +102,7 @@
 impl<S: KeyHandler> PrefixWatch<S> {
     /// Reads all keys, then watches until that fails or they have to be read again.
     async fn load_and_watch(&mut self) -> WatchEnd {
-        let page = match self.store.range(&self.prefix).await {
+        let page = match self.store.range(self.purpose, &self.prefix).await {
             Ok(page) => page,
             Err(fault) => {
                 log::debug!("event=store_call_failed step=read-keys fault={fault:?}");
@@ -109,7 +117,8 @@
             if self.handler.pause_after(changes).await == NextStep::Reload {
                 return WatchEnd::Reload;
             }
-            let response = self.store.watch(&self.prefix, revision, self.handler.watch_wait_ms());
+            let wait_ms = self.handler.watch_wait_ms();
+            let response = self.store.watch(self.purpose, &self.prefix, revision, wait_ms);
             let watched = tokio::select! {
                 watched = response => watched,
                 () = self.handler.reload_requested() => return WatchEnd::Reload,
--- a/endivestile/src/fleet/run.rs
+++ b/endivestile/src/fleet/run.rs
@@ -27,6 +27,7 @@
 use super::operator_keys::OperatorKeys;
 use super::prefix_watch;
 use super::records::{self, Records, Registration};
+use super::store_calls::{StoreCalls, StorePurpose};
 use super::store_client::StoreClient;
 use super::worker_client::WorkerClient;
 use super::worker_list::{SharedPoolRole, WorkerList};
@@ -86,7 +87,8 @@
     let &BuildContext { settings, adapter, counters, inbox } = build_context;
     let _context = runtime.enter();
     let clock = Clock::new();
-    let metrics = Metrics::new(counters.clone());
+    let calls = StoreCalls::default();
+    let metrics = Metrics::new(counters.clone(), calls.clone());
     if let Some(page) = settings.metrics.page_address {
         let (listener, bound) = http_server::bind(page)?;
         log::info!("event=page_served address={bound}");
@@ -118,7 +120,7 @@
         me.birth
     );
     let client = HttpClient::default();
-    let store = store_client(settings, adapter, client.clone());
+    let store = store_client(settings, adapter, client.clone(), calls);
     let pool_role = SharedPoolRole::default();
     let entry = HostEntry {
         peer: me.clone(),
@@ -165,12 +167,17 @@
     })
 }
 
-fn store_client(settings: &Settings, adapter: &'static Adapter, client: HttpClient) -> StoreClient {
+fn store_client(
+    settings: &Settings,
+    adapter: &'static Adapter,
+    client: HttpClient,
+    calls: StoreCalls,
+) -> StoreClient {
     // An empty list of addresses is refused when the settings are checked.
     let address = settings.store.addresses.first();
     let address = address.map(ToString::to_string).unwrap_or_default();
     let timeout_ms = settings.store.timeout_ms.min(MAX_STORE_TIMEOUT_MS);
-    StoreClient { client, adapter, address: Name::from(address), timeout_ms }
+    StoreClient { client, adapter, address: Name::from(address), timeout_ms, calls }
 }
 
 /// Starts the watches of the store and this host's registration.
@@ -184,11 +191,17 @@
     let (registration, registrations) = watch::channel(Registration { entry, stored: None });
     let operator = OperatorKeys { adapter: store.adapter, inbox: inbox.clone() };
     let prefix = store.adapter.keys.operator_prefix.to_owned();
-    runtime.spawn(prefix_watch::run(prefix, store.clone(), operator));
+    runtime.spawn(prefix_watch::run(StorePurpose::OperatorKeys, prefix, store.clone(), operator));
     let records = Records { inbox: inbox.clone(), registration: registration.clone() };
-    runtime.spawn(prefix_watch::run(OWN_KEY_PREFIX.to_owned(), store.clone(), records));
+    runtime.spawn(prefix_watch::run(
+        StorePurpose::OwnKeys,
+        OWN_KEY_PREFIX.to_owned(),
+        store.clone(),
+        records,
+    ));
     let worker_list = WorkerList::new(store.adapter, inbox.clone(), pool_role);
     runtime.spawn(prefix_watch::run(
+        StorePurpose::Workers,
         store.adapter.keys.worker_prefix.to_owned(),
         store.clone(),
         worker_list,
--- a/endivestile/src/fleet/store_client.rs
+++ b/endivestile/src/fleet/store_client.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::http_client::HttpClient;
+use super::store_calls::{StoreCalls, StorePurpose};
 
 /// Largest number of pages of one read; a page holds five hundred keys.
 const MAX_PAGES: usize = 64;
@@ -24,17 +25,22 @@
     pub(crate) address: Name,
     /// Timeout of one call, in milliseconds.
     pub(crate) timeout_ms: u64,
+    /// Counts of the calls.
+    pub(crate) calls: StoreCalls,
 }
 
 impl StoreClient {
     /// Reads all keys with a prefix. Returns them with the revision from which to watch.
-    pub(crate) async fn range(&self, prefix: &str) -> Result<Page, StoreCallError> {
+    pub(crate) async fn range(
+        &self,
+        purpose: StorePurpose,
+        prefix: &str,
+    ) -> Result<Page, StoreCallError> {
         let mut result = Page::default();
         for _ in 0..MAX_PAGES {
             let after = result.items.last().map(|item: &Item| item.key.clone());
             let request = (self.adapter.encode_range)(prefix, after.as_deref());
-            let (status, body) = self.call(request, 0).await?;
-            let page = (self.adapter.decode_page)(status, &body)?;
+            let page = self.call(purpose, request, 0, self.adapter.decode_page).await?;
             // The pages are not a snapshot: a watch from the revision of the first
             // page returns what changes between two of them.
             if result.store_revision == 0 {
@@ -53,28 +59,35 @@
     /// Waits for changes after a revision.
     pub(crate) async fn watch(
         &self,
+        purpose: StorePurpose,
         prefix: &str,
         after: u64,
         wait_ms: u32,
     ) -> Result<Page, StoreCallError> {
         let request = (self.adapter.encode_watch)(prefix, after, wait_ms);
-        let (status, body) = self.call(request, u64::from(wait_ms)).await?;
-        (self.adapter.decode_page)(status, &body)
+        self.call(purpose, request, u64::from(wait_ms), self.adapter.decode_page).await
     }
 
     /// Writes a key if it has the expected revision. Returns its new revision.
     pub(crate) async fn swap(&self, swap: &Swap) -> Result<u64, StoreCallError> {
-        let (status, body) = self.call((self.adapter.encode_swap)(swap), 0).await?;
-        (self.adapter.decode_swap)(status, &body)
+        let request = (self.adapter.encode_swap)(swap);
+        self.call(StorePurpose::Writes, request, 0, self.adapter.decode_swap).await
     }
 
-    async fn call(
+    /// Makes a call that the store answers within `wait_ms`, and decodes the response.
+    async fn call<T>(
         &self,
+        purpose: StorePurpose,
         request: Request<Bytes>,
         wait_ms: u64,
-    ) -> Result<(StatusCode, Bytes), StoreCallError> {
+        decode: fn(StatusCode, &[u8]) -> Result<T, StoreCallError>,
+    ) -> Result<T, StoreCallError> {
         let deadline = Instant::now() + Duration::from_millis(wait_ms + self.timeout_ms);
         let response = self.client.call(&self.address, request, deadline).await;
-        response.map_err(|_| StoreCallError::Lost)
+        let result = response
+            .map_err(|_| StoreCallError::Lost)
+            .and_then(|(status, body)| decode(status, &body));
+        self.calls.record(purpose, result.as_ref().err().copied());
+        result
     }
 }
