Resume listings and watches of the store after a refused call

Cause: a host answered every failed call with a full read of the prefix from its first page. While the store refuses or loses a part of all calls, a listing of many pages never ends: with every second page refused, a host of two workers behind 700 other entries never served. Ruled out: longer pauses alone, since the number of calls per attempt stays that of the whole listing. Change: a listing continues after its last page and a watch from its last revision; only a compacted history leads to a new listing. Retries back off with jitter. A registration that was written counts as stored. Watches keep to a share of [store] reads-per-s, divided by the number of registered hosts, so that one change seen by all hosts does not exceed the rate. Conclusion: the calls of a host no longer depend on whether earlier calls failed.

--- a/endivestile/src/clock.rs
+++ b/endivestile/src/clock.rs
@@ -37,3 +37,9 @@
 pub(crate) fn since_epoch() -> Duration {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
 }
+
+/// Returns a delay below `limit_ms`, in milliseconds, that differs between hosts: it comes from
+/// the clock.
+pub(crate) fn jitter_ms(limit_ms: u64) -> u64 {
+    u64::from(since_epoch().subsec_nanos()) % limit_ms.max(1)
+}
--- a/endivestile/src/fleet/mod.rs
+++ b/endivestile/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod open_calls;
 mod operator_keys;
 mod prefix_watch;
+mod read_pace;
 mod records;
 mod run;
 mod store_calls;
--- a/endivestile/src/fleet/operator_keys.rs
+++ b/endivestile/src/fleet/operator_keys.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use endivestile_config::model::Name;
-use endivestile_kernel::fleet::{EvacuationState, FleetEvent};
+use endivestile_kernel::fleet::{EvacuationState, FleetEvent, ReadShare};
 use endivestile_wire::adapter::Adapter;
 
 use super::inbox::Inbox;
@@ -21,6 +21,10 @@
 }
 
 impl KeyHandler for OperatorKeys {
+    fn read_share(&self) -> ReadShare {
+        ReadShare::OperatorKeys
+    }
+
     fn handle_store_state(&mut self, up: bool) {
         self.inbox.post_event(FleetEvent::StoreAvailable(up));
     }
--- a/endivestile/src/fleet/prefix_watch.rs
+++ b/endivestile/src/fleet/prefix_watch.rs
@@ -4,19 +4,23 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use endivestile_kernel::fleet::ReadShare;
 use endivestile_wire::adapter::{Item, Page, StoreCallError};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep_until};
 
 use super::store_calls::StorePurpose;
 use super::store_client::StoreClient;
+use crate::store::Backoff;
 
 /// Longest wait of one watch, in milliseconds. An unresponsive connection delays
 /// changes by this and the timeout of one call, so that a new configuration
 /// still applies within its limit of two seconds.
 const MAX_WATCH_WAIT_MS: u32 = 900;
-/// Pause after a failed call, in milliseconds; doubled with each further failure.
-const MIN_RETRY_MS: u64 = 100;
-/// Longest pause after failed calls, in milliseconds.
+/// Wait of the first watch after a failed one, in milliseconds: its response shows at once that
+/// the store is available again.
+const RESUME_WAIT_MS: u32 = 1;
+/// Longest delay between two attempts while calls fail, in milliseconds, in a fleet whose retries
+/// at that interval are within its share of the store's rate.
 const MAX_RETRY_MS: u64 = 300;
 
 /// How a watch continues after a response.
@@ -28,15 +32,6 @@
     Reload,
 }
 
-/// Why watching ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum WatchEnd {
-    /// A call failed; `answered` if the read before it had succeeded.
-    Failed { answered: bool },
-    /// All keys have to be read again.
-    Reload,
-}
-
 /// Handles the keys under a prefix.
 pub(crate) trait KeyHandler: Send + 'static {
     /// Handles the new value of a key; `None` if the key was deleted.
@@ -51,6 +46,9 @@
     /// `up` false when a call failed.
     fn handle_store_state(&mut self, up: bool);
 
+    /// Returns the share of the store's read rate that these reads belong to.
+    fn read_share(&self) -> ReadShare;
+
     /// Returns the longest wait of the next watch, in milliseconds.
     fn watch_wait_ms(&self) -> u32 {
         MAX_WATCH_WAIT_MS
@@ -74,6 +72,7 @@
     prefix: String,
     store: StoreClient,
     handler: S,
+    backoff: Backoff,
     revisions: HashMap<String, u64>,
 }
 
@@ -84,61 +83,93 @@
     store: StoreClient,
     handler: S,
 ) {
-    let revisions = HashMap::new();
-    let mut prefix_watch = PrefixWatch { purpose, prefix, store, handler, revisions };
-    let mut pause = MIN_RETRY_MS;
+    let (backoff, revisions) = (Backoff::new(MAX_RETRY_MS), HashMap::new());
+    let mut prefix_watch = PrefixWatch { purpose, prefix, store, handler, backoff, revisions };
     loop {
-        match prefix_watch.load_and_watch().await {
-            WatchEnd::Reload => continue,
-            WatchEnd::Failed { answered: true } => pause = MIN_RETRY_MS,
-            WatchEnd::Failed { answered: false } => {}
-        }
-        prefix_watch.handler.handle_store_state(false);
-        sleep(Duration::from_millis(pause)).await;
-        pause = (pause * 2).min(MAX_RETRY_MS);
+        let revision = prefix_watch.load().await;
+        prefix_watch.watch_from(revision).await;
     }
 }
 
 impl<S: KeyHandler> PrefixWatch<S> {
-    /// Reads all keys, then watches until that fails or they have to be read again.
-    async fn load_and_watch(&mut self) -> WatchEnd {
-        let page = match self.store.range(self.purpose, &self.prefix).await {
-            Ok(page) => page,
-            Err(fault) => {
-                log::debug!("event=store_call_failed step=read-keys fault={fault:?}");
-                return WatchEnd::Failed { answered: false };
+    /// Reads all keys; returns the revision from which to watch.
+    ///
+    /// After a failed call the read continues where it was: while the store refuses a part of
+    /// all calls, a read of many pages that started again each time would never end.
+    async fn load(&mut self) -> u64 {
+        let mut items: Vec<Item> = Vec::new();
+        let mut revision = None;
+        loop {
+            let after = items.last().map(|item| item.key.as_str());
+            let page = match self.store.read_page(self.purpose, &self.prefix, after).await {
+                Ok(page) => page,
+                Err(fault) => {
+                    self.handle_failure("read-keys", fault).await;
+                    continue;
+                }
+            };
+            self.backoff.reset();
+            // The pages are not a snapshot: a watch from the revision of the first
+            // page returns what changes between two of them.
+            let first = *revision.get_or_insert(page.store_revision);
+            let more = page.more && !page.items.is_empty();
+            items.extend(page.items);
+            if !more {
+                self.handle_page(Page { items, more: false, store_revision: first });
+                return first;
             }
-        };
-        let mut revision = page.store_revision;
+        }
+    }
+
+    /// Watches from a revision until all keys have to be read again.
+    async fn watch_from(&mut self, mut revision: u64) {
         let mut changes = 0;
-        self.handle_page(page);
+        let mut resuming = false;
+        let mut next_call = Instant::now();
         loop {
-            self.handler.handle_store_state(true);
-            if self.handler.pause_after(changes).await == NextStep::Reload {
-                return WatchEnd::Reload;
+            if !resuming {
+                self.handler.handle_store_state(true);
+                if self.handler.pause_after(changes).await == NextStep::Reload {
+                    return;
+                }
+                sleep_until(next_call).await;
             }
-            let wait_ms = self.handler.watch_wait_ms();
+            let wait_ms = if resuming { RESUME_WAIT_MS } else { self.handler.watch_wait_ms() };
+            let interval_ms = self.store.pace.interval_ms(self.handler.read_share());
+            next_call = Instant::now() + Duration::from_millis(interval_ms);
             let response = self.store.watch(self.purpose, &self.prefix, revision, wait_ms);
             let watched = tokio::select! {
                 watched = response => watched,
-                () = self.handler.reload_requested() => return WatchEnd::Reload,
+                () = self.handler.reload_requested() => return,
             };
             match watched {
                 Ok(page) => {
+                    self.backoff.reset();
+                    resuming = false;
                     revision = page.store_revision.max(revision);
                     changes = page.items.len();
                     page.items.into_iter().for_each(|item| self.handle_item(item));
                 }
                 // The changes that were missed are covered by reading all keys again.
-                Err(StoreCallError::Compacted) => return WatchEnd::Failed { answered: true },
+                Err(StoreCallError::Compacted) => return self.backoff.wait().await,
+                // The changes are still in the store's history.
                 Err(fault) => {
-                    log::debug!("event=store_call_failed step=watch fault={fault:?}");
-                    return WatchEnd::Failed { answered: true };
+                    resuming = true;
+                    self.handle_failure("watch", fault).await;
                 }
             }
         }
     }
 
+    /// Reports a failed call, and waits until the next attempt.
+    async fn handle_failure(&mut self, step: &str, fault: StoreCallError) {
+        log::debug!("event=store_call_failed step={step} fault={fault:?}");
+        self.handler.handle_store_state(false);
+        let interval_ms = self.store.pace.interval_ms(self.handler.read_share());
+        self.backoff.set_limit(MAX_RETRY_MS.max(interval_ms));
+        self.backoff.wait().await;
+    }
+
     /// Handles the changes since the last full state. Keys may have been deleted
     /// between two watches, so a missing key counts as deleted.
     fn handle_page(&mut self, page: Page) {
--- a/endivestile/src/fleet/records.rs
+++ b/endivestile/src/fleet/records.rs
@@ -1,21 +1,24 @@
 //! Keys of the entry hosts in the store: host registrations and the pools' ownership records.
 
-use std::time::Duration;
+use std::collections::BTreeSet;
 
 use bytes::Bytes;
 use endivestile_config::model::Name;
-use endivestile_kernel::fleet::{FleetEvent, HOST_KEY_PREFIX, HostEntry, POOL_KEY_PREFIX};
+use endivestile_kernel::fleet::{
+    FleetEvent, HOST_KEY_PREFIX, HostEntry, POOL_KEY_PREFIX, ReadShare,
+};
 use endivestile_kernel::{StoreOp, StoreResult};
 use endivestile_wire::adapter::{StoreCallError, Swap};
 use tokio::sync::watch;
-use tokio::time::sleep;
 
 use super::inbox::Inbox;
 use super::prefix_watch::KeyHandler;
+use super::read_pace::ReadPace;
 use super::store_client::StoreClient;
+use crate::store::Backoff;
 
-/// Pause after a failed registration, in milliseconds.
-const RETRY_MS: u64 = 300;
+/// Longest pause after a failed registration, in milliseconds.
+const MAX_RETRY_MS: u64 = 300;
 
 /// Longest wait of one watch of the records, in milliseconds. Owners are also visible in
 /// their frames and fencing tokens, so an unresponsive connection does less harm here than
@@ -33,6 +36,17 @@
     pub(crate) stored: Option<(u64, bool)>,
 }
 
+impl Registration {
+    /// Records a write of `entry` that succeeded. The watch reports it too, but later the more
+    /// hosts there are, and until then the write would be repeated.
+    fn note_written(&mut self, entry: &HostEntry, revision: u64) {
+        let newer = self.stored.is_none_or(|(stored, _)| stored < revision);
+        if newer {
+            self.stored = Some((revision, self.entry == *entry));
+        }
+    }
+}
+
 /// Posts the keys of the entry hosts to the engine.
 #[derive(Debug)]
 pub(crate) struct Records {
@@ -40,6 +54,10 @@
     pub(crate) inbox: Inbox,
     /// This host's registration.
     pub(crate) registration: watch::Sender<Registration>,
+    /// Names of all registered hosts.
+    pub(crate) hosts: BTreeSet<Name>,
+    /// Pace of the reads, which depends on the number of hosts.
+    pub(crate) pace: ReadPace,
 }
 
 impl KeyHandler for Records {
@@ -53,6 +71,10 @@
         }
     }
 
+    fn read_share(&self) -> ReadShare {
+        ReadShare::Records
+    }
+
     fn watch_wait_ms(&self) -> u32 {
         MAX_WATCH_WAIT_MS
     }
@@ -90,38 +112,45 @@
                 registration.stored = Some((if entry.is_some() { revision } else { 0 }, matches));
             });
         }
-        self.inbox.post_event(FleetEvent::Host { name: Name::from(name), entry });
+        let name = Name::from(name);
+        if entry.is_some() {
+            self.hosts.insert(name.clone());
+        } else {
+            self.hosts.remove(&name);
+        }
+        self.pace.set_hosts(self.hosts.len());
+        self.inbox.post_event(FleetEvent::Host { name, entry });
     }
 }
 
 /// Keeps this host registered. The key has no lease: the store may drop leases
 /// without notice, and the entry of a host that has ended does no harm.
-pub(crate) async fn register(store: StoreClient, mut registrations: watch::Receiver<Registration>) {
+pub(crate) async fn register(store: StoreClient, registration: watch::Sender<Registration>) {
+    let mut changes = registration.subscribe();
+    let mut backoff = Backoff::new(MAX_RETRY_MS);
     loop {
-        let registration = registrations.borrow_and_update().clone();
-        let revision = match registration.stored {
-            Some((_, true)) => {
-                if registrations.changed().await.is_err() {
-                    return;
-                }
-                continue;
+        let Registration { entry, stored } = changes.borrow_and_update().clone();
+        let Some((revision, false)) = stored else {
+            if changes.changed().await.is_err() {
+                return;
+            }
+            continue;
+        };
+        match write_entry(&store, &entry, revision).await {
+            Ok(revision) => {
+                backoff.reset();
+                registration.send_modify(|registration| {
+                    registration.note_written(&entry, revision);
+                });
             }
-            None => {
-                if registrations.changed().await.is_err() {
-                    return;
+            // The watch reports the stored entry; the next attempt waits for it or for the pause.
+            Err(fault) => {
+                log::info!("event=registration_failed step=register fault={fault:?}");
+                tokio::select! {
+                    () = backoff.wait() => {}
+                    changed = changes.changed() => if changed.is_err() { return },
                 }
-                continue;
             }
-            Some((revision, false)) => revision,
-        };
-        if let Err(fault) = write_entry(&store, &registration.entry, revision).await {
-            log::info!("event=registration_failed step=register fault={fault:?}");
-        }
-        // The watch reports the stored entry; the next attempt waits for it or for the pause.
-        let pause = sleep(Duration::from_millis(RETRY_MS));
-        tokio::select! {
-            () = pause => {}
-            changed = registrations.changed() => if changed.is_err() { return },
         }
     }
 }
--- a/endivestile/src/fleet/run.rs
+++ b/endivestile/src/fleet/run.rs
@@ -1,6 +1,7 @@
 //! Assembles the host and runs its event loop.
 
 use std::cell::Cell;
+use std::collections::BTreeSet;
 use std::fs;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -26,6 +27,7 @@
 use super::metrics::Metrics;
 use super::operator_keys::OperatorKeys;
 use super::prefix_watch;
+use super::read_pace::ReadPace;
 use super::records::{self, Records, Registration};
 use super::store_calls::{StoreCalls, StorePurpose};
 use super::store_client::StoreClient;
@@ -177,7 +179,8 @@
     let address = settings.store.addresses.first();
     let address = address.map(ToString::to_string).unwrap_or_default();
     let timeout_ms = settings.store.timeout_ms.min(MAX_STORE_TIMEOUT_MS);
-    StoreClient { client, adapter, address: Name::from(address), timeout_ms, calls }
+    let pace = ReadPace::new(settings.store.reads_per_s);
+    StoreClient { client, adapter, address: Name::from(address), timeout_ms, calls, pace }
 }
 
 /// Starts the watches of the store and this host's registration.
@@ -188,11 +191,20 @@
     pool_role: SharedPoolRole,
     entry: HostEntry,
 ) -> watch::Sender<Registration> {
-    let (registration, registrations) = watch::channel(Registration { entry, stored: None });
+    let registration = watch::Sender::new(Registration { entry, stored: None });
     let operator = OperatorKeys { adapter: store.adapter, inbox: inbox.clone() };
-    let prefix = store.adapter.keys.operator_prefix.to_owned();
-    runtime.spawn(prefix_watch::run(StorePurpose::OperatorKeys, prefix, store.clone(), operator));
-    let records = Records { inbox: inbox.clone(), registration: registration.clone() };
+    runtime.spawn(prefix_watch::run(
+        StorePurpose::OperatorKeys,
+        store.adapter.keys.operator_prefix.to_owned(),
+        store.clone(),
+        operator,
+    ));
+    let records = Records {
+        inbox: inbox.clone(),
+        registration: registration.clone(),
+        hosts: BTreeSet::new(),
+        pace: store.pace.clone(),
+    };
     runtime.spawn(prefix_watch::run(
         StorePurpose::OwnKeys,
         OWN_KEY_PREFIX.to_owned(),
@@ -206,7 +218,7 @@
         store.clone(),
         worker_list,
     ));
-    runtime.spawn(records::register(store.clone(), registrations));
+    runtime.spawn(records::register(store.clone(), registration.clone()));
     registration
 }
 
--- a/endivestile/src/fleet/store_client.rs
+++ b/endivestile/src/fleet/store_client.rs
@@ -4,16 +4,14 @@
 
 use bytes::Bytes;
 use endivestile_config::model::Name;
-use endivestile_wire::adapter::{Adapter, Item, Page, StoreCallError, Swap};
+use endivestile_wire::adapter::{Adapter, Page, StoreCallError, Swap};
 use http::{Request, StatusCode};
 use tokio::time::Instant;
 
 use super::http_client::HttpClient;
+use super::read_pace::ReadPace;
 use super::store_calls::{StoreCalls, StorePurpose};
 
-/// Largest number of pages of one read; a page holds five hundred keys.
-const MAX_PAGES: usize = 64;
-
 /// Makes calls to the store.
 #[derive(Debug, Clone)]
 pub(crate) struct StoreClient {
@@ -27,33 +25,20 @@
     pub(crate) timeout_ms: u64,
     /// Counts of the calls.
     pub(crate) calls: StoreCalls,
+    /// Pace of the reads.
+    pub(crate) pace: ReadPace,
 }
 
 impl StoreClient {
-    /// Reads all keys with a prefix. Returns them with the revision from which to watch.
-    pub(crate) async fn range(
+    /// Reads the keys with a prefix that follow `after`, as many as the store returns at once.
+    pub(crate) async fn read_page(
         &self,
         purpose: StorePurpose,
         prefix: &str,
+        after: Option<&str>,
     ) -> Result<Page, StoreCallError> {
-        let mut result = Page::default();
-        for _ in 0..MAX_PAGES {
-            let after = result.items.last().map(|item: &Item| item.key.clone());
-            let request = (self.adapter.encode_range)(prefix, after.as_deref());
-            let page = self.call(purpose, request, 0, self.adapter.decode_page).await?;
-            // The pages are not a snapshot: a watch from the revision of the first
-            // page returns what changes between two of them.
-            if result.store_revision == 0 {
-                result.store_revision = page.store_revision;
-            }
-            let more = page.more && !page.items.is_empty();
-            result.items.extend(page.items);
-            if !more {
-                return Ok(result);
-            }
-        }
-        log::error!("event=listing_cut step=read-keys prefix={prefix} pages={MAX_PAGES}");
-        Ok(result)
+        let request = (self.adapter.encode_range)(prefix, after);
+        self.call(purpose, request, 0, self.adapter.decode_page).await
     }
 
     /// Waits for changes after a revision.
--- a/endivestile/src/fleet/worker_list.rs
+++ b/endivestile/src/fleet/worker_list.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use endivestile_kernel::fleet::{FleetEvent, PoolRole, WorkerEntry};
+use endivestile_kernel::fleet::{FleetEvent, PoolRole, ReadShare, WorkerEntry};
 use endivestile_wire::adapter::Adapter;
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep_until, timeout_at};
@@ -177,6 +177,11 @@
         self.inbox.post_event(FleetEvent::Workers(self.entries.values().cloned().collect()));
     }
 
+    /// Each host pauses between its calls by its role.
+    fn read_share(&self) -> ReadShare {
+        ReadShare::Unlimited
+    }
+
     fn watch_wait_ms(&self) -> u32 {
         if self.role.is_owner() { OWNER_WATCH_WAIT_MS } else { OTHER_WATCH_WAIT_MS }
     }
--- a/endivestile/src/store/mod.rs
+++ b/endivestile/src/store/mod.rs
@@ -23,6 +23,7 @@
 use crate::counters::Counters;
 use crate::error::RunError;
 use crate::inbox::Inbox;
+pub(crate) use backoff::Backoff;
 use calls::StoreCall;
 use connections::Connections;
 use registration::DesiredRegistration;
--- a/endivestile/tests/platform/mod.rs
+++ b/endivestile/tests/platform/mod.rs
@@ -36,11 +36,22 @@
         name: &str,
         zone: &str,
         args: &[OsString],
+    ) -> Self {
+        Self::start_configured(platform, name, zone, args, &[])
+    }
+
+    /// Starts a host with additional command-line arguments and settings.
+    pub(crate) fn start_configured(
+        platform: &PlatformStandIn,
+        name: &str,
+        zone: &str,
+        args: &[OsString],
+        settings: &[String],
     ) -> Self {
         let program = env!("CARGO_BIN_EXE_endivestile").into();
         let daemon = DaemonCommand { program, args: args.to_vec() };
         let process =
-            PlatformHost::start(&daemon, platform.store_address(), name, zone, &[]).unwrap();
+            PlatformHost::start(&daemon, platform.store_address(), name, zone, settings).unwrap();
         wait_until("the host listens", || process.http_address().is_some());
         let (http, page) = (process.http_address().unwrap(), process.metrics_address().unwrap());
         Self { process, http: http.to_string(), page: page.to_string() }
--- /dev/null
+++ b/endivestile/tests/store_reads.rs
@@ -0,0 +1,57 @@
+//! Reads of the platform's store by entry hosts as processes, while the store refuses calls and
+//! while the list of workers is long.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panic")]
+
+mod platform;
+
+use std::thread;
+use std::time::Duration;
+
+use endivestile_testkit::PlatformStandIn;
+
+use platform::{Host, start_platform, wait_until, wait_until_serving};
+
+/// Keys per page of the store.
+const PAGE_LEN: usize = 10;
+
+/// Adds registrations that name no usable worker, and are listed before those of the workers.
+fn add_entries(platform: &PlatformStandIn, count: usize) {
+    for index in 0..count {
+        platform.write(&format!("servers/0{index:05}"), b"{}");
+    }
+}
+
+/// The store refuses every second read while a host starts. A listing of many pages that starts
+/// again with each refused page never ends, and a listing of a limited number of pages misses
+/// the workers behind them: the host never serves.
+#[test]
+fn listing_refused_in_part() {
+    let platform = start_platform();
+    platform.set_page_len(PAGE_LEN);
+    add_entries(&platform, 70 * PAGE_LEN);
+    platform.refuse_page_reads(2);
+    let host = Host::start(&platform, "a1", "a");
+    wait_until_serving(&host);
+}
+
+/// The store refuses all calls for a moment. A host that then read everything again, although
+/// its watch could continue, would multiply the calls of a fleet at the moment of the recovery.
+#[test]
+fn watch_refused_resumes() {
+    let platform = start_platform();
+    platform.set_page_len(PAGE_LEN);
+    add_entries(&platform, 5 * PAGE_LEN);
+    let host = Host::start(&platform, "a1", "a");
+    wait_until_serving(&host);
+    wait_until("the store is up", || host.logged("event=store_up") == 1);
+    let reads = platform.worker_page_reads();
+    platform.set_refusing(true);
+    wait_until("the outage is noticed", || host.logged("event=store_down") == 1);
+    platform.set_refusing(false);
+    wait_until("the recovery is noticed", || host.logged("event=store_up") == 2);
+    platform.configure(2);
+    wait_until_serving(&host);
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(platform.worker_page_reads(), reads);
+}
--- a/endivestile_config/src/settings/store.rs
+++ b/endivestile_config/src/settings/store.rs
@@ -17,16 +17,26 @@
     pub lease_s: u64,
     /// Maximum backoff between two attempts while the store is unavailable, in milliseconds.
     pub backoff_ms: u64,
+    /// Reads per second that the store serves to all hosts together; 0 if unknown. The hosts of
+    /// an adapter divide it among themselves.
+    pub reads_per_s: u32,
 }
 
 impl Default for StoreSettings {
     fn default() -> Self {
-        Self { addresses: Vec::new(), timeout_ms: 2_000, lease_s: 10, backoff_ms: 5_000 }
+        Self {
+            addresses: Vec::new(),
+            timeout_ms: 2_000,
+            lease_s: 10,
+            backoff_ms: 5_000,
+            reads_per_s: 0,
+        }
     }
 }
 
 impl SectionFields for StoreSettings {
-    const KEYS: &'static [&'static str] = &["addresses", "timeout-ms", "lease-s", "backoff-ms"];
+    const KEYS: &'static [&'static str] =
+        &["addresses", "timeout-ms", "lease-s", "backoff-ms", "reads-per-s"];
     const REQUIRED: &'static [&'static str] = &[];
 
     fn set(&mut self, raw: &RawValue) -> Result<(), ConfigError> {
@@ -38,6 +48,7 @@
             "timeout-ms" => self.timeout_ms = raw.number(10..=60_000)?,
             "lease-s" => self.lease_s = raw.number(2..=600)?,
             "backoff-ms" => self.backoff_ms = raw.number(10..=600_000)?,
+            "reads-per-s" => self.reads_per_s = raw.number(0..=u32::MAX)?,
             _ => return Err(unknown_key::<Self>(raw)),
         }
         Ok(())
@@ -50,6 +61,7 @@
             }
             "timeout-ms" => self.timeout_ms.to_string(),
             "lease-s" => self.lease_s.to_string(),
+            "reads-per-s" => self.reads_per_s.to_string(),
             _ => self.backoff_ms.to_string(),
         }
     }
--- a/endivestile_kernel/src/fleet/mod.rs
+++ b/endivestile_kernel/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 mod msg;
 mod ownership;
 mod placement;
+mod read_share;
 mod route_table;
 mod scheduler;
 mod workers;
@@ -42,6 +43,7 @@
     HomeZone, JobShape, OtherZone, StayReason, ZoneVerdict, choose_zone,
 };
 pub use placement::zone_figures::{ZoneChoice, ZoneFigures, ZoneLayout};
+pub use read_share::ReadShare;
 pub use route_table::{Limits, Route, RouteTable, ServiceLimits};
 pub use workers::call::{WorkerCall, worker_call_deadline};
 pub use workers::capacity::{CapacitySource, CapacityUse, WorkerCapacity};
--- a/endivestile_testkit/src/platform/mod.rs
+++ b/endivestile_testkit/src/platform/mod.rs
@@ -97,6 +97,22 @@
         lock(&self.shared.keys).refusing = refuse;
     }
 
+    /// Sets the number of keys per page of a read.
+    pub fn set_page_len(&self, keys: usize) {
+        lock(&self.shared.keys).page_len = keys;
+    }
+
+    /// Sets which part of the page reads is refused, as by a store whose rate is exceeded: one
+    /// of `part`, or none for 0.
+    pub fn refuse_page_reads(&self, part: u64) {
+        lock(&self.shared.keys).refused_part = part;
+    }
+
+    /// Returns the number of page reads of the workers' registrations, refused ones included.
+    pub fn worker_page_reads(&self) -> u64 {
+        lock(&self.shared.keys).page_reads.get("servers/").copied().unwrap_or(0)
+    }
+
     /// Sets the fault of a worker.
     pub fn set_fault(&self, worker: &str, fault: WorkerFault) {
         lock(&self.shared.workers).set_fault(worker, fault);
--- a/endivestile_testkit/src/platform/store.rs
+++ b/endivestile_testkit/src/platform/store.rs
@@ -15,11 +15,11 @@
 
 /// Interval at which a watch checks for changes, in milliseconds.
 const POLL_INTERVAL_MS: u64 = 3;
-/// Number of keys per page.
+/// Default number of keys per page.
 const PAGE_LEN: usize = 500;
 
 /// Keys with their revisions and values.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Keys {
     items: BTreeMap<String, (u64, Vec<u8>)>,
     /// Deleted keys with the revision of their deletion.
@@ -27,9 +27,42 @@
     revision: u64,
     /// Whether every call is refused.
     pub(crate) refusing: bool,
+    /// Number of keys per page.
+    pub(crate) page_len: usize,
+    /// Refuses one of this many page reads, as a store does whose rate is exceeded; 0 for none.
+    pub(crate) refused_part: u64,
+    /// Number of page reads by prefix, refused ones included.
+    pub(crate) page_reads: BTreeMap<String, u64>,
+}
+
+impl Default for Keys {
+    fn default() -> Self {
+        Self {
+            items: BTreeMap::new(),
+            deleted: BTreeMap::new(),
+            revision: 0,
+            refusing: false,
+            page_len: PAGE_LEN,
+            refused_part: 0,
+            page_reads: BTreeMap::new(),
+        }
+    }
 }
 
 impl Keys {
+    /// Reads one page of the keys with a prefix that follow `after`.
+    fn read_page(&mut self, prefix: &str, after: &str) -> (u16, Value) {
+        let reads = self.page_reads.entry(prefix.to_owned()).or_default();
+        *reads += 1;
+        if self.refused_part > 0 && reads.is_multiple_of(self.refused_part) {
+            return (429, Value::Null);
+        }
+        let mut items: Vec<Value> = self.list(prefix, after).take(self.page_len + 1).collect();
+        let more = items.len() > self.page_len;
+        items.truncate(self.page_len);
+        (200, json!({"items": items, "HasMore": more, "At": self.revision}))
+    }
+
     /// Writes a key.
     pub(crate) fn put(&mut self, key: &str, value: Vec<u8>) {
         self.revision += 1;
@@ -116,12 +149,8 @@
     let prefix = call.get("Prefix").unwrap_or_default();
     match call.path.as_str() {
         "/kv-range" => {
-            let keys = lock(&shared.keys);
-            let mut items: Vec<Value> =
-                keys.list(prefix, call.get("After").unwrap_or_default()).collect();
-            let more = items.len() > PAGE_LEN;
-            items.truncate(PAGE_LEN);
-            Some((200, json!({"items": items, "HasMore": more, "At": keys.revision})))
+            let after = call.get("After").unwrap_or_default();
+            Some(lock(&shared.keys).read_page(prefix, after))
         }
         "/kv-watch" => Some(watch(shared, prefix, call).await),
         "/kv-txn" => Some(lock(&shared.keys).swap(&call.body)),
