Read the list of workers at once only where it is needed

Cause: at the start every host reads all workers, 50 pages at 10,000 workers, and every host without workers reads them again every 60 s. The store's link is filled by hosts x workers; counters at 948 hosts and 10,000 workers show calls that are lost after 700 ms and none that is refused. Change: a host reads the list at once if it owns workers or its zone has no owner. Every other host reads it from 2 s after its start, page by page at a pace at which all hosts together use 1% of the store's read rate. A host that becomes an owner before it has read any worker now counts as one. Tests: listing_of_observer_paced fails before. Conclusion: the reads no longer grow with hosts x workers once a zone has an owner.

--- a/endivestile/src/fleet/prefix_watch.rs
+++ b/endivestile/src/fleet/prefix_watch.rs
@@ -10,6 +10,7 @@
 
 use super::store_calls::StorePurpose;
 use super::store_client::StoreClient;
+use crate::clock::jitter_ms;
 use crate::store::Backoff;
 
 /// Longest wait of one watch, in milliseconds. An unresponsive connection delays
@@ -49,6 +50,12 @@
     /// Returns the share of the store's read rate that these reads belong to.
     fn read_share(&self) -> ReadShare;
 
+    /// Returns whether the pages of a full read keep to the read share too, and not only the
+    /// watches.
+    fn paces_pages(&self) -> bool {
+        false
+    }
+
     /// Returns the longest wait of the next watch, in milliseconds.
     fn watch_wait_ms(&self) -> u32 {
         MAX_WATCH_WAIT_MS
@@ -60,7 +67,12 @@
         async { NextStep::Watch }
     }
 
-    /// Completes when the current watch has to be cancelled and all keys read again.
+    /// Waits until all keys may be read.
+    fn pause_before_load(&mut self) -> impl Future<Output = ()> + Send {
+        async {}
+    }
+
+    /// Completes when the current read or watch has to be abandoned and all keys read again.
     fn reload_requested(&self) -> impl Future<Output = ()> + Send {
         std::future::pending()
     }
@@ -86,20 +98,26 @@
     let (backoff, revisions) = (Backoff::new(MAX_RETRY_MS), HashMap::new());
     let mut prefix_watch = PrefixWatch { purpose, prefix, store, handler, backoff, revisions };
     loop {
-        let revision = prefix_watch.load().await;
-        prefix_watch.watch_from(revision).await;
+        if let Some(revision) = prefix_watch.load().await {
+            prefix_watch.watch_from(revision).await;
+        }
     }
 }
 
 impl<S: KeyHandler> PrefixWatch<S> {
-    /// Reads all keys; returns the revision from which to watch.
+    /// Reads all keys; returns the revision from which to watch, or `None` if the read was
+    /// abandoned.
     ///
     /// After a failed call the read continues where it was: while the store refuses a part of
     /// all calls, a read of many pages that started again each time would never end.
-    async fn load(&mut self) -> u64 {
+    async fn load(&mut self) -> Option<u64> {
+        self.handler.pause_before_load().await;
         let mut items: Vec<Item> = Vec::new();
         let mut revision = None;
         loop {
+            if !self.pause_before_page(items.is_empty()).await {
+                return None;
+            }
             let after = items.last().map(|item| item.key.as_str());
             let page = match self.store.read_page(self.purpose, &self.prefix, after).await {
                 Ok(page) => page,
@@ -116,11 +134,26 @@
             items.extend(page.items);
             if !more {
                 self.handle_page(Page { items, more: false, store_revision: first });
-                return first;
+                return Some(first);
             }
         }
     }
 
+    /// Keeps the pages of a read to the read share. Returns `false` if the read is abandoned.
+    async fn pause_before_page(&self, is_first: bool) -> bool {
+        if !self.handler.paces_pages() {
+            return true;
+        }
+        let interval_ms = self.store.pace.interval_ms(self.handler.read_share());
+        // Hosts that start together do not read together.
+        let pause_ms = if is_first { jitter_ms(interval_ms) } else { interval_ms };
+        let end = Instant::now() + Duration::from_millis(pause_ms);
+        tokio::select! {
+            () = sleep_until(end) => true,
+            () = self.handler.reload_requested() => false,
+        }
+    }
+
     /// Watches from a revision until all keys have to be read again.
     async fn watch_from(&mut self, mut revision: u64) {
         let mut changes = 0;
--- a/endivestile/src/fleet/worker_list.rs
+++ b/endivestile/src/fleet/worker_list.rs
@@ -27,6 +27,9 @@
 /// Time until such a host reads the list again, in milliseconds. A host that becomes an
 /// owner, or whose zone has lost its owners, reads it at once.
 const RELOAD_INTERVAL_MS: u64 = 60_000;
+/// Time after the start until such a host reads the list for the first time, in milliseconds:
+/// hosts that start together have registered by then, so that each knows its share of the reads.
+const FIRST_LOAD_DELAY_MS: u64 = 2_000;
 /// Longest wait of one watch of an owner, in milliseconds: an unresponsive connection must
 /// not hide for long that a worker is leaving.
 const OWNER_WATCH_WAIT_MS: u32 = 900;
@@ -49,7 +52,7 @@
 
 impl Default for SharedPoolRole {
     fn default() -> Self {
-        let role = Arc::new(watch::Sender::new(PoolRole::Candidate));
+        let role = Arc::new(watch::Sender::new(PoolRole::Observer));
         Self { role, raised: Arc::default() }
     }
 }
@@ -92,6 +95,8 @@
     /// When an entry last changed.
     last_change: Instant,
     next_repeat: Instant,
+    /// When a host that owns no workers may read the whole list again.
+    next_load: Instant,
 }
 
 impl WorkerList {
@@ -108,6 +113,7 @@
             changed: false,
             last_change: now,
             next_repeat: now,
+            next_load: now + Duration::from_millis(FIRST_LOAD_DELAY_MS),
         }
     }
 
@@ -115,15 +121,18 @@
         self.changed |= self.entries.remove(id).is_some();
     }
 
-    /// Waits until an instant and returns `next`, or `Reload` if the role becomes more
-    /// urgent before.
-    async fn pause_until(&self, next: NextStep, end: Instant) -> NextStep {
+    /// Waits until an instant. Returns earlier, with `Reload`, if the role becomes more urgent.
+    async fn pause_until(&self, end: Instant) -> NextStep {
         match timeout_at(end, self.role.raised.notified()).await {
             Ok(()) => NextStep::Reload,
-            Err(_) => next,
+            Err(_) => NextStep::Watch,
         }
     }
 
+    fn is_observer(&self) -> bool {
+        self.role.get() == PoolRole::Observer
+    }
+
     fn remove_expired(&mut self, now: Instant) {
         let expired = self.missing.iter().filter(|(_, until)| **until <= now);
         let ids: Vec<String> = expired.map(|(id, _)| id.clone()).collect();
@@ -177,9 +186,14 @@
         self.inbox.post_event(FleetEvent::Workers(self.entries.values().cloned().collect()));
     }
 
-    /// Each host pauses between its calls by its role.
+    /// Owners are as many as the workers need. All other hosts together must not take the
+    /// store's rate from them, however long the list is.
     fn read_share(&self) -> ReadShare {
-        ReadShare::Unlimited
+        if self.is_observer() { ReadShare::Background } else { ReadShare::Unlimited }
+    }
+
+    fn paces_pages(&self) -> bool {
+        self.is_observer()
     }
 
     fn watch_wait_ms(&self) -> u32 {
@@ -189,6 +203,13 @@
     /// Posts the list after every full read: an owner waits for it before it starts tasks.
     fn handle_loaded(&mut self, _revision: u64) {
         self.changed = true;
+        self.next_load = Instant::now() + Duration::from_millis(RELOAD_INTERVAL_MS);
+    }
+
+    async fn pause_before_load(&mut self) {
+        if self.is_observer() {
+            self.pause_until(self.next_load).await;
+        }
     }
 
     async fn pause_after(&mut self, changes: usize) -> NextStep {
@@ -198,12 +219,11 @@
             }
             return NextStep::Watch;
         }
-        if changes >= BUSY_CHANGES && self.role.get() == PoolRole::Observer {
-            let end = Instant::now() + Duration::from_millis(RELOAD_INTERVAL_MS);
-            return self.pause_until(NextStep::Reload, end).await;
+        if changes >= BUSY_CHANGES && self.is_observer() {
+            return NextStep::Reload;
         }
         let pause = if self.entries.is_empty() { OWNER_PAUSE_MS } else { OTHER_PAUSE_MS };
-        self.pause_until(NextStep::Watch, self.last_change + Duration::from_millis(pause)).await
+        self.pause_until(self.last_change + Duration::from_millis(pause)).await
     }
 
     async fn reload_requested(&self) {
--- a/endivestile/tests/store_reads.rs
+++ b/endivestile/tests/store_reads.rs
@@ -55,3 +55,23 @@
     thread::sleep(Duration::from_millis(500));
     assert_eq!(platform.worker_page_reads(), reads);
 }
+
+/// A host that owns no workers reads the whole list. If all hosts did that as fast as they can,
+/// the reads of a large fleet would exceed the store's rate, and owners could not read theirs.
+#[test]
+fn listing_of_observer_paced() {
+    // Two hosts share 1% of 200 reads per second: each reads one page per second.
+    const READS_PER_S: u32 = 200;
+    let platform = start_platform();
+    platform.set_page_len(PAGE_LEN);
+    add_entries(&platform, 30 * PAGE_LEN);
+    let owner = Host::start(&platform, "a1", "a");
+    wait_until_serving(&owner);
+    let before = platform.worker_page_reads();
+    let settings = [format!("store.reads-per-s={READS_PER_S}")];
+    let observer = Host::start_configured(&platform, "a2", "a", &[], &settings);
+    wait_until_serving(&observer);
+    thread::sleep(Duration::from_secs(6));
+    let reads = platform.worker_page_reads() - before;
+    assert!((1..=7).contains(&reads), "{reads} page reads in 6 s");
+}
--- a/endivestile_kernel/src/fleet/core.rs
+++ b/endivestile_kernel/src/fleet/core.rs
@@ -200,18 +200,6 @@
     Drained,
 }
 
-/// A host's part in the ownership of its zone's workers; a greater one needs a fresh list
-/// of workers more urgently.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum PoolRole {
-    /// Other hosts own the workers of its zone.
-    Observer,
-    /// The workers of its zone have no owner: it may claim them.
-    Candidate,
-    /// It owns workers, and must not start tasks on those that are leaving.
-    Owner,
-}
-
 /// The state of one host that serves jobs.
 #[derive(Debug)]
 pub struct Fleet {
@@ -384,17 +372,6 @@
         self.scheduler.owns_workers()
     }
 
-    /// Returns this host's part in the ownership of its zone's workers.
-    pub fn pool_role(&self) -> PoolRole {
-        if self.scheduler.owns_workers() {
-            PoolRole::Owner
-        } else if self.pools.has_owner(&self.setup.zone) {
-            PoolRole::Observer
-        } else {
-            PoolRole::Candidate
-        }
-    }
-
     /// Returns the current configuration.
     pub fn route_table(&self) -> Option<&Arc<RouteTable>> {
         self.route_table.as_ref()
--- a/endivestile_kernel/src/fleet/mod.rs
+++ b/endivestile_kernel/src/fleet/mod.rs
@@ -24,7 +24,7 @@
 pub use admission::forecast::{Ahead, Demand, Grounds, Snapshot, Verdict, delay_class};
 pub use admission::queue::{Queue, QueueKey, SizeClass};
 pub use admission::share::Shares;
-pub use core::{Fleet, FleetEffect, FleetEvent, FleetSetup, PoolRole};
+pub use core::{Fleet, FleetEffect, FleetEvent, FleetSetup};
 pub use evacuation::EvacuationState;
 pub use hosts::membership::HostEntry;
 pub use job::{Job, JobEnd, Reason, Step};
@@ -33,6 +33,7 @@
     DirectTransfer, HostReport, JobCrashes, JobMsg, ServiceCapacity, TaskCrashes, WorkerLoss,
 };
 pub use ownership::pools::{HOST_KEY_PREFIX, POOL_KEY_PREFIX};
+pub use ownership::role::PoolRole;
 pub use placement::matching::{
     Conditions, NoMatch, Reservation, RunView, TaskView, UsualRange, UsualSizes, WorkerView,
     choose_worker, reserve_worker,
--- a/endivestile_kernel/src/fleet/ownership/candidates.rs
+++ b/endivestile_kernel/src/fleet/ownership/candidates.rs
@@ -17,6 +17,7 @@
 use crate::fleet::hosts::membership::{Member, host_rank};
 use crate::fleet::ownership::claim::Probe;
 use crate::fleet::ownership::partition::{desired_owners, pool_index, zone_of};
+use crate::fleet::ownership::role::PoolRole;
 use crate::fleet::workers::call::WorkerCall;
 use crate::fleet::workers::protocol::RenewRequest;
 use crate::{Peer, Time};
@@ -46,6 +47,18 @@
 }
 
 impl Fleet {
+    /// Returns this host's part in the ownership of its zone's workers.
+    pub fn pool_role(&self) -> PoolRole {
+        let has_pools = self.pools.owned(&self.setup.me).next().is_some();
+        if has_pools || self.scheduler.owns_workers() {
+            PoolRole::Owner
+        } else if !self.pools.has_owner(&self.setup.zone) {
+            PoolRole::Candidate
+        } else {
+            PoolRole::Observer
+        }
+    }
+
     /// Returns this host's claim delay for a pool, in milliseconds; none if it is in another zone.
     ///
     /// All pools of a lost owner go to one host if that is alive: jobs that the owner had are
--- a/endivestile_kernel/src/fleet/ownership/mod.rs
+++ b/endivestile_kernel/src/fleet/ownership/mod.rs
@@ -6,3 +6,4 @@
 pub(crate) mod direct_transfer;
 pub(crate) mod partition;
 pub(crate) mod pools;
+pub(crate) mod role;
--- a/endivestile_kernel/src/fleet/read_share.rs
+++ b/endivestile_kernel/src/fleet/read_share.rs
@@ -23,7 +23,7 @@
         match self {
             Self::Records => Some(40),
             Self::OperatorKeys => Some(20),
-            Self::Background => Some(2),
+            Self::Background => Some(1),
             Self::Unlimited => None,
         }
     }
