Let hosts without workers follow the ownership records at intervals

Cause: each registration and each record that changes ends the watch of every host, so that a restart of the fleet costs calls that grow with the square of the hosts. Ruled out: longer watches alone, since the watch ends with each change. Change: a host whose zone has owners, and that claims nothing, waits 1 s after a change before it watches again. It sees from frames which hosts own workers. A host that is claiming a pool follows the records at once.

--- a/endivestile/src/fleet/records.rs
+++ b/endivestile/src/fleet/records.rs
@@ -1,20 +1,23 @@
 //! Keys of the entry hosts in the store: host registrations and the pools' ownership records.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use bytes::Bytes;
 use endivestile_config::model::Name;
 use endivestile_kernel::fleet::{
-    FleetEvent, HOST_KEY_PREFIX, HostEntry, POOL_KEY_PREFIX, ReadShare,
+    FleetEvent, HOST_KEY_PREFIX, HostEntry, POOL_KEY_PREFIX, PoolRole, ReadShare,
 };
 use endivestile_kernel::{StoreOp, StoreResult};
 use endivestile_wire::adapter::{StoreCallError, Swap};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use super::inbox::Inbox;
-use super::prefix_watch::KeyHandler;
+use super::prefix_watch::{KeyHandler, NextStep};
 use super::read_pace::ReadPace;
 use super::store_client::StoreClient;
+use super::worker_list::SharedPoolRole;
 use crate::store::Backoff;
 
 /// Longest pause after a failed registration, in milliseconds.
@@ -25,6 +28,11 @@
 /// for the configuration.
 const MAX_WATCH_WAIT_MS: u32 = 2_500;
 
+/// Pause of a host without workers after a change, in milliseconds. It learns from the frames of
+/// its zone's owners which of them have workers; if it watched again at once, each restart of a
+/// host would cost several calls of every other host.
+const OBSERVER_PAUSE_MS: u64 = 1_000;
+
 /// This host's registration: the entry that has to be in the store, and what the
 /// store last returned for its key.
 #[derive(Debug, Clone)]
@@ -58,6 +66,8 @@
     pub(crate) hosts: BTreeSet<Name>,
     /// Pace of the reads, which depends on the number of hosts.
     pub(crate) pace: ReadPace,
+    /// The role of this host, which decides how soon it needs the next change.
+    pub(crate) role: SharedPoolRole,
 }
 
 impl KeyHandler for Records {
@@ -83,6 +93,14 @@
         self.inbox.post_event(FleetEvent::StoreAvailable(up));
     }
 
+    async fn pause_after(&mut self, changes: usize) -> NextStep {
+        if changes > 0 {
+            let end = Instant::now() + Duration::from_millis(OBSERVER_PAUSE_MS);
+            self.role.wait_above(PoolRole::Observer, end).await;
+        }
+        NextStep::Watch
+    }
+
     /// Lets the registration start if its key is absent; until the first full read the
     /// state of the key is unknown.
     fn handle_loaded(&mut self, _revision: u64) {
--- a/endivestile/src/fleet/run.rs
+++ b/endivestile/src/fleet/run.rs
@@ -204,6 +204,7 @@
         registration: registration.clone(),
         hosts: BTreeSet::new(),
         pace: store.pace.clone(),
+        role: pool_role.clone(),
     };
     runtime.spawn(prefix_watch::run(
         StorePurpose::OwnKeys,
--- a/endivestile/src/fleet/worker_list.rs
+++ b/endivestile/src/fleet/worker_list.rs
@@ -52,7 +52,7 @@
 
 impl Default for SharedPoolRole {
     fn default() -> Self {
-        let role = Arc::new(watch::Sender::new(PoolRole::Observer));
+        let role = Arc::new(watch::Sender::new(PoolRole::Claimant));
         Self { role, raised: Arc::default() }
     }
 }
@@ -75,6 +75,13 @@
         *self.role.borrow()
     }
 
+    /// Waits until an instant, or until the role is greater than `role`.
+    pub(crate) async fn wait_above(&self, role: PoolRole, end: Instant) {
+        let mut changes = self.role.subscribe();
+        // Fails at the instant only: the sender lives as long as `self`.
+        let _ = timeout_at(end, changes.wait_for(|now| *now > role)).await;
+    }
+
     fn is_owner(&self) -> bool {
         self.get() == PoolRole::Owner
     }
@@ -129,8 +136,9 @@
         }
     }
 
+    /// Returns whether this host has no use for a fresh list.
     fn is_observer(&self) -> bool {
-        self.role.get() == PoolRole::Observer
+        self.role.get() < PoolRole::Candidate
     }
 
     fn remove_expired(&mut self, now: Instant) {
--- a/endivestile/tests/store_reads.rs
+++ b/endivestile/tests/store_reads.rs
@@ -12,6 +12,8 @@
 
 use platform::{Host, start_platform, wait_until, wait_until_serving};
 
+/// Prefix of the hosts' own keys.
+const OWN_KEYS: &str = "endivestile/";
 /// Keys per page of the store.
 const PAGE_LEN: usize = 10;
 
@@ -75,3 +77,24 @@
     let reads = platform.worker_page_reads() - before;
     assert!((1..=7).contains(&reads), "{reads} page reads in 6 s");
 }
+
+/// Hosts register one after the other, as in a restart of the whole fleet. If a host that owns no
+/// workers watched again after each of them, the calls would grow with the square of the hosts.
+#[test]
+fn records_of_observer_paced() {
+    const CHANGES: u64 = 30;
+    let platform = start_platform();
+    let owner = Host::start(&platform, "a1", "a");
+    wait_until_serving(&owner);
+    let observers = ["a2", "a3", "a4"].map(|name| Host::start(&platform, name, "a"));
+    observers.iter().for_each(wait_until_serving);
+    thread::sleep(Duration::from_millis(300));
+    let before = platform.watches(OWN_KEYS);
+    for index in 0..CHANGES {
+        platform.write(&format!("endivestile/other/{index}"), b"{}");
+        thread::sleep(Duration::from_millis(50));
+    }
+    let watches = platform.watches(OWN_KEYS) - before;
+    // The owner watches after each change, and the three others together less often.
+    assert!((CHANGES / 2..2 * CHANGES).contains(&watches), "{watches} watches, {CHANGES} changes");
+}
--- a/endivestile_kernel/src/fleet/ownership/candidates.rs
+++ b/endivestile_kernel/src/fleet/ownership/candidates.rs
@@ -54,6 +54,8 @@
             PoolRole::Owner
         } else if !self.pools.has_owner(&self.setup.zone) {
             PoolRole::Candidate
+        } else if self.pools.any_swap() {
+            PoolRole::Claimant
         } else {
             PoolRole::Observer
         }
--- a/endivestile_kernel/src/fleet/ownership/pools.rs
+++ b/endivestile_kernel/src/fleet/ownership/pools.rs
@@ -311,6 +311,11 @@
         owners
     }
 
+    /// Returns whether a swap of any record is in flight, or waits to be tried again.
+    pub(crate) fn any_swap(&self) -> bool {
+        self.by_name.values().any(|pool| pool.swap.is_some() || pool.own_challenge.is_some())
+    }
+
     /// Returns whether any pool of a zone has an owner.
     pub(crate) fn has_owner(&self, zone: &str) -> bool {
         self.by_name.iter().any(|(name, pool)| pool.record.is_some() && zone_of(name) == zone)
--- a/endivestile_testkit/src/platform/mod.rs
+++ b/endivestile_testkit/src/platform/mod.rs
@@ -113,6 +113,11 @@
         lock(&self.shared.keys).page_reads.get("servers/").copied().unwrap_or(0)
     }
 
+    /// Returns the number of watches of the keys with a prefix, refused ones included.
+    pub fn watches(&self, prefix: &str) -> u64 {
+        lock(&self.shared.keys).watches.get(prefix).copied().unwrap_or(0)
+    }
+
     /// Sets the fault of a worker.
     pub fn set_fault(&self, worker: &str, fault: WorkerFault) {
         lock(&self.shared.workers).set_fault(worker, fault);
--- a/endivestile_testkit/src/platform/store.rs
+++ b/endivestile_testkit/src/platform/store.rs
@@ -33,6 +33,8 @@
     pub(crate) refused_part: u64,
     /// Number of page reads by prefix, refused ones included.
     pub(crate) page_reads: BTreeMap<String, u64>,
+    /// Number of watches by prefix, refused ones included.
+    pub(crate) watches: BTreeMap<String, u64>,
 }
 
 impl Default for Keys {
@@ -45,6 +47,7 @@
             page_len: PAGE_LEN,
             refused_part: 0,
             page_reads: BTreeMap::new(),
+            watches: BTreeMap::new(),
         }
     }
 }
@@ -160,6 +163,7 @@
 
 /// Waits until there are changes under a prefix or the caller's wait time is over.
 async fn watch(shared: &Arc<Shared>, prefix: &str, call: &Call) -> (u16, Value) {
+    *lock(&shared.keys).watches.entry(prefix.to_owned()).or_default() += 1;
     let after = call.number("After");
     let end = Instant::now() + Duration::from_millis(call.number("WaitMs"));
     loop {
