Watch the configuration for longer, and compare it with that of peers

Ruled out: a longer watch alone, since a configuration would be hidden for as long. Change: a watch lasts 100 ms for each host, 0.9 to 4 s. Frames already carry the version that their sender applies; a host that sees a later one than its own for 300 ms reads the operators' keys at once (config_behind). In a fleet of any size some host's watch ends every 100 ms. Conclusion: fewer calls, and an unresponsive connection is noticed within half a second where frames arrive.

--- a/endivestile/src/fleet/engine.rs
+++ b/endivestile/src/fleet/engine.rs
@@ -11,7 +11,7 @@
 };
 use endivestile_wire::adapter::{Adapter, CallerRequest, CallerResponse};
 use stakker::{CX, StopCause, after};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use super::inbox::{HttpCall, Inbox, Input};
 use super::metrics::Metrics;
@@ -60,6 +60,8 @@
     pub(crate) registration: watch::Sender<Registration>,
     /// The role of this host, which decides how often it reads the list of workers.
     pub(crate) pool_role: SharedPoolRole,
+    /// Requests a read of the operators' keys.
+    pub(crate) read_now: Arc<Notify>,
     /// Limits on callers, shared with the HTTP server.
     pub(crate) limits: Arc<RwLock<Limits>>,
     /// Set to `true` to close callers' connections.
@@ -212,6 +214,7 @@
                 FleetEffect::StoreCall { op_id, op } => {
                     records::spawn_store_call(&self.parts.store, &self.parts.inbox, op_id, op);
                 }
+                FleetEffect::ReadOperatorKeys => self.parts.read_now.notify_one(),
                 FleetEffect::RegisterLeaving => {
                     self.parts.registration.send_modify(|registration| {
                         registration.entry.leaving = true;
--- a/endivestile/src/fleet/operator_keys.rs
+++ b/endivestile/src/fleet/operator_keys.rs
@@ -6,9 +6,11 @@
 use endivestile_config::model::Name;
 use endivestile_kernel::fleet::{EvacuationState, FleetEvent, ReadShare};
 use endivestile_wire::adapter::Adapter;
+use tokio::sync::Notify;
 
 use super::inbox::Inbox;
 use super::prefix_watch::KeyHandler;
+use super::read_pace::ReadPace;
 
 /// Handles the operators' keys. A configuration that cannot be read leaves the last one
 /// in place. A zone is evacuated while its key exists, whatever its value is.
@@ -18,6 +20,10 @@
     pub(crate) adapter: &'static Adapter,
     /// The engine's inbox.
     pub(crate) inbox: Inbox,
+    /// Pace of the reads.
+    pub(crate) pace: ReadPace,
+    /// Signals that the keys have to be read now.
+    pub(crate) read_now: Arc<Notify>,
 }
 
 impl KeyHandler for OperatorKeys {
@@ -25,6 +31,14 @@
         ReadShare::OperatorKeys
     }
 
+    fn watch_wait_ms(&self) -> u32 {
+        self.pace.operator_watch_ms()
+    }
+
+    async fn reload_requested(&self) {
+        self.read_now.notified().await;
+    }
+
     fn handle_store_state(&mut self, up: bool) {
         self.inbox.post_event(FleetEvent::StoreAvailable(up));
     }
--- a/endivestile/src/fleet/prefix_watch.rs
+++ b/endivestile/src/fleet/prefix_watch.rs
@@ -13,10 +13,6 @@
 use crate::clock::jitter_ms;
 use crate::store::Backoff;
 
-/// Longest wait of one watch, in milliseconds. An unresponsive connection delays
-/// changes by this and the timeout of one call, so that a new configuration
-/// still applies within its limit of two seconds.
-const MAX_WATCH_WAIT_MS: u32 = 900;
 /// Wait of the first watch after a failed one, in milliseconds: its response shows at once that
 /// the store is available again.
 const RESUME_WAIT_MS: u32 = 1;
@@ -57,9 +53,7 @@
     }
 
     /// Returns the longest wait of the next watch, in milliseconds.
-    fn watch_wait_ms(&self) -> u32 {
-        MAX_WATCH_WAIT_MS
-    }
+    fn watch_wait_ms(&self) -> u32;
 
     /// Waits after a response with that many changes until the next call may be made.
     fn pause_after(&mut self, changes: usize) -> impl Future<Output = NextStep> + Send {
--- a/endivestile/src/fleet/run.rs
+++ b/endivestile/src/fleet/run.rs
@@ -17,7 +17,7 @@
 use stakker::{Actor, Stakker, actor, call, ret_nop};
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 
 use super::engine::{Engine, EngineParts};
@@ -123,7 +123,7 @@
     );
     let client = HttpClient::default();
     let store = store_client(settings, adapter, client.clone(), calls);
-    let pool_role = SharedPoolRole::default();
+    let (pool_role, read_now) = (SharedPoolRole::default(), Arc::new(Notify::new()));
     let entry = HostEntry {
         peer: me.clone(),
         zone: zone.clone(),
@@ -132,7 +132,8 @@
         cpu_milli: settings.platform.cpu_milli,
         link_kbps: settings.platform.link_kbps,
     };
-    let registration = start_store_tasks(runtime, &store, inbox, pool_role.clone(), entry);
+    let registration =
+        start_store_tasks(runtime, &store, inbox, pool_role.clone(), Arc::clone(&read_now), entry);
     watch_signals(runtime, inbox)?;
     if let Some(path) = reloader.path() {
         runtime.spawn(watch_settings(path.to_owned(), inbox.clone()));
@@ -159,6 +160,7 @@
         store,
         registration,
         pool_role,
+        read_now,
         limits,
         closing,
         metrics,
@@ -189,10 +191,16 @@
     store: &StoreClient,
     inbox: &Inbox,
     pool_role: SharedPoolRole,
+    read_now: Arc<Notify>,
     entry: HostEntry,
 ) -> watch::Sender<Registration> {
     let registration = watch::Sender::new(Registration { entry, stored: None });
-    let operator = OperatorKeys { adapter: store.adapter, inbox: inbox.clone() };
+    let operator = OperatorKeys {
+        adapter: store.adapter,
+        inbox: inbox.clone(),
+        pace: store.pace.clone(),
+        read_now,
+    };
     runtime.spawn(prefix_watch::run(
         StorePurpose::OperatorKeys,
         store.adapter.keys.operator_prefix.to_owned(),
--- a/endivestile_kernel/src/fleet/core.rs
+++ b/endivestile_kernel/src/fleet/core.rs
@@ -10,6 +10,7 @@
 use crate::channel::Channel;
 use crate::fleet::evacuation::{EvacuationState, Evacuations, Source};
 use crate::fleet::front::Front;
+use crate::fleet::hosts::config_lag::ConfigLag;
 use crate::fleet::hosts::membership::{HostEntry, Membership};
 use crate::fleet::job::{Job, JobEnd};
 use crate::fleet::metrics::{Count, Gauge, Span};
@@ -186,6 +187,8 @@
         /// The operation.
         op: StoreOp,
     },
+    /// Read the operators' keys now instead of waiting for a watch.
+    ReadOperatorKeys,
     /// Update this host's registration to say that it is leaving.
     RegisterLeaving,
     /// Write a log line.
@@ -206,6 +209,7 @@
     pub(crate) setup: FleetSetup,
     pub(crate) route_table: Option<Arc<RouteTable>>,
     pub(crate) evacuations: Evacuations,
+    pub(crate) config_lag: ConfigLag,
     pub(crate) members: Membership,
     /// Message queues to and from each peer.
     pub(crate) channels: BTreeMap<Peer, Channel>,
@@ -256,6 +260,7 @@
         Self {
             route_table: None,
             evacuations: Evacuations::default(),
+            config_lag: ConfigLag::default(),
             members: Membership::new(setup.me.clone()),
             channels: BTreeMap::new(),
             pools: Pools::default(),
--- a/endivestile_kernel/src/fleet/hosts/frames.rs
+++ b/endivestile_kernel/src/fleet/hosts/frames.rs
@@ -51,6 +51,7 @@
         if let Some(ended) = ended {
             self.peer_ended(now, &ended);
         }
+        self.compare_config(now, &from, frame.revision);
         if let Some(report) = report {
             for state in &report.evacuations {
                 self.set_evacuation(now, state, Source::Peer);
@@ -73,6 +74,20 @@
         self.apply_output(now);
     }
 
+    /// Requests a read of the operators' keys if a peer has had a later configuration for too long.
+    fn compare_config(&mut self, now: Time, peer: &Peer, theirs: u64) {
+        let own = self.route_table.as_ref().map_or(0, |table| table.version);
+        if self.config_lag.observe(now, own, theirs) {
+            let pairs = vec![
+                ("own", own.to_string()),
+                ("peer", peer.to_string()),
+                ("theirs", theirs.to_string()),
+            ];
+            self.log(Level::Warn, "config_behind", pairs);
+            self.out.push(FleetEffect::ReadOperatorKeys);
+        }
+    }
+
     /// Refuses a job that was in transit for longer than the host lease, because of a network cut
     /// or a broken link: by now its front may have sent it elsewhere, and it would run twice.
     fn refuse_stale(&mut self, now: Time, from: &Peer, serial: u64) {
--- a/endivestile_kernel/src/fleet/mod.rs
+++ b/endivestile_kernel/src/fleet/mod.rs
@@ -26,6 +26,7 @@
 pub use admission::share::Shares;
 pub use core::{Fleet, FleetEffect, FleetEvent, FleetSetup};
 pub use evacuation::EvacuationState;
+pub use hosts::config_lag::ConfigLag;
 pub use hosts::membership::HostEntry;
 pub use job::{Job, JobEnd, Reason, Step};
 pub use metrics::{Count, Gauge, Span};
@@ -44,7 +45,7 @@
     HomeZone, JobShape, OtherZone, StayReason, ZoneVerdict, choose_zone,
 };
 pub use placement::zone_figures::{ZoneChoice, ZoneFigures, ZoneLayout};
-pub use read_share::ReadShare;
+pub use read_share::{ReadShare, operator_watch_ms};
 pub use route_table::{Limits, Route, RouteTable, ServiceLimits};
 pub use workers::call::{WorkerCall, worker_call_deadline};
 pub use workers::capacity::{CapacitySource, CapacityUse, WorkerCapacity};
--- a/endivestile_kernel/tests/store_reads.rs
+++ b/endivestile_kernel/tests/store_reads.rs
@@ -1,7 +1,9 @@
 //! How many reads of the store a fleet makes as it grows.
 
 use endivestile_config::{Policy, model::Name};
-use endivestile_kernel::fleet::{Fleet, FleetEvent, FleetSetup, HostEntry, PoolRole, ReadShare};
+use endivestile_kernel::fleet::{
+    ConfigLag, Fleet, FleetEvent, FleetSetup, HostEntry, PoolRole, ReadShare, operator_watch_ms,
+};
 use endivestile_kernel::{Peer, Time};
 use test_case::test_case;
 
@@ -96,3 +98,36 @@
     assert_eq!(ReadShare::Unlimited.interval_ms(1_000, 16_000), 0);
     assert_eq!(ReadShare::Records.interval_ms(1_000, 0), 0, "the rate is unknown");
 }
+
+#[test_case(1, 900; "one_host")]
+#[test_case(8, 900; "few_hosts")]
+#[test_case(20, 2_000; "more_hosts")]
+#[test_case(237, 4_000; "many_hosts")]
+fn operator_watch_hosts(hosts: u32, expected_ms: u32) {
+    assert_eq!(operator_watch_ms(hosts), expected_ms);
+}
+
+/// The connection of a host's watch becomes unresponsive. Unless the host notices that its peers
+/// have a later configuration, it serves by the old one until its watch ends.
+#[test]
+fn config_lag_behind() {
+    let mut lag = ConfigLag::default();
+    let at = Time::from_micros(0);
+    assert!(!lag.observe(at, 5, 6), "the watch has time to deliver it");
+    assert!(!lag.observe(at.after_ms(200), 5, 4), "a peer that is behind itself");
+    assert!(lag.observe(at.after_ms(300), 5, 6));
+    assert!(!lag.observe(at.after_ms(310), 5, 6), "the read has time to deliver it");
+    assert!(lag.observe(at.after_ms(600), 5, 7), "the read has failed");
+}
+
+/// Peers apply each of several configurations in quick succession a moment earlier. That is no
+/// reason to read the keys again.
+#[test]
+fn config_lag_delivered() {
+    let mut lag = ConfigLag::default();
+    for version in 1..10 {
+        let at = Time::from_micros(0).after_ms(version * 200);
+        assert!(!lag.observe(at, version - 1, version));
+        assert!(!lag.observe(at.after_ms(50), version, version));
+    }
+}
--- a/endivestile_testkit/src/fleet/host.rs
+++ b/endivestile_testkit/src/fleet/host.rs
@@ -319,7 +319,10 @@
             FleetEffect::Count(count) => {
                 *self.observed.counters.entry(count.name()).or_default() += 1;
             }
-            FleetEffect::Reconnect(_) | FleetEffect::Gauge(..) | FleetEffect::Time(..) => {}
+            FleetEffect::ReadOperatorKeys
+            | FleetEffect::Reconnect(_)
+            | FleetEffect::Gauge(..)
+            | FleetEffect::Time(..) => {}
         }
     }
 
