Derive the watch of the configuration from the limit for it

A host that began to claim a pool also read the list of workers again. Ruled out: relying on the frames of peers alone, which need a host whose watch ends in time. Change: a watch lasts half of [platform] config-ms, at least 900 ms, filled in from the platform's bound. Only a role that needs the list at once leads to a new read of it.

--- a/endivestile/src/fleet/operator_keys.rs
+++ b/endivestile/src/fleet/operator_keys.rs
@@ -10,7 +10,6 @@
 
 use super::inbox::Inbox;
 use super::prefix_watch::KeyHandler;
-use super::read_pace::ReadPace;
 
 /// Handles the operators' keys. A configuration that cannot be read leaves the last one
 /// in place. A zone is evacuated while its key exists, whatever its value is.
@@ -20,8 +19,8 @@
     pub(crate) adapter: &'static Adapter,
     /// The engine's inbox.
     pub(crate) inbox: Inbox,
-    /// Pace of the reads.
-    pub(crate) pace: ReadPace,
+    /// Longest wait of one watch, in milliseconds.
+    pub(crate) watch_ms: u32,
     /// Signals that the keys have to be read now.
     pub(crate) read_now: Arc<Notify>,
 }
@@ -32,7 +31,7 @@
     }
 
     fn watch_wait_ms(&self) -> u32 {
-        self.pace.operator_watch_ms()
+        self.watch_ms
     }
 
     async fn reload_requested(&self) {
--- a/endivestile/src/fleet/read_pace.rs
+++ b/endivestile/src/fleet/read_pace.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
-use endivestile_kernel::fleet::{ReadShare, operator_watch_ms};
+use endivestile_kernel::fleet::ReadShare;
 
 /// The store's read rate, and the number of hosts that share it.
 #[derive(Debug, Clone)]
@@ -26,15 +26,6 @@
 
     /// Returns the shortest time between two calls of this host, in milliseconds.
     pub(crate) fn interval_ms(&self, share: ReadShare) -> u64 {
-        share.interval_ms(self.hosts(), self.reads_per_s)
-    }
-
-    /// Returns the longest wait of one watch of the operators' keys, in milliseconds.
-    pub(crate) fn operator_watch_ms(&self) -> u32 {
-        operator_watch_ms(self.hosts())
-    }
-
-    fn hosts(&self) -> u32 {
-        self.hosts.load(Ordering::Relaxed)
+        share.interval_ms(self.hosts.load(Ordering::Relaxed), self.reads_per_s)
     }
 }
--- a/endivestile/src/fleet/run.rs
+++ b/endivestile/src/fleet/run.rs
@@ -12,7 +12,7 @@
 use endivestile_config::Settings;
 use endivestile_config::model::Name;
 use endivestile_kernel::Peer;
-use endivestile_kernel::fleet::{FleetSetup, HostEntry, Limits};
+use endivestile_kernel::fleet::{FleetSetup, HostEntry, Limits, operator_watch_ms};
 use endivestile_wire::adapter::Adapter;
 use stakker::{Actor, Stakker, actor, call, ret_nop};
 use tokio::runtime::{Builder, Runtime};
@@ -132,8 +132,16 @@
         cpu_milli: settings.platform.cpu_milli,
         link_kbps: settings.platform.link_kbps,
     };
-    let registration =
-        start_store_tasks(runtime, &store, inbox, pool_role.clone(), Arc::clone(&read_now), entry);
+    let watch_ms = operator_watch_ms(settings.platform.config_ms);
+    let registration = start_store_tasks(
+        runtime,
+        &store,
+        inbox,
+        pool_role.clone(),
+        Arc::clone(&read_now),
+        watch_ms,
+        entry,
+    );
     watch_signals(runtime, inbox)?;
     if let Some(path) = reloader.path() {
         runtime.spawn(watch_settings(path.to_owned(), inbox.clone()));
@@ -192,15 +200,12 @@
     inbox: &Inbox,
     pool_role: SharedPoolRole,
     read_now: Arc<Notify>,
+    watch_ms: u32,
     entry: HostEntry,
 ) -> watch::Sender<Registration> {
     let registration = watch::Sender::new(Registration { entry, stored: None });
-    let operator = OperatorKeys {
-        adapter: store.adapter,
-        inbox: inbox.clone(),
-        pace: store.pace.clone(),
-        read_now,
-    };
+    let operator =
+        OperatorKeys { adapter: store.adapter, inbox: inbox.clone(), watch_ms, read_now };
     runtime.spawn(prefix_watch::run(
         StorePurpose::OperatorKeys,
         store.adapter.keys.operator_prefix.to_owned(),
--- a/endivestile/src/fleet/worker_list.rs
+++ b/endivestile/src/fleet/worker_list.rs
@@ -42,8 +42,8 @@
 /// milliseconds: live workers register again within two seconds.
 const KEEP_MISSING_MS: u64 = 2_500;
 
-/// The role of this host, which decides how often it reads the list. Signals when the
-/// role becomes more urgent.
+/// The role of this host, which decides how often it reads the list. Signals when the list is
+/// needed more urgently.
 #[derive(Debug, Clone)]
 pub(crate) struct SharedPoolRole {
     role: Arc<watch::Sender<PoolRole>>,
@@ -63,7 +63,7 @@
     pub(crate) fn set(&self, role: PoolRole) {
         let mut raised = false;
         self.role.send_if_modified(|before| {
-            raised = role > *before;
+            raised = role > *before && role >= PoolRole::Candidate;
             std::mem::replace(before, role) != role
         });
         if raised {
--- a/endivestile_config/src/settings/platform.rs
+++ b/endivestile_config/src/settings/platform.rs
@@ -23,6 +23,8 @@
     pub max_lease_ms: u64,
     /// Grace period from the stop signal until the process is killed, in milliseconds.
     pub grace_ms: u64,
+    /// Time within which a configuration has to apply, in milliseconds.
+    pub config_ms: u32,
     /// Processor time that the host may use, in thousandths of a core; 0 if unknown. Hosts
     /// with more of it are preferred as owners of workers.
     pub cpu_milli: u32,
@@ -42,6 +44,7 @@
             caller_resend_ms: 1_300,
             max_lease_ms: 1_000,
             grace_ms: 6_000,
+            config_ms: 2_000,
             cpu_milli: 0,
             link_kbps: 0,
             remote_factor_milli: 2_000,
@@ -75,6 +78,7 @@
         "resend-ms",
         "hold-ms",
         "grace-s",
+        "config-ms",
         "cores",
         "link-mbps",
         "remote-factor",
@@ -90,6 +94,7 @@
             "resend-ms" => set_scaled(&mut self.caller_resend_ms, raw, 200.0..=600_000.0, 1.0)?,
             "hold-ms" => set_scaled(&mut self.max_lease_ms, raw, 100.0..=600_000.0, 1.0)?,
             "grace-s" => set_scaled(&mut self.grace_ms, raw, 0.1..=600.0, 1_000.0)?,
+            "config-ms" => set_scaled_u32(&mut self.config_ms, raw, 500.0..=600_000.0, 1.0)?,
             "cores" => set_scaled_u32(&mut self.cpu_milli, raw, 0.0..=1_024.0, 1_000.0)?,
             "link-mbps" => set_scaled_u32(&mut self.link_kbps, raw, 0.0..=1_000_000.0, 1_000.0)?,
             "remote-factor" => {
@@ -109,6 +114,7 @@
             "resend-ms" => self.caller_resend_ms.to_string(),
             "hold-ms" => self.max_lease_ms.to_string(),
             "grace-s" => (self.grace_ms as f64 / 1_000.0).to_string(),
+            "config-ms" => self.config_ms.to_string(),
             "link-mbps" => (f64::from(self.link_kbps) / 1_000.0).to_string(),
             "remote-factor" => (f64::from(self.remote_factor_milli) / 1_000.0).to_string(),
             "with" => join_labels(self.policy.enabled()),
--- a/endivestile_kernel/src/fleet/read_share.rs
+++ b/endivestile_kernel/src/fleet/read_share.rs
@@ -4,19 +4,16 @@
 //! the same moment. If each host answered each of them with a call, a fleet that is large enough
 //! would exceed the rate, and the refused calls would return as retries.
 
-/// Shortest and longest wait of one watch of the operators' keys, in milliseconds.
+/// Shortest wait of one watch of the operators' keys, in milliseconds.
 const MIN_OPERATOR_WATCH_MS: u32 = 900;
-const MAX_OPERATOR_WATCH_MS: u32 = 4_000;
-/// Interval at which some host's watch of the operators' keys ends, in milliseconds.
-const WATCH_END_INTERVAL_MS: u32 = 100;
 
-/// Returns the longest wait of one watch of the operators' keys, in milliseconds.
+/// Returns the longest wait of one watch of the operators' keys, in milliseconds, if a
+/// configuration has to apply within `config_ms`.
 ///
-/// An unresponsive connection hides changes until the watch ends. In a large fleet the watch of
-/// some other host ends much earlier, and its frames show the later configuration.
-pub fn operator_watch_ms(hosts: u32) -> u32 {
-    let wait_ms = hosts.saturating_mul(WATCH_END_INTERVAL_MS);
-    wait_ms.clamp(MIN_OPERATOR_WATCH_MS, MAX_OPERATOR_WATCH_MS)
+/// An unresponsive connection hides changes until the watch has ended and its call has timed out.
+/// Half of the limit is left for the call and for reading the keys again.
+pub fn operator_watch_ms(config_ms: u32) -> u32 {
+    (config_ms / 2).max(MIN_OPERATOR_WATCH_MS)
 }
 
 /// Part of the store's read rate that one kind of reads of all hosts together may use. The parts
--- a/endivestile_kernel/tests/store_reads.rs
+++ b/endivestile_kernel/tests/store_reads.rs
@@ -99,12 +99,14 @@
     assert_eq!(ReadShare::Records.interval_ms(1_000, 0), 0, "the rate is unknown");
 }
 
-#[test_case(1, 900; "one_host")]
-#[test_case(8, 900; "few_hosts")]
-#[test_case(20, 2_000; "more_hosts")]
-#[test_case(237, 4_000; "many_hosts")]
-fn operator_watch_hosts(hosts: u32, expected_ms: u32) {
-    assert_eq!(operator_watch_ms(hosts), expected_ms);
+/// The connection of a watch becomes unresponsive, and its call times out after 700 ms. A longer
+/// watch would hide a configuration beyond its limit.
+#[test_case(2_000, 1_000; "small_deployment")]
+#[test_case(3_000, 1_500; "medium_deployment")]
+#[test_case(5_000, 2_500; "large_deployment")]
+#[test_case(500, 900; "very_short_limit")]
+fn operator_watch_limit(config_ms: u32, expected_ms: u32) {
+    assert_eq!(operator_watch_ms(config_ms), expected_ms);
 }
 
 /// The connection of a host's watch becomes unresponsive. Unless the host notices that its peers
