Send held messages with the next frame after a link broke

cause: Channel waited 500 ms after each break before it resent, and a further break started the wait again, while heartbeats passed at once and renewed the lease that would have ended the jobs ruled out: a late notice that callers left (1 ms after the reset), a late stop at the owner (502 ms after the last reset, at once after the cancel), frames dropped without a report (no link was younger than 200 ms here; that path had the same effect and is mended too) change: the next frame of any kind carries all unacknowledged messages; without one they are sent after 20 ms, doubled up to 2 s until an acknowledgement, and a further break does not start that wait again. A frame that is dropped is reported as a broken link, and so is a link that is replaced without an echo.

--- a/endivestile/src/peers/links.rs
+++ b/endivestile/src/peers/links.rs
@@ -15,8 +15,8 @@
 use crate::counters::{Counters, IoMetric};
 
 /// Minimum time between two attempts to connect to an incarnation of a peer, in
-/// milliseconds. Frames sent meanwhile over a broken link are dropped; the kernel
-/// sends them again.
+/// milliseconds. Frames sent meanwhile over a broken link are dropped and reported as
+/// a broken link; the kernel sends their messages again.
 const RECONNECT_DELAY_MS: u64 = 200;
 
 /// Sends frames to peers.
@@ -110,6 +110,7 @@
             self.counters.count_io(IoMetric::FrameBytes, bytes);
         } else {
             self.counters.count_io(IoMetric::FramesDropped, 1);
+            self.inbox.handle_link_down(frame.to.clone());
         }
     }
 
--- a/endivestile_kernel/src/channel.rs
+++ b/endivestile_kernel/src/channel.rs
@@ -13,6 +13,9 @@
 /// Initial delay before unacknowledged messages are resent, in milliseconds; doubles up to
 /// [`MAX_RESEND_MS`].
 const RESEND_MS: u64 = 500;
+/// Initial delay before a broken link is opened again only to resend messages, in milliseconds;
+/// doubles up to [`MAX_RESEND_MS`] until a message is acknowledged.
+const RETRY_MS: u64 = 20;
 /// Maximum delay before unacknowledged messages are resent, in milliseconds.
 const MAX_RESEND_MS: u64 = 2_000;
 /// Maximum number of messages in one frame.
@@ -31,6 +34,9 @@
 /// Resending a task could start it twice, not resending it could lose it. Messages are therefore
 /// numbered and kept until acknowledged, and the receiver drops numbers that it has already
 /// received: each message is delivered once and in order for as long as both incarnations live.
+///
+/// Frames renew leases, so no frame may overtake a message: after a link broke, the next frame
+/// carries what is unacknowledged, whatever it is sent for.
 #[derive(Debug)]
 pub(crate) struct Channel {
     peer: Peer,
@@ -42,9 +48,16 @@
     ack_due: Option<Time>,
     resend_due: Option<Time>,
     resend_ms: u64,
+    /// When to resend after the link broke, unless a frame is due before.
+    retry_due: Option<Time>,
+    retry_ms: u64,
     heartbeat_due: Option<Time>,
     last_frame: Option<Time>,
     awaiting_since: Option<Time>,
+    /// Since when the oldest message has been waiting for its acknowledgement.
+    undelivered_since: Option<Time>,
+    /// Time that the last acknowledged message waited, until it is read, in microseconds.
+    ack_delay: Option<u64>,
     reported_load: Option<Arc<[TargetLoad]>>,
     next_load_due: Time,
     load_refresh_due: Time,
@@ -63,9 +76,13 @@
             ack_due: None,
             resend_due: None,
             resend_ms: RESEND_MS,
+            retry_due: None,
+            retry_ms: RETRY_MS,
             heartbeat_due: None,
             last_frame: None,
             awaiting_since: None,
+            undelivered_since: None,
+            ack_delay: None,
             reported_load: None,
             next_load_due: Time::ZERO,
             load_refresh_due: Time::ZERO,
@@ -88,6 +105,12 @@
         if self.unacked.is_empty() { None } else { self.awaiting_since }
     }
 
+    /// Returns how long the oldest message had waited at the latest acknowledgement, in
+    /// microseconds, unless that was returned before.
+    pub(crate) fn take_ack_delay(&mut self) -> Option<u64> {
+        self.ack_delay.take()
+    }
+
     /// Returns when the last frame arrived.
     pub(crate) fn last_frame(&self) -> Option<Time> {
         self.last_frame
@@ -134,14 +157,21 @@
         self.heartbeat_due = None;
     }
 
-    /// Schedules all unacknowledged messages for resending after the link broke.
+    /// Schedules all unacknowledged messages for resending after the link broke. A link that
+    /// breaks again does not postpone them.
     pub(crate) fn resend_unacked(&mut self, now: Time) {
         self.sent = self.acked;
+        self.resend_due = None;
         if !self.unacked.is_empty() {
-            self.resend_due = Some(now.after_ms(self.resend_ms));
+            self.retry_due.get_or_insert(now.after_ms(self.retry_ms));
         }
     }
 
+    /// Returns whether the link has broken repeatedly since the latest acknowledgement.
+    pub(crate) fn broke_repeatedly(&self) -> bool {
+        self.retry_ms > RETRY_MS
+    }
+
     /// Processes a frame and returns its new messages.
     pub(crate) fn receive(&mut self, now: Time, frame: Frame) -> Vec<Msg> {
         self.last_frame = Some(now);
@@ -169,23 +199,29 @@
     pub(crate) fn has_frame_due(&self, now: Time) -> bool {
         let unsent = self.unacked.len() as u64 > self.sent - self.acked;
         let resend = self.resend_due.is_some_and(|due| due <= now);
-        unsent || resend || self.timer_elapsed(now)
+        (unsent && !self.awaits_retry(now)) || resend || self.timer_elapsed(now)
     }
 
     /// Returns the next frame, if one is due.
     pub(crate) fn next_frame(&mut self, now: Time, me: &Peer) -> Option<Frame> {
+        if !self.unacked.is_empty() {
+            self.undelivered_since.get_or_insert(now);
+        }
         if self.resend_due.is_some_and(|due| due <= now) {
             self.sent = self.acked;
             self.resend_due = None;
             self.resend_ms = (self.resend_ms * 2).min(MAX_RESEND_MS);
         }
-        let awaiting_resend =
-            self.resend_due.is_some_and(|due| due > now) && self.sent == self.acked;
-        let skip = (self.sent - self.acked) as usize;
-        let msgs = if awaiting_resend { Vec::new() } else { self.batch(skip) };
+        if self.awaits_retry(now) && !self.timer_elapsed(now) {
+            return None;
+        }
+        let msgs = self.batch((self.sent - self.acked) as usize);
         if msgs.is_empty() && !self.timer_elapsed(now) {
             return None;
         }
+        if !msgs.is_empty() && self.retry_due.take().is_some() {
+            self.retry_ms = (self.retry_ms * 2).min(MAX_RESEND_MS);
+        }
         let seq = if msgs.is_empty() { 0 } else { self.sent + 1 };
         self.sent += msgs.len() as u64;
         if !msgs.is_empty() {
@@ -213,7 +249,7 @@
     /// Returns when the next frame is due.
     pub(crate) fn deadline(&self) -> Option<Time> {
         let resend = self.resend_due.filter(|_| !self.unacked.is_empty());
-        [self.ack_due, self.heartbeat_due, resend].into_iter().flatten().min()
+        [self.ack_due, self.heartbeat_due, resend, self.retry_due].into_iter().flatten().min()
     }
 
     /// Returns the messages after the first `skip` that fit into one frame, at least one if any is
@@ -228,6 +264,11 @@
         self.unacked.iter().skip(skip).take(MAX_FRAME_MSGS).take_while(fits).cloned().collect()
     }
 
+    /// Returns whether messages wait for the retry after a broken link.
+    fn awaits_retry(&self, now: Time) -> bool {
+        self.retry_due.is_some_and(|due| due > now)
+    }
+
     fn timer_elapsed(&self, now: Time) -> bool {
         let elapsed = |due: Option<Time>| due.is_some_and(|due| due <= now);
         elapsed(self.ack_due) || elapsed(self.heartbeat_due)
@@ -239,9 +280,16 @@
             return;
         }
         self.unacked.drain(..count as usize);
+        let since = std::mem::replace(
+            &mut self.undelivered_since,
+            (!self.unacked.is_empty()).then_some(now),
+        );
+        self.ack_delay = since.map(|since| now.since(since).as_micros() as u64);
         self.acked += count;
         self.sent = self.sent.max(self.acked);
         self.resend_ms = RESEND_MS;
+        self.retry_ms = RETRY_MS;
+        self.retry_due = self.retry_due.filter(|_| !self.unacked.is_empty());
         self.resend_due = None;
         // Messages that were never sent are not held back: they leave with the next frame.
         if self.sent > self.acked {
--- a/endivestile_kernel/src/fleet/core.rs
+++ b/endivestile_kernel/src/fleet/core.rs
@@ -315,11 +315,7 @@
                 self.handle_renewal(now, &worker, number, end)
             }
             FleetEvent::Frame(frame) => self.handle_frame(now, *frame),
-            FleetEvent::LinkDown(peer) => {
-                if let Some(channel) = self.channels.get_mut(&peer) {
-                    channel.resend_unacked(now);
-                }
-            }
+            FleetEvent::LinkDown(peer) => self.handle_link_down(now, &peer),
             FleetEvent::Shutdown => self.shutdown(now),
         }
     }
--- a/endivestile_kernel/src/fleet/hosts/frames.rs
+++ b/endivestile_kernel/src/fleet/hosts/frames.rs
@@ -15,7 +15,7 @@
 };
 use crate::fleet::job::{JobEnd, Reason};
 use crate::fleet::lag::overloaded;
-use crate::fleet::metrics::Count;
+use crate::fleet::metrics::{Count, Span};
 use crate::fleet::msg::{HostReport, JobMsg, ServiceCapacity};
 use crate::fleet::scheduler::Scheduler;
 use crate::{Frame, Level, Msg, Peer, Time};
@@ -61,7 +61,11 @@
         }
         let lease = self.setup.host_lease_ms;
         let channel = self.channel(&from);
-        for msg in channel.receive(now, frame) {
+        let msgs = channel.receive(now, frame);
+        if let Some(delay_us) = channel.take_ack_delay() {
+            self.record_ack_delay(&from, delay_us);
+        }
+        for msg in msgs {
             match msg {
                 Msg::Job(JobMsg::Submit { serial, echo, .. }) if echo.after_ms(lease) <= now => {
                     self.refuse_stale(now, &from, serial);
@@ -74,6 +78,27 @@
         self.apply_output(now);
     }
 
+    /// Handles a link that broke: what the peer has not acknowledged is sent again.
+    pub(crate) fn handle_link_down(&mut self, now: Time, peer: &Peer) {
+        let Some(channel) = self.channels.get_mut(peer) else { return };
+        channel.resend_unacked(now);
+        let count = channel.backlog();
+        if count > 0 && !channel.broke_repeatedly() {
+            let pairs = vec![("peer", peer.to_string()), ("messages", count.to_string())];
+            self.log(Level::Info, "messages_unacked", pairs);
+        }
+    }
+
+    /// Records how long the oldest message to a peer waited for its acknowledgement.
+    fn record_ack_delay(&mut self, peer: &Peer, delay_us: u64) {
+        self.out.push(FleetEffect::Time(Span::MessageAck, delay_us));
+        let delay_ms = delay_us / 1_000;
+        if delay_ms > self.setup.host_lease_ms {
+            let pairs = vec![("peer", peer.to_string()), ("waited_ms", delay_ms.to_string())];
+            self.log(Level::Warn, "messages_late", pairs);
+        }
+    }
+
     /// Requests a read of the operators' keys if a peer has had a later configuration for too long.
     fn compare_config(&mut self, now: Time, peer: &Peer, theirs: u64) {
         let own = self.route_table.as_ref().map_or(0, |table| table.version);
@@ -179,6 +204,10 @@
             let unechoed = member.unechoed_since.is_some_and(|at| at.after_ms(limit) <= now);
             if unechoed && member.reconnect_due <= now {
                 member.note_reconnect(now);
+                // What the former link still holds may never arrive, and its end may show late.
+                if let Some(channel) = self.channels.get_mut(&member.peer) {
+                    channel.resend_unacked(now);
+                }
                 unresponsive.push(member.address.clone());
             }
         }
--- a/endivestile_kernel/src/fleet/metrics.rs
+++ b/endivestile_kernel/src/fleet/metrics.rs
@@ -152,12 +152,20 @@
     TaskRun,
     /// From a start call to its answer.
     OrderAnswer,
+    /// From the first sending of a message to a peer to its acknowledgement.
+    MessageAck,
 }
 
 impl Span {
     /// All timers, in the order of the metrics page.
-    pub const ALL: [Self; 5] =
-        [Self::JobDone, Self::JobOther, Self::FirstStart, Self::TaskRun, Self::OrderAnswer];
+    pub const ALL: [Self; 6] = [
+        Self::JobDone,
+        Self::JobOther,
+        Self::FirstStart,
+        Self::TaskRun,
+        Self::OrderAnswer,
+        Self::MessageAck,
+    ];
 
     /// Returns the name on the metrics page.
     pub fn name(self) -> &'static str {
@@ -167,6 +175,7 @@
             Self::FirstStart => "first_start",
             Self::TaskRun => "task_run",
             Self::OrderAnswer => "order_answer",
+            Self::MessageAck => "message_ack",
         }
     }
 }
--- a/endivestile_kernel/tests/channel.rs
+++ b/endivestile_kernel/tests/channel.rs
@@ -117,3 +117,42 @@
     fixture.handle(Event::Tick);
     assert_eq!(fixture.flush(), [(2, 1)]);
 }
+
+/// A link is reset again and again before the delay of a resend is over: each reset started the
+/// delay again, and a message waited for as long as the resets went on.
+#[test]
+fn frame_resent_between_resets() {
+    let mut fixture = Fixture::new();
+    fixture.send_query();
+    assert_eq!(fixture.flush(), [(1, 1)]);
+    for _ in 0..5 {
+        fixture.handle(Event::LinkDown(Peer::new("b", 1)));
+        let mut frames = Vec::new();
+        for _ in 0..400 {
+            fixture.now = fixture.now.after_ms(1);
+            fixture.handle(Event::Tick);
+            frames.extend(fixture.flush());
+        }
+        assert_eq!(frames, [(1, 1)]);
+    }
+}
+
+/// A peer whose port refuses connections: without a growing delay between the resends a host
+/// would do nothing but connect.
+#[test]
+fn frame_resends_back_off() {
+    let mut fixture = Fixture::new();
+    fixture.send_query();
+    let mut frames = fixture.flush().len();
+    for _ in 0..10_000 {
+        fixture.now = fixture.now.after_ms(1);
+        fixture.handle(Event::Tick);
+        let sent = fixture.flush().len();
+        frames += sent;
+        if sent > 0 {
+            fixture.handle(Event::LinkDown(Peer::new("b", 1)));
+        }
+    }
+    // Heartbeats, every 500 ms, carry the message too.
+    assert!((10..=30).contains(&frames), "{frames} frames in 10 s");
+}
--- a/endivestile_testkit/src/fleet/host.rs
+++ b/endivestile_testkit/src/fleet/host.rs
@@ -18,6 +18,9 @@
 /// Delay before a host sends its frames, in microseconds; effects of events that arrive
 /// meanwhile share the frames.
 const FLUSH_DELAY_US: u64 = 50;
+/// Time after which links are reset, in microseconds: frames that are sent now are then on their
+/// way.
+const RESET_DELAY_US: u64 = FLUSH_DELAY_US + 50;
 /// Retry delay that a host without capacity reports, in milliseconds.
 const NO_ROOM_RETRY_MS: u64 = 2_000;
 
@@ -32,8 +35,12 @@
     pub(crate) link_kbps: u32,
     /// State machine under test; `None` while the process is dead.
     pub(crate) fleet: Option<Fleet>,
-    /// Number of the process start.
+    /// Number of the process start, with the error of the clock at that time.
     pub(crate) incarnation: u64,
+    /// Error of the time of day, in process starts of the world.
+    pub(crate) clock_error: u64,
+    /// Virtual time at which the host's outgoing links were reset last, in microseconds.
+    pub(crate) links_reset_at: u64,
     /// Virtual time at which this incarnation's clock read zero, in microseconds.
     pub(crate) clock_zero: u64,
     /// Events that arrived during a pause; `None` while the process runs.
@@ -62,9 +69,14 @@
 }
 
 impl Host {
+    /// Returns the host's current incarnation.
+    fn peer(&self, name: &Name) -> Peer {
+        Peer::new(name.clone(), self.incarnation)
+    }
+
     /// Returns the host's registration.
     fn entry(&self, name: &Name, leaving: bool) -> HostEntry {
-        let peer = Peer::new(name.clone(), self.incarnation);
+        let peer = self.peer(name);
         let (zone, address) = (self.zone.clone(), name.clone());
         HostEntry {
             peer,
@@ -85,12 +97,13 @@
 impl FleetWorld {
     /// Starts a host's process, unless it runs already.
     pub fn start(&mut self, name: &Name) {
-        let (now, incarnation) = (self.now, self.incarnations + 1);
+        let now = self.now;
         let Some(host) = self.hosts.get_mut(name) else { return };
         if host.fleet.is_some() {
             return;
         }
-        self.incarnations = incarnation;
+        self.incarnations += 1;
+        let incarnation = self.incarnations + host.clock_error;
         let setup = FleetSetup {
             me: Peer::new(name.clone(), incarnation),
             zone: host.zone.clone(),
@@ -150,6 +163,36 @@
         self.schedule_at(self.now, ScheduledEvent::Wake { host: name.clone(), incarnation });
     }
 
+    /// Schedules resets of all links that a host has opened.
+    pub(crate) fn reset_links(&mut self, name: &Name, times: u64, interval_us: u64) {
+        for number in 0..times {
+            let at = self.now + RESET_DELAY_US + number * interval_us;
+            self.schedule_at(at, ScheduledEvent::ResetLinks { host: name.clone() });
+        }
+    }
+
+    /// Resets the links that a host has opened: what it has sent over them is lost if it has not
+    /// arrived.
+    pub(crate) fn handle_reset(&mut self, name: &Name) {
+        let now = self.now;
+        let peers: Vec<Peer> = self.hosts.iter().map(|(name, host)| host.peer(name)).collect();
+        let Some(host) = self.hosts.get_mut(name) else { return };
+        host.links_reset_at = now;
+        let incarnation = host.incarnation;
+        for peer in peers.into_iter().filter(|peer| peer.host != *name) {
+            self.deliver(name, incarnation, FleetEvent::LinkDown(peer));
+        }
+    }
+
+    /// Returns whether a frame was in transit when its sender's links were reset.
+    fn is_reset(&self, frame: &Frame) -> bool {
+        let sender = self.hosts.get(&frame.from.host);
+        sender.is_some_and(|host| {
+            let sent = host.clock_zero + frame.sent.as_micros();
+            host.incarnation == frame.from.birth && sent <= host.links_reset_at
+        })
+    }
+
     /// Requests a graceful shutdown of a host.
     pub fn stop(&mut self, name: &Name) {
         let incarnation = self.hosts.get(name).map_or(0, |host| host.incarnation);
@@ -171,6 +214,9 @@
     /// Passes an event to a host's fleet, or queues it during a pause.
     pub(crate) fn handle_event(&mut self, name: &Name, incarnation: u64, event: FleetEvent) {
         let now = self.now;
+        if matches!(&event, FleetEvent::Frame(frame) if self.is_reset(frame)) {
+            return;
+        }
         let Some(host) = self.hosts.get_mut(name).filter(|host| host.incarnation == incarnation)
         else {
             return;
@@ -277,8 +323,7 @@
                         ScheduledEvent::Event { host: address, incarnation: to, event },
                     );
                 } else if let Some(host) = self.hosts.get(&address) {
-                    let peer = Peer::new(address.clone(), host.incarnation);
-                    let event = FleetEvent::LinkDown(peer);
+                    let event = FleetEvent::LinkDown(host.peer(&address));
                     let host = name.clone();
                     self.schedule_at(
                         self.now + 1_000,
--- a/endivestile_testkit/src/fleet/story.rs
+++ b/endivestile_testkit/src/fleet/story.rs
@@ -111,6 +111,15 @@
                 named.for_each(|host| self.world.resume(&host));
             }
             "stop" => self.world.stop(&name(1)?),
+            "reset" => {
+                let times = step.number("times", 1)?;
+                let every = step.duration_ms("every", 0)?;
+                self.world.reset_links(&name(1)?, times, every * 1_000);
+            }
+            "clock" => {
+                let host = self.world.hosts.get_mut(&name(1)?).ok_or("unknown host")?;
+                host.clock_error = step.parse_word(2)?;
+            }
             "cut" => self.world.net.cut(step.word(1)?, step.word(2)?),
             "cost" => {
                 let event_cost_us = parse_duration_ms(step.word(2)?)? * 1_000;
--- a/endivestile_testkit/src/fleet/world.rs
+++ b/endivestile_testkit/src/fleet/world.rs
@@ -55,6 +55,8 @@
     LateCall { call: WorkerCall, worker: Name, worker_incarnation: u64 },
     /// A compare-and-swap reaches the store.
     Swap { host: Name, incarnation: u64, op_id: u64, op: StoreOp },
+    /// The links that a host has opened are reset.
+    ResetLinks { host: Name },
     /// A host registers.
     Register { entry: HostEntry },
     /// A host reads the whole store.
@@ -261,6 +263,7 @@
             ScheduledEvent::Swap { host, incarnation, op_id, op } => {
                 self.swap(host, incarnation, op_id, &op)
             }
+            ScheduledEvent::ResetLinks { host } => self.handle_reset(&host),
             ScheduledEvent::Register { entry } => self.register(&entry),
             ScheduledEvent::ReadStore { host, incarnation } => self.read_store(&host, incarnation),
             ScheduledEvent::ReadWorkerList { host, incarnation } => {
@@ -325,6 +328,8 @@
             link_kbps: 0,
             fleet: None,
             incarnation: 0,
+            clock_error: 0,
+            links_reset_at: 0,
             clock_zero: 0,
             paused: None,
             flush_scheduled: false,
