--- a/endivestile_kernel/src/fleet/workers/driver.rs
+++ b/endivestile_kernel/src/fleet/workers/driver.rs
@@ -109,7 +109,7 @@
     /// Number of the last ended run that was handled.
     observed: u64,
     in_flight: Option<Renewal>,
-    /// Number of the last renewal.
+    /// Number of the last renewal; starts with the creation time, in microseconds.
     number: u64,
     /// When to send the next renewal.
     next_renewal: Time,
@@ -157,7 +157,8 @@
             clock: None,
             observed: 0,
             in_flight: None,
-            number: 0,
+            // A late reply to a renewal of a former driver must not count for this one.
+            number: now.as_micros(),
             next_renewal: now,
             failures: 0,
             responsive_until: Time::ZERO,
