Order the incarnations of a host by proof instead of their time of start

Births carry random low bits, since a time of day can recur. An owner is challenged unless it is known to have ended, not only while its incarnation is known. Delayed frames no longer replace later reports.

--- a/endivestile/src/clock.rs
+++ b/endivestile/src/clock.rs
@@ -38,6 +38,16 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
 }
 
+/// Bits of a birth that are random.
+const RANDOM_BIRTH_BITS: u32 = 12;
+
+/// Returns a number that identifies this start of the process: the time of day in microseconds, to
+/// about 4 ms. The rest is random, since the time may be set back to that of an earlier start.
+pub(crate) fn new_birth() -> u64 {
+    let mask = (1 << RANDOM_BIRTH_BITS) - 1;
+    (since_epoch().as_micros() as u64 & !mask) | (rand::random::<u64>() & mask)
+}
+
 /// Returns a delay below `limit_ms`, in milliseconds, that differs between hosts: it comes from
 /// the clock.
 pub(crate) fn jitter_ms(limit_ms: u64) -> u64 {
--- a/endivestile/src/fleet/records.rs
+++ b/endivestile/src/fleet/records.rs
@@ -137,7 +137,7 @@
             self.hosts.remove(&name);
         }
         self.pace.set_hosts(self.hosts.len());
-        self.inbox.post_event(FleetEvent::Host { name, entry });
+        self.inbox.post_event(FleetEvent::Host { name, revision, entry });
     }
 }
 
--- a/endivestile/src/fleet/run.rs
+++ b/endivestile/src/fleet/run.rs
@@ -33,7 +33,7 @@
 use super::store_client::StoreClient;
 use super::worker_client::WorkerClient;
 use super::worker_list::{SharedPoolRole, WorkerList};
-use crate::clock::{Clock, since_epoch};
+use crate::clock::{Clock, new_birth};
 use crate::counters::Counters;
 use crate::error::{Exit, RunError};
 use crate::peers::{self, Links};
@@ -114,7 +114,7 @@
     let (address, local) = (advertised_address(settings, &listener)?, local_address(&listener)?);
     peers::serve(runtime.handle(), listener, inbox.clone())?;
     let links = Links::start(runtime.handle(), inbox.clone(), counters.clone());
-    let me = Peer::new(settings.host.name.clone(), since_epoch().as_micros() as u64);
+    let me = Peer::new(settings.host.name.clone(), new_birth());
     let zone = settings.host.zone.clone();
     log::info!(
         "event=started host={} birth={:x} zone={zone} http={http} peers={address} links={local}",
--- a/endivestile/src/run.rs
+++ b/endivestile/src/run.rs
@@ -19,7 +19,7 @@
 
 use crate::args::Args;
 use crate::backend::Backends;
-use crate::clock::{Clock, since_epoch};
+use crate::clock::{Clock, new_birth, since_epoch};
 use crate::config_checker::{ConfigChecker, CurrentConfig};
 use crate::counters::Counters;
 use crate::effects::EffectHandlers;
@@ -115,7 +115,7 @@
     let http_listener = http::bind(net.handle(), settings.host.http_address)?;
     let peer_listener = peers::bind(settings.host.peer_address)?;
     let address = advertised_address(settings, &peer_listener)?;
-    let me = Peer::new(settings.host.name.clone(), since_epoch().as_micros() as u64);
+    let me = Peer::new(settings.host.name.clone(), new_birth());
     let checker = ConfigChecker::start(inbox.clone(), current_config.clone())?;
     let replies = PendingReply::pool();
     let handler = RequestHandler {
--- a/endivestile_kernel/src/fleet/core.rs
+++ b/endivestile_kernel/src/fleet/core.rs
@@ -99,6 +99,8 @@
     Host {
         /// Name of the host.
         name: Name,
+        /// Revision of the store at the change.
+        revision: u64,
         /// The registration; `None` if it ended.
         entry: Option<HostEntry>,
     },
@@ -297,7 +299,9 @@
             FleetEvent::Evacuation(state) => self.set_evacuation(now, &state, Source::Store),
             FleetEvent::EvacuationsRead(revision) => self.handle_evacuations_read(now, revision),
             FleetEvent::Workers(workers) => self.apply_worker_list(now, workers),
-            FleetEvent::Host { name, entry } => self.apply_registration(now, &name, entry.as_ref()),
+            FleetEvent::Host { name, revision, entry } => {
+                self.apply_registration(now, &name, revision, entry.as_ref());
+            }
             FleetEvent::Record { pool, revision, value } => {
                 self.apply_record(now, &pool, revision, &value);
             }
--- a/endivestile_kernel/src/fleet/hosts/frames.rs
+++ b/endivestile_kernel/src/fleet/hosts/frames.rs
@@ -11,7 +11,8 @@
 use crate::fleet::evacuation::Source;
 use crate::fleet::front::Front;
 use crate::fleet::hosts::membership::{
-    CROSS_ZONE_HEARTBEAT_MS, FrameHeader, HEARTBEAT_MS, IDLE_HEARTBEAT_MS, Member, host_rank,
+    CROSS_ZONE_HEARTBEAT_MS, FrameFault, FrameHeader, HEARTBEAT_MS, IDLE_HEARTBEAT_MS, Member,
+    host_rank,
 };
 use crate::fleet::job::{JobEnd, Reason};
 use crate::fleet::lag::overloaded;
@@ -47,10 +48,21 @@
             echo: frame.echo,
             report: report.as_ref(),
         };
-        let Ok(ended) = self.members.apply_frame(now, &header) else { return };
-        if let Some(ended) = ended {
+        let contact = match self.members.apply_frame(now, &header) {
+            Ok(contact) => contact,
+            Err(FrameFault::Unproven) => return self.probe_peer(now, &header),
+            Err(FrameFault::UnknownSender) => return,
+        };
+        if let Some(ended) = contact.ended {
             self.peer_ended(now, &ended);
         }
+        if contact.is_first {
+            // The peer may have dropped earlier frames, since it did not know this incarnation; an
+            // echo proves to it that this is the later one.
+            let channel = self.channel(&from);
+            channel.resend_unacked(now);
+            channel.ack_now(now);
+        }
         self.compare_config(now, &from, frame.revision);
         if let Some(report) = report {
             for state in &report.evacuations {
@@ -78,6 +90,27 @@
         self.apply_output(now);
     }
 
+    /// Sends a frame to an incarnation whose echo shows whether it is later than the known one.
+    fn probe_peer(&mut self, now: Time, header: &FrameHeader<'_>) {
+        let Some(theirs) = header.report else { return };
+        let known = self.members.by_host(&header.from.host).map(|member| member.peer.to_string());
+        let pairs = vec![("peer", header.from.to_string()), ("known", known.unwrap_or_default())];
+        self.log(Level::Info, "peer_probed", pairs);
+        let mut channel = Channel::new(header.from.clone());
+        channel.ack_now(now);
+        let Some(mut frame) = channel.next_frame(now, &self.setup.me) else { return };
+        frame.leaving = self.leaving;
+        frame.echo = header.sent;
+        frame.report = Some(self.current_report(now));
+        frame.revision = self.config_version();
+        self.out.push(FleetEffect::Send { address: theirs.address.clone(), frame });
+    }
+
+    /// Returns the version of this host's configuration, 0 for none.
+    fn config_version(&self) -> u64 {
+        self.route_table.as_ref().map_or(0, |table| table.version)
+    }
+
     /// Handles a link that broke: what the peer has not acknowledged is sent again.
     pub(crate) fn handle_link_down(&mut self, now: Time, peer: &Peer) {
         let Some(channel) = self.channels.get_mut(peer) else { return };
@@ -101,7 +134,7 @@
 
     /// Requests a read of the operators' keys if a peer has had a later configuration for too long.
     fn compare_config(&mut self, now: Time, peer: &Peer, theirs: u64) {
-        let own = self.route_table.as_ref().map_or(0, |table| table.version);
+        let own = self.config_version();
         if self.config_lag.observe(now, own, theirs) {
             let pairs = vec![
                 ("own", own.to_string()),
@@ -172,6 +205,7 @@
     /// Checks every peer: requests heartbeats, reconnects unresponsive links, and gives up what
     /// depends on unreachable peers.
     pub(crate) fn check_members(&mut self, now: Time) {
+        self.members.replace_silent(now);
         self.choose_standby(now);
         let busy = busy_peers(&self.scheduler, &self.front);
         let own = self.scheduler.owns_workers();
--- a/endivestile_kernel/src/fleet/hosts/membership.rs
+++ b/endivestile_kernel/src/fleet/hosts/membership.rs
@@ -23,6 +23,11 @@
 /// Age up to which a host's report of owning workers counts, in milliseconds: a host that has
 /// lost its workers may send no further frame.
 const OWNER_REPORT_MS: u64 = 3_000;
+/// Most ended incarnations of a host that are remembered.
+const MAX_FORMER: usize = 8;
+/// Time without a frame after which a host gives way to another incarnation that is registered, in
+/// milliseconds: longer than anything that depends on its frames lasts.
+const SILENT_MS: u64 = 3_000;
 /// Time without a frame after which the next one shows that the path to a peer is back, in
 /// milliseconds.
 const PATH_LOST_MS: u64 = 1_000;
@@ -56,6 +61,14 @@
 pub(crate) struct Member {
     /// Latest known incarnation.
     pub(crate) peer: Peer,
+    /// Whether its registration was read from the store; otherwise only its frames are known.
+    registered: bool,
+    /// Revision of the latest registration under this host's name, of whatever incarnation.
+    revision: u64,
+    /// Registration of an incarnation that may be earlier or later than `peer`.
+    unordered: Option<HostEntry>,
+    /// Births of incarnations that have ended, the latest last.
+    former: Vec<u64>,
     /// Availability zone.
     pub(crate) zone: Name,
     /// Address of its links.
@@ -90,23 +103,49 @@
 }
 
 /// All other hosts, by name.
+///
+/// A host has one process at a time. Which of two incarnations is the later one is never decided by
+/// their births, which come from a clock that may jump, but by one of two proofs. The store
+/// replaces a registration only by that of a process that has read it. And a frame that echoes one
+/// of ours, sent when the other incarnation was already known, was sent after that one had started.
 #[derive(Debug)]
 pub(crate) struct Membership {
     me: Peer,
     by_name: BTreeMap<Name, Member>,
 }
 
+/// Why a frame is not handled.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum FrameFault {
+    /// Its sender is this host, has ended, or is unknown and sent no report.
+    UnknownSender,
+    /// Its sender may have ended: it has not echoed a frame sent since another incarnation is
+    /// known.
+    Unproven,
+}
+
+/// What a frame shows about its sender.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) struct Contact {
+    /// Incarnation that has ended, since the sender is a later one.
+    pub(crate) ended: Option<Peer>,
+    /// Whether this is the sender's first frame.
+    pub(crate) is_first: bool,
+}
+
 impl Membership {
     /// Creates an empty membership.
     pub(crate) fn new(me: Peer) -> Self {
         Self { me, by_name: BTreeMap::new() }
     }
 
-    /// Applies a registration, or the end of one; returns an incarnation that ended by it.
+    /// Applies the registration at `revision` of the store, or the end of one; returns an
+    /// incarnation that ended by it.
     pub(crate) fn apply_registration(
         &mut self,
         now: Time,
         name: &Name,
+        revision: u64,
         entry: Option<&HostEntry>,
     ) -> Option<Peer> {
         if *name == self.me.host {
@@ -115,70 +154,84 @@
         let Some(entry) = entry else {
             return self.by_name.remove(name).map(|member| member.peer);
         };
-        let known = self.by_name.get_mut(name);
-        if let Some(member) = known {
-            if member.peer.birth == entry.peer.birth {
-                member.address = entry.address.clone();
-                member.leaving |= entry.leaving;
-                return None;
-            }
-            if member.peer.birth > entry.peer.birth {
-                return None;
+        let Some(member) = self.by_name.get_mut(name) else {
+            self.by_name.insert(name.clone(), Member::registered(now, entry, revision));
+            return None;
+        };
+        if member.revision >= revision {
+            return None;
+        }
+        member.revision = revision;
+        if member.peer == entry.peer {
+            member.registered = true;
+            member.unordered = None;
+            member.address = entry.address.clone();
+            member.leaving |= entry.leaving;
+            return None;
+        }
+        if member.former.contains(&entry.peer.birth) {
+            return None;
+        }
+        if member.registered {
+            return Some(member.replace(now, entry, true));
+        }
+        member.unordered = Some(entry.clone());
+        None
+    }
+
+    /// Replaces silent hosts of which another incarnation is registered. The former is not known
+    /// to have ended; if it proves to be the later one, it replaces the other again.
+    pub(crate) fn replace_silent(&mut self, now: Time) {
+        for member in self.by_name.values_mut() {
+            if member.unordered.is_some()
+                && !member.is_alive(now, SILENT_MS)
+                && let Some(entry) = member.unordered.take()
+            {
+                let former = std::mem::take(&mut member.former);
+                member.replace(now, &entry, true);
+                member.former = former;
             }
         }
-        let member = Member::new(now, entry);
-        self.by_name.insert(name.clone(), member).map(|member| member.peer)
     }
 
-    /// Applies the header of a frame; returns an incarnation that it shows to have ended.
-    ///
-    /// Fails for a frame under this host's name, of an ended incarnation, or of an unknown one
-    /// without a report.
+    /// Applies the header of a frame.
     pub(crate) fn apply_frame(
         &mut self,
         now: Time,
         header: &FrameHeader<'_>,
-    ) -> Result<Option<Peer>, ()> {
+    ) -> Result<Contact, FrameFault> {
         let name = &header.from.host;
-        let known = self.by_name.get(name).map(|member| member.peer.birth);
-        if *name == self.me.host || known.is_some_and(|birth| birth > header.from.birth) {
-            return Err(());
+        let known = self.by_name.get_mut(name);
+        if *name == self.me.host
+            || known.as_ref().is_some_and(|member| member.former.contains(&header.from.birth))
+        {
+            return Err(FrameFault::UnknownSender);
         }
         let mut ended = None;
-        if known != Some(header.from.birth) {
-            let Some(report) = header.report else { return Err(()) };
-            let entry = HostEntry {
-                peer: header.from.clone(),
-                zone: report.zone.clone(),
-                address: report.address.clone(),
-                leaving: header.leaving,
-                cpu_milli: report.cpu_milli,
-                link_kbps: report.link_kbps,
-            };
-            let old = self.by_name.insert(name.clone(), Member::new(now, &entry));
-            ended = old.map(|member| member.peer);
-        }
-        if let Some(member) = self.by_name.get_mut(name) {
-            if !member.is_alive(now, PATH_LOST_MS) {
-                // The path is back, but a link opened during the outage may never come up: allow
-                // a reconnect at once.
-                member.reconnects = 0;
-                member.reconnect_due = now;
+        match known {
+            Some(member) if member.peer == *header.from => {}
+            Some(member) if header.echo < member.known_since || header.echo == Time::ZERO => {
+                return Err(FrameFault::Unproven);
             }
-            member.last_frame = Some(now);
-            member.leaving = header.leaving;
-            member.peer_clock = member.peer_clock.max(header.sent);
-            if header.echo > member.last_echo {
-                member.last_echo = header.echo;
-                member.unechoed_since = None;
-                member.reconnects = 0;
+            Some(member) => {
+                let entry = header.entry().ok_or(FrameFault::UnknownSender)?;
+                ended = Some(member.replace(now, &entry, false));
             }
-            if let Some(report) = header.report {
-                member.sent_tasks = 0;
-                member.report = report.clone();
+            None => {
+                let entry = header.entry().ok_or(FrameFault::UnknownSender)?;
+                self.by_name.insert(name.clone(), Member::new(now, &entry));
             }
         }
-        Ok(ended)
+        let member = self.by_name.get_mut(name).ok_or(FrameFault::UnknownSender)?;
+        let is_first = member.last_frame.is_none();
+        member.apply_frame(now, header);
+        Ok(Contact { ended, is_first })
+    }
+
+    /// Returns whether an incarnation is known to have ended.
+    pub(crate) fn has_ended(&self, peer: &Peer) -> bool {
+        let member = self.by_name.get(&peer.host);
+        member.is_some_and(|member| member.former.contains(&peer.birth))
     }
 
     /// Returns the member of an incarnation, if that is the latest.
@@ -227,10 +280,29 @@
     pub(crate) report: Option<&'a Arc<HostReport>>,
 }
 
+impl FrameHeader<'_> {
+    /// Returns what the sender's registration says, if the frame has a report.
+    fn entry(&self) -> Option<HostEntry> {
+        let report = self.report?;
+        Some(HostEntry {
+            peer: self.from.clone(),
+            zone: report.zone.clone(),
+            address: report.address.clone(),
+            leaving: self.leaving,
+            cpu_milli: report.cpu_milli,
+            link_kbps: report.link_kbps,
+        })
+    }
+}
+
 impl Member {
     fn new(now: Time, entry: &HostEntry) -> Self {
         Self {
             peer: entry.peer.clone(),
+            registered: false,
+            revision: 0,
+            unordered: None,
+            former: Vec::new(),
             zone: entry.zone.clone(),
             address: entry.address.clone(),
             leaving: entry.leaving,
@@ -249,6 +321,49 @@
         }
     }
 
+    fn registered(now: Time, entry: &HostEntry, revision: u64) -> Self {
+        Self { registered: true, revision, ..Self::new(now, entry) }
+    }
+
+    /// Replaces the incarnation by a later one, and returns it.
+    fn replace(&mut self, now: Time, entry: &HostEntry, registered: bool) -> Peer {
+        let mut former = std::mem::take(&mut self.former);
+        if former.len() == MAX_FORMER {
+            former.remove(0);
+        }
+        former.push(self.peer.birth);
+        let next = Self { registered, former, ..Self::new(now, entry) };
+        let revision = self.revision;
+        let ended = std::mem::replace(self, Self { revision, ..next });
+        ended.peer
+    }
+
+    /// Applies the header of one of its frames.
+    fn apply_frame(&mut self, now: Time, header: &FrameHeader<'_>) {
+        if !self.is_alive(now, PATH_LOST_MS) {
+            // The path is back, but a link opened during the outage may never come up: allow a
+            // reconnect at once.
+            self.reconnects = 0;
+            self.reconnect_due = now;
+        }
+        self.last_frame = Some(now);
+        if header.echo > self.last_echo {
+            self.last_echo = header.echo;
+            self.unechoed_since = None;
+            self.reconnects = 0;
+        }
+        // A former link may deliver frames after later ones.
+        if header.sent < self.peer_clock {
+            return;
+        }
+        self.peer_clock = header.sent;
+        self.leaving = header.leaving;
+        if let Some(report) = header.report {
+            self.sent_tasks = 0;
+            self.report = report.clone();
+        }
+    }
+
     /// Returns whether a frame of it arrived within the last `ms` milliseconds.
     pub(crate) fn is_alive(&self, now: Time, ms: u64) -> bool {
         self.last_frame.is_some_and(|at| at.after_ms(ms) > now)
--- a/endivestile_kernel/src/fleet/ownership/claim.rs
+++ b/endivestile_kernel/src/fleet/ownership/claim.rs
@@ -42,8 +42,14 @@
 
 impl Fleet {
     /// Applies a host's registration, or the end of one.
-    pub(crate) fn apply_registration(&mut self, now: Time, name: &Name, entry: Option<&HostEntry>) {
-        if let Some(ended) = self.members.apply_registration(now, name, entry) {
+    pub(crate) fn apply_registration(
+        &mut self,
+        now: Time,
+        name: &Name,
+        revision: u64,
+        entry: Option<&HostEntry>,
+    ) {
+        if let Some(ended) = self.members.apply_registration(now, name, revision, entry) {
             self.peer_ended(now, &ended);
             self.apply_output(now);
         }
@@ -214,8 +220,8 @@
         self.pools.owner(name).is_some_and(|owner| owner.host == me.host && owner != me)
     }
 
-    /// Claims a pool. An owner that is still a member and not stopping is challenged first, and
-    /// loses the pool only if it does not answer.
+    /// Claims a pool. An owner that is neither stopping nor known to have ended is challenged
+    /// first, and loses the pool only if it does not answer.
     ///
     /// A host that receives no frames from the owner may itself be the one that is cut off.
     /// Without the challenge, two hosts that are cut off from each other but not from store and
@@ -223,11 +229,11 @@
     fn claim(&mut self, now: Time, name: &Name) {
         let me = self.setup.me.clone();
         let Some(pool) = self.pools.by_name.get(name) else { return };
-        let is_member = pool.record.as_ref().is_some_and(|record| {
-            record.owner.host != me.host && self.members.get(&record.owner).is_some()
+        let may_live = pool.record.as_ref().is_some_and(|record| {
+            record.owner.host != me.host && !self.members.has_ended(&record.owner)
         });
         let must_challenge = self.setup.policy.has(Mechanism::Challenge);
-        if !is_member
+        if !may_live
             || !must_challenge
             || self.peer_leaving(pool.record.as_ref().map(|record| &record.owner))
         {
--- a/endivestile_kernel/src/peer.rs
+++ b/endivestile_kernel/src/peer.rs
@@ -10,7 +10,8 @@
 pub struct Peer {
     /// Name of the host in the inventory.
     pub host: Name,
-    /// Number of the incarnation, which grows with every start of the host's process.
+    /// Number of the incarnation, different at every start of the host's process. The numbers of
+    /// two starts have no order.
     pub birth: u64,
 }
 
--- a/endivestile_kernel/tests/store_reads.rs
+++ b/endivestile_kernel/tests/store_reads.rs
@@ -43,7 +43,7 @@
     fleet.handle(start, FleetEvent::StoreAvailable(true));
     for other in (0..hosts).filter(|other| *other != index) {
         let (name, entry) = (peer(other).host, Some(entry(other)));
-        fleet.handle(start, FleetEvent::Host { name, entry });
+        fleet.handle(start, FleetEvent::Host { name, revision: 1, entry });
     }
     fleet.flush(start.after_ms(SETTLED_MS), &mut Vec::new());
     fleet
--- a/endivestile_testkit/src/fleet/host.rs
+++ b/endivestile_testkit/src/fleet/host.rs
@@ -411,7 +411,7 @@
             FleetEvent::Record { pool: Name::from(pool), revision, value }
         } else if let Some(name) = key.strip_prefix(HOST_KEY_PREFIX) {
             let entry = serde_json::from_slice(&value).ok();
-            FleetEvent::Host { name: Name::from(name), entry }
+            FleetEvent::Host { name: Name::from(name), revision, entry }
         } else {
             return;
         };
--- a/endivestile_testkit/src/fleet/world.rs
+++ b/endivestile_testkit/src/fleet/world.rs
@@ -305,9 +305,13 @@
         );
     }
 
-    /// Writes a host's registration, or retries later if the store is unreachable.
+    /// Writes a host's registration, or retries later if the store is unreachable. A later
+    /// incarnation has replaced the revision that the write is conditional on.
     fn register(&mut self, entry: &HostEntry) {
         let host = &entry.peer.host;
+        if self.hosts.get(host).is_some_and(|it| it.incarnation != entry.peer.birth) {
+            return;
+        }
         if self.store.down || !self.net.reaches(host, STORE) {
             let retry = ScheduledEvent::Register { entry: entry.clone() };
             self.schedule_at(self.now + 300_000, retry);
