Order incarnations by the store in the product's own interface too

A host of the product's own interface that restarts with its time of day set back never registered while the registration of its former process lasted, and its peers ignored it after that.

--- a/endivestile/src/store/registration.rs
+++ b/endivestile/src/store/registration.rs
@@ -34,7 +34,8 @@
     desired: Receiver<DesiredRegistration>,
 ) {
     let mut backoff = Backoff::new(context.settings.backoff_ms);
-    let mut registrar = Registrar { connections, context, desired, lease: None, failing: false };
+    let mut registrar =
+        Registrar { connections, context, desired, lease: None, predecessor: None, failing: false };
     loop {
         match registrar.maintain(&mut backoff).await {
             Ok(()) => return,
@@ -63,6 +64,8 @@
     desired: Receiver<DesiredRegistration>,
     /// The lease, kept after an error, since it may still be valid.
     lease: Option<Lease>,
+    /// Incarnation whose registration was found first, zero for none; `None` before that.
+    predecessor: Option<u64>,
     /// Whether the last attempt failed and was logged.
     failing: bool,
 }
@@ -115,7 +118,9 @@
     /// A process that was paused for long may resume after a later process has
     /// registered under the same name. An unconditional write would replace that
     /// registration, and peers would send work to a process that owns nothing.
-    /// The key is therefore read first, and only the value read is replaced.
+    /// The key is therefore read first, and only the value read is replaced. What the first read
+    /// finds is the registration of a predecessor; another incarnation's that appears after that
+    /// is a successor's, whatever their births say.
     async fn write(&mut self, lease: Lease) -> Result<(), StoreError> {
         let key = format!("{}{}", key::HOSTS, self.context.me.host);
         loop {
@@ -123,10 +128,11 @@
                 StoreResult::Value { revision, value } => (revision, value),
                 _ => (0, bytes::Bytes::new()),
             };
-            if let Ok(registered) = serde_json::from_slice::<Registration>(&value)
-                && registered.peer.birth > self.context.me.birth
-            {
-                return Err(StoreError::Superseded { incarnation: registered.peer.birth });
+            let registered = serde_json::from_slice::<Registration>(&value).ok();
+            let birth = registered.map_or(0, |registered| registered.peer.birth);
+            let predecessor = *self.predecessor.get_or_insert(birth);
+            if ![0, predecessor, self.context.me.birth].contains(&birth) {
+                return Err(StoreError::Superseded { incarnation: birth });
             }
             let put = self.put_request(&key, lease);
             let stored =
--- a/endivestile/tests/store_edge.rs
+++ b/endivestile/tests/store_edge.rs
@@ -146,6 +146,18 @@
     drop(successor);
 }
 
+/// The former process of the host had started while the time of day was ahead, and its
+/// registration has not expired. The host must replace it, or it would never be found.
+#[test]
+fn registration_clock_back() {
+    let store = StoreStandIn::start().expect("store");
+    let former = r#"{"peer":{"host":"e1","birth":9000000000000000},"zone":"a","address":"127.0.0.1:1","leaving":false}"#;
+    store.put(HOST, former.to_owned());
+    let daemon = Daemon::start(&store, "e1", &[]);
+    wait_for("registration", || store.get(HOST).is_some_and(|value| value != former.as_bytes()));
+    drop(daemon);
+}
+
 /// Answers of the store are lost after the writes took effect. The host must be
 /// registered all the same.
 #[test]
--- a/endivestile_kernel/benches/place.rs
+++ b/endivestile_kernel/benches/place.rs
@@ -1,6 +1,7 @@
 //! Cost of placement decisions, and memory use of a placer.
 
 use std::alloc::{GlobalAlloc, Layout, System};
+use std::collections::BTreeSet;
 use std::hint::black_box;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -80,6 +81,7 @@
         me,
         zone,
         hosts: [(Name::from("h"), host)].into(),
+        ended: BTreeSet::new(),
         store_available: true,
         has_inventory: true,
     }
@@ -234,7 +236,14 @@
     let me = Peer::new(name("h", 0), 1);
     let hosts = hosts.collect();
     let zone = name("z", 0);
-    let view = View { me: me.clone(), zone, hosts, store_available: true, has_inventory: true };
+    let view = View {
+        me: me.clone(),
+        zone,
+        hosts,
+        ended: BTreeSet::new(),
+        store_available: true,
+        has_inventory: true,
+    };
     let mut placer = Placer::new(PlacerSetup { me, seed: 1 });
     let mut out = Vec::new();
     placer.configure(Time::ZERO, &config, &view, &mut out);
--- a/endivestile_kernel/benches/shards.rs
+++ b/endivestile_kernel/benches/shards.rs
@@ -1,6 +1,6 @@
 //! Time per admission and memory per recorded id.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hint::black_box;
 
 use criterion::{BatchSize, Criterion};
@@ -96,8 +96,14 @@
         let view = HostView { peer, zone, address, weight, state: HostState::Live };
         (view.peer.host.clone(), view)
     });
-    let view =
-        View { me, zone, hosts: hosts.collect(), store_available: true, has_inventory: true };
+    let view = View {
+        me,
+        zone,
+        hosts: hosts.collect(),
+        ended: BTreeSet::new(),
+        store_available: true,
+        has_inventory: true,
+    };
     (shards, view)
 }
 
--- a/endivestile_kernel/src/membership.rs
+++ b/endivestile_kernel/src/membership.rs
@@ -1,6 +1,6 @@
 //! Membership: which hosts are live, leaving, suspect or gone.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use endivestile_config::model::{Config, Name};
 
@@ -40,6 +40,8 @@
 struct Observations {
     birth: u64,
     registered: bool,
+    /// Whether a registration of this incarnation was read, even if it has ended since.
+    was_registered: bool,
     leaving: bool,
     stop_planned: bool,
     platform_state: Option<PlatformState>,
@@ -80,7 +82,14 @@
             hosts.insert(seed.host.clone(), seed.view());
         }
         Self {
-            view: View { me, zone, hosts, store_available: false, has_inventory: false },
+            view: View {
+                me,
+                zone,
+                hosts,
+                ended: BTreeSet::new(),
+                store_available: false,
+                has_inventory: false,
+            },
             observed,
             in_inventory: false,
         }
@@ -131,9 +140,18 @@
         }
         let observed = self.observed.entry(name.clone()).or_default();
         match registration {
-            Some(registration) if registration.peer.birth >= observed.birth => {
-                observed.reset_if_newer(registration.peer.birth);
+            Some(registration) if !self.view.ended.contains(&registration.peer) => {
+                let birth = registration.peer.birth;
+                // The store replaces a registration only by that of a process that has read it. An
+                // incarnation that only frames have shown may be the later one.
+                if birth < observed.birth && !observed.was_registered {
+                    return false;
+                }
+                if let Some(ended) = observed.replace(birth) {
+                    self.view.ended.insert(Peer::new(name.clone(), ended));
+                }
                 observed.registered = true;
+                observed.was_registered = true;
                 observed.leaving = registration.leaving;
                 observed.address = Some(registration.address.clone());
                 if let Some(host) = self.view.hosts.get_mut(name) {
@@ -184,10 +202,15 @@
     pub(crate) fn apply_frame(&mut self, now: Time, peer: &Peer, leaving: bool) -> Option<bool> {
         self.view.hosts.get(&peer.host)?;
         let observed = self.observed.entry(peer.host.clone()).or_default();
-        if peer.birth < observed.birth || peer.host == self.view.me.host {
+        if peer.birth < observed.birth
+            || peer.host == self.view.me.host
+            || self.view.ended.contains(peer)
+        {
             return None;
         }
-        observed.reset_if_newer(peer.birth);
+        if let Some(ended) = observed.replace(peer.birth) {
+            self.view.ended.insert(Peer::new(peer.host.clone(), ended));
+        }
         observed.last_frame = Some(now);
         observed.link_down_at = None;
         observed.unresponsive_since = None;
@@ -251,12 +274,16 @@
 }
 
 impl Observations {
-    fn reset_if_newer(&mut self, birth: u64) {
-        if birth > self.birth {
-            let platform_state = self.platform_state.filter(|state| *state != PlatformState::Gone);
-            let stop_planned = self.stop_planned;
-            *self = Self { birth, platform_state, stop_planned, ..Self::default() };
+    /// Replaces the incarnation by another; returns the birth of one that has ended by that.
+    fn replace(&mut self, birth: u64) -> Option<u64> {
+        if birth == self.birth {
+            return None;
         }
+        let platform_state = self.platform_state.filter(|state| *state != PlatformState::Gone);
+        let stop_planned = self.stop_planned;
+        let ended = self.birth;
+        *self = Self { birth, platform_state, stop_planned, ..Self::default() };
+        (ended != 0).then_some(ended)
     }
 
     fn own_state(&self) -> HostState {
--- a/endivestile_kernel/src/view.rs
+++ b/endivestile_kernel/src/view.rs
@@ -1,6 +1,6 @@
 //! The hosts of the deployment as one host sees them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use endivestile_config::model::Name;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -45,6 +45,8 @@
     pub zone: Name,
     /// Hosts by name.
     pub hosts: BTreeMap<Name, HostView>,
+    /// Incarnations that were replaced by later ones.
+    pub ended: BTreeSet<Peer>,
     /// Whether the store is available.
     pub store_available: bool,
     /// Whether the hosts come from an adopted inventory.
@@ -52,12 +54,14 @@
 }
 
 impl View {
-    /// Returns the state of an incarnation. Earlier incarnations than the latest are gone, and so
-    /// are hosts that are not in an adopted inventory.
+    /// Returns the state of an incarnation. Incarnations before the latest are gone, and so are
+    /// hosts that are not in an adopted inventory. Only of incarnations that this host has never
+    /// known, births decide which are earlier ones.
     pub fn state(&self, peer: &Peer) -> HostState {
         match self.hosts.get(&peer.host) {
-            Some(host) if host.peer.birth > peer.birth => HostState::Gone,
             Some(host) if host.peer.birth == peer.birth => host.state,
+            Some(host) if host.peer.birth > peer.birth => HostState::Gone,
+            Some(_) if self.ended.contains(peer) => HostState::Gone,
             None if self.has_inventory => HostState::Gone,
             _ => HostState::Suspect,
         }
--- a/endivestile_kernel/tests/place_fake/mod.rs
+++ b/endivestile_kernel/tests/place_fake/mod.rs
@@ -6,7 +6,7 @@
 pub mod trace;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -83,6 +83,7 @@
         me: home(),
         zone: Name::from("z"),
         hosts: hosts.collect(),
+        ended: BTreeSet::new(),
         store_available: true,
         has_inventory: true,
     }
--- a/endivestile_kernel/tests/shards/world.rs
+++ b/endivestile_kernel/tests/shards/world.rs
@@ -143,6 +143,7 @@
             me: peer.clone(),
             zone,
             hosts: BTreeMap::new(),
+            ended: BTreeSet::new(),
             store_available: false,
             has_inventory: false,
         };
--- a/endivestile_kernel/tests/suspect.rs
+++ b/endivestile_kernel/tests/suspect.rs
@@ -127,3 +127,21 @@
     let now = exchange_frames(&mut e1, &mut e2, 6_000, 10_000);
     assert_eq!(state(&e1, now, "e2"), "live");
 }
+
+/// Guards against a host that is ignored after a restart with its time of day set back: its calls
+/// would wait for an incarnation that has ended.
+#[test]
+fn restart_clock_back() {
+    let mut kernel = kernel("e1");
+    let restarted = |birth: u64| {
+        let peer = Peer::new("e2", birth);
+        let (zone, address) = (Name::from("b"), Name::from("127.0.0.1:2"));
+        let registration = Registration { peer, zone, address, leaving: false };
+        Event::HostRegistration { host: Name::from("e2"), registration: Some(registration) }
+    };
+    for birth in [1_000, 6] {
+        kernel.handle(Time::ZERO, restarted(birth), &mut Vec::new());
+    }
+    let status = kernel.status(Time::ZERO);
+    assert_eq!(status.hosts["e2"].peer, "e2:6");
+}
