--- a/endivestile/examples/soak.rs
+++ b/endivestile/examples/soak.rs
@@ -74,6 +74,7 @@
             workers: args.workers,
             callers: args.callers,
             evacuations: true,
+            reset_series: true,
         };
         let report = soak.run()?;
         println!(
--- a/endivestile_testkit/src/soak/fault.rs
+++ b/endivestile_testkit/src/soak/fault.rs
@@ -49,6 +49,14 @@
 /// faults, so that they overlap.
 const GAP_MS: std::ops::Range<u64> = 150..1_200;
 
+/// Time between two resets of a series, in milliseconds: shorter and longer than any delay after
+/// which a message is sent again.
+const RESET_INTERVAL_MS: std::ops::Range<u64> = 100..2_000;
+/// Number of resets in a series.
+const RESETS: std::ops::Range<u64> = 3..9;
+/// Length of one reset of a series, in milliseconds.
+const RESET_MS: u64 = 2;
+
 /// Draws the faults of a run that begin within `ms` milliseconds.
 pub(crate) fn plan_faults(
     rng: &mut SmallRng,
@@ -86,6 +94,24 @@
     plan
 }
 
+/// Draws series of resets that begin within `ms` milliseconds: connections come up between two
+/// resets, but each lasts no longer than the interval. Series of different hosts overlap.
+pub(crate) fn plan_reset_series(rng: &mut SmallRng, ms: u64, hosts: usize) -> Vec<PlannedFault> {
+    let mut plan = Vec::new();
+    let mut at = rng.random_range(GAP_MS);
+    while at < ms {
+        let fault = Fault::Links(rng.random_range(0..hosts), Impairment::Reset);
+        let interval = rng.random_range(RESET_INTERVAL_MS);
+        let resets = rng.random_range(RESETS);
+        plan.extend((0..resets).map(|number| {
+            let from = at + number * interval;
+            PlannedFault { fault, from, until: from + RESET_MS }
+        }));
+        at += rng.random_range(GAP_MS);
+    }
+    plan
+}
+
 fn draw_fault(rng: &mut SmallRng, hosts: usize, workers: usize) -> Fault {
     let host = rng.random_range(0..hosts);
     let worker = rng.random_range(0..workers);
--- a/endivestile_testkit/src/soak/run.rs
+++ b/endivestile_testkit/src/soak/run.rs
@@ -10,7 +10,7 @@
 use rand::rngs::SmallRng;
 
 use super::connection::Attempt;
-use super::fault::{Fault, PlannedFault, plan_evacuations, plan_faults};
+use super::fault::{Fault, PlannedFault, plan_evacuations, plan_faults, plan_reset_series};
 use super::load::{ANSWER_GRACE, DEADLINE, run_caller, send_once};
 use super::relay::{FaultRelay, Impairment};
 use crate::deploy::{DaemonCommand, wait_for};
@@ -44,6 +44,8 @@
     pub callers: usize,
     /// Whether zones are evacuated at random as well.
     pub evacuations: bool,
+    /// Whether links are reset in series as well.
+    pub reset_series: bool,
 }
 
 /// Result of a soak test.
@@ -196,6 +198,9 @@
         if self.soak.evacuations {
             faults.extend(plan_evacuations(&mut rng, self.soak.faults_ms, ZONES.len()));
         }
+        if self.soak.reset_series {
+            faults.extend(plan_reset_series(&mut rng, self.soak.faults_ms, self.hosts.len()));
+        }
         let mut steps: Vec<(u64, bool, PlannedFault)> = Vec::new();
         for planned in faults {
             steps.push((planned.from, true, planned));
