--- a/endivestile_kernel/src/fleet/hosts/frames.rs
+++ b/endivestile_kernel/src/fleet/hosts/frames.rs
@@ -56,9 +56,9 @@
         if let Some(ended) = contact.ended {
             self.peer_ended(now, &ended);
         }
-        if contact.is_first {
-            // The peer may have dropped earlier frames, since it did not know this incarnation; an
-            // echo proves to it that this is the later one.
+        if contact.is_first && header.echo > Time::ZERO {
+            // The frame answers one of ours, which the peer may have dropped since it did not know
+            // this incarnation. An echo proves to it that this is the later one.
             let channel = self.channel(&from);
             channel.resend_unacked(now);
             channel.ack_now(now);
