--- a/endivestile_testkit/src/fleet/host.rs
+++ b/endivestile_testkit/src/fleet/host.rs
@@ -5,10 +5,11 @@
 use endivestile_config::model::Name;
 use endivestile_kernel::fleet::{
     EvacuationState, Fleet, FleetEffect, FleetEvent, FleetSetup, HOST_KEY_PREFIX, HostEntry,
-    JobEnd, JobMsg, POOL_KEY_PREFIX, Reason, WorkerCall, worker_call_deadline,
+    POOL_KEY_PREFIX, WorkerCall, worker_call_deadline,
 };
-use endivestile_kernel::{Frame, Msg, Peer, Time};
+use endivestile_kernel::{Peer, Time};
 
+use super::returned_jobs::{refuse_jobs, report_no_room};
 use super::world::{FleetWorld, ScheduledEvent};
 
 /// Duration of worker leases, in milliseconds.
@@ -17,12 +18,7 @@
 const HOST_LEASE_MS: u64 = 520;
 /// Delay before a host sends its frames, in microseconds; effects of events that arrive
 /// meanwhile share the frames.
-const FLUSH_DELAY_US: u64 = 50;
-/// Time after which links are reset, in microseconds: frames that are sent now are then on their
-/// way.
-const RESET_DELAY_US: u64 = FLUSH_DELAY_US + 50;
-/// Retry delay that a host without capacity reports, in milliseconds.
-const NO_ROOM_RETRY_MS: u64 = 2_000;
+pub(crate) const FLUSH_DELAY_US: u64 = 50;
 
 /// A simulated host.
 #[derive(Debug)]
@@ -70,7 +66,7 @@
 
 impl Host {
     /// Returns the host's current incarnation.
-    fn peer(&self, name: &Name) -> Peer {
+    pub(crate) fn peer(&self, name: &Name) -> Peer {
         Peer::new(name.clone(), self.incarnation)
     }
 
@@ -163,36 +159,6 @@
         self.schedule_at(self.now, ScheduledEvent::Wake { host: name.clone(), incarnation });
     }
 
-    /// Schedules resets of all links that a host has opened.
-    pub(crate) fn reset_links(&mut self, name: &Name, times: u64, interval_us: u64) {
-        for number in 0..times {
-            let at = self.now + RESET_DELAY_US + number * interval_us;
-            self.schedule_at(at, ScheduledEvent::ResetLinks { host: name.clone() });
-        }
-    }
-
-    /// Resets the links that a host has opened: what it has sent over them is lost if it has not
-    /// arrived.
-    pub(crate) fn handle_reset(&mut self, name: &Name) {
-        let now = self.now;
-        let peers: Vec<Peer> = self.hosts.iter().map(|(name, host)| host.peer(name)).collect();
-        let Some(host) = self.hosts.get_mut(name) else { return };
-        host.links_reset_at = now;
-        let incarnation = host.incarnation;
-        for peer in peers.into_iter().filter(|peer| peer.host != *name) {
-            self.deliver(name, incarnation, FleetEvent::LinkDown(peer));
-        }
-    }
-
-    /// Returns whether a frame was in transit when its sender's links were reset.
-    fn is_reset(&self, frame: &Frame) -> bool {
-        let sender = self.hosts.get(&frame.from.host);
-        sender.is_some_and(|host| {
-            let sent = host.clock_zero + frame.sent.as_micros();
-            host.incarnation == frame.from.birth && sent <= host.links_reset_at
-        })
-    }
-
     /// Requests a graceful shutdown of a host.
     pub fn stop(&mut self, name: &Name) {
         let incarnation = self.hosts.get(name).map_or(0, |host| host.incarnation);
@@ -513,27 +479,3 @@
         FleetEvent::Workers(workers.map(|worker| worker.entry.clone()).collect())
     }
 }
-
-/// Replaces the jobs in a frame by cancellations, which their receiver answers with an end: a host
-/// that returns its jobs takes none of them.
-fn refuse_jobs(mut frame: Frame) -> Frame {
-    for msg in &mut frame.msgs {
-        if let Msg::Job(JobMsg::Submit { serial, .. }) = msg {
-            *msg = Msg::Job(JobMsg::Cancel { serial: *serial });
-        }
-    }
-    frame
-}
-
-/// Replaces the ends of those cancellations by the end of a job that does not fit the capacity.
-fn report_no_room(mut frame: Frame) -> Frame {
-    for msg in &mut frame.msgs {
-        if let Msg::Job(JobMsg::Ended { end, .. }) = msg
-            && *end == JobEnd::Lost(Reason::Cancelled)
-        {
-            let retry = frame.sent.after_ms(NO_ROOM_RETRY_MS);
-            *end = JobEnd::NotRun { reason: Reason::NoRoom, retry };
-        }
-    }
-    frame
-}
--- a/endivestile_testkit/src/fleet/mod.rs
+++ b/endivestile_testkit/src/fleet/mod.rs
@@ -4,7 +4,9 @@
 mod calls;
 mod check;
 mod host;
+mod link_reset;
 mod load;
+mod returned_jobs;
 mod store;
 mod story;
 mod worker;
