--- a/endivestile_testkit/tests/mutations/run.sh
+++ b/endivestile_testkit/tests/mutations/run.sh
@@ -65,7 +65,7 @@
     fi
     if [[ "$name" == fleet_* ]]; then
         try incarnations "$scratch/$name.incarnations.log" -p endivestile_kernel --test incarnations
-        try fleet-stories "$scratch/$name.fleet.log" -p endivestile_testkit --test fleet_stories
+        try fleet-stories "$scratch/$name.fleet.log" -p endivestile_testkit --test fleet_stories fleet_stories_all
         try fleet-random "$scratch/$name.fleet-random.log" --release -p endivestile_testkit --test fleet_random
         patch --quiet --reverse --directory="$copy" --strip=1 <"$patches/$name.patch"
         if [[ $broken -eq 1 || $caught -eq 0 ]]; then failed=$((failed + 1)); fi
