--- a/endivestile_testkit/tests/fleet/clock_back_restart.story
+++ b/endivestile_testkit/tests/fleet/clock_back_restart.story
@@ -1,5 +1,6 @@
 # Guards against hosts that ignore each other after restarts with the time of day set back: the
-# incarnation with the earlier time of start counted as ended, and jobs were refused for good.
+# incarnation with the earlier time of start counted as ended, and hosts kept taking pools from
+# each other.
 story
 world zones=a,b hosts=2 workers=2
 clock a1 1000
