--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -11,6 +11,7 @@
 timeout --foreground -k 2 115 "$program" forwarded-twice "$PWD" review/4/record.txt &
 group=$!
 trap 'kill -KILL -- "-$group" 2>/dev/null' EXIT
+trap 'exit 2' INT TERM
 wait "$group"
 code=$?
 [ "$code" -le 2 ] || code=2
