--- a/review/standins-2/src/cases/forwarded_twice.rs
+++ b/review/standins-2/src/cases/forwarded_twice.rs
@@ -144,7 +144,11 @@
                     from,
                     &format!(
                         "BROKEN {}: run {} on {} and run {} on {} at the same time for {ms:.1} ms",
-                        one.task, one.run, one.minion, other.run, other.minion
+                        one.task_label(),
+                        one.run,
+                        one.minion,
+                        other.run,
+                        other.minion
                     ),
                 );
             }
--- a/review/standins-2/src/cases/other_kind.rs
+++ b/review/standins-2/src/cases/other_kind.rs
@@ -64,7 +64,10 @@
             run.start,
             &format!(
                 "BROKEN {} requires {LABEL} and starts on {} of kind {}, born {}",
-                run.task, run.minion, run.kind, run.born
+                run.task_label(),
+                run.minion,
+                run.kind,
+                run.born
             ),
         );
     }
--- a/review/standins-2/src/minion.rs
+++ b/review/standins-2/src/minion.rs
@@ -39,6 +39,14 @@
     pub end: Option<(Instant, &'static str)>,
 }
 
+impl RunLog {
+    /// Returns the task's name for the record, with slashes: with dots, the end of a name such as
+    /// that of task 2 looks like an address.
+    pub fn task_label(&self) -> String {
+        self.task.replace('.', "/")
+    }
+}
+
 /// All runs on all minions.
 #[derive(Default)]
 pub struct RunLogs(pub Mutex<Vec<RunLog>>);
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -156,7 +156,11 @@
                 run.start,
                 &format!(
                     "run {} {} on {} kind={} born={} until {end} {how}",
-                    run.task, run.run, run.minion, run.kind, run.born
+                    run.task_label(),
+                    run.run,
+                    run.minion,
+                    run.kind,
+                    run.born
                 ),
             );
         }
