Wait for the leases of helping owners before a lost owner's forwarded tasks restart

Cause: a front sends the jobs of a lost owner to the host that took over all of its workers after the host lease and 80 ms. That host clears its own workers before it starts them. Forwarded tasks run on workers of a third host, which it cannot clear, and which ends them itself only if it is alive.

Ruled out, by the trace of the story below: the successor starts before its workers are cleared (it had cleared both at 3,904 ms, the start came at 3,915 ms); the helping owner renews leases after it has lost the owner (it did nothing while it was frozen; its last renewal came before).

Change: an owner notifies a job's front before it forwards a task of the job, and forwards once that is acknowledged, also if it is lost right afterwards. The front waits for the longest chain of leases where a job may have been forwarded, and as before where not. The waits come from one place, Leases. Notices are messages of frame version 6. They go only to hosts that say they know it, in a field beside the encoded frame that earlier releases ignore. Fronts of earlier releases never acknowledge, so that none of their tasks is forwarded; jobs at owners of earlier releases count as forwarded. frame_other_version tries version 7 in place of 6, which is known now; frame_garbage tries 6 too. Where no successor is left a job waits 1,243 ms in place of 1,250 (job_message_delayed: the answer comes after 3,748 ms, before 3,763).

Conclusion: a front knows before any task of its job runs at a third host, so that only those jobs wait longer.

--- a/endivestile/src/peers/incoming.rs
+++ b/endivestile/src/peers/incoming.rs
@@ -3,7 +3,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
-use endivestile_kernel::Frame;
+use endivestile_kernel::{Frame, FrameExtension};
 use endivestile_wire::peer as wire;
 use endivestile_wire::peer::peers_server::{Peers, PeersServer};
 use tokio::runtime::Handle;
@@ -85,9 +85,12 @@
 /// Decodes a frame. One of another version is refused, since its bytes could
 /// decode to different values.
 fn decode(frame: &wire::Frame) -> Result<Frame, Status> {
+    let extension = FrameExtension { known_version: frame.known_version };
     if !FRAME_VERSIONS.contains(&frame.version) {
         let text = format!("version {}, known: {FRAME_VERSIONS:?}", frame.version);
         return Err(Status::failed_precondition(text));
     }
-    postcard::from_bytes(&frame.body).map_err(|e| Status::invalid_argument(e.to_string()))
+    let body: Frame =
+        postcard::from_bytes(&frame.body).map_err(|e| Status::invalid_argument(e.to_string()))?;
+    Ok(Frame { extension, ..body })
 }
--- a/endivestile/src/peers/links.rs
+++ b/endivestile/src/peers/links.rs
@@ -104,7 +104,8 @@
             }
         };
         let bytes = body.len() as u64;
-        let encoded = wire::Frame { version: frame.version(), body };
+        let known_version = frame.extension.known_version;
+        let encoded = wire::Frame { version: frame.version(), body, known_version };
         let queued = self.link(address, &frame.to).is_some_and(|link| link.sender.push(encoded));
         if queued {
             self.counters.count_io(IoMetric::FrameBytes, bytes);
--- a/endivestile/src/peers/mod.rs
+++ b/endivestile/src/peers/mod.rs
@@ -8,12 +8,14 @@
 
 use std::ops::RangeInclusive;
 
+use endivestile_kernel::Frame;
+
 pub(crate) use event_handler::PeerEventHandler;
 pub(crate) use incoming::{bind, serve};
 pub(crate) use links::Links;
 
 /// Versions of the frame encoding that this release knows.
-pub(crate) const FRAME_VERSIONS: RangeInclusive<u32> = 4..=5;
+pub(crate) const FRAME_VERSIONS: RangeInclusive<u32> = Frame::FIRST_VERSION..=Frame::LATEST_VERSION;
 /// Longest frame, in bytes; a configuration of one megabyte fits several times.
 pub(crate) const MAX_FRAME_BYTES: usize = 16 << 20;
 /// Interval between two keep-alive pings on a link, in milliseconds.
--- a/endivestile/tests/hostile_frames.rs
+++ b/endivestile/tests/hostile_frames.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use endivestile_config::model::{Config, Host, Name, Server, Service, Team, Zone};
 use endivestile_kernel::{
-    Answer, Ask, Event, Frame, Kernel, KnownId, Msg, Outcome, Peer, PlaceRequest, Registration,
-    Setup, Submission, SubmissionId, Target, Task, TaskKey, Time,
+    Answer, Ask, Event, Frame, FrameExtension, Kernel, KnownId, Msg, Outcome, Peer, PlaceRequest,
+    Registration, Setup, Submission, SubmissionId, Target, Task, TaskKey, Time,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config as RunnerConfig, RngAlgorithm, TestRng, TestRunner};
@@ -149,6 +149,7 @@
         echo: Time::ZERO,
         report: None,
         msgs,
+        extension: FrameExtension::default(),
     }
 }
 
--- a/endivestile/tests/links.rs
+++ b/endivestile/tests/links.rs
@@ -25,8 +25,8 @@
 #[test]
 fn frame_other_version() {
     let rig = Rig::start(&[]);
-    for version in [3, 6, 99] {
-        let code = send_frame(&rig, Frame { version, body: vec![0; 8] });
+    for version in [3, 7, 99] {
+        let code = send_frame(&rig, Frame { version, body: vec![0; 8], ..Frame::default() });
         assert_eq!(code, Some(Code::FailedPrecondition));
     }
     rig.daemon.wait_line("event=frame_refused step=decode");
@@ -36,8 +36,8 @@
 #[test]
 fn frame_garbage() {
     let rig = Rig::start(&[]);
-    for (version, len) in [(4, 0), (4, 7), (5, 1), (5, 1_000)] {
-        let code = send_frame(&rig, Frame { version, body: vec![0xff; len] });
+    for (version, len) in [(4, 0), (4, 7), (5, 1), (5, 1_000), (6, 7)] {
+        let code = send_frame(&rig, Frame { version, body: vec![0xff; len], ..Frame::default() });
         assert_eq!(code, Some(Code::InvalidArgument));
     }
     assert_eq!(rig.daemon.submit_order("k", "k").status, 200);
--- a/endivestile_kernel/src/channel.rs
+++ b/endivestile_kernel/src/channel.rs
@@ -5,7 +5,7 @@
 
 use endivestile_config::model::Name;
 
-use crate::{Frame, Msg, Peer, TargetLoad, Time};
+use crate::{Frame, FrameExtension, Msg, Peer, TargetLoad, Time};
 
 /// Delay before a frame is sent only to acknowledge, in milliseconds; most acknowledgements are
 /// piggybacked on other frames.
@@ -243,6 +243,7 @@
             echo: Time::ZERO,
             report: None,
             msgs,
+            extension: FrameExtension::default(),
         })
     }
 
--- a/endivestile_kernel/src/fleet/assignment.rs
+++ b/endivestile_kernel/src/fleet/assignment.rs
@@ -10,8 +10,9 @@
 use crate::fleet::front::retryable;
 use crate::fleet::job::{Job, JobEnd, Reason};
 use crate::fleet::lag::overloaded;
+use crate::fleet::leases::LostOwner;
 use crate::fleet::metrics::{Count, Span};
-use crate::fleet::msg::{HostReport, JobMsg};
+use crate::fleet::msg::{HostReport, JobMsg, NOTICE_VERSION};
 use crate::fleet::placement::two_choices::TwoChoices;
 use crate::fleet::placement::zone_figures::{ZoneChoice, ZoneLayout};
 use crate::fleet::scheduler::RETRY_AFTER_MS;
@@ -20,9 +21,6 @@
 /// Time without a frame after which a host counts as unreachable, in milliseconds: five
 /// heartbeats.
 pub(crate) const UNREACHABLE_MS: u64 = 600;
-/// Time after the expiry of a host lease until its tasks have been stopped, in
-/// milliseconds: the transit time of stop calls.
-const STOP_MARGIN_MS: u64 = 80;
 /// Retry delay for callers while every zone is evacuated, in milliseconds. Longer than the
 /// default because operators end evacuations by hand.
 const EVACUATED_RETRY_MS: u64 = 5_000;
@@ -52,7 +50,8 @@
     }
 
     fn assign_to(&mut self, now: Time, serial: u64, owner: &Peer) {
-        let Some((serial, job)) = self.front.assign(now, serial, owner) else { return };
+        let notifies = self.reads_version(owner, NOTICE_VERSION);
+        let Some((serial, job)) = self.front.assign(now, serial, owner, !notifies) else { return };
         if let Some(member) = self.members.get_mut(owner) {
             member.sent_tasks += job.tasks() as u32;
         }
@@ -312,6 +311,12 @@
                 }
             }
             JobMsg::Crashes(report) => self.scheduler.merge_crashes(now, from, report),
+            JobMsg::MayForward { serial } => {
+                if self.front.note_forward(from, serial) {
+                    self.deliver_job_msg(now, from, JobMsg::ForwardNoted { serial });
+                }
+            }
+            JobMsg::ForwardNoted { serial } => self.scheduler.acknowledge_notice(from, serial),
         }
     }
 
@@ -385,27 +390,29 @@
     }
 
     /// Assigns a job again if its owner has been unreachable for so long that no run of the
-    /// job can be in progress there.
-    ///
-    /// An owner stops what it runs for this host when this host's frames no longer reach it.
-    /// A frozen owner stops nothing, but the leases of its workers expire. A successor that
-    /// has taken over all workers of the owner need not wait for these leases: it stops
-    /// everything there before it starts a job that was assigned before.
+    /// job can be in progress.
     fn reassign(&mut self, now: Time, serial: u64, lost: &Peer, last_contact: Time) {
-        let lease = self.setup.host_lease_ms + STOP_MARGIN_MS;
-        if last_contact.after_ms(lease) > now {
+        let leases = self.setup.leases();
+        if last_contact.after_ms(leases.stopped_ms()) > now {
             return;
         }
-        let expired = last_contact.after_ms(lease + self.setup.worker_lease_ms) <= now;
         let successor =
             self.pools.sole_successor(lost).filter(|host| self.accepts_jobs(now, host)).cloned();
         let Some(open) = self.front.open.get(&serial) else { return };
-        if successor.is_none() && !expired {
+        let may_forward = open.may_forward;
+        let owner = LostOwner { last_contact, succeeded: successor.is_some(), may_forward };
+        if !leases.may_reassign(now, owner) {
             return;
         }
         let job = open.job.clone();
         self.out.push(FleetEffect::Count(Count::PlacersLost));
-        self.log_job("placer_lost", &job, &[("placer", lost.to_string())]);
+        let more = [
+            ("placer", lost.to_string()),
+            ("successor", successor.as_ref().map_or(String::new(), ToString::to_string)),
+            ("may_forward", may_forward.to_string()),
+            ("silent_ms", ms(now, last_contact)),
+        ];
+        self.log_job("placer_lost", &job, &more);
         self.front.unassign(now, serial, true);
         match successor {
             Some(successor) => self.assign_to(now, serial, &successor),
--- a/endivestile_kernel/src/fleet/core.rs
+++ b/endivestile_kernel/src/fleet/core.rs
@@ -13,6 +13,7 @@
 use crate::fleet::hosts::config_lag::ConfigLag;
 use crate::fleet::hosts::membership::{HostEntry, Membership};
 use crate::fleet::job::{Job, JobEnd};
+use crate::fleet::leases::Leases;
 use crate::fleet::metrics::{Count, Gauge, Span};
 use crate::fleet::msg::{HostReport, JobMsg};
 use crate::fleet::ownership::balance::Transfer;
@@ -73,6 +74,11 @@
     pub(crate) fn capacity(&self) -> u32 {
         host_capacity(self.cpu_milli, self.link_kbps)
     }
+
+    /// Returns the bounds that follow from the leases.
+    pub(crate) fn leases(&self) -> Leases {
+        Leases::new(self.host_lease_ms, self.worker_lease_ms)
+    }
 }
 
 /// An input to the fleet from the network, the store, the workers or the operator.
--- a/endivestile_kernel/src/fleet/front.rs
+++ b/endivestile_kernel/src/fleet/front.rs
@@ -34,6 +34,8 @@
     pub(crate) may_have_run: bool,
     /// Whether the job was sent to another zone although its own has an owner.
     pub(crate) sent_away: bool,
+    /// Whether its owner may have forwarded tasks of it.
+    pub(crate) may_forward: bool,
 }
 
 /// All open jobs.
@@ -64,13 +66,15 @@
             assign_deadline,
             may_have_run: false,
             sent_away: false,
+            may_forward: false,
         };
         self.open.insert(self.serial, open);
         self.calls.insert(call, self.serial);
         self.serial
     }
 
-    /// Assigns a job to an owner; returns the job with a new serial number.
+    /// Assigns a job to an owner, which may forward tasks of it without a notice if `may_forward`;
+    /// returns the job with a new serial number.
     ///
     /// The number changes so that a delayed message from an earlier owner is not mistaken
     /// for one from the new owner.
@@ -79,6 +83,7 @@
         now: Time,
         serial: u64,
         owner: &Peer,
+        may_forward: bool,
     ) -> Option<(u64, Arc<Job>)> {
         let mut open = self.open.remove(&serial)?;
         if open.tries > 0 {
@@ -87,6 +92,7 @@
         open.tries += 1;
         open.assigned_to = Some(owner.clone());
         open.last_contact = now;
+        open.may_forward = may_forward;
         self.serial += 1;
         let job = open.job.clone();
         self.calls.insert(open.call, self.serial);
@@ -94,6 +100,16 @@
         Some((self.serial, job))
     }
 
+    /// Records that an owner may forward tasks of a job; returns whether it has the job.
+    pub(crate) fn note_forward(&mut self, owner: &Peer, serial: u64) -> bool {
+        let open = self.open.get_mut(&serial);
+        let Some(open) = open.filter(|open| open.assigned_to.as_ref() == Some(owner)) else {
+            return false;
+        };
+        open.may_forward = true;
+        true
+    }
+
     /// Records that a job's owner was lost or returned the job; `may_have_run` is false only
     /// if the owner reported that it started nothing.
     pub(crate) fn unassign(&mut self, now: Time, serial: u64, may_have_run: bool) {
--- a/endivestile_kernel/src/fleet/hosts/frames.rs
+++ b/endivestile_kernel/src/fleet/hosts/frames.rs
@@ -17,7 +17,7 @@
 use crate::fleet::job::{JobEnd, Reason};
 use crate::fleet::lag::overloaded;
 use crate::fleet::metrics::{Count, Span};
-use crate::fleet::msg::{HostReport, JobMsg, ServiceCapacity};
+use crate::fleet::msg::{HostReport, JobMsg, NOTICE_VERSION, ServiceCapacity};
 use crate::fleet::scheduler::Scheduler;
 use crate::{Frame, Level, Msg, Peer, Time};
 
@@ -47,6 +47,7 @@
             sent: frame.sent,
             echo: frame.echo,
             report: report.as_ref(),
+            extension: frame.extension,
         };
         let contact = match self.members.apply_frame(now, &header) {
             Ok(contact) => contact,
@@ -90,6 +91,12 @@
         self.apply_output(now);
     }
 
+    /// Returns whether a host can decode frames of this version.
+    pub(crate) fn reads_version(&self, peer: &Peer, version: u32) -> bool {
+        let known = self.members.get(peer).map_or(0, |member| member.known_version);
+        *peer == self.setup.me || known >= version
+    }
+
     /// Sends a frame to an incarnation whose echo shows whether it is later than the known one.
     fn probe_peer(&mut self, now: Time, header: &FrameHeader<'_>) {
         let Some(theirs) = header.report else { return };
@@ -101,6 +108,7 @@
         let Some(mut frame) = channel.next_frame(now, &self.setup.me) else { return };
         frame.leaving = self.leaving;
         frame.echo = header.sent;
+        frame.extension.known_version = Frame::LATEST_VERSION;
         frame.report = Some(self.current_report(now));
         frame.revision = self.config_version();
         self.out.push(FleetEffect::Send { address: theirs.address.clone(), frame });
@@ -176,6 +184,11 @@
 
     /// Sends a message about a job to a peer; a submission carries the echo of the peer's clock.
     pub(crate) fn send_job_msg(&mut self, to: &Peer, mut msg: JobMsg) {
+        // A front of an earlier release never acknowledges the notice, so that no task of its job
+        // is forwarded.
+        if msg.version() >= NOTICE_VERSION && !self.reads_version(to, msg.version()) {
+            return;
+        }
         if let JobMsg::Submit { echo, .. } = &mut msg {
             *echo = self.members.get(to).map_or(Time::ZERO, |member| member.peer_clock);
         }
@@ -288,12 +301,11 @@
     /// Stops the jobs of fronts that have received no frame of ours for a host lease, and takes
     /// back tasks forwarded to hosts that must have stopped them by now.
     fn drop_unreachable(&mut self, now: Time) {
-        let lease = self.setup.host_lease_ms;
-        let stopped_ms = lease + self.setup.worker_lease_ms + 100;
+        let leases = self.setup.leases();
         let fronts: Vec<Peer> = self.scheduler.fronts();
         for peer in fronts {
             let last_echo = self.members.get(&peer).map(|member| member.last_echo);
-            let lost = last_echo.is_none_or(|at| at.after_ms(lease) <= now);
+            let lost = last_echo.is_none_or(|at| at.after_ms(leases.host_ms()) <= now);
             if lost && self.lost_fronts.insert(peer.clone()) {
                 self.log(Level::Info, "front_lost", vec![("peer", peer.to_string())]);
             }
@@ -307,9 +319,10 @@
         self.scheduler.peer_capacity.retain(|peer, _| {
             members.get(peer).is_some_and(|member| member.is_reachable(now, UNREACHABLE_MS))
         });
-        self.ended.retain(|_, at| at.after_ms(stopped_ms) > now);
+        let restart_ms = leases.restart_ms();
+        self.ended.retain(|_, at| at.after_ms(restart_ms) > now);
         for peer in self.scheduler.forward_targets() {
-            if !self.members.is_alive(now, &peer, stopped_ms) && !self.ended.contains_key(&peer) {
+            if !self.members.is_alive(now, &peer, restart_ms) && !self.ended.contains_key(&peer) {
                 self.scheduler.reclaim_forwards(now, &peer);
             }
         }
@@ -342,8 +355,10 @@
         frame.echo = member.peer_clock;
         frame.report = Some(report.clone());
         frame.revision = self.route_table.as_ref().map_or(0, |table| table.version);
+        let address = member.address.clone();
         let more = !frame.msgs.is_empty();
-        self.out.push(FleetEffect::Send { address: member.address.clone(), frame });
+        frame.extension.known_version = Frame::LATEST_VERSION;
+        self.out.push(FleetEffect::Send { address, frame });
         more
     }
 
--- a/endivestile_kernel/src/fleet/hosts/membership.rs
+++ b/endivestile_kernel/src/fleet/hosts/membership.rs
@@ -9,7 +9,7 @@
 
 use crate::fleet::msg::HostReport;
 use crate::fleet::ownership::partition::host_capacity;
-use crate::{Peer, Time};
+use crate::{FrameExtension, Peer, Time};
 
 /// Heartbeat interval while one host has jobs of the other, in milliseconds: four fit into the
 /// lease that they renew.
@@ -89,6 +89,8 @@
     pub(crate) unechoed_since: Option<Time>,
     /// Its clock at its latest frame, which we echo.
     pub(crate) peer_clock: Time,
+    /// Latest version of the frame encoding that it can decode; 0 if it does not say.
+    pub(crate) known_version: u32,
     /// Its latest report.
     pub(crate) report: Arc<HostReport>,
     /// Since when this incarnation is known.
@@ -278,6 +280,8 @@
     pub(crate) echo: Time,
     /// Its report, if the frame has one.
     pub(crate) report: Option<&'a Arc<HostReport>>,
+    /// What earlier releases leave out.
+    pub(crate) extension: FrameExtension,
 }
 
 impl FrameHeader<'_> {
@@ -313,6 +317,7 @@
             last_echo: Time::ZERO,
             unechoed_since: None,
             peer_clock: Time::ZERO,
+            known_version: 0,
             report: Arc::default(),
             known_since: now,
             reconnect_due: now.after_ms(RECONNECT_MS),
@@ -347,6 +352,7 @@
             self.reconnect_due = now;
         }
         self.last_frame = Some(now);
+        self.known_version = header.extension.known_version;
         if header.echo > self.last_echo {
             self.last_echo = header.echo;
             self.unechoed_since = None;
--- a/endivestile_kernel/src/fleet/job_state.rs
+++ b/endivestile_kernel/src/fleet/job_state.rs
@@ -5,6 +5,7 @@
 use endivestile_config::model::Name;
 
 use crate::fleet::admission::queue::QueueKey;
+use crate::fleet::forward_notice::ForwardNotice;
 use crate::fleet::job::{Job, JobEnd, Step};
 use crate::fleet::job_log::RunStats;
 use crate::fleet::workers::crash_evidence::TaskKey;
@@ -98,6 +99,8 @@
     pub(crate) earlier: Option<u64>,
     /// Whether its tasks are not forwarded: its front chose this zone for the whole job.
     pub(crate) keep_here: bool,
+    /// Whether its front knows that its tasks may be forwarded.
+    pub(crate) notice: ForwardNotice,
     /// Duration of the task that ended first, scaled to a worker of usual speed, in
     /// microseconds. Predicts the others: tasks of one job are similar.
     pub(crate) work_us: Option<f64>,
@@ -144,6 +147,7 @@
             deferred: false,
             earlier: None,
             keep_here: false,
+            notice: ForwardNotice::default(),
             work_us: None,
             stats: RunStats::default(),
         }
--- a/endivestile_kernel/src/fleet/mod.rs
+++ b/endivestile_kernel/src/fleet/mod.rs
@@ -6,12 +6,14 @@
 mod completion;
 mod core;
 mod evacuation;
+mod forward_notice;
 mod front;
 mod hosts;
 mod job;
 mod job_log;
 mod job_state;
 mod lag;
+mod leases;
 mod metrics;
 mod msg;
 mod ownership;
@@ -26,10 +28,13 @@
 pub use admission::share::Shares;
 pub use core::{Fleet, FleetEffect, FleetEvent, FleetSetup};
 pub use evacuation::EvacuationState;
+pub use forward_notice::{ForwardNotice, ForwardStep};
 pub use hosts::config_lag::ConfigLag;
 pub use hosts::membership::HostEntry;
 pub use job::{Job, JobEnd, Reason, Step};
+pub use leases::{Leases, LostOwner};
 pub use metrics::{Count, Gauge, Span};
+pub(crate) use msg::NOTICE_VERSION;
 pub use msg::{
     DirectTransfer, HostReport, JobCrashes, JobMsg, ServiceCapacity, TaskCrashes, WorkerLoss,
 };
--- a/endivestile_kernel/src/fleet/msg.rs
+++ b/endivestile_kernel/src/fleet/msg.rs
@@ -5,9 +5,12 @@
 use endivestile_config::model::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::Time;
 use crate::fleet::evacuation::EvacuationState;
 use crate::fleet::job::{Job, JobEnd, Reason};
+use crate::{Frame, Time};
+
+/// Version of the frame encoding from which on fronts are notified before tasks are forwarded.
+pub(crate) const NOTICE_VERSION: u32 = 6;
 
 /// A message about one job; `serial` is the number that the submitting host gave it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -36,6 +39,17 @@
     },
     /// Reports workers lost under tasks of a job to the hosts that may get the job next.
     Crashes(JobCrashes),
+    /// Notifies a job's front that its tasks may run under another owner; answered with
+    /// [`Self::ForwardNoted`], before which none is forwarded.
+    MayForward {
+        /// Number of the job.
+        serial: u64,
+    },
+    /// Acknowledges [`Self::MayForward`].
+    ForwardNoted {
+        /// Number of the job.
+        serial: u64,
+    },
 }
 
 /// Workers lost under the tasks of one job.
@@ -87,14 +101,17 @@
 }
 
 impl JobMsg {
-    /// Returns whether hosts that know only frames of version 4 cannot decode the message.
-    pub(crate) fn needs_version_5(&self) -> bool {
+    /// Returns the first version of the frame encoding that has the message.
+    pub(crate) fn version(&self) -> u32 {
         match self {
-            Self::Crashes(_) => true,
-            Self::Ended { end, .. } => {
-                matches!(end.reason(), Some(Reason::NoRoom | Reason::Crashes))
+            Self::MayForward { .. } | Self::ForwardNoted { .. } => NOTICE_VERSION,
+            Self::Crashes(_) => 5,
+            Self::Ended { end, .. }
+                if matches!(end.reason(), Some(Reason::NoRoom | Reason::Crashes)) =>
+            {
+                5
             }
-            Self::Submit { .. } | Self::Cancel { .. } => false,
+            Self::Submit { .. } | Self::Cancel { .. } | Self::Ended { .. } => Frame::FIRST_VERSION,
         }
     }
 
@@ -111,7 +128,10 @@
         match self {
             Self::Submit { job, .. } => Arc::make_mut(job).rebase(theirs, ours),
             Self::Ended { end, .. } => end.rebase(theirs, ours),
-            Self::Cancel { .. } | Self::Crashes(_) => {}
+            Self::Cancel { .. }
+            | Self::Crashes(_)
+            | Self::MayForward { .. }
+            | Self::ForwardNoted { .. } => {}
         }
     }
 }
--- a/endivestile_kernel/src/fleet/placement/dispatch.rs
+++ b/endivestile_kernel/src/fleet/placement/dispatch.rs
@@ -7,6 +7,7 @@
 
 use crate::fleet::admission::order::WaitingTask;
 use crate::fleet::admission::queue::{QueueKey, SizeClass};
+use crate::fleet::forward_notice::{ForwardNotice, ForwardStep};
 use crate::fleet::job::{Job, Step};
 use crate::fleet::job_state::{JobState, TaskState};
 use crate::fleet::metrics::{Count, Span};
@@ -407,6 +408,10 @@
         let Some(state) = self.jobs.get(&task.job).filter(movable) else { return false };
         let service = state.job.service.clone();
         let Some(peer) = self.forward_target(&service) else { return false };
+        if !self.front_notified(task.job) {
+            return false;
+        }
+        let Some(state) = self.jobs.get(&task.job) else { return false };
         let index = task.task as usize;
         let job =
             Arc::new(forwarded_job(state.job.as_ref(), state.step(index), &state.tasks[index]));
@@ -434,6 +439,30 @@
         true
     }
 
+    /// Returns whether tasks of a job may be forwarded; notifies its front if it has to be.
+    fn front_notified(&mut self, number: u64) -> bool {
+        let Some(state) = self.jobs.get_mut(&number) else { return false };
+        match state.notice.step(state.sender == self.me) {
+            ForwardStep::Forward => return true,
+            ForwardStep::Wait => {}
+            ForwardStep::Notify => {
+                state.notice = ForwardNotice::Sent;
+                let msg = JobMsg::MayForward { serial: state.serial };
+                self.out.push(Output::Message(state.sender.clone(), msg));
+            }
+        }
+        false
+    }
+
+    /// Records that the front of a job knows that its tasks may be forwarded.
+    pub(crate) fn acknowledge_notice(&mut self, from: &Peer, serial: u64) {
+        let number = self.by_sender.get(&(from.clone(), serial));
+        if let Some(state) = number.and_then(|number| self.jobs.get_mut(number)) {
+            state.notice = ForwardNotice::Acknowledged;
+            self.dirty = true;
+        }
+    }
+
     /// Returns the other host with the most free capacity for a service.
     fn forward_target(&self, service: &Name) -> Option<Peer> {
         let candidates = self.peer_capacity.iter().filter_map(|(peer, capacity)| {
--- a/endivestile_kernel/src/lib.rs
+++ b/endivestile_kernel/src/lib.rs
@@ -29,7 +29,7 @@
 pub use id::{IdError, IdForm, MAX_ID, SubmissionId};
 pub use kernel::{HostStatus, Kernel, Setup, Status};
 pub use membership::SeedHost;
-pub use msg::{Ask, Frame, KnownId, Msg, Registration};
+pub use msg::{Ask, Frame, FrameExtension, KnownId, Msg, Registration};
 pub use peer::Peer;
 pub use place::{
     Condition, PlaceEffect, Placer, PlacerSetup, PolicyInput, PolicyPlugin, ServerStatus,
--- a/endivestile_kernel/src/msg.rs
+++ b/endivestile_kernel/src/msg.rs
@@ -6,7 +6,7 @@
 use endivestile_config::model::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::fleet::{DirectTransfer, HostReport, JobMsg};
+use crate::fleet::{DirectTransfer, HostReport, JobMsg, NOTICE_VERSION};
 use crate::{
     Answer, Outcome, Peer, PlaceRequest, Submission, SubmissionId, TargetLoad, TaskKey, Time,
 };
@@ -218,14 +218,32 @@
     pub report: Option<Arc<HostReport>>,
     /// The messages.
     pub msgs: Vec<Msg>,
+    /// Fields that are sent beside the encoded frame, where earlier releases ignore them.
+    #[serde(skip)]
+    pub extension: FrameExtension,
+}
+
+/// Fields of a frame that earlier releases ignore, and leave out of their own frames.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct FrameExtension {
+    /// Latest version of the encoding that the sender can decode; 0 if it does not say.
+    pub known_version: u32,
 }
 
 impl Frame {
-    /// Returns the version of the encoding that a receiver has to know: 5 if the frame has a
-    /// message that version 4 lacks, so that hosts of both releases exchange all other frames.
+    /// First version of the encoding that this release can decode.
+    pub const FIRST_VERSION: u32 = 4;
+    /// Latest version of the encoding that this release can decode.
+    pub const LATEST_VERSION: u32 = NOTICE_VERSION;
+
+    /// Returns the version of the encoding that a receiver has to know: the first that has all
+    /// messages of the frame, so that hosts of several releases exchange all other frames.
     pub fn version(&self) -> u32 {
-        let newer = |msg: &Msg| matches!(msg, Msg::Job(job) if job.needs_version_5());
-        if self.msgs.iter().any(newer) { 5 } else { 4 }
+        let version = |msg: &Msg| match msg {
+            Msg::Job(job) => job.version(),
+            _ => Self::FIRST_VERSION,
+        };
+        self.msgs.iter().map(version).max().unwrap_or(Self::FIRST_VERSION)
     }
 }
 
--- a/endivestile_kernel/tests/channel.rs
+++ b/endivestile_kernel/tests/channel.rs
@@ -5,7 +5,8 @@
 use bytes::Bytes;
 use endivestile_config::model::{Config, Host, Name, Zone};
 use endivestile_kernel::{
-    Ask, CallId, Effect, Event, Frame, Kernel, Peer, Registration, Setup, SubmissionId, Time,
+    Ask, CallId, Effect, Event, Frame, FrameExtension, Kernel, Peer, Registration, Setup,
+    SubmissionId, Time,
 };
 
 /// The kernel of host `a`, with `b` as its only peer.
@@ -73,6 +74,7 @@
             echo: Time::ZERO,
             report: None,
             msgs: Vec::new(),
+            extension: FrameExtension::default(),
         }));
     }
 
--- a/endivestile_kernel/tests/incarnations.rs
+++ b/endivestile_kernel/tests/incarnations.rs
@@ -7,7 +7,7 @@
 use endivestile_kernel::fleet::{
     Fleet, FleetEffect, FleetEvent, FleetSetup, HostEntry, HostReport, WorkerCall, WorkerEntry,
 };
-use endivestile_kernel::{Frame, Need, Peer, Time};
+use endivestile_kernel::{Frame, FrameExtension, Need, Peer, Time};
 
 /// Birth of an incarnation of `b` that started while its time of day was ahead.
 const AHEAD: u64 = 1_000;
@@ -80,6 +80,7 @@
             echo,
             report: Some(Arc::new(report)),
             msgs: Vec::new(),
+            extension: FrameExtension::default(),
         };
         self.fleet.handle(self.now, FleetEvent::Frame(Box::new(frame)));
     }
--- a/endivestile_lab/examples/slopes/harness.rs
+++ b/endivestile_lab/examples/slopes/harness.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use endivestile_config::model::Config;
 use endivestile_kernel::{
-    AttemptEnd, AttemptId, CallId, Effect, Event, Frame, Kernel, Need, Peer, Registration, Setup,
-    Submission, SubmissionId, Target, TargetLoad, Task, Time,
+    AttemptEnd, AttemptId, CallId, Effect, Event, Frame, FrameExtension, Kernel, Need, Peer,
+    Registration, Setup, Submission, SubmissionId, Target, TargetLoad, Task, Time,
 };
 
 use crate::inventory;
@@ -132,6 +132,7 @@
             echo: Time::ZERO,
             report: None,
             msgs: Vec::new(),
+            extension: FrameExtension::default(),
         }));
     }
 
--- a/endivestile_testkit/tests/fleet/job_message_delayed.story
+++ b/endivestile_testkit/tests/fleet/job_message_delayed.story
@@ -16,7 +16,7 @@
 ----
 a {"owner":{"host":"a1","birth":1},"epoch":1} pools=1
 b {"owner":{"host":"b2","birth":4},"epoch":1} pools=1
-c done 3763 ms
+c done 3748 ms
 b-w1 1
 every promise kept
 every call answered
