Bound every lease of a run by its front's last contact

Callers see: a task runs twice at the same time where two or three losses follow one another, since each host of a chain counts its lease from the loss that it notices itself.

Cause: an owner stops the jobs of a front a host lease (520 ms) after its last echo; a stop without an answer withholds the worker's lease only after 200 ms more; that lease lasts 676 ms: 1,396 ms, and 1,916 ms where a helping owner is between them. The front restarts the job after 1,250 ms, and a caller whose host died resubmits it after 1,300 ms. The table in docs/design/platform.md bounded each link alone.

Ruled out: a longer wait at the front, since the caller's 1,300 ms cannot grow; shorter worker leases, since three renewals have to fit into one.

Change: an owner grants a worker no lease beyond the last contact with the fronts of its runs plus both leases (1,196 ms). For forwarded tasks that contact is the front's, not the forwarding owner's: frames between owners carry the time of the oldest contact with the fronts of the tasks forwarded, in a field beside the encoded frame. A run that such a lease would not cover is not started. The counter leases_shortened says how often the bound acts.

Conclusion: one instant, the front's last contact, bounds every run of a job, whichever links of its chain are lost and in which order.

--- a/endivestile/src/peers/incoming.rs
+++ b/endivestile/src/peers/incoming.rs
@@ -3,7 +3,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
-use endivestile_kernel::{Frame, FrameExtension};
+use endivestile_kernel::{Frame, FrameExtension, Time};
 use endivestile_wire::peer as wire;
 use endivestile_wire::peer::peers_server::{Peers, PeersServer};
 use tokio::runtime::Handle;
@@ -85,7 +85,10 @@
 /// Decodes a frame. One of another version is refused, since its bytes could
 /// decode to different values.
 fn decode(frame: &wire::Frame) -> Result<Frame, Status> {
-    let extension = FrameExtension { known_version: frame.known_version };
+    let extension = FrameExtension {
+        known_version: frame.known_version,
+        front_contact: frame.front_contact_us.map(Time::from_micros),
+    };
     if !FRAME_VERSIONS.contains(&frame.version) {
         let text = format!("version {}, known: {FRAME_VERSIONS:?}", frame.version);
         return Err(Status::failed_precondition(text));
--- a/endivestile/src/peers/links.rs
+++ b/endivestile/src/peers/links.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use endivestile_config::model::Name;
-use endivestile_kernel::{Frame, Peer};
+use endivestile_kernel::{Frame, FrameExtension, Peer, Time};
 use endivestile_wire::peer as wire;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -104,8 +104,10 @@
             }
         };
         let bytes = body.len() as u64;
-        let known_version = frame.extension.known_version;
-        let encoded = wire::Frame { version: frame.version(), body, known_version };
+        let FrameExtension { known_version, front_contact } = frame.extension;
+        let front_contact_us = front_contact.map(Time::as_micros);
+        let encoded =
+            wire::Frame { version: frame.version(), body, known_version, front_contact_us };
         let queued = self.link(address, &frame.to).is_some_and(|link| link.sender.push(encoded));
         if queued {
             self.counters.count_io(IoMetric::FrameBytes, bytes);
--- a/endivestile_kernel/src/channel.rs
+++ b/endivestile_kernel/src/channel.rs
@@ -195,11 +195,15 @@
         new_msgs
     }
 
+    /// Returns whether messages wait that no frame has carried yet.
+    pub(crate) fn has_unsent(&self) -> bool {
+        self.unacked.len() as u64 > self.sent - self.acked
+    }
+
     /// Returns whether a frame may be due, without building it.
     pub(crate) fn has_frame_due(&self, now: Time) -> bool {
-        let unsent = self.unacked.len() as u64 > self.sent - self.acked;
         let resend = self.resend_due.is_some_and(|due| due <= now);
-        (unsent && !self.awaits_retry(now)) || resend || self.timer_elapsed(now)
+        (self.has_unsent() && !self.awaits_retry(now)) || resend || self.timer_elapsed(now)
     }
 
     /// Returns the next frame, if one is due.
--- a/endivestile_kernel/src/fleet/core.rs
+++ b/endivestile_kernel/src/fleet/core.rs
@@ -375,7 +375,7 @@
     pub fn set_leases(&mut self, worker_ms: u64, host_ms: u64) {
         self.setup.worker_lease_ms = worker_ms;
         self.setup.host_lease_ms = host_ms;
-        self.scheduler.set_worker_lease(worker_ms);
+        self.scheduler.set_leases(self.setup.leases());
     }
 
     /// Returns whether this host owns workers.
--- a/endivestile_kernel/src/fleet/hosts/frames.rs
+++ b/endivestile_kernel/src/fleet/hosts/frames.rs
@@ -18,8 +18,8 @@
 use crate::fleet::lag::overloaded;
 use crate::fleet::metrics::{Count, Span};
 use crate::fleet::msg::{HostReport, JobMsg, NOTICE_VERSION, ServiceCapacity};
-use crate::fleet::scheduler::Scheduler;
-use crate::{Frame, Level, Msg, Peer, Time};
+use crate::fleet::scheduler::{HoldEnds, Scheduler};
+use crate::{Frame, FrameExtension, Level, Msg, Peer, Time};
 
 /// Age after which the report of this host is computed again, in milliseconds.
 const REPORT_MAX_AGE_MS: u64 = 15;
@@ -64,6 +64,7 @@
             channel.resend_unacked(now);
             channel.ack_now(now);
         }
+        self.record_contact(&from);
         self.compare_config(now, &from, frame.revision);
         if let Some(report) = report {
             for state in &report.evacuations {
@@ -91,6 +92,17 @@
         self.apply_output(now);
     }
 
+    /// Records by when the runs of a host's jobs have to end unless it is heard from again.
+    fn record_contact(&mut self, from: &Peer) {
+        let Some(member) = self.members.get(from) else { return };
+        let leases = self.setup.leases();
+        let ends = HoldEnds {
+            own: leases.hold_end(member.last_echo),
+            forwarded: leases.hold_end(member.front_contact),
+        };
+        self.scheduler.hold_ends.insert(from.clone(), ends);
+    }
+
     /// Returns whether a host can decode frames of this version.
     pub(crate) fn reads_version(&self, peer: &Peer, version: u32) -> bool {
         let known = self.members.get(peer).map_or(0, |member| member.known_version);
@@ -302,6 +314,8 @@
     /// back tasks forwarded to hosts that must have stopped them by now.
     fn drop_unreachable(&mut self, now: Time) {
         let leases = self.setup.leases();
+        let members = &self.members;
+        self.scheduler.hold_ends.retain(|peer, _| members.get(peer).is_some());
         let fronts: Vec<Peer> = self.scheduler.fronts();
         for peer in fronts {
             let last_echo = self.members.get(&peer).map(|member| member.last_echo);
@@ -357,11 +371,27 @@
         frame.revision = self.route_table.as_ref().map_or(0, |table| table.version);
         let address = member.address.clone();
         let more = !frame.msgs.is_empty();
-        frame.extension.known_version = Frame::LATEST_VERSION;
+        let unsent = channel.has_unsent();
+        frame.extension = FrameExtension {
+            known_version: Frame::LATEST_VERSION,
+            front_contact: Some(self.front_contact(now, peer, unsent)),
+        };
         self.out.push(FleetEffect::Send { address, frame });
         more
     }
 
+    /// Returns the last contact with all fronts of the tasks that are forwarded to a peer. Jobs
+    /// that are being ended do not count once their cancels were sent.
+    fn front_contact(&self, now: Time, peer: &Peer, unsent: bool) -> Time {
+        let there = self.scheduler.forwards.values().filter(|(target, _)| target == peer);
+        let jobs = there.filter_map(|(_, task)| self.scheduler.jobs.get(&task.job));
+        let held = jobs.filter(|state| unsent || state.ending.is_none());
+        let contacts = held.filter(|state| state.sender != self.setup.me).map(|state| {
+            self.members.get(&state.sender).map_or(Time::ZERO, |member| member.last_echo)
+        });
+        contacts.min().map_or(now, |contact| contact.min(now))
+    }
+
     /// Returns this host's report, computed again if it is too old.
     fn current_report(&mut self, now: Time) -> Arc<HostReport> {
         if self.report.0 > now {
--- a/endivestile_kernel/src/fleet/hosts/membership.rs
+++ b/endivestile_kernel/src/fleet/hosts/membership.rs
@@ -89,6 +89,9 @@
     pub(crate) unechoed_since: Option<Time>,
     /// Its clock at its latest frame, which we echo.
     pub(crate) peer_clock: Time,
+    /// Our clock at a contact with it at which it was in contact with all fronts of the tasks that
+    /// it forwards here; the latest that is known.
+    pub(crate) front_contact: Time,
     /// Latest version of the frame encoding that it can decode; 0 if it does not say.
     pub(crate) known_version: u32,
     /// Its latest report.
@@ -285,6 +288,14 @@
 }
 
 impl FrameHeader<'_> {
+    /// Returns our clock at a contact with the sender at which it was in contact with the fronts
+    /// of the tasks that it forwards here. An earlier release does not say, and counts as if it
+    /// were all the time.
+    fn front_contact(&self) -> Time {
+        let contact = self.extension.front_contact.unwrap_or(self.sent);
+        contact.min(self.sent).rebase(self.sent, self.echo)
+    }
+
     /// Returns what the sender's registration says, if the frame has a report.
     fn entry(&self) -> Option<HostEntry> {
         let report = self.report?;
@@ -317,6 +328,7 @@
             last_echo: Time::ZERO,
             unechoed_since: None,
             peer_clock: Time::ZERO,
+            front_contact: Time::ZERO,
             known_version: 0,
             report: Arc::default(),
             known_since: now,
@@ -353,6 +365,7 @@
         }
         self.last_frame = Some(now);
         self.known_version = header.extension.known_version;
+        self.front_contact = self.front_contact.max(header.front_contact());
         if header.echo > self.last_echo {
             self.last_echo = header.echo;
             self.unechoed_since = None;
--- a/endivestile_kernel/src/fleet/job_state.rs
+++ b/endivestile_kernel/src/fleet/job_state.rs
@@ -1,5 +1,6 @@
 //! The state of a job and its tasks at the owner that runs them.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use endivestile_config::model::Name;
@@ -8,6 +9,7 @@
 use crate::fleet::forward_notice::ForwardNotice;
 use crate::fleet::job::{Job, JobEnd, Step};
 use crate::fleet::job_log::RunStats;
+use crate::fleet::scheduler::HoldEnds;
 use crate::fleet::workers::crash_evidence::TaskKey;
 use crate::fleet::workers::run::RunId;
 use crate::{Peer, Time};
@@ -158,6 +160,15 @@
         if self.admission.guaranteed { 0 } else { self.job.priority }
     }
 
+    /// Returns when its runs have to end unless its sender is heard from again; `me` is this host.
+    pub(crate) fn hold_end(&self, me: &Peer, ends: &BTreeMap<Peer, HoldEnds>) -> Time {
+        if self.sender == *me {
+            return Time::NEVER;
+        }
+        let ends = ends.get(&self.sender);
+        ends.map_or(Time::ZERO, |it| if self.job.forwarded { it.forwarded } else { it.own })
+    }
+
     /// Returns the step to which a task belongs.
     pub(crate) fn step(&self, task: usize) -> &Step {
         &self.job.steps[self.tasks[task].step]
--- a/endivestile_kernel/src/fleet/leases.rs
+++ b/endivestile_kernel/src/fleet/leases.rs
@@ -44,6 +44,11 @@
         self.host_ms
     }
 
+    /// Returns the lease of a worker's runs, in milliseconds of the worker's clock.
+    pub const fn worker_ms(self) -> u64 {
+        self.worker_ms
+    }
+
     /// Returns the longest time for which a worker runs on after a renewal was sent, in
     /// milliseconds of our clock.
     pub const fn worker_end_ms(self) -> u64 {
@@ -69,6 +74,25 @@
         with_margin(self.chain_end_ms())
     }
 
+    /// Returns when the runs of a job have to end unless its front is heard from again after
+    /// `contact`.
+    pub fn hold_end(self, contact: Time) -> Time {
+        contact.after_ms(self.chain_end_ms())
+    }
+
+    /// Returns whether a run that has to end by `hold_end` may be started: a lease that was
+    /// granted to its worker for other runs may cover it too.
+    pub fn covers_start(self, now: Time, hold_end: Time) -> bool {
+        now.after_ms(self.worker_end_ms()) <= hold_end
+    }
+
+    /// Returns the length of a worker's lease, in milliseconds of the worker's clock, of which
+    /// the runs have to end by `hold_end`; 0 for none.
+    pub fn grant_ms(self, now: Time, hold_end: Time) -> u64 {
+        let left_ms = hold_end.since(now).as_millis() as u64;
+        self.worker_ms.min(left_ms * 100 / (100 + MARGIN_PERCENT))
+    }
+
     /// Returns whether a front may send a job of a lost owner to another one.
     ///
     /// An owner that is alive stops what it runs for a front whose frames no longer arrive. One
--- a/endivestile_kernel/src/fleet/metrics.rs
+++ b/endivestile_kernel/src/fleet/metrics.rs
@@ -51,11 +51,13 @@
     JobsCrashing,
     /// Changes of the capacity that a worker of this host reports.
     CapacityChanges,
+    /// Renewals of worker leases that were shortened since a job's host was not heard from.
+    LeasesShortened,
 }
 
 impl Count {
     /// All counters, in the order of the metrics page.
-    pub const ALL: [Self; 24] = [
+    pub const ALL: [Self; 25] = [
         Self::JobsSent,
         Self::JobsDone,
         Self::JobsFailed,
@@ -80,6 +82,7 @@
         Self::TasksIsolated,
         Self::JobsCrashing,
         Self::CapacityChanges,
+        Self::LeasesShortened,
     ];
 
     /// Returns the name on the metrics page.
@@ -109,6 +112,7 @@
             Self::TasksIsolated => "tasks_isolated",
             Self::JobsCrashing => "jobs_crashing",
             Self::CapacityChanges => "capacity_changes",
+            Self::LeasesShortened => "leases_shortened",
         }
     }
 }
--- a/endivestile_kernel/src/fleet/placement/dispatch.rs
+++ b/endivestile_kernel/src/fleet/placement/dispatch.rs
@@ -349,9 +349,9 @@
         let Some(driver) = self.drivers.get_mut(worker) else { return false };
         let id = RunId { task: state.task_name(index), run: state.tasks[index].next_run };
         let need = state.step(index).need;
-        let Some(call) = driver.start(now, id.clone(), task, need, &state.job.spec) else {
-            return false;
-        };
+        let hold_end = state.hold_end(&self.me, &self.hold_ends);
+        let call = driver.start(now, id.clone(), task, need, &state.job.spec, hold_end);
+        let Some(call) = call else { return false };
         if let TaskState::Queued(key) = &state.tasks[index].state
             && let Some(queue) = self.queues.get_mut(&state.job.service)
         {
--- a/endivestile_kernel/src/fleet/placement/tick.rs
+++ b/endivestile_kernel/src/fleet/placement/tick.rs
@@ -44,6 +44,15 @@
         let mut ended_runs: Vec<(Name, Vec<EndedRun>)> = Vec::new();
         let mut removed: Vec<Name> = Vec::new();
         for (worker, driver) in &mut self.drivers {
+            if driver.renewal_due(now) {
+                let jobs = &self.jobs;
+                let hold_end = |task: TaskRef| {
+                    jobs.get(&task.job).map(|state| state.hold_end(&self.me, &self.hold_ends))
+                };
+                if driver.update_hold(now, hold_end) {
+                    self.out.push(Output::Count(Count::LeasesShortened));
+                }
+            }
             let ended = driver.tick(now, &mut calls);
             if !ended.is_empty() {
                 ended_runs.push((worker.clone(), ended));
--- a/endivestile_kernel/src/fleet/scheduler.rs
+++ b/endivestile_kernel/src/fleet/scheduler.rs
@@ -13,6 +13,7 @@
 use crate::fleet::job::{Job, JobEnd, Reason, Step};
 use crate::fleet::job_state::{JobState, TaskState};
 use crate::fleet::lag::Lag;
+use crate::fleet::leases::Leases;
 use crate::fleet::metrics::{Count, Gauge, Span};
 use crate::fleet::msg::JobMsg;
 use crate::fleet::placement::durations::Durations;
@@ -55,12 +56,21 @@
 /// was forwarded there since.
 pub(crate) type PeerCapacity = BTreeMap<Name, u32>;
 
+/// By when the runs of a host's jobs have to end unless the host is heard from again.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct HoldEnds {
+    /// Jobs of its callers.
+    pub(crate) own: Time,
+    /// Tasks that it forwarded for other fronts.
+    pub(crate) forwarded: Time,
+}
+
 /// Runs the tasks of jobs on the workers of the pools that this host owns.
 #[derive(Debug)]
 pub(crate) struct Scheduler {
     pub(crate) me: Peer,
-    /// Duration of a worker's lease, in milliseconds.
-    pub(crate) lease_ms: u64,
+    /// Bounds of the leases under which jobs run.
+    pub(crate) leases: Leases,
     /// Factor by which a task's run time grows on a worker without its data.
     pub(crate) remote_factor: f64,
     pub(crate) policy: Policy,
@@ -85,6 +95,8 @@
     pub(crate) peer_capacity: BTreeMap<Peer, PeerCapacity>,
     /// Forwarded tasks by serial number, with the host that has them.
     pub(crate) forwards: HashMap<u64, (Peer, TaskRef)>,
+    /// By when the runs of other hosts' jobs have to end, by host.
+    pub(crate) hold_ends: BTreeMap<Peer, HoldEnds>,
     pub(crate) durations: Durations,
     pub(crate) health: Health,
     pub(crate) crashes: CrashEvidence,
@@ -111,7 +123,7 @@
         let policy = setup.policy;
         Self {
             me: setup.me.clone(),
-            lease_ms: setup.worker_lease_ms,
+            leases: setup.leases(),
             remote_factor: f64::from(setup.remote_factor_milli) / 1_000.0,
             policy,
             drivers: BTreeMap::new(),
@@ -125,6 +137,7 @@
             queues: BTreeMap::new(),
             peer_capacity: BTreeMap::new(),
             forwards: HashMap::new(),
+            hold_ends: BTreeMap::new(),
             durations: Durations::new(policy),
             health: Health::new(policy),
             crashes: CrashEvidence::default(),
--- a/endivestile_kernel/src/fleet/workers/driver.rs
+++ b/endivestile_kernel/src/fleet/workers/driver.rs
@@ -11,6 +11,7 @@
 
 use endivestile_config::model::Name;
 
+use crate::fleet::leases::Leases;
 use crate::fleet::workers::call::{RENEW_MARGIN_MS, REQUEST_TIMEOUT_MS, WorkerCall};
 use crate::fleet::workers::capacity::{CapacityUse, WorkerCapacity};
 use crate::fleet::workers::protocol::{
@@ -36,8 +37,6 @@
 const BACKOFF_MS: u64 = 60;
 /// Upper bound of twice the backoff after failed renewals, in milliseconds.
 const BACKOFF_MAX_MS: u64 = 500;
-/// Margin on a lease, in percent, for a slow clock of the worker and the delay of the request.
-const LEASE_MARGIN_PERCENT: u64 = 4;
 /// Limit of the long-poll time for an idle worker, in milliseconds. It has no lease to keep
 /// alive, and renewals of idle workers would be most of the cost of a large fleet.
 const IDLE_WAIT_MS: u64 = 450;
@@ -97,8 +96,8 @@
     pub(crate) evacuated: bool,
     /// Runs that occupy its capacity.
     pub(crate) runs: BTreeMap<RunId, Run>,
-    /// Length of a lease, in milliseconds.
-    pub(crate) lease_ms: u64,
+    /// Bounds of its lease.
+    pub(crate) leases: Leases,
     token: u64,
     /// When the current token was set.
     token_since: Time,
@@ -133,7 +132,7 @@
         entry: WorkerEntry,
         pool: Name,
         token: u64,
-        lease_ms: u64,
+        leases: Leases,
     ) -> Self {
         Self {
             incarnation: entry.incarnation,
@@ -150,7 +149,7 @@
             transferring: false,
             evacuated: false,
             runs: BTreeMap::new(),
-            lease_ms,
+            leases,
             token,
             token_since: now,
             stage: Stage::Claiming,
@@ -249,14 +248,43 @@
         Some(clock + now.since(at).as_millis() as u64)
     }
 
-    /// Grants a lease from now on; returns its end on the worker's clock.
+    /// Returns when the first of its runs has to end unless the host of its job is heard from.
+    pub(crate) fn hold_end(&self) -> Time {
+        let held = self.runs.values().filter(|run| run.stopped_clock.is_none());
+        held.map(|run| run.hold_end).min().unwrap_or(Time::NEVER)
+    }
+
+    /// Updates by when its runs have to end, and returns whether that shortens the next lease. A
+    /// run that is being stopped keeps its time: its job is not held any more.
+    pub(crate) fn update_hold(
+        &mut self,
+        now: Time,
+        hold_end: impl Fn(TaskRef) -> Option<Time>,
+    ) -> bool {
+        for run in self.runs.values_mut().filter(|run| !run.stopping) {
+            if let Some(end) = run.task.and_then(&hold_end) {
+                run.hold_end = end;
+            }
+        }
+        self.leases.grant_ms(now, self.hold_end()) < self.leases.worker_ms()
+    }
+
+    /// Returns whether a renewal is due.
+    pub(crate) fn renewal_due(&self, now: Time) -> bool {
+        self.in_flight.is_none() && self.next_renewal <= now
+    }
+
+    /// Grants a lease from now on; returns its end on the worker's clock, or none if a run has to
+    /// end.
     fn grant_lease(&mut self, now: Time) -> Option<u64> {
-        let lease_until = self.clock_at(now)? + self.lease_ms;
+        let lease_ms = self.leases.grant_ms(now, self.hold_end());
+        let lease_until = self.clock_at(now).filter(|_| lease_ms > 0)? + lease_ms;
         self.lease_end = self.lease_end.max(now.after_ms(self.max_lease_ms()));
         Some(lease_until)
     }
 
-    /// Requests a start; `None` while the worker's clock is unknown.
+    /// Requests a start of a run that has to end by `hold_end`; `None` while the worker's clock is
+    /// unknown, or if its lease may last longer.
     pub(crate) fn start(
         &mut self,
         now: Time,
@@ -264,7 +292,11 @@
         task: TaskRef,
         need: Need,
         spec: &Name,
+        hold_end: Time,
     ) -> Option<WorkerCall> {
+        if !self.leases.covers_start(now, hold_end) {
+            return None;
+        }
         let start_by = self.clock_at(now)? + START_WITHIN_MS;
         self.lease_end = self.lease_end.max(now.after_ms(self.max_lease_ms()));
         let request = StartRequest {
@@ -286,6 +318,7 @@
             alone: self.isolated,
             stopping: false,
             phase: Phase::Sent,
+            hold_end,
             start_by,
             stopped_clock: None,
             next_stop: Time::NEVER,
@@ -399,7 +432,7 @@
             return ended;
         }
         self.send_stops(now, out);
-        if self.in_flight.is_none() && self.next_renewal <= now {
+        if self.renewal_due(now) {
             self.renew_lease(now, out);
         }
         ended
@@ -475,7 +508,7 @@
 
     /// Returns the longest duration of a lease by our clock, in milliseconds.
     fn max_lease_ms(&self) -> u64 {
-        self.lease_ms + self.lease_ms * LEASE_MARGIN_PERCENT / 100
+        self.leases.worker_end_ms()
     }
 
     /// Returns whether capacity waits only for the worker's next reply.
--- a/endivestile_kernel/src/fleet/workers/driver/renewal.rs
+++ b/endivestile_kernel/src/fleet/workers/driver/renewal.rs
@@ -153,6 +153,7 @@
             alone: false,
             stopping: true,
             phase: Phase::Running,
+            hold_end: Time::NEVER,
             start_by: 0,
             stopped_clock: None,
             next_stop: now,
--- a/endivestile_kernel/src/fleet/workers/owned.rs
+++ b/endivestile_kernel/src/fleet/workers/owned.rs
@@ -6,6 +6,7 @@
 use endivestile_config::model::Name;
 
 use crate::fleet::job_state::{JobState, TaskState};
+use crate::fleet::leases::Leases;
 use crate::fleet::metrics::{Count, Gauge};
 use crate::fleet::scheduler::{Output, Scheduler, has_capacity, has_label};
 use crate::fleet::workers::capacity::{WorkerCapacity, least};
@@ -74,11 +75,11 @@
         }
     }
 
-    /// Sets the length of worker leases, in milliseconds.
-    pub(crate) fn set_worker_lease(&mut self, lease_ms: u64) {
-        self.lease_ms = lease_ms;
+    /// Sets the lengths of leases.
+    pub(crate) fn set_leases(&mut self, leases: Leases) {
+        self.leases = leases;
         for driver in self.drivers.values_mut() {
-            driver.lease_ms = lease_ms;
+            driver.leases = leases;
         }
     }
 
@@ -132,7 +133,7 @@
             }
             return;
         }
-        let mut driver = Driver::new(now, entry.clone(), pool.clone(), token, self.lease_ms);
+        let mut driver = Driver::new(now, entry.clone(), pool.clone(), token, self.leases);
         let changes = self.policy.has(Mechanism::CapacityChanges);
         driver.capacity =
             changes.then(|| WorkerCapacity::new(now, entry.incarnation, entry.capacity));
--- a/endivestile_kernel/src/fleet/workers/run.rs
+++ b/endivestile_kernel/src/fleet/workers/run.rs
@@ -59,6 +59,9 @@
     pub(crate) stopping: bool,
     /// Progress of the start request.
     pub(crate) phase: Phase,
+    /// When it has to end unless the host of its job is heard from again; [`Time::NEVER`] for a job
+    /// of this host or a former owner's run.
+    pub(crate) hold_end: Time,
     /// Worker's clock, in milliseconds, from which on the worker refuses the start; 0 for a
     /// former owner's run.
     pub(crate) start_by: u64,
--- a/endivestile_kernel/src/msg.rs
+++ b/endivestile_kernel/src/msg.rs
@@ -228,6 +228,9 @@
 pub struct FrameExtension {
     /// Latest version of the encoding that the sender can decode; 0 if it does not say.
     pub known_version: u32,
+    /// Sender's clock at its last contact with all fronts of the tasks that it forwards to the
+    /// receiver; none if this frame does not say.
+    pub front_contact: Option<Time>,
 }
 
 impl Frame {
--- a/endivestile_testkit/tests/mutations/run.sh
+++ b/endivestile_testkit/tests/mutations/run.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
 # Applies each mutation to a scratch copy of the workspace and says whether the
 # stories, the random sequences or the shards' tests catch it; mutations of
-# fleets are tried with the stories and random sequences of fleets and the tests of
-# incarnations, those of the forecast (fleet_forecast_*) with the tests of its decisions.
+# fleets are tried with the stories and random sequences of fleets, the model check of
+# leases and the tests of incarnations, those of the forecast (fleet_forecast_*) with the
+# tests of its decisions.
 #
 # Usage: run.sh [NAME...]     mutations to try, all without an argument
 # RANDOM_CASES  random sequences per mutation (default 1000)
@@ -65,6 +66,7 @@
     fi
     if [[ "$name" == fleet_* ]]; then
         try incarnations "$scratch/$name.incarnations.log" -p endivestile_kernel --test incarnations
+        try lease-model "$scratch/$name.lease.log" -p endivestile_kernel --test lease_model
         try fleet-stories "$scratch/$name.fleet.log" -p endivestile_testkit --test fleet_stories fleet_stories_all
         try fleet-random "$scratch/$name.fleet-random.log" --release -p endivestile_testkit --test fleet_random
         patch --quiet --reverse --directory="$copy" --strip=1 <"$patches/$name.patch"
