Take the rejection of a former token for no other owner

Callers see: a third of a zone's workers (one pool) without an owner for two seconds, without a fault of any host, after a host that owns pools by direct transfer reaches the store again.

Cause: the host enters its pools into the ownership record, which raises its fencing token. Starts and stops in flight under the former token, overtaken by a renewal under the new one, are rejected by the worker.

--- a/endivestile_kernel/src/fleet/workers/driver.rs
+++ b/endivestile_kernel/src/fleet/workers/driver.rs
@@ -321,6 +321,7 @@
             hold_end,
             start_by,
             stopped_clock: None,
+            stop_sent: Time::NEVER,
             next_stop: Time::NEVER,
             stop_deadline: Time::NEVER,
         };
@@ -361,7 +362,8 @@
                 None
             }
             StartResult::Failed(CallError::Fenced) => {
-                self.stage = Stage::Fenced;
+                let sent = run.sent;
+                self.apply_fence(sent);
                 self.end_run(id, RunOutcome::NotStarted(result))
             }
             StartResult::Failed(CallError::Unreachable) if self.records_losses => {
@@ -394,11 +396,23 @@
                 // The renewal in flight may wait for an end that does not come.
                 self.next_renewal = self.next_renewal.min(now);
             }
-            Err(CallError::Fenced) => self.stage = Stage::Fenced,
+            Err(CallError::Fenced) => {
+                if let Some(sent) = self.runs.get(id).map(|run| run.stop_sent) {
+                    self.apply_fence(sent);
+                }
+            }
             Err(_) => {}
         }
     }
 
+    /// Applies the rejection of the token of a call. One that was sent under a former token of this
+    /// host only shows that the worker has seen the current one.
+    fn apply_fence(&mut self, sent: Time) {
+        if sent >= self.token_since {
+            self.stage = Stage::Fenced;
+        }
+    }
+
     /// Updates the worker's clock. A delayed reply makes it too early, which only shortens
     /// leases.
     fn set_clock(&mut self, now: Time, clock: u64) {
@@ -445,6 +459,7 @@
             if !run.stopping || run.next_stop > now {
                 continue;
             }
+            run.stop_sent = now;
             run.next_stop = now.after_ms(REQUEST_TIMEOUT_MS + BACKOFF_MS);
             out.push(WorkerCall::Stop(StopRequest {
                 worker: worker.clone(),
--- a/endivestile_kernel/src/fleet/workers/driver/renewal.rs
+++ b/endivestile_kernel/src/fleet/workers/driver/renewal.rs
@@ -156,6 +156,7 @@
             hold_end: Time::NEVER,
             start_by: 0,
             stopped_clock: None,
+            stop_sent: Time::NEVER,
             next_stop: now,
             stop_deadline: now.after_ms(STOP_TIMEOUT_MS),
         };
--- a/endivestile_kernel/src/fleet/workers/run.rs
+++ b/endivestile_kernel/src/fleet/workers/run.rs
@@ -67,6 +67,8 @@
     pub(crate) start_by: u64,
     /// Worker's clock, in milliseconds, when it confirmed a stop.
     pub(crate) stopped_clock: Option<u64>,
+    /// When the stop was last sent; [`Time::NEVER`] if it was not.
+    pub(crate) stop_sent: Time,
     /// When to send the stop next.
     pub(crate) next_stop: Time,
     /// When the worker's lease stops being renewed because of this run: its stop or its
