Lose hosts of a full zone and of the zone that helps it in pairs, in soak and random sequences

The soak drew a freeze close to a kill seldom, and its callers left workers free, so that hardly a task was forwarded.

Change: a soak with `paired_losses` (`--paired`) sends jobs of 0.7 to 1.5 s to one zone's hosts, kills or freezes one of them, and up to 600 ms before or after it the hosts of the other zone, or impairs the path to that one's workers.

--- a/endivestile/examples/soak.rs
+++ b/endivestile/examples/soak.rs
@@ -40,6 +40,9 @@
     /// Concurrent callers.
     #[arg(long, default_value_t = 6)]
     callers: usize,
+    /// Keep the first zone full, and lose hosts of both zones in pairs instead of other faults.
+    #[arg(long)]
+    paired: bool,
     /// Directory for the traces of failed runs.
     #[arg(long, default_value = "target/soak")]
     kept: PathBuf,
@@ -73,8 +76,9 @@
             hosts: args.hosts,
             workers: args.workers,
             callers: args.callers,
-            evacuations: true,
-            reset_series: true,
+            evacuations: !args.paired,
+            reset_series: !args.paired,
+            paired_losses: args.paired,
         };
         let report = soak.run()?;
         println!(
--- a/endivestile_testkit/src/soak/fault.rs
+++ b/endivestile_testkit/src/soak/fault.rs
@@ -57,6 +57,13 @@
 /// Length of one reset of a series, in milliseconds.
 const RESET_MS: u64 = 2;
 
+/// Time between two losses that belong together, in milliseconds: up to the host lease and more.
+const LOSS_GAP_MS: std::ops::Range<u64> = 0..600;
+/// Length of such a loss, in milliseconds; longer than all leases of a run together.
+const LOSS_MS: std::ops::Range<u64> = 1_500..2_500;
+/// Time for callers to fill a zone, in milliseconds.
+const FILL_MS: u64 = 1_200;
+
 /// Draws the faults of a run that begin within `ms` milliseconds.
 pub(crate) fn plan_faults(
     rng: &mut SmallRng,
@@ -112,6 +119,40 @@
     plan
 }
 
+/// Draws losses shortly after one another that begin within `ms` milliseconds: of a host of the
+/// first zone, and of the hosts of the second, which helps it, or of the path to that one's workers.
+pub(crate) fn plan_paired_losses(
+    rng: &mut SmallRng,
+    ms: u64,
+    hosts: usize,
+    workers: usize,
+) -> Vec<PlannedFault> {
+    let mut plan = Vec::new();
+    let mut at = FILL_MS;
+    while at < ms {
+        let later = at + rng.random_range(LOSS_GAP_MS);
+        let (first, second) = if rng.random_range(0..4) == 0 { (later, at) } else { (at, later) };
+        let until = first + rng.random_range(LOSS_MS);
+        let helped = draw_loss(rng)(rng.random_range(0..hosts));
+        plan.push(PlannedFault { fault: helped, from: first, until });
+        let until = second + rng.random_range(LOSS_MS);
+        let helping: Vec<Fault> = if rng.random_range(0..4) == 0 {
+            let impairment = draw_impairment(rng);
+            (workers..2 * workers).map(|worker| Fault::Worker(worker, impairment)).collect()
+        } else {
+            (hosts..2 * hosts).map(draw_loss(rng)).collect()
+        };
+        plan.extend(helping.into_iter().map(|fault| PlannedFault { fault, from: second, until }));
+        at = later + LOSS_MS.end + FILL_MS;
+    }
+    plan
+}
+
+/// Draws how a host is lost.
+fn draw_loss(rng: &mut SmallRng) -> fn(usize) -> Fault {
+    if rng.random() { Fault::Kill } else { Fault::Pause }
+}
+
 fn draw_fault(rng: &mut SmallRng, hosts: usize, workers: usize) -> Fault {
     let host = rng.random_range(0..hosts);
     let worker = rng.random_range(0..workers);
--- a/endivestile_testkit/src/soak/load.rs
+++ b/endivestile_testkit/src/soak/load.rs
@@ -1,5 +1,6 @@
 //! Callers that submit jobs and retry those without an answer.
 
+use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -19,6 +20,20 @@
 /// Delay before a job without an answer is sent again.
 const RETRY_DELAY: Duration = Duration::from_millis(1_300);
 
+/// Sizes of the jobs that callers submit.
+#[derive(Debug, Clone)]
+pub(crate) struct JobSizes {
+    /// Number of tasks.
+    tasks: Range<usize>,
+    /// Run time of a task, in milliseconds.
+    ms: Range<u64>,
+}
+
+/// Jobs that leave workers free now and then.
+pub(crate) const SHORT_JOBS: JobSizes = JobSizes { tasks: 1..6, ms: 5..300 };
+/// Jobs of which a few callers fill a zone; they last longer than the leases of a run.
+pub(crate) const LONG_JOBS: JobSizes = JobSizes { tasks: 2..5, ms: 700..1_500 };
+
 /// Returns the body of a job with `tasks` tasks of `ms` milliseconds each.
 fn job_body(tasks: usize, ms: u64) -> String {
     let step = serde_json::json!({
@@ -59,6 +74,7 @@
 pub(crate) fn run_caller(
     hosts: &[Arc<Mutex<PlatformHost>>],
     seed: u64,
+    sizes: &JobSizes,
     stop: &AtomicBool,
     next_id: &AtomicU64,
 ) -> Vec<Attempt> {
@@ -67,7 +83,8 @@
     let mut attempts = Vec::new();
     while !stop.load(Ordering::Relaxed) {
         let id = format!("{:016x}", next_id.fetch_add(1, Ordering::Relaxed));
-        let (tasks, ms) = (rng.random_range(1..6), rng.random_range(5..300));
+        let tasks = rng.random_range(sizes.tasks.clone());
+        let ms = rng.random_range(sizes.ms.clone());
         for _ in 0..2 {
             let at = rng.random_range(0..hosts.len());
             let attempt = send_reusing(hosts, at, &mut connection, &id, tasks, ms);
--- a/endivestile_testkit/src/soak/run.rs
+++ b/endivestile_testkit/src/soak/run.rs
@@ -10,8 +10,10 @@
 use rand::rngs::SmallRng;
 
 use super::connection::Attempt;
-use super::fault::{Fault, PlannedFault, plan_evacuations, plan_faults, plan_reset_series};
-use super::load::{ANSWER_GRACE, DEADLINE, run_caller, send_once};
+use super::fault::{
+    Fault, PlannedFault, plan_evacuations, plan_faults, plan_paired_losses, plan_reset_series,
+};
+use super::load::{ANSWER_GRACE, DEADLINE, LONG_JOBS, SHORT_JOBS, run_caller, send_once};
 use super::relay::{FaultRelay, Impairment};
 use crate::deploy::{DaemonCommand, wait_for};
 use crate::lock::lock;
@@ -46,6 +48,8 @@
     pub evacuations: bool,
     /// Whether links are reset in series as well.
     pub reset_series: bool,
+    /// Whether the first zone is kept full, and the only faults are losses in pairs.
+    pub paired_losses: bool,
 }
 
 /// Result of a soak test.
@@ -180,9 +184,13 @@
         let callers: Vec<_> = (0..self.soak.callers)
             .map(|number| {
                 let seed = self.soak.seed.wrapping_mul(1_009).wrapping_add(number as u64);
-                let hosts = self.hosts.clone();
+                let mut hosts = self.hosts.clone();
+                if self.soak.paired_losses {
+                    hosts.truncate(self.soak.hosts);
+                }
+                let sizes = if self.soak.paired_losses { LONG_JOBS } else { SHORT_JOBS };
                 let (stop, next_id) = (Arc::clone(&stop), Arc::clone(&next_id));
-                thread::spawn(move || run_caller(&hosts, seed, &stop, &next_id))
+                thread::spawn(move || run_caller(&hosts, seed, &sizes, &stop, &next_id))
             })
             .collect();
         self.inject_faults();
@@ -193,13 +201,17 @@
     /// Begins and ends the scheduled faults at their times, then ends all faults.
     fn inject_faults(&mut self) {
         let mut rng = SmallRng::seed_from_u64(self.soak.seed);
-        let mut faults =
-            plan_faults(&mut rng, self.soak.faults_ms, self.hosts.len(), self.workers.len());
+        let (ms, hosts, workers) = (self.soak.faults_ms, self.hosts.len(), self.workers.len());
+        let mut faults = if self.soak.paired_losses {
+            plan_paired_losses(&mut rng, ms, self.soak.hosts, self.soak.workers)
+        } else {
+            plan_faults(&mut rng, ms, hosts, workers)
+        };
         if self.soak.evacuations {
-            faults.extend(plan_evacuations(&mut rng, self.soak.faults_ms, ZONES.len()));
+            faults.extend(plan_evacuations(&mut rng, ms, ZONES.len()));
         }
         if self.soak.reset_series {
-            faults.extend(plan_reset_series(&mut rng, self.soak.faults_ms, self.hosts.len()));
+            faults.extend(plan_reset_series(&mut rng, ms, hosts));
         }
         let mut steps: Vec<(u64, bool, PlannedFault)> = Vec::new();
         for planned in faults {
--- a/endivestile_testkit/tests/fleet_random.rs
+++ b/endivestile_testkit/tests/fleet_random.rs
@@ -13,6 +13,8 @@
 
 /// Number of cases unless `RANDOM_CASES` is set, as in CI.
 const CASES: u32 = 300;
+/// The same for cases in which hosts are lost in pairs, each of which takes many times longer.
+const PAIRED_CASES: u32 = 40;
 /// Exclusive limit on the steps of one case.
 const STEP_LIMIT: usize = 22;
 /// Part of a world's first step that enables both mechanisms for workers that change.
@@ -26,7 +28,7 @@
 
 #[test]
 fn fleet_guarantees_random() {
-    check_random("", step());
+    check_random(CASES, world(), "", step());
 }
 
 /// Guards against messages that are lost or held back while links are reset in series, and against
@@ -35,32 +37,52 @@
 fn fleet_guarantees_random_series() {
     // Capacities have tests of their own.
     let changes = |step: &String| !CAPACITY.iter().any(|it| step.contains(it));
-    check_random("", prop_oneof![4 => step().prop_filter("capacity", changes), 1 => series()]);
+    check_random(
+        CASES,
+        world(),
+        "",
+        prop_oneof![4 => step().prop_filter("capacity", changes), 1 => series()],
+    );
+}
+
+/// Guards against tasks that run twice because the owner of a full zone and the owner that helps it
+/// are lost shortly after one another.
+#[test]
+fn fleet_guarantees_random_paired_losses() {
+    // Capacities have tests of their own.
+    let changes = |step: &String| !CAPACITY.iter().any(|it| step.contains(it));
+    let steps = prop_oneof![1 => step().prop_filter("capacity", changes), 2 => losses()];
+    check_random(PAIRED_CASES, two_zones(), "", steps);
 }
 
 /// Guards against a task that runs twice, or a job refused as not run that ran, when jobs are sent
 /// to other zones.
 #[test]
 fn fleet_guarantees_random_zone_balance() {
-    check_random("with=zone-balance", step());
+    check_random(CASES, world(), "with=zone-balance", step());
 }
 
 /// Guards against breaches by the search of the whole queue, which is disabled by default.
 #[test]
 fn fleet_guarantees_random_backfill() {
-    check_random("with=backfill", step());
+    check_random(CASES, world(), "with=backfill", step());
 }
 
 /// Runs random stories of these steps in worlds with these settings.
-fn check_random(settings: &str, step: impl Strategy<Value = String>) {
+fn check_random(
+    cases: u32,
+    world: impl Strategy<Value = String>,
+    settings: &str,
+    step: impl Strategy<Value = String>,
+) {
     let number = |key: &str| env::var(key).ok().and_then(|text| text.parse::<u64>().ok());
-    let cases = number("RANDOM_CASES").map_or(CASES, |cases| cases as u32);
+    let cases = number("RANDOM_CASES").map_or(cases, |cases| cases as u32);
     let config = Config { cases, failure_persistence: None, ..Config::default() };
     let mut seed = [7; 32];
     seed[..8].copy_from_slice(&number("RANDOM_SEED").unwrap_or(1).to_le_bytes());
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &seed);
     let mut runner = TestRunner::new_with_rng(config, rng);
-    let stories = (world(), prop::collection::vec(step, 1..STEP_LIMIT));
+    let stories = (world, prop::collection::vec(step, 1..STEP_LIMIT));
     let result = runner.run(&stories, |(world, steps)| {
         // Every caller gets an id of its own, also after shrinking.
         let changes = world.contains("capacity-changes");
@@ -96,6 +118,13 @@
     )
 }
 
+/// Worlds in which one zone can help another.
+fn two_zones() -> impl Strategy<Value = String> {
+    (2..4u32, 0..1_000u32).prop_map(|(workers, seed)| {
+        format!("world zones=a,b hosts=2 workers={workers} cpu=16000 seed={seed}\n")
+    })
+}
+
 fn host() -> impl Strategy<Value = &'static str> {
     prop::sample::select(vec!["a1", "a2", "a3", "b1", "b2", "c1"])
 }
@@ -184,6 +213,32 @@
     ]
 }
 
+/// Jobs that fill the first zone, then the loss of a host there and, up to 600 ms before or after, of
+/// the hosts of the other zone, or of stops to its workers.
+fn losses() -> impl Strategy<Value = String> {
+    let loss = prop::sample::select(vec!["kill", "pause"]);
+    let helped = (loss, prop::sample::select(vec!["a1", "a2"]))
+        .prop_map(|(loss, host)| format!("{loss} {host}\n"));
+    let helping = prop::sample::select(vec![
+        "pause b1\npause b2\n",
+        "kill b1\nkill b2\n",
+        "cut a b\n",
+        "worker b-w1 late 3s\nworker b-w2 late 3s\n",
+    ]);
+    let front = prop::sample::select(vec!["a1", "a2"]);
+    let spans = (20..1_200u32, 0..600u32, any::<bool>());
+    (front, helped, helping, spans).prop_map(|(front, helped, helping, (before, gap, first))| {
+        let (one, two) = if first { (helping, &*helped) } else { (&*helped, helping) };
+        format!(
+            "submit c?f at=a1 tasks=3 ms=2000 deadline=5s again=0\n\
+             submit c?l at={front} tasks=3 ms=2000 deadline=5s times=2 every=10ms\n\
+             run {before}ms\n{one}run {gap}ms\n{two}run 1500ms\ncheck\n\
+             resume all\nheal\nworker b-w1 good\nworker b-w2 good\n\
+             start a1\nstart a2\nstart b1\nstart b2\nrun 3s\ncheck\n"
+        )
+    })
+}
+
 fn behaviour() -> impl Strategy<Value = String> {
     let behaviours =
         ["good", "dark", "errors", "hangs", "slow 6", "late 3s", "crash", "drains", "speed 2"];
