Use a worker's labels only while the registered incarnation replies

Cause: the owner learns of the new incarnation by the worker's next reply, but goes on with the labels of the last registration that it has read.

Ruled out: starts in flight during the restart; the starts come 300 ms and more after it.

Change: while another incarnation replies than the one that is registered, a worker counts as without labels. The simulated workers check the required label of every start.

--- a/endivestile_kernel/src/fleet/admission/shedding.rs
+++ b/endivestile_kernel/src/fleet/admission/shedding.rs
@@ -255,11 +255,10 @@
     fn free_for(&self, now: Time, job: &Job, step: &Step) -> u64 {
         let run_us = self.durations.task_us(job, step.estimate_ms);
         let suits = |id: &Name, driver: &Driver, free: &Need| {
-            let factor =
-                self.locality_factor(step, &driver.entry.labels) / self.durations.speed(id);
+            let factor = self.locality_factor(step, driver.labels()) / self.durations.speed(id);
             driver.entry.service == job.service
                 && has_capacity(free, &step.need)
-                && has_label(&driver.entry, step.required_label.as_ref())
+                && has_label(driver.labels(), step.required_label.as_ref())
                 && driver.usable(now)
                 && self.healthy(now, id)
                 && now.after_us((run_us * factor) as u64) <= job.deadline
--- a/endivestile_kernel/src/fleet/placement/dispatch.rs
+++ b/endivestile_kernel/src/fleet/placement/dispatch.rs
@@ -134,7 +134,7 @@
             free,
             capacity: driver.total_capacity(),
             speed: if probe { PROBE_SPEED } else { known_speed },
-            labels: driver.entry.labels.clone(),
+            labels: driver.labels().to_vec(),
             allowed: self.health.allows(now, id, false),
             allowed_late: self.health.allows(now, id, true),
             probe,
@@ -296,7 +296,7 @@
             }
             let free = driver.free_capacity();
             if !has_capacity(&free, &step.need)
-                || !has_label(&driver.entry, step.required_label.as_ref())
+                || !has_label(driver.labels(), step.required_label.as_ref())
             {
                 continue;
             }
@@ -311,7 +311,7 @@
             let known_speed = self.durations.speed(id);
             let probe = known_speed < SLOW_SPEED && self.health.due_for_probe(now, id, goal.late);
             let speed = if probe { PROBE_SPEED } else { known_speed };
-            let factor = self.locality_factor(step, &driver.entry.labels) / speed;
+            let factor = self.locality_factor(step, driver.labels()) / speed;
             if !goal.allows(now, run_us * factor) {
                 continue;
             }
--- a/endivestile_kernel/src/fleet/scheduler.rs
+++ b/endivestile_kernel/src/fleet/scheduler.rs
@@ -21,7 +21,6 @@
 use crate::fleet::workers::call::WorkerCall;
 use crate::fleet::workers::crash_evidence::CrashEvidence;
 use crate::fleet::workers::driver::Driver;
-use crate::fleet::workers::protocol::WorkerEntry;
 use crate::fleet::workers::run::TaskRef;
 use crate::{Level, Need, Note, Peer, Time};
 
@@ -208,7 +207,7 @@
         let fits = |step: &Step, driver: &Driver| {
             driver.entry.service == job.service
                 && has_capacity(&driver.entry.capacity, &step.need)
-                && has_label(&driver.entry, step.required_label.as_ref())
+                && has_label(&driver.entry.labels, step.required_label.as_ref())
         };
         let servable = |skip_evacuated: bool| {
             let mut steps = job.steps.iter();
@@ -416,9 +415,9 @@
         && free.accelerators >= need.accelerators
 }
 
-/// Returns whether a worker has a label; true if none is required.
-pub(crate) fn has_label(entry: &WorkerEntry, label: Option<&Name>) -> bool {
-    label.is_none_or(|label| entry.labels.contains(label))
+/// Returns whether a worker with these labels has a label; true if none is required.
+pub(crate) fn has_label(labels: &[Name], label: Option<&Name>) -> bool {
+    label.is_none_or(|label| labels.contains(label))
 }
 
 /// Returns the name under which repeated submissions of a job, or of a forwarded task, are
--- a/endivestile_kernel/src/fleet/workers/driver.rs
+++ b/endivestile_kernel/src/fleet/workers/driver.rs
@@ -242,6 +242,14 @@
         self.incarnation
     }
 
+    /// Returns the labels of the incarnation that replies; none if another one is registered, since
+    /// a worker may be restarted under its id as another kind.
+    pub(crate) fn labels(&self) -> &[Name] {
+        let (replying, registered) = (self.incarnation, self.entry.incarnation);
+        let known = replying == registered || replying == 0 || registered == 0;
+        if known { &self.entry.labels } else { &[] }
+    }
+
     /// Returns a lower bound of the worker's clock, in milliseconds.
     fn clock_at(&self, now: Time) -> Option<u64> {
         let (clock, at) = self.clock?;
--- a/endivestile_kernel/src/fleet/workers/owned.rs
+++ b/endivestile_kernel/src/fleet/workers/owned.rs
@@ -222,11 +222,11 @@
             driver.entry.service == state.job.service
                 && driver.accepts_runs(now)
                 && has_capacity(&driver.total_capacity(), &step.need)
-                && has_label(&driver.entry, step.required_label.as_ref())
+                && has_label(driver.labels(), step.required_label.as_ref())
                 && self.health.allows(now, id, false)
         });
         let factor = |id: &Name, driver: &Driver| {
-            self.locality_factor(step, &driver.entry.labels) / self.durations.speed(id)
+            self.locality_factor(step, driver.labels()) / self.durations.speed(id)
         };
         let ranked = fits.map(|(id, driver)| (driver.runs.len(), factor(id, driver), id));
         let best = ranked.min_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)));
--- a/endivestile_testkit/src/fleet/calls.rs
+++ b/endivestile_testkit/src/fleet/calls.rs
@@ -48,7 +48,8 @@
         let near = job.steps.first().and_then(|step| step.near_label.clone());
         // Callers submit the same job again with the same work.
         let crash_us = self.job_work.get(&job.id).and_then(|work| work.crash_us);
-        let work = Work { us: (work_ms * 1_000) as f64, need, near, crash_us };
+        let required = job.steps.first().and_then(|step| step.required_label.clone());
+        let work = Work { us: (work_ms * 1_000) as f64, need, required, near, crash_us };
         self.job_work.insert(job.id.clone(), work);
         let log = CallLog {
             name: name.to_owned(),
--- a/endivestile_testkit/src/fleet/story.rs
+++ b/endivestile_testkit/src/fleet/story.rs
@@ -187,6 +187,7 @@
                 }
             }
             "cpu" => worker.entry.capacity.cpu_milli = step.parse_word(3)?,
+            "label" => worker.entry.labels = vec![Name::from(step.word(3)?)],
             "drains" => worker.entry.leaving = true,
             "gone" => worker.entry.address = Name::from(""),
             word => return Err(format!("unknown worker behaviour `{word}`")),
--- a/endivestile_testkit/src/fleet/worker_calls.rs
+++ b/endivestile_testkit/src/fleet/worker_calls.rs
@@ -68,9 +68,12 @@
             WorkerCall::Start(request) => {
                 let id = request.task.split('.').next().unwrap_or_default();
                 let work = self.job_work.get(id).cloned();
-                let work =
-                    work.unwrap_or(Work { us: 1.0, need: zero_need(), near: None, crash_us: None });
-                let remote = work.near.is_some_and(|near| !state.entry.labels.contains(&near));
+                let none =
+                    Work { us: 1.0, need: zero_need(), required: None, near: None, crash_us: None };
+                let work = work.unwrap_or(none);
+                let has = |label: &Name| state.entry.labels.contains(label);
+                let unsuited = work.required.filter(|label| !has(label));
+                let remote = work.near.is_some_and(|near| !has(&near));
                 let factor = if remote { f64::from(self.remote_milli) / 1_000.0 } else { 1.0 };
                 let (work_us, need) = (work.us * factor, work.need);
                 let new = !state.runs.contains_key(&(request.task.clone(), request.run));
@@ -82,6 +85,11 @@
                     }
                     let limited = self.policy.has(Mechanism::CrashLimit);
                     self.observed.record_start(request, limited);
+                    if let Some(label) = unsuited {
+                        let (now, task) = (self.now / 1_000, &request.task);
+                        let breach = format!("{now} ms: {task} starts at {worker} without {label}");
+                        self.observed.breaches.push(breach);
+                    }
                 }
                 FleetEvent::StartEnded {
                     worker: request.worker.clone(),
--- a/endivestile_testkit/src/fleet/world.rs
+++ b/endivestile_testkit/src/fleet/world.rs
@@ -78,6 +78,8 @@
     pub(crate) us: f64,
     /// Resources.
     pub(crate) need: Need,
+    /// Label that a worker must have.
+    pub(crate) required: Option<Name>,
     /// Label of the workers that are near the task's data.
     pub(crate) near: Option<Name>,
     /// Time from the start of a task to the crash of its worker, in microseconds; `None` if it
