Count the tasks of a step that an owner forwards towards its limit per worker

Cause: each forwarded task is a job of its own at the owner that gets it, which counts its own tasks only.

Ruled out: the owner that forwards (its own workers had one task of the step each).

Change: an owner sends another one no more tasks of a step at a time than one worker may run, so that no worker there can have too many, whichever they get. A forwarded task has only the attempts left that it has not used. The simulated workers check the limit at every start; paired losses draw it.

Conclusion: the limit holds; a step with a small limit gets less help from another zone than it could.

--- a/endivestile_kernel/src/fleet/placement/dispatch.rs
+++ b/endivestile_kernel/src/fleet/placement/dispatch.rs
@@ -407,7 +407,7 @@
         let movable = |state: &&JobState| !state.job.forwarded && !state.keep_here;
         let Some(state) = self.jobs.get(&task.job).filter(movable) else { return false };
         let service = state.job.service.clone();
-        let Some(peer) = self.forward_target(&service) else { return false };
+        let Some(peer) = self.forward_target(state, task.task as usize) else { return false };
         if !self.front_notified(task.job) {
             return false;
         }
@@ -463,14 +463,31 @@
         }
     }
 
-    /// Returns the other host with the most free capacity for a service.
-    fn forward_target(&self, service: &Name) -> Option<Peer> {
+    /// Returns the other host with the most free capacity for a task.
+    ///
+    /// A host does not know which other tasks of the step it has, so it gets no more of them than
+    /// may run on one worker.
+    fn forward_target(&self, state: &JobState, task: usize) -> Option<Peer> {
+        let limit = usize::from(state.step(task).max_per_worker);
+        let accepts = |peer: &Peer| limit == 0 || self.forwarded_to(state, task, peer) < limit;
         let candidates = self.peer_capacity.iter().filter_map(|(peer, capacity)| {
-            let free = capacity.get(service).copied().unwrap_or(0);
-            (free > 0).then_some((free, peer))
+            let free = capacity.get(&state.job.service).copied().unwrap_or(0);
+            (free > 0 && accepts(peer)).then_some((free, peer))
         });
         candidates.max_by_key(|(free, _)| *free).map(|(_, peer)| peer.clone())
     }
+
+    /// Returns how many tasks of the same step as `task` are forwarded to a host.
+    fn forwarded_to(&self, state: &JobState, task: usize, peer: &Peer) -> usize {
+        let step = state.tasks[task].step;
+        let there = state.tasks.iter().filter(|slot| match slot.state {
+            TaskState::Forwarded(serial) => {
+                slot.step == step && self.forwards.get(&serial).is_some_and(|(at, _)| at == peer)
+            }
+            _ => false,
+        });
+        there.count()
+    }
 }
 
 fn run_view(now: Time, run: &Run) -> RunView {
@@ -481,15 +498,9 @@
 
 /// Returns a job of one task, to be run by another scheduler under the same name.
 fn forwarded_job(job: &Job, step: &Step, slot: &crate::fleet::job_state::TaskSlot) -> Job {
-    let only = Step {
-        count: 1,
-        first_task: slot.index,
-        after: Vec::new(),
-        // Counts only this task there, since the step's other tasks run elsewhere.
-        max_per_worker: step.max_per_worker,
-        ..step.clone()
-    };
+    let only = Step { count: 1, first_task: slot.index, after: Vec::new(), ..step.clone() };
     // The other scheduler may start it several times before it returns it.
     let base = slot.next_run + slot.failures;
-    Job { steps: vec![only], run_base: base, forwarded: true, ..job.clone() }
+    let max_attempts = job.max_attempts.saturating_sub(slot.failures).max(1);
+    Job { steps: vec![only], max_attempts, run_base: base, forwarded: true, ..job.clone() }
 }
--- a/endivestile_testkit/src/fleet/calls.rs
+++ b/endivestile_testkit/src/fleet/calls.rs
@@ -49,7 +49,9 @@
         // Callers submit the same job again with the same work.
         let crash_us = self.job_work.get(&job.id).and_then(|work| work.crash_us);
         let required = job.steps.first().and_then(|step| step.required_label.clone());
-        let work = Work { us: (work_ms * 1_000) as f64, need, required, near, crash_us };
+        let max_per_worker = job.steps.first().map_or(0, |step| step.max_per_worker);
+        let us = (work_ms * 1_000) as f64;
+        let work = Work { us, need, required, max_per_worker, near, crash_us };
         self.job_work.insert(job.id.clone(), work);
         let log = CallLog {
             name: name.to_owned(),
--- a/endivestile_testkit/src/fleet/check.rs
+++ b/endivestile_testkit/src/fleet/check.rs
@@ -122,14 +122,27 @@
         worker.limit_cpu = smallest.max(cpu_milli);
     }
 
-    /// Checks that a worker's runs fit its capacity and that none of its tasks runs elsewhere at
-    /// the same time.
+    /// Checks that a worker's runs fit its capacity, that no step has more of them than one worker
+    /// may run, and that none of its tasks runs elsewhere at the same time.
     pub(crate) fn check_worker(&mut self, name: &Name) {
         let Some(worker) = self.workers.get(name) else { return };
         let mut breaches = Vec::new();
         if worker.used_cpu() > worker.limit_cpu {
             breaches.push(format!("{} ms: {name} exceeds its capacity", self.now / 1_000));
         }
+        let mut steps: BTreeMap<&str, usize> = BTreeMap::new();
+        for (task, _) in worker.runs.keys() {
+            let step = task.rsplit_once('.').map_or(&**task, |(step, _)| step);
+            *steps.entry(step).or_default() += 1;
+        }
+        for (step, count) in steps {
+            let work = self.job_work.get(step.split('.').next().unwrap_or_default());
+            let limit = work.map_or(0, |work| usize::from(work.max_per_worker));
+            if limit > 0 && count > limit {
+                let now = self.now / 1_000;
+                breaches.push(format!("{now} ms: {name} runs {count} tasks of {step}"));
+            }
+        }
         for (task, run) in worker.runs.keys() {
             for (other, state) in &self.workers {
                 let duplicate = state
--- a/endivestile_testkit/src/fleet/worker_calls.rs
+++ b/endivestile_testkit/src/fleet/worker_calls.rs
@@ -68,8 +68,14 @@
             WorkerCall::Start(request) => {
                 let id = request.task.split('.').next().unwrap_or_default();
                 let work = self.job_work.get(id).cloned();
-                let none =
-                    Work { us: 1.0, need: zero_need(), required: None, near: None, crash_us: None };
+                let none = Work {
+                    us: 1.0,
+                    need: zero_need(),
+                    required: None,
+                    max_per_worker: 0,
+                    near: None,
+                    crash_us: None,
+                };
                 let work = work.unwrap_or(none);
                 let has = |label: &Name| state.entry.labels.contains(label);
                 let unsuited = work.required.filter(|label| !has(label));
--- a/endivestile_testkit/src/fleet/world.rs
+++ b/endivestile_testkit/src/fleet/world.rs
@@ -80,6 +80,8 @@
     pub(crate) need: Need,
     /// Label that a worker must have.
     pub(crate) required: Option<Name>,
+    /// Limit on concurrent tasks of a step on one worker; 0 for none.
+    pub(crate) max_per_worker: u16,
     /// Label of the workers that are near the task's data.
     pub(crate) near: Option<Name>,
     /// Time from the start of a task to the crash of its worker, in microseconds; `None` if it
--- a/endivestile_testkit/tests/fleet_random.rs
+++ b/endivestile_testkit/tests/fleet_random.rs
@@ -227,11 +227,13 @@
     ]);
     let front = prop::sample::select(vec!["a1", "a2"]);
     let spans = (20..1_200u32, 0..600u32, any::<bool>());
-    (front, helped, helping, spans).prop_map(|(front, helped, helping, (before, gap, first))| {
+    let spread = 0..3u32;
+    (front, spread, helped, helping, spans).prop_map(|(front, spread, helped, helping, spans)| {
+        let (before, gap, first) = spans;
         let (one, two) = if first { (helping, &*helped) } else { (&*helped, helping) };
         format!(
             "submit c?f at=a1 tasks=3 ms=2000 deadline=5s again=0\n\
-             submit c?l at={front} tasks=3 ms=2000 deadline=5s times=2 every=10ms\n\
+             submit c?l at={front} tasks=3 ms=2000 spread={spread} deadline=5s times=2 every=10ms\n\
              run {before}ms\n{one}run {gap}ms\n{two}run 1500ms\ncheck\n\
              resume all\nheal\nworker b-w1 good\nworker b-w2 good\n\
              start a1\nstart a2\nstart b1\nstart b2\nrun 3s\ncheck\n"
