Let tasks that wait for a notice to their front not hold up the queue

Cause: a task that could be forwarded but whose front had not acknowledged the notice counted as one that fits nowhere; after six of those the rest of the queue is skipped. Notices to a front that is lost are never acknowledged, and its jobs stand first in the queue until they are dropped, 520 ms later.

Change: such a task does not count as a miss; up to 24 may wait in a pass over the queue, and the free capacity that they need is kept for them.

Stories, mutations and 600 random sequences of two kinds pass.

--- a/endivestile_kernel/src/fleet/placement/dispatch.rs
+++ b/endivestile_kernel/src/fleet/placement/dispatch.rs
@@ -1,17 +1,14 @@
 //! Dispatch of waiting tasks to workers and to other schedulers.
 
-use std::sync::Arc;
-
 use endivestile_config::Mechanism;
 use endivestile_config::model::Name;
 
 use crate::fleet::admission::order::WaitingTask;
 use crate::fleet::admission::queue::{QueueKey, SizeClass};
-use crate::fleet::forward_notice::{ForwardNotice, ForwardStep};
-use crate::fleet::job::{Job, Step};
+use crate::fleet::job::Step;
 use crate::fleet::job_state::{JobState, TaskState};
 use crate::fleet::metrics::{Count, Span};
-use crate::fleet::msg::JobMsg;
+use crate::fleet::placement::forwarding::Forwarding;
 use crate::fleet::placement::goal::{Goal, TaskTiming};
 use crate::fleet::placement::matching::{RunView, TaskView, WorkerView};
 use crate::fleet::placement::round::Round;
@@ -19,11 +16,14 @@
 use crate::fleet::workers::driver::Driver;
 use crate::fleet::workers::owned::SLOW_SPEED;
 use crate::fleet::workers::run::{Run, RunId, TaskRef};
-use crate::{Level, Need, Peer, Time};
+use crate::{Level, Need, Time};
 
 /// Number of tasks that may fail to be placed before the rest of the queue is skipped. More
 /// than one, since a small task may fit where a large one does not.
 const MAX_MISSES: usize = 6;
+/// Number of tasks that may wait until their fronts know that they may be forwarded before the rest
+/// of the queue is skipped. More than misses, since a front that is lost never answers.
+const MAX_AWAITED: u32 = 24;
 /// Assumed speed of a slow worker for its probe after an ejection. It ranks behind every
 /// healthy worker and gets the probe when no other has free capacity.
 const PROBE_SPEED: f64 = 0.6;
@@ -47,7 +47,7 @@
         if self.policy.has(Mechanism::Backfill) {
             return self.backfill_service(now, service);
         }
-        let mut misses = 0;
+        let (mut misses, mut awaited) = (0, 0);
         let mut missed: Option<TaskRef> = None;
         let mut position: Option<QueueKey> = None;
         while let Some((key, task)) = self.queues.get(service).and_then(|q| q.next_after(position))
@@ -63,13 +63,18 @@
                 position = Some(key);
                 continue;
             }
-            if !self.start_here(now, task) && !self.forward(task) {
-                misses += 1;
-                missed = Some(task);
-                position = Some(key);
-                if misses >= MAX_MISSES {
-                    return;
-                }
+            if self.start_here(now, task) {
+                continue;
+            }
+            match self.forward(task, awaited) {
+                Forwarding::Sent => continue,
+                Forwarding::Awaited => awaited += 1,
+                Forwarding::NoPlace => misses += 1,
+            }
+            missed = Some(task);
+            position = Some(key);
+            if misses >= MAX_MISSES || awaited >= MAX_AWAITED {
+                return;
             }
         }
     }
@@ -79,6 +84,7 @@
     fn backfill_service(&mut self, now: Time, service: &Name) {
         let Some(mut round) = self.start_round(now, service) else { return };
         let mut missed: Option<TaskRef> = None;
+        let mut awaited = 0;
         while let Some((key, task)) = self.queues.get(service).and_then(|queue| round.next(queue)) {
             if self.drop_or_requeue(now, service, key, task) {
                 continue;
@@ -92,12 +98,21 @@
                 }
             } else if missed.is_some_and(|missed| self.same_step(missed, task)) {
                 round.skip(key, &class);
-            } else if !self.start_matched(now, task, &mut round) && !self.forward(task) {
-                missed = Some(task);
-                if round.at_head() {
-                    self.keep_reservation(now, key, task, &mut round);
+            } else if !self.start_matched(now, task, &mut round) {
+                match self.forward(task, awaited) {
+                    Forwarding::Sent => continue,
+                    Forwarding::Awaited => {
+                        awaited += 1;
+                        round.skip(key, &class);
+                    }
+                    Forwarding::NoPlace => {
+                        if round.at_head() {
+                            self.keep_reservation(now, key, task, &mut round);
+                        }
+                        round.miss(key, &class);
+                    }
                 }
-                round.miss(key, &class);
+                missed = Some(task);
             }
         }
     }
@@ -398,96 +413,6 @@
             self.enqueue(now, TaskRef { job: number, task });
         }
     }
-
-    /// Forwards a task to another scheduler with free capacity; returns whether it did.
-    fn forward(&mut self, task: TaskRef) -> bool {
-        if !self.policy.has(Mechanism::Forwarding) {
-            return false;
-        }
-        let movable = |state: &&JobState| !state.job.forwarded && !state.keep_here;
-        let Some(state) = self.jobs.get(&task.job).filter(movable) else { return false };
-        let service = state.job.service.clone();
-        let Some(peer) = self.forward_target(state, task.task as usize) else { return false };
-        if !self.front_notified(task.job) {
-            return false;
-        }
-        let Some(state) = self.jobs.get(&task.job) else { return false };
-        let index = task.task as usize;
-        let job =
-            Arc::new(forwarded_job(state.job.as_ref(), state.step(index), &state.tasks[index]));
-        let serial = self.next_forward_serial();
-        self.forwards.insert(serial, (peer.clone(), task));
-        if let Some(free) =
-            self.peer_capacity.get_mut(&peer).and_then(|capacity| capacity.get_mut(&service))
-        {
-            *free = free.saturating_sub(1);
-        }
-        let Some(state) = self.jobs.get_mut(&task.job) else { return false };
-        if let TaskState::Queued(key) = &state.tasks[index].state
-            && let Some(queue) = self.queues.get_mut(&service)
-        {
-            queue.remove(key);
-        }
-        state.tasks[index].state = TaskState::Forwarded(serial);
-        state.starts += 1;
-        self.out.push(Output::Count(Count::TasksForwarded));
-        // Ahead of the task, so that its new owner does not start it without the evidence.
-        if let Some(report) = self.crashes.report(&job.id) {
-            self.out.push(Output::Message(peer.clone(), JobMsg::Crashes(report)));
-        }
-        self.out.push(Output::Message(peer, JobMsg::Submit { serial, job, echo: Time::ZERO }));
-        true
-    }
-
-    /// Returns whether tasks of a job may be forwarded; notifies its front if it has to be.
-    fn front_notified(&mut self, number: u64) -> bool {
-        let Some(state) = self.jobs.get_mut(&number) else { return false };
-        match state.notice.step(state.sender == self.me) {
-            ForwardStep::Forward => return true,
-            ForwardStep::Wait => {}
-            ForwardStep::Notify => {
-                state.notice = ForwardNotice::Sent;
-                let msg = JobMsg::MayForward { serial: state.serial };
-                self.out.push(Output::Message(state.sender.clone(), msg));
-            }
-        }
-        false
-    }
-
-    /// Records that the front of a job knows that its tasks may be forwarded.
-    pub(crate) fn acknowledge_notice(&mut self, from: &Peer, serial: u64) {
-        let number = self.by_sender.get(&(from.clone(), serial));
-        if let Some(state) = number.and_then(|number| self.jobs.get_mut(number)) {
-            state.notice = ForwardNotice::Acknowledged;
-            self.dirty = true;
-        }
-    }
-
-    /// Returns the other host with the most free capacity for a task.
-    ///
-    /// A host does not know which other tasks of the step it has, so it gets no more of them than
-    /// may run on one worker.
-    fn forward_target(&self, state: &JobState, task: usize) -> Option<Peer> {
-        let limit = usize::from(state.step(task).max_per_worker);
-        let accepts = |peer: &Peer| limit == 0 || self.forwarded_to(state, task, peer) < limit;
-        let candidates = self.peer_capacity.iter().filter_map(|(peer, capacity)| {
-            let free = capacity.get(&state.job.service).copied().unwrap_or(0);
-            (free > 0 && accepts(peer)).then_some((free, peer))
-        });
-        candidates.max_by_key(|(free, _)| *free).map(|(_, peer)| peer.clone())
-    }
-
-    /// Returns how many tasks of the same step as `task` are forwarded to a host.
-    fn forwarded_to(&self, state: &JobState, task: usize, peer: &Peer) -> usize {
-        let step = state.tasks[task].step;
-        let there = state.tasks.iter().filter(|slot| match slot.state {
-            TaskState::Forwarded(serial) => {
-                slot.step == step && self.forwards.get(&serial).is_some_and(|(at, _)| at == peer)
-            }
-            _ => false,
-        });
-        there.count()
-    }
 }
 
 fn run_view(now: Time, run: &Run) -> RunView {
@@ -495,12 +420,3 @@
         if run.stopping { (0, now.after_ms(STOP_MS)) } else { (run.percent, run.expected_end) };
     RunView { need: run.need, sent: run.sent, percent, seen: run.seen, expected_end }
 }
-
-/// Returns a job of one task, to be run by another scheduler under the same name.
-fn forwarded_job(job: &Job, step: &Step, slot: &crate::fleet::job_state::TaskSlot) -> Job {
-    let only = Step { count: 1, first_task: slot.index, after: Vec::new(), ..step.clone() };
-    // The other scheduler may start it several times before it returns it.
-    let base = slot.next_run + slot.failures;
-    let max_attempts = job.max_attempts.saturating_sub(slot.failures).max(1);
-    Job { steps: vec![only], max_attempts, run_base: base, forwarded: true, ..job.clone() }
-}
--- a/endivestile_kernel/src/fleet/placement/mod.rs
+++ b/endivestile_kernel/src/fleet/placement/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod dispatch;
 pub(crate) mod duration_model;
 pub(crate) mod durations;
+pub(crate) mod forwarding;
 pub(crate) mod goal;
 pub(crate) mod health;
 pub(crate) mod matching;
