Take an older contact for the fronts of forwarded tasks when a front is added

Callers could see: a forwarded task outlasts the bound by up to a host lease, where its front has been silent for a while when it is forwarded.

Cause: a helping owner kept the latest contact with the fronts behind an owner. While nothing is forwarded that contact is the owner's own; a task of a front that was heard from 0.4 s before came under it. Found by reading the change; the model check had let the owner report the front's contact from the start.

Ruled out: frames that overtake each other, which are told by their clock.

Change: each frame that is not older than the last replaces the contact. The model check reports the owner's own contact until a task is forwarded, and freezes the contact of a run that is being stopped.

--- a/endivestile_kernel/src/fleet/hosts/membership.rs
+++ b/endivestile_kernel/src/fleet/hosts/membership.rs
@@ -89,8 +89,8 @@
     pub(crate) unechoed_since: Option<Time>,
     /// Its clock at its latest frame, which we echo.
     pub(crate) peer_clock: Time,
-    /// Our clock at a contact with it at which it was in contact with all fronts of the tasks that
-    /// it forwards here; the latest that is known.
+    /// Our clock at the latest contact with it at which it was in contact with all fronts of the
+    /// tasks that it forwards here now; earlier than before if those of another front are added.
     pub(crate) front_contact: Time,
     /// Latest version of the frame encoding that it can decode; 0 if it does not say.
     pub(crate) known_version: u32,
@@ -365,7 +365,6 @@
         }
         self.last_frame = Some(now);
         self.known_version = header.extension.known_version;
-        self.front_contact = self.front_contact.max(header.front_contact());
         if header.echo > self.last_echo {
             self.last_echo = header.echo;
             self.unechoed_since = None;
@@ -376,6 +375,7 @@
             return;
         }
         self.peer_clock = header.sent;
+        self.front_contact = header.front_contact();
         self.leaving = header.leaving;
         if let Some(report) = header.report {
             self.sent_tasks = 0;
--- a/endivestile_kernel/tests/lease_model.rs
+++ b/endivestile_kernel/tests/lease_model.rs
@@ -75,8 +75,10 @@
     helper_clock: Time,
     /// The helper's frame that the owner echoed last, as the helper knows it.
     helper_echo: Time,
-    /// The front's contact as the helper knows it.
+    /// The contact of the fronts of forwarded tasks as the helper knows it.
     contact: Time,
+    /// That contact when the run was not being stopped yet.
+    held: Time,
     /// Whether the owner has dropped the job.
     dropped: bool,
     /// Whether the helper knows that.
@@ -109,6 +111,7 @@
             helper_clock: now,
             helper_echo: before,
             contact: Time::ZERO,
+            held: Time::ZERO,
             dropped: false,
             cancelled: false,
             stopping: None,
@@ -204,10 +207,9 @@
             let echo = before.helper_clock;
             self.helper_echo = self.helper_echo.max(echo);
             self.cancelled = before.dropped;
-            if !before.dropped {
-                let contact = before.owner_echo.rebase(now, echo);
-                self.contact = self.contact.max(contact);
-            }
+            let forwards = before.task != Task::Waiting && !before.dropped;
+            let contact = if forwards { before.owner_echo } else { now };
+            self.contact = contact.rebase(now, echo);
             if let Task::Sent(echo) = self.task {
                 self.receive_task(echo, leases);
             }
@@ -221,6 +223,7 @@
             Task::Gone
         } else {
             // The worker may have a full lease for another run.
+            self.held = self.contact;
             self.lease_end = self.now.after_ms(leases.worker_end_ms());
             Task::Running
         };
@@ -255,8 +258,11 @@
                 return;
             }
         }
+        if self.stopping.is_none() {
+            self.held = self.contact;
+        }
         let withheld = self.stopping.is_some_and(|at| at.after_ms(STOP_TIMEOUT_MS) <= self.now);
-        let lease_ms = leases.grant_ms(self.now, leases.hold_end(self.contact));
+        let lease_ms = leases.grant_ms(self.now, leases.hold_end(self.held));
         if !withheld {
             // The worker's clock is slow by as much as is allowed for.
             let end = self.now.after_ms(lease_ms + lease_ms * 4 / 100);
