--- a/endivestile/tests/soak.rs
+++ b/endivestile/tests/soak.rs
@@ -29,7 +29,7 @@
 #[test_case(6, 8, Extra::None; "paused_host")]
 #[test_case(7, 6, Extra::Evacuations; "evacuations")]
 #[test_case(8, 8, Extra::ResetSeries; "reset_series")]
-#[test_case(103, 14, Extra::PairedLosses; "paired_losses")]
+#[test_case(110, 14, Extra::PairedLosses; "paired_losses")]
 fn soak_short(seed: u64, seconds: u64, extra: Extra) {
     let daemon = DaemonCommand::new(env!("CARGO_BIN_EXE_endivestile"));
     let faults_ms = seconds * 1_000;
