Test crowds of clients that keep to every limit and exceed the machine

Cause: limits bound one request; nothing bounds what all clients of a process hold together.

Ruled out: settings of a small machine that the untouched code does not know. The tests lower the limits of the process (120 MB of data, 456 descriptors, of which 200 are reserved), which are the smallest machine of the users' sites and a part of its descriptors. The bounds are these limits.

Change: `crowds.rs` sends crowds to each listener of both interfaces and checks that the process lives, its peak memory and descriptors, and one ordinary answer beside the crowd and after it. One test at a time.

--- a/endivestile_testkit/src/lib.rs
+++ b/endivestile_testkit/src/lib.rs
@@ -5,6 +5,7 @@
 //! Used by tests, examples and experiments only, not by the product's binaries.
 
 mod caller;
+mod crowd;
 mod deploy;
 mod event_queue;
 mod fleet;
@@ -19,6 +20,7 @@
 mod world;
 
 pub use caller::{Caller, Reply};
+pub use crowd::{Crowd, Head, Payload, open_files, peak_mb};
 pub use deploy::{DaemonCommand, Deployment, HostProcess, Plan, wait_for};
 pub use fleet::{FleetWorld, JobKind, LoadResult, run_fleet_story};
 pub use machine::{BackendStandIn, MachineFault, MachineSpec, TaskStart, WorkerStandIn, echo};
