Decide which connections a full process closes or refuses

Cause: no part of the program decides what all clients together may hold.

Ruled out: refusing newcomers (a crowd that stays shuts out everyone), a share a client address (the platform's balancer hides addresses), closing the largest body (a crowd of smaller ones makes an ordinary large one the victim).

Change: `intake`, values in and out: connections and bytes of a listener from the memory and descriptors of the process; 4 KiB for each connection beside a pool; the connection that has waited longest for its client is closed, one that is owed an answer never is.

Conclusion: nothing uses it yet; behaviour is unchanged.

--- a/endivestile_kernel/src/lib.rs
+++ b/endivestile_kernel/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 mod forwards;
 mod id;
+pub mod intake;
 mod kernel;
 mod membership;
 mod mint;
