--- a/endivestile_config/src/settings/host.rs
+++ b/endivestile_config/src/settings/host.rs
@@ -11,7 +11,12 @@
 /// Description of a valid seed.
 const SEED_ACCEPTED: &str = "name@IP:port of another entry host, for example e2@10.0.1.8:8081";
 
-/// Identity and addresses of the host.
+/// Largest memory in the settings, in MiB: one tebibyte.
+const MAX_MEMORY_MB: u64 = 1 << 20;
+/// Most descriptors in the settings.
+const MAX_FILES: u64 = 1 << 20;
+
+/// Identity, addresses and machine of the host.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HostSettings {
     /// Name of the host in the inventory.
@@ -27,6 +32,10 @@
     /// Hosts to get the configuration from while the store is unavailable: name and address for
     /// links.
     pub seeds: Vec<(Name, SocketAddr)>,
+    /// Memory that the process may use, in MiB; 0 for that of the machine.
+    pub memory_mb: u64,
+    /// File descriptors that the process may open; 0 for the system's limit.
+    pub files: u64,
 }
 
 impl HostSettings {
@@ -45,6 +54,8 @@
             peer_address: unspecified(8081),
             advertise_address: None,
             seeds: Vec::new(),
+            memory_mb: 0,
+            files: 0,
         }
     }
 }
@@ -54,7 +65,8 @@
 }
 
 impl SectionFields for HostSettings {
-    const KEYS: &'static [&'static str] = &["name", "zone", "http", "peers", "advertise", "seeds"];
+    const KEYS: &'static [&'static str] =
+        &["name", "zone", "http", "peers", "advertise", "seeds", "memory-mb", "files"];
     const REQUIRED: &'static [&'static str] = &[];
 
     fn set(&mut self, raw: &RawValue) -> Result<(), ConfigError> {
@@ -65,6 +77,8 @@
             "peers" => self.peer_address = raw.socket()?,
             "advertise" => self.advertise_address = optional_socket(raw)?,
             "seeds" => self.seeds = parse_seeds(raw)?,
+            "memory-mb" => self.memory_mb = number_or_zero(raw, MAX_MEMORY_MB)?,
+            "files" => self.files = number_or_zero(raw, MAX_FILES)?,
             _ => return Err(unknown_key::<Self>(raw)),
         }
         Ok(())
@@ -77,11 +91,18 @@
             "http" => self.http_address.to_string(),
             "peers" => self.peer_address.to_string(),
             "advertise" => format_optional(self.advertise_address),
-            _ => format_seeds(&self.seeds),
+            "seeds" => format_seeds(&self.seeds),
+            "memory-mb" => self.memory_mb.to_string(),
+            _ => self.files.to_string(),
         }
     }
 }
 
+/// Parses a number; the platform's templates leave unset values empty.
+fn number_or_zero(raw: &RawValue, most: u64) -> Result<u64, ConfigError> {
+    if raw.text.is_empty() { Ok(0) } else { raw.number(0..=most) }
+}
+
 fn parse_seeds(raw: &RawValue) -> Result<Vec<(Name, SocketAddr)>, ConfigError> {
     let items = raw.list()?;
     items.iter().map(|item| parse_seed(item).ok_or_else(|| item.invalid(SEED_ACCEPTED))).collect()
