End the lists of a job at their limit while they are decoded

Cause: callers saw broken connections, since the process ended: a body of empty steps or tasks grew to many times its length when it was decoded, and its length was checked afterwards.

Ruled out: a smaller body limit, since the configuration sets it.

Change: a list keeps one element more than its limit, which the check then refuses with the same answer as before, and skips the rest.

Conclusion: decoding takes memory in proportion to the limits.

--- a/endivestile_wire/src/call.rs
+++ b/endivestile_wire/src/call.rs
@@ -1,7 +1,10 @@
 //! Headers and bodies of the calls between callers, entry hosts, backend servers and workers.
 
+use endivestile_kernel::MAX_TASKS;
 use serde::{Deserialize, Serialize};
 
+use crate::bounded;
+
 /// Header with the submission id.
 pub const ID_HEADER: &str = "Idempotency-Key";
 /// Header with the time left until the deadline, in milliseconds.
@@ -22,6 +25,7 @@
 #[serde(deny_unknown_fields)]
 pub struct JobBody {
     /// The tasks, 1 to 200.
+    #[serde(deserialize_with = "bounded::list::<_, _, MAX_TASKS>")]
     pub tasks: Vec<TaskBody>,
 }
 
--- a/endivestile_wire/src/lib.rs
+++ b/endivestile_wire/src/lib.rs
@@ -2,6 +2,7 @@
 //! callers, and the interface of platform adapters.
 
 pub mod adapter;
+pub mod bounded;
 pub mod call;
 pub mod key;
 
