Bound what clients of the users' platform hold together

Cause: callers saw broken connections and no answers, since the process ended or had no descriptors left. A body was kept as a list of parts that share the HTTP library's read buffers, without a bound over all connections; the metrics page had neither a limit of a head nor a timeout; no listener had a limit of connections.

Evidence, on at 120 MB and 256 descriptors: 80 bodies of 2 MiB, whole, short, in one chunk or in chunks of one byte, and 400 heads on the metrics page ended the process; 600 connections to callers' port, readiness or metrics page took 455 of 456 descriptors.

Ruled out: a limit a connection, which only moves the size of the crowd; counting bodies by their length alone (chunks of one byte then keep the process busy for over 30 s after the crowd has gone, debug build).

Change: one HTTP server for all listeners, `http_server`, with a gate for each. Bodies are copied into one buffer whose capacity counts, and each part counts 128 bytes more; the body counts until its request is answered. The gate closes the connection that has waited longest for its client. A request begins once earlier answers are written. Refused requests are read on for a second and 256 KiB. Receive buffers of 16 KiB and send buffers of 64 KiB a connection.

--- a/endivestile/src/counters.rs
+++ b/endivestile/src/counters.rs
@@ -16,7 +16,7 @@
 const COUNTERS: usize = NAMES.len();
 
 /// Names of all counters in the metrics, in the order of [`kernel_index`] and [`IoMetric`].
-const NAMES: [&str; 26] = [
+const NAMES: [&str; 31] = [
     "accepted",
     "refused_not_run",
     "refused_unknown",
@@ -43,10 +43,15 @@
     "lease_calls",
     "store_errors",
     "lines_dropped",
+    "connections_closed",
+    "connections_refused",
+    "bodies_refused",
+    "requests_late",
+    "accepts_failed",
 ];
 
 /// Counters of the I/O modules. The discriminants index [`NAMES`].
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum IoMetric {
     /// Calls refused as invalid.
     Invalid = 16,
@@ -68,6 +73,16 @@
     StoreErrors,
     /// Log lines dropped because the output was too slow.
     LinesDropped,
+    /// Connections closed in favour of others.
+    ConnectionsClosed,
+    /// New connections refused because all others were owed an answer.
+    ConnectionsRefused,
+    /// Requests refused because the process held as many bytes as it may.
+    BodiesRefused,
+    /// Requests that were not received in time, and answers that were not read in time.
+    RequestsLate,
+    /// Connections that could not be accepted.
+    AcceptsFailed,
 }
 
 impl Counters {
--- a/endivestile/src/fleet/metrics.rs
+++ b/endivestile/src/fleet/metrics.rs
@@ -11,6 +11,7 @@
 
 use super::store_calls::StoreCalls;
 use crate::counters::Counters;
+use crate::http_server::Gate;
 use crate::status::{cpu_ms, rss_kb};
 
 /// Longest recorded span, in microseconds: one hour. Longer spans count as this.
@@ -26,6 +27,7 @@
     inner: Arc<Mutex<Inner>>,
     io: Counters,
     store_calls: StoreCalls,
+    gates: Arc<[Gate]>,
 }
 
 #[derive(Debug)]
@@ -40,8 +42,9 @@
 }
 
 impl Metrics {
-    /// Starts at zero. `io` holds the counters of links and log lines.
-    pub(crate) fn new(io: Counters, store_calls: StoreCalls) -> Self {
+    /// Starts at zero. `io` holds the counters of links and log lines, `gates` the connections of
+    /// all listeners.
+    pub(crate) fn new(io: Counters, store_calls: StoreCalls, gates: Vec<Gate>) -> Self {
         // The library accepts these constant bounds.
         let histogram =
             |_| Histogram::new_with_bounds(1, MAX_SPAN_US, SIGNIFICANT_DIGITS).expect("bounds");
@@ -53,7 +56,7 @@
             batches: 0,
             engine_us: 0,
         };
-        Self { inner: Arc::new(Mutex::new(inner)), io, store_calls }
+        Self { inner: Arc::new(Mutex::new(inner)), io, store_calls, gates: gates.into() }
     }
 
     /// Counts an event.
@@ -93,6 +96,7 @@
             let _ = writeln!(text, "endivestile_edge_{name} {count}");
         }
         self.store_calls.write_page(&mut text);
+        self.gates.iter().for_each(|gate| gate.write_page(&mut text));
         for span in Span::ALL {
             let histogram = &inner.spans[span as usize];
             let name = span.name();
--- a/endivestile/src/fleet/mod.rs
+++ b/endivestile/src/fleet/mod.rs
@@ -3,10 +3,9 @@
 //! Everything runs on one thread: a host has a quarter of a core, and passing an
 //! event between threads would cost more than handling it.
 
+mod callers;
 mod engine;
-mod head_timeout;
 mod http_client;
-mod http_server;
 mod inbox;
 mod metrics;
 mod open_calls;
--- a/endivestile/src/fleet/run.rs
+++ b/endivestile/src/fleet/run.rs
@@ -20,9 +20,9 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 
+use super::callers::{CallHandler, PageHandler};
 use super::engine::{Engine, EngineParts};
 use super::http_client::HttpClient;
-use super::http_server::{self, ServerContext};
 use super::inbox::{Inbox, InboxReceiver, Input};
 use super::metrics::Metrics;
 use super::operator_keys::OperatorKeys;
@@ -36,6 +36,8 @@
 use crate::clock::{Clock, new_birth};
 use crate::counters::Counters;
 use crate::error::{Exit, RunError};
+use crate::http_server::{self, Gate, Server};
+use crate::machine;
 use crate::peers::{self, Links};
 use crate::run::{SettingsReloader, advertised_address, local_address};
 
@@ -90,25 +92,33 @@
     let _context = runtime.enter();
     let clock = Clock::new();
     let calls = StoreCalls::default();
-    let metrics = Metrics::new(counters.clone(), calls.clone());
-    if let Some(page) = settings.metrics.page_address {
-        let (listener, bound) = http_server::bind(page)?;
+    let machine = machine::detect(&settings.host);
+    let gate = |listener, limits| Gate::new(listener, limits, clock, counters.clone());
+    let callers = gate("callers", machine.caller_limits());
+    let ready = gate("ready", machine.probe_limits());
+    let page = gate("page", machine.probe_limits());
+    let gates = [&callers, &ready, &page].map(Gate::clone);
+    let metrics = Metrics::new(counters.clone(), calls.clone(), gates.to_vec());
+    let (closing, closed) = watch::channel(false);
+    if let Some(address) = settings.metrics.page_address {
+        let (listener, bound) = http_server::bind(address)?;
         log::info!("event=page_served address={bound}");
-        runtime.spawn(http_server::serve_metrics(listener, metrics.clone()));
+        let handler = PageHandler { metrics: metrics.clone() };
+        let server = Server { handler, gate: page, closing: closed.clone(), half_close: false };
+        runtime.spawn(server.accept(listener));
     }
     let limits = Arc::new(RwLock::new(Limits::default()));
-    let (closing, closed) = watch::channel(false);
-    let context = ServerContext {
+    let handler = CallHandler {
         inbox: inbox.clone(),
         limits: Arc::clone(&limits),
         next_call: Arc::new(AtomicU64::new(0)),
-        closing: closed,
     };
+    let server = Server { handler, gate: callers, closing: closed, half_close: false };
     let (listener, http) = http_server::bind(settings.host.http_address)?;
-    runtime.spawn(http_server::accept(listener, context.clone()));
-    if let Some(ready) = settings.platform.ready_address {
-        let (listener, _) = http_server::bind(ready)?;
-        runtime.spawn(http_server::accept(listener, context));
+    runtime.spawn(server.clone().accept(listener));
+    if let Some(address) = settings.platform.ready_address {
+        let (listener, _) = http_server::bind(address)?;
+        runtime.spawn(Server { gate: ready, ..server }.accept(listener));
     }
     let listener = peers::bind(settings.host.peer_address)?;
     let (address, local) = (advertised_address(settings, &listener)?, local_address(&listener)?);
