Serve the product's own interface with the bounded HTTP server

Cause: callers got no answer in 20 s and more, or the process ended. `tiny_http` reads a head of any length, starts a thread a connection and has no timeout; 64 threads read bodies and 64 write answers, and each waits for one caller.

Evidence, on at 120 MB: 160 bodies that stop one byte short of 5,000 and 80 in chunks of one byte left an ordinary request without an answer in 30 s; whole bodies, one chunk, empty tasks, endless headers and unread answers ended the process; 600 connections took every thread that it could start.

Change: `http_server` serves this interface too; submissions are decoded on `[calls] threads`, so that links and heartbeats are not delayed. A caller that closes its side still gets its answer. The end of a stop waits for unread answers for 5 s at most.

Conclusion: both interfaces have one set of limits and one decision.

--- a/endivestile/src/effects.rs
+++ b/endivestile/src/effects.rs
@@ -5,7 +5,7 @@
 use crate::backend::{Backends, TaskCall};
 use crate::config_checker::ConfigChecker;
 use crate::counters::Counters;
-use crate::http::ReplyPool;
+use crate::http_server::Gate;
 use crate::logs;
 use crate::peers::Links;
 use crate::store::Store;
@@ -21,8 +21,8 @@
     pub(crate) store: Store,
     /// Checks configurations received from peers.
     pub(crate) checker: ConfigChecker,
-    /// Writes replies to callers.
-    pub(crate) replies: ReplyPool,
+    /// Callers' connections.
+    pub(crate) callers: Gate,
     /// Counters of the process.
     pub(crate) counters: Counters,
 }
--- a/endivestile/src/engine.rs
+++ b/endivestile/src/engine.rs
@@ -7,13 +7,13 @@
 
 use endivestile_kernel::{Answer, CallId, Effect, Event, Kernel, Setup, Time};
 use stakker::{CX, FixedTimerKey, StopCause, after, at};
-use tiny_http::Request;
+use tokio::sync::oneshot;
 
 use crate::clock::Clock;
 use crate::config_checker::CurrentConfig;
 use crate::effects::EffectHandlers;
 use crate::error::Exit;
-use crate::http::{Call, Operation, PendingReply, Reply, ReplyFormat};
+use crate::http::{Call, Operation, Reply, ReplyFormat};
 use crate::inbox::Input;
 use crate::status;
 
@@ -31,8 +31,8 @@
 /// A call that waits for its answer.
 #[derive(Debug)]
 struct OpenCall {
-    /// The request, through which the reply is sent.
-    request: Request,
+    /// Sends the reply.
+    reply: oneshot::Sender<Reply>,
     /// Number of fresh ids to return with the reply.
     ids: usize,
     /// Format of the answer.
@@ -144,36 +144,41 @@
 
     /// Handles a call.
     fn handle_call(&mut self, cx: CX![], call: Call) {
-        let Call { request, ids, operation } = call;
+        let Call { reply, ids, operation } = call;
         match operation {
             Operation::Submit(submission, reply_format) => {
-                let call = self.open_call(cx, OpenCall { request, ids, reply_format });
+                let call = self.open_call(cx, OpenCall { reply, ids, reply_format });
                 self.handle_event(cx, Event::Submitted { call, submission });
             }
             Operation::Ask(id, ask) => {
                 let cancel = ask == endivestile_kernel::Ask::Cancel;
                 let reply_format = if cancel { ReplyFormat::Cancel } else { ReplyFormat::Json };
-                let call = self.open_call(cx, OpenCall { request, ids, reply_format });
+                let call = self.open_call(cx, OpenCall { reply, ids, reply_format });
                 self.handle_event(cx, Event::Ask { call, id, ask });
             }
             Operation::MintIds(count) => {
                 let minted = self.kernel.mint(self.clock.to_time(cx.now()), count);
                 let texts: Vec<&str> = minted.iter().map(|id| id.text().as_ref()).collect();
                 let body = serde_json::json!({ "ids": texts }).to_string();
-                self.send_reply(request, ids, Reply::json(200, body));
+                self.send_reply(reply, ids, Reply::json(200, body));
             }
             Operation::Ready => {
                 let ready = self.kernel.ready() && !self.stopping;
-                let reply = if ready { (200, "ready\n") } else { (503, "not ready\n") };
-                self.send_reply(request, ids, Reply::plain_text(reply.0, reply.1));
+                let text = if ready { (200, "ready\n") } else { (503, "not ready\n") };
+                self.send_reply(reply, ids, Reply::plain_text(text.0, text.1));
             }
             Operation::Status => {
                 let counters = &self.handlers.counters;
-                let page =
-                    status::status_json(&self.kernel, self.clock, counters, self.calls.len());
-                self.send_reply(request, ids, Reply::json(200, page));
+                let page = status::status_json(
+                    &self.kernel,
+                    self.clock,
+                    counters,
+                    &self.handlers.callers,
+                    self.calls.len(),
+                );
+                self.send_reply(reply, ids, Reply::json(200, page));
             }
-            Operation::ReplyWithIds(reply) => self.send_reply(request, ids, reply),
+            Operation::ReplyWithIds(text) => self.send_reply(reply, ids, text),
         }
     }
 
@@ -187,10 +192,11 @@
     }
 
     /// Sends a reply, with fresh ids if the caller asked for them.
-    fn send_reply(&mut self, request: Request, ids: usize, reply: Reply) {
+    fn send_reply(&mut self, reply: oneshot::Sender<Reply>, ids: usize, text: Reply) {
         let now = self.clock.now();
-        let reply = if ids == 0 { reply } else { reply.with_ids(&self.kernel.mint(now, ids)) };
-        self.handlers.replies.push(PendingReply { request, reply });
+        let text = if ids == 0 { text } else { text.with_ids(&self.kernel.mint(now, ids)) };
+        // Fails if the caller has disconnected. It can still fetch the answer later.
+        let _ = reply.send(text);
     }
 
     /// Carries out all effects.
@@ -210,7 +216,7 @@
     fn answer_call(&mut self, cx: CX![], call: CallId, answer: &Answer) {
         let Some(open) = self.calls.remove(&call) else { return };
         let reply = Reply::from_answer(answer, open.reply_format, self.clock.to_time(cx.now()));
-        self.send_reply(open.request, open.ids, reply);
+        self.send_reply(open.reply, open.ids, reply);
     }
 
     /// Sets the timer for the kernel's next deadline.
@@ -285,7 +291,9 @@
         let now = self.clock.to_time(cx.now());
         let limit = self.quiet_limit.unwrap_or(now);
         let quiet_at = self.last_call_at.after_ms(QUIET_MS).min(limit);
-        if quiet_at <= now && self.calls.is_empty() && self.handlers.replies.pending() == 0 {
+        // A caller that does not read its answer must not hold up the end for longer.
+        let written = self.handlers.callers.unanswered() == 0 || limit <= now;
+        if quiet_at <= now && self.calls.is_empty() && written {
             log::info!("event=drained");
             self.end(cx, Exit::Drained);
         } else {
--- a/endivestile/src/http/call.rs
+++ b/endivestile/src/http/call.rs
@@ -1,15 +1,15 @@
 //! Calls from callers, as the engine receives them.
 
 use endivestile_kernel::{Ask, Submission, SubmissionId};
-use tiny_http::Request;
+use tokio::sync::oneshot;
 
 use super::Reply;
 
 /// An open call, which is answered exactly once.
 #[derive(Debug)]
 pub(crate) struct Call {
-    /// The HTTP request, through which the reply is sent.
-    pub(crate) request: Request,
+    /// Sends the reply.
+    pub(crate) reply: oneshot::Sender<Reply>,
     /// Number of minted ids to return with the reply.
     pub(crate) ids: usize,
     /// Requested operation.
--- a/endivestile/src/http/headers.rs
+++ b/endivestile/src/http/headers.rs
@@ -3,7 +3,7 @@
 use endivestile_config::CallSettings;
 use endivestile_kernel::{IdForm, MAX_CLOCK_SKEW_S, SubmissionId};
 use endivestile_wire::call::{DEADLINE_HEADER, ID_HEADER, TEAM_HEADER};
-use tiny_http::Request;
+use http::request::Parts;
 
 use super::invalid_request::InvalidRequest;
 use crate::clock::since_epoch;
@@ -30,17 +30,14 @@
 
 impl SubmissionHeaders {
     /// Parses the headers.
-    pub(crate) fn parse(
-        request: &Request,
-        settings: &CallSettings,
-    ) -> Result<Self, InvalidRequest> {
-        let team = header(request, TEAM_HEADER)?;
+    pub(crate) fn parse(head: &Parts, settings: &CallSettings) -> Result<Self, InvalidRequest> {
+        let team = header(head, TEAM_HEADER)?;
         let team = team.ok_or_else(|| InvalidRequest::field(TEAM_HEADER, "missing"))?;
         let parsed = Self {
-            id: id(request)?,
+            id: id(head)?,
             team: team.to_owned(),
-            remaining_ms: remaining(request, settings)?,
-            idempotent: idempotent(request)?,
+            remaining_ms: remaining(head, settings)?,
+            idempotent: idempotent(head)?,
         };
         if parsed.id.is_none() && !parsed.idempotent {
             // Without an id a resubmission looks like a new submission, and a
@@ -55,8 +52,8 @@
 }
 
 /// Returns how many minted ids the caller requests with its reply.
-pub(crate) fn requested_ids(request: &Request) -> Result<usize, InvalidRequest> {
-    let Some(text) = header(request, WANT_IDS_HEADER)? else { return Ok(0) };
+pub(crate) fn requested_ids(head: &Parts) -> Result<usize, InvalidRequest> {
+    let Some(text) = header(head, WANT_IDS_HEADER)? else { return Ok(0) };
     let count = text.parse().ok().filter(|count| *count <= MAX_REQUESTED_IDS);
     count.ok_or_else(|| {
         InvalidRequest::field(WANT_IDS_HEADER, format!("accepted: 0 to {MAX_REQUESTED_IDS}"))
@@ -64,18 +61,18 @@
 }
 
 /// Returns a header's value. A repeated header is rejected as ambiguous.
-fn header<'a>(request: &'a Request, name: &'static str) -> Result<Option<&'a str>, InvalidRequest> {
-    let mut found =
-        request.headers().iter().filter(|h| h.field.as_str().as_str().eq_ignore_ascii_case(name));
-    let value = found.next().map(|h| h.value.as_str().trim());
+fn header<'a>(head: &'a Parts, name: &'static str) -> Result<Option<&'a str>, InvalidRequest> {
+    let mut found = head.headers.get_all(name).iter();
+    let value = found.next();
     if found.next().is_some() {
         return Err(InvalidRequest::field(name, "given twice"));
     }
-    Ok(value)
+    let text = value.map(|value| value.to_str().map(str::trim)).transpose();
+    text.map_err(|_| InvalidRequest::field(name, "accepted: visible ASCII characters"))
 }
 
-fn id(request: &Request) -> Result<Option<SubmissionId>, InvalidRequest> {
-    let Some(text) = header(request, ID_HEADER)? else { return Ok(None) };
+fn id(head: &Parts) -> Result<Option<SubmissionId>, InvalidRequest> {
+    let Some(text) = header(head, ID_HEADER)? else { return Ok(None) };
     let id =
         SubmissionId::parse(text).map_err(|e| InvalidRequest::field(ID_HEADER, e.to_string()))?;
     if let IdForm::Dated(secs) = id.form() {
@@ -89,8 +86,8 @@
     Ok(Some(id))
 }
 
-fn remaining(request: &Request, settings: &CallSettings) -> Result<u64, InvalidRequest> {
-    let Some(text) = header(request, DEADLINE_HEADER)? else {
+fn remaining(head: &Parts, settings: &CallSettings) -> Result<u64, InvalidRequest> {
+    let Some(text) = header(head, DEADLINE_HEADER)? else {
         return Ok(settings.default_deadline_ms);
     };
     let max_ms = settings.max_deadline_ms;
@@ -100,8 +97,8 @@
     })
 }
 
-fn idempotent(request: &Request) -> Result<bool, InvalidRequest> {
-    match header(request, IDEMPOTENT_HEADER)? {
+fn idempotent(head: &Parts) -> Result<bool, InvalidRequest> {
+    match header(head, IDEMPOTENT_HEADER)? {
         None | Some("false") => Ok(false),
         Some("true") => Ok(true),
         Some(_) => Err(InvalidRequest::field(IDEMPOTENT_HEADER, "accepted: true, false")),
--- a/endivestile/src/http/invalid_request.rs
+++ b/endivestile/src/http/invalid_request.rs
@@ -23,6 +23,11 @@
         Self { status: 413, ..Self::field("body", reason) }
     }
 
+    /// Rejects a body that did not arrive in time.
+    pub(crate) fn body_late() -> Self {
+        Self { status: 408, ..Self::field("body", "not received in time") }
+    }
+
     /// Rejects an unknown path.
     pub(crate) fn unknown_path(path: &str) -> Self {
         let reason = format!("{path} does not exist");
--- a/endivestile/src/http/reply.rs
+++ b/endivestile/src/http/reply.rs
@@ -1,11 +1,10 @@
 //! Replies to callers.
 
-use std::io::Cursor;
-
 use bytes::Bytes;
 use endivestile_kernel::{Answer, Cause, Class, Failure, Refusal, SubmissionId, Time};
 use endivestile_wire::call::{AnswerBody, MINTED_HEADER};
-use tiny_http::{Header, Response, StatusCode};
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderName, HeaderValue, Response, StatusCode};
 
 use super::ReplyFormat;
 use super::invalid_request::InvalidRequest;
@@ -13,6 +12,9 @@
 /// Milliseconds per second, to convert delays for `Retry-After`.
 const MS_PER_SECOND: u64 = 1_000;
 
+/// Delay after which a caller should retry a call that this host cannot take, in milliseconds.
+const FULL_RETRY_MS: u64 = 1_000;
+
 /// A reply, ready to be written.
 #[derive(Debug)]
 pub(crate) struct Reply {
@@ -45,6 +47,23 @@
         Self { content_type: "text/plain", ..Self::json(status, text) }
     }
 
+    /// Creates the reply to a call that was not received because the process holds too many, and
+    /// of which nothing was done.
+    pub(crate) fn full() -> Self {
+        let body = AnswerBody {
+            retry_ms: Some(FULL_RETRY_MS),
+            ..with_reason("not run", "the host holds as many requests as it may")
+        };
+        Self::from_body(503, &body)
+    }
+
+    /// Creates the reply to a call that ended without an answer of the engine, which has stopped.
+    pub(crate) fn stopped() -> Self {
+        let reason = "the entry host has stopped; it may have been accepted";
+        let body = AnswerBody { retry_ms: Some(FULL_RETRY_MS), ..with_reason("unknown", reason) };
+        Self::from_body(503, &body)
+    }
+
     /// Creates a reply from an answer body, which has the format documented for callers.
     fn from_body(status: u16, body: &AnswerBody) -> Self {
         let retry_ms = body.retry_ms;
@@ -87,30 +106,26 @@
         self
     }
 
-    /// Converts the reply for the library. It always has a `Content-Length`, so
-    /// that a caller can detect a truncated reply.
-    pub(crate) fn into_response(self) -> Response<Cursor<Bytes>> {
-        let mut headers = vec![header("Content-Type", self.content_type)];
+    /// Converts the reply for the HTTP server.
+    pub(crate) fn into_response(self) -> Response<Bytes> {
+        let mut response = Response::new(self.body);
+        *response.status_mut() = StatusCode::from_u16(self.status).unwrap_or_default();
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static(self.content_type));
         if let Some(retry_ms) = self.retry_ms {
-            let secs = retry_ms.div_ceil(MS_PER_SECOND).max(1);
-            headers.push(header("Retry-After", &secs.to_string()));
+            headers.insert(RETRY_AFTER, retry_ms.div_ceil(MS_PER_SECOND).max(1).into());
         }
         if !self.minted.is_empty() {
-            headers.push(header(MINTED_HEADER, &self.minted));
+            let name = HeaderName::from_bytes(MINTED_HEADER.as_bytes());
+            // Always succeeds, since the name and all ids are ASCII.
+            if let (Ok(name), Ok(ids)) = (name, HeaderValue::from_str(&self.minted)) {
+                headers.insert(name, ids);
+            }
         }
-        let headers = headers.into_iter().flatten().collect();
-        let len = self.body.len();
-        let status = StatusCode(self.status);
-        Response::new(status, headers, Cursor::new(self.body), Some(len), None)
-            .with_chunked_threshold(usize::MAX)
+        response
     }
 }
 
-/// Creates a header. This always succeeds here, since all names and values are ASCII.
-fn header(name: &str, value: &str) -> Option<Header> {
-    Header::from_bytes(name, value).ok()
-}
-
 fn status_only(status: &str) -> AnswerBody {
     AnswerBody {
         status: status.to_owned(),
--- a/endivestile/src/http/route.rs
+++ b/endivestile/src/http/route.rs
@@ -1,7 +1,7 @@
 //! Methods and paths of the HTTP interface.
 
 use endivestile_kernel::{Ask, SubmissionId};
-use tiny_http::Method;
+use http::{Method, Uri};
 
 use super::invalid_request::InvalidRequest;
 
@@ -29,30 +29,30 @@
 
 impl Route {
     /// Parses a method and a URL.
-    pub(crate) fn parse(method: &Method, url: &str) -> Result<Self, InvalidRequest> {
-        let (path, query) = url.split_once('?').unwrap_or((url, ""));
+    pub(crate) fn parse(method: &Method, url: &Uri) -> Result<Self, InvalidRequest> {
+        let (path, query) = (url.path(), url.query().unwrap_or_default());
         if let Some(service) = path.strip_prefix("/v1/requests/") {
-            require_method(method, &Method::Post)?;
+            require_method(method, &Method::POST)?;
             return Ok(Self::Request(percent_decode(service)));
         }
         if let Some(id) = path.strip_prefix("/v1/submissions/") {
             return Self::submission(method, &percent_decode(id));
         }
         match path {
-            "/v1/jobs" => require_method(method, &Method::Post).map(|()| Self::Job),
-            "/v1/ids" => require_method(method, &Method::Post).and_then(|()| Self::ids(query)),
-            "/health" => require_method(method, &Method::Get).map(|()| Self::Health),
-            "/ready" => require_method(method, &Method::Get).map(|()| Self::Ready),
-            "/status" => require_method(method, &Method::Get).map(|()| Self::Status),
+            "/v1/jobs" => require_method(method, &Method::POST).map(|()| Self::Job),
+            "/v1/ids" => require_method(method, &Method::POST).and_then(|()| Self::ids(query)),
+            "/health" => require_method(method, &Method::GET).map(|()| Self::Health),
+            "/ready" => require_method(method, &Method::GET).map(|()| Self::Ready),
+            "/status" => require_method(method, &Method::GET).map(|()| Self::Status),
             _ => Err(InvalidRequest::unknown_path(path)),
         }
     }
 
     /// Parses a call that concerns an existing submission.
     fn submission(method: &Method, id: &str) -> Result<Self, InvalidRequest> {
-        let ask = match method {
-            Method::Get => Ask::Fetch,
-            Method::Delete => Ask::Cancel,
+        let ask = match *method {
+            Method::GET => Ask::Fetch,
+            Method::DELETE => Ask::Cancel,
             _ => return Err(InvalidRequest::unsupported_method("GET, DELETE")),
         };
         let id = SubmissionId::parse(id).map_err(|e| InvalidRequest::field("id", e.to_string()))?;
--- a/endivestile/src/run.rs
+++ b/endivestile/src/run.rs
@@ -16,6 +16,7 @@
 use endivestile_wire::adapter::Adapter;
 use flexi_logger::LoggerHandle;
 use stakker::{Actor, Stakker, actor, call, ret_nop};
+use tokio::sync::watch;
 
 use crate::args::Args;
 use crate::backend::Backends;
@@ -26,9 +27,11 @@
 use crate::engine::{Engine, EngineParts};
 use crate::error::{Exit, RunError};
 use crate::fleet;
-use crate::http::{self, PendingReply, RequestHandler};
+use crate::http::{CallHandler, RequestHandler};
+use crate::http_server::{self, Gate, Server};
 use crate::inbox::{Inbox, InboxReceiver};
 use crate::logs;
+use crate::machine;
 use crate::net::NetRuntime;
 use crate::peers::{self, Links};
 use crate::store::{self, Store};
@@ -112,26 +115,29 @@
     let current_config = CurrentConfig::default();
     let (inbox, inbox_receiver) = Inbox::new();
     let net = NetRuntime::start()?;
-    let http_listener = http::bind(net.handle(), settings.host.http_address)?;
+    let machine = machine::detect(&settings.host);
+    let gate = |listener, limits| Gate::new(listener, limits, clock, counters.clone());
+    let callers = gate("callers", machine.caller_limits());
+    let (http_listener, http_address) = {
+        let _guard = net.handle().enter();
+        http_server::bind(settings.host.http_address)?
+    };
     let peer_listener = peers::bind(settings.host.peer_address)?;
     let address = advertised_address(settings, &peer_listener)?;
     let me = Peer::new(settings.host.name.clone(), new_birth());
     let checker = ConfigChecker::start(inbox.clone(), current_config.clone())?;
-    let replies = PendingReply::pool();
-    let handler = RequestHandler {
+    let requests = RequestHandler {
         inbox: inbox.clone(),
         clock,
         settings: settings.calls.clone(),
         current_config: current_config.clone(),
-        reply_pool: replies.clone(),
         counters: counters.clone(),
     };
     log::info!(
-        "event=listening host={} birth={:x} zone={} http={} peers={address}",
+        "event=listening host={} birth={:x} zone={} http={http_address} peers={address}",
         me.host,
         me.birth,
         settings.host.zone,
-        local_address(&http_listener)?,
     );
     peers::serve(net.handle(), peer_listener, inbox.clone())?;
     let store_context = store::Context {
@@ -148,9 +154,12 @@
     let backends = Backends::start(&settings.backends, clock, &me, inbox.clone(), counters.clone());
     statsd::start(&settings.metrics, &settings.host, counters.clone(), inbox.clone())?;
     signals::watch(inbox.clone())?;
-    http::serve(http_listener, &handler)?;
+    let (closing, closed) = watch::channel(false);
+    let handler = CallHandler::new(requests);
+    let server = Server { handler, gate: callers.clone(), closing: closed, half_close: true };
+    net.handle().spawn(server.accept(http_listener));
     let handlers =
-        EffectHandlers { backends, links, store: store.clone(), checker, replies, counters };
+        EffectHandlers { backends, links, store: store.clone(), checker, callers, counters };
     let wall_s = since_epoch().as_secs();
     let seed = me.birth;
     let seeds = settings.host.seeds.iter();
@@ -167,6 +176,7 @@
         exit: Rc::clone(&exit),
     };
     run_loop(&inbox_receiver, parts);
+    closing.send_replace(true);
     store.deregister();
     Ok(exit.get())
 }
--- a/endivestile/src/status.rs
+++ b/endivestile/src/status.rs
@@ -7,6 +7,7 @@
 
 use crate::clock::Clock;
 use crate::counters::Counters;
+use crate::http_server::Gate;
 
 /// Returns the resident memory of the process in KiB, or 0 if it cannot be read.
 pub(crate) fn rss_kb() -> u64 {
@@ -33,6 +34,7 @@
     kernel: &Kernel,
     clock: Clock,
     counters: &Counters,
+    callers: &Gate,
     open_calls: usize,
 ) -> Vec<u8> {
     let mut page = match serde_json::to_value(kernel.status(clock.now())) {
@@ -43,6 +45,9 @@
         counters.all().map(|(name, count)| (name.to_owned(), Value::from(count))).collect();
     page.insert("counters".to_owned(), Value::Object(counts));
     page.insert("open_calls".to_owned(), Value::from(open_calls));
+    let (connections, pool_bytes) = callers.held();
+    page.insert("connections".to_owned(), Value::from(connections));
+    page.insert("pool_bytes".to_owned(), Value::from(pool_bytes));
     page.insert("rss_kb".to_owned(), Value::from(rss_kb()));
     serde_json::to_vec(&page).unwrap_or_default()
 }
--- a/endivestile/src/thread_pool.rs
+++ b/endivestile/src/thread_pool.rs
@@ -70,12 +70,6 @@
         self.shared.lock().queue.len()
     }
 
-    /// Returns the amount of queued and running work.
-    pub(crate) fn pending(&self) -> usize {
-        let state = self.shared.lock();
-        state.queue.len() + state.threads - state.idle
-    }
-
     /// Starts one more thread. If that fails, the work waits for an existing thread.
     fn add_thread(&self, state: &mut State<W>) {
         let shared = Arc::clone(&self.shared);
