Bound what links of other hosts hold together

Cause: a client of the links' port ended the process with frames that do not end, since the library reserves the announced length of a message, or took all its descriptors.

Evidence, on: 80 calls that announce 8 MiB and send 2 MiB ended the process at 120 MB, on both interfaces; 600 connections took 456 of 456 descriptors, and the accept loop spun.

Ruled out: counting received bytes only; the announced length is reserved before they arrive, and the test then still failed.

Change: a gate for the listener of links; the announced length of a frame counts from its prefix on. At most four calls and 8 KiB of headers a connection.

--- a/endivestile/src/fleet/run.rs
+++ b/endivestile/src/fleet/run.rs
@@ -97,7 +97,8 @@
     let callers = gate("callers", machine.caller_limits());
     let ready = gate("ready", machine.probe_limits());
     let page = gate("page", machine.probe_limits());
-    let gates = [&callers, &ready, &page].map(Gate::clone);
+    let peer_links = gate("links", machine.link_limits());
+    let gates = [&callers, &ready, &page, &peer_links].map(Gate::clone);
     let metrics = Metrics::new(counters.clone(), calls.clone(), gates.to_vec());
     let (closing, closed) = watch::channel(false);
     if let Some(address) = settings.metrics.page_address {
@@ -122,7 +123,7 @@
     }
     let listener = peers::bind(settings.host.peer_address)?;
     let (address, local) = (advertised_address(settings, &listener)?, local_address(&listener)?);
-    peers::serve(runtime.handle(), listener, inbox.clone())?;
+    peers::serve(runtime.handle(), listener, inbox.clone(), peer_links)?;
     let links = Links::start(runtime.handle(), inbox.clone(), counters.clone());
     let me = Peer::new(settings.host.name.clone(), new_birth());
     let zone = settings.host.zone.clone();
--- a/endivestile/src/peers/incoming.rs
+++ b/endivestile/src/peers/incoming.rs
@@ -7,13 +7,21 @@
 use endivestile_wire::peer as wire;
 use endivestile_wire::peer::peers_server::{Peers, PeersServer};
 use tokio::runtime::Handle;
+use tokio_stream::wrappers::ReceiverStream;
 use tonic::transport::Server;
-use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status, Streaming};
 
 use super::event_handler::PeerEventHandler;
+use super::link_stream::{self, LinkInfo};
+use super::metered::Metered;
 use super::{FRAME_VERSIONS, KEEPALIVE_INTERVAL_MS, KEEPALIVE_TIMEOUT_MS, MAX_FRAME_BYTES};
 use crate::error::RunError;
+use crate::http_server::Gate;
+
+/// Calls that a peer may have open on one connection; it needs one.
+const MAX_STREAMS: u32 = 4;
+/// Longest headers of a call, in bytes.
+const MAX_HEADER_BYTES: u32 = 8_192;
 
 /// Binds the peers' socket.
 pub(crate) fn bind(address: SocketAddr) -> Result<TcpListener, RunError> {
@@ -25,19 +33,22 @@
     handle: &Handle,
     listener: TcpListener,
     inbox: U,
+    gate: Gate,
 ) -> Result<(), RunError> {
     let address = listener.local_addr().unwrap_or_else(|_| SocketAddr::from(([0, 0, 0, 0], 0)));
     let _guard = handle.enter();
     listener.set_nonblocking(true).map_err(|e| bind_error(address, &e))?;
     let listener =
         tokio::net::TcpListener::from_std(listener).map_err(|e| bind_error(address, &e))?;
-    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    let incoming = ReceiverStream::new(link_stream::accept(listener, gate));
     let service =
         PeersServer::new(PeerService { inbox }).max_decoding_message_size(MAX_FRAME_BYTES);
     let server = Server::builder()
+        .max_concurrent_streams(MAX_STREAMS)
+        .http2_max_header_list_size(MAX_HEADER_BYTES)
         .http2_keepalive_interval(Some(Duration::from_millis(KEEPALIVE_INTERVAL_MS)))
         .http2_keepalive_timeout(Some(Duration::from_millis(KEEPALIVE_TIMEOUT_MS)))
-        .add_service(service)
+        .add_service(Metered(service))
         .serve_with_incoming(incoming);
     handle.spawn(async move {
         if let Err(e) = server.await {
@@ -64,14 +75,15 @@
         &self,
         request: Request<Streaming<wire::Frame>>,
     ) -> Result<Response<wire::LinkEnd>, Status> {
-        let from = request.remote_addr().map(|a| a.to_string()).unwrap_or_default();
+        let link = request.extensions().get::<LinkInfo>().cloned();
         let mut frames = request.into_inner();
         while let Some(frame) = frames.message().await? {
             match decode(&frame) {
                 Ok(frame) => self.inbox.handle_frame(frame),
                 Err(status) => {
                     log::error!(
-                        "event=frame_refused step=decode peer={from} error={:?}",
+                        "event=frame_refused step=decode peer={} error={:?}",
+                        link.map(|link| link.address.to_string()).unwrap_or_default(),
                         status.message()
                     );
                     return Err(status);
--- a/endivestile/src/peers/mod.rs
+++ b/endivestile/src/peers/mod.rs
@@ -3,7 +3,9 @@
 mod event_handler;
 mod frame_queue;
 mod incoming;
+mod link_stream;
 mod links;
+mod metered;
 mod outgoing;
 
 use std::ops::RangeInclusive;
--- a/endivestile/src/run.rs
+++ b/endivestile/src/run.rs
@@ -139,7 +139,8 @@
         me.birth,
         settings.host.zone,
     );
-    peers::serve(net.handle(), peer_listener, inbox.clone())?;
+    let links_gate = gate("links", machine.link_limits());
+    peers::serve(net.handle(), peer_listener, inbox.clone(), links_gate)?;
     let store_context = store::Context {
         me: me.clone(),
         zone: settings.host.zone.clone(),
