Draw crowds of clients in the soak and in experiments

Cause: neither the soak nor an experiment had clients that do not behave.

Conclusion: the soak covers crowds beside kills, pauses and stops.

--- a/endivestile/examples/soak.rs
+++ b/endivestile/examples/soak.rs
@@ -40,6 +40,9 @@
     /// Concurrent callers.
     #[arg(long, default_value_t = 6)]
     callers: usize,
+    /// Send crowds of clients to hosts on small machines as well.
+    #[arg(long)]
+    crowds: bool,
     /// Keep the first zone full, and lose hosts of both zones in pairs instead of other faults.
     #[arg(long)]
     paired: bool,
@@ -78,6 +81,7 @@
             callers: args.callers,
             evacuations: !args.paired,
             reset_series: !args.paired,
+            crowds: args.crowds,
             paired_losses: args.paired,
         };
         let report = soak.run()?;
--- a/endivestile/tests/soak.rs
+++ b/endivestile/tests/soak.rs
@@ -13,6 +13,7 @@
     Evacuations,
     ResetSeries,
     PairedLosses,
+    Crowds,
 }
 
 /// Hosts are paused, killed, stopped and restarted, and connections between them, to
@@ -30,6 +31,7 @@
 #[test_case(7, 6, Extra::Evacuations; "evacuations")]
 #[test_case(8, 8, Extra::ResetSeries; "reset_series")]
 #[test_case(110, 14, Extra::PairedLosses; "paired_losses")]
+#[test_case(9, 8, Extra::Crowds; "crowds")]
 fn soak_short(seed: u64, seconds: u64, extra: Extra) {
     let daemon = DaemonCommand::new(env!("CARGO_BIN_EXE_endivestile"));
     let faults_ms = seconds * 1_000;
@@ -42,6 +44,7 @@
         callers: if extra == Extra::PairedLosses { 12 } else { 6 },
         evacuations: extra == Extra::Evacuations,
         reset_series: extra == Extra::ResetSeries,
+        crowds: extra == Extra::Crowds,
         paired_losses: extra == Extra::PairedLosses,
     };
     let report = soak.run().unwrap();
--- a/endivestile_lab/examples/experiment/fault.rs
+++ b/endivestile_lab/examples/experiment/fault.rs
@@ -3,16 +3,21 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use endivestile_testkit::{Deployment, MachineFault};
+use endivestile_testkit::{Crowd, Deployment, MachineFault, Payload};
 use serde::Serialize;
 
-use crate::spec::{Spec, server};
+use crate::spec::{SERVICE, Spec, TEAMS, server};
 
 /// Factor of the speed of machines in a slow rack.
 const SLOW_FACTOR: f64 = 0.25;
 /// Percentage of tasks that straggle.
 const STRAGGLER_PERCENT: u8 = 10;
 
+/// Connections of a crowd.
+const CROWD_CONNECTIONS: usize = 200;
+/// Length of the bodies of a crowd, in bytes.
+const CROWD_BODY_BYTES: usize = 1 << 20;
+
 /// Kind of fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub(crate) enum FaultKind {
@@ -34,6 +39,8 @@
     Kill,
     /// Callers cancel all open submissions.
     Cancel,
+    /// Clients send bodies to the first entry host, stop short of their end and stay.
+    Crowd,
 }
 
 impl FaultKind {
@@ -49,6 +56,7 @@
             "cut" => Self::Cut,
             "kill" => Self::Kill,
             "cancel" => Self::Cancel,
+            "crowd" => Self::Crowd,
             _ => return Err(format!("fault kind={text} is unknown")),
         })
     }
@@ -64,7 +72,9 @@
     }
     sleep_until(started, spec.from_ms);
     start_fault(spec, deployment);
+    let crowd = (spec.fault == FaultKind::Crowd).then(|| send_crowd(deployment));
     sleep_until(started, spec.to_ms);
+    drop(crowd);
     end_fault(spec, deployment);
 }
 
@@ -74,6 +84,19 @@
     thread::sleep(at.saturating_duration_since(Instant::now()));
 }
 
+/// Sends a crowd to the first entry host.
+fn send_crowd(deployment: &Deployment) -> Crowd {
+    let head = |framing: &str| {
+        format!(
+            "POST /v1/requests/{SERVICE} HTTP/1.1\r\nHost: crowd\r\nTeam: {}\r\n\
+             Idempotent: true\r\n{framing}\r\n\r\n",
+            TEAMS[0]
+        )
+    };
+    let payload = Payload::sized(head, CROWD_BODY_BYTES, 1);
+    Crowd::send(deployment.hosts[0].address(), CROWD_CONNECTIONS, payload, false)
+}
+
 /// Starts the experiment's fault.
 fn start_fault(spec: &Spec, deployment: &mut Deployment) {
     let servers = &deployment.servers;
--- a/endivestile_testkit/src/soak/fault.rs
+++ b/endivestile_testkit/src/soak/fault.rs
@@ -30,6 +30,23 @@
     Refuse,
     /// Evacuates a zone until the fault ends.
     Evacuate(usize),
+    /// Sends a crowd of clients to a host, which stays until the fault ends.
+    Crowd(usize, CrowdKind),
+}
+
+/// What the clients of a crowd send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CrowdKind {
+    /// Bodies that stop short of their end.
+    Short,
+    /// Complete bodies.
+    Whole,
+    /// Bodies in chunks of one byte without an end.
+    Chunks,
+    /// Heads without an end.
+    Heads,
+    /// Requests whose answers are not read.
+    Unread,
 }
 
 /// A scheduled fault. Times are in milliseconds from the start.
@@ -64,6 +81,9 @@
 /// Time for callers to fill a zone, in milliseconds.
 const FILL_MS: u64 = 1_200;
 
+/// Time between the starts of two crowds, in milliseconds.
+const CROWD_GAP_MS: std::ops::Range<u64> = 500..2_500;
+
 /// Draws the faults of a run that begin within `ms` milliseconds.
 pub(crate) fn plan_faults(
     rng: &mut SmallRng,
@@ -119,6 +139,29 @@
     plan
 }
 
+/// Draws crowds of clients that begin within `ms` milliseconds; those of different hosts overlap.
+pub(crate) fn plan_crowds(rng: &mut SmallRng, ms: u64, hosts: usize) -> Vec<PlannedFault> {
+    let mut plan = Vec::new();
+    let mut at = rng.random_range(GAP_MS);
+    while at < ms {
+        let kind = match rng.random_range(0..5) {
+            0 => CrowdKind::Short,
+            1 => CrowdKind::Whole,
+            2 => CrowdKind::Chunks,
+            3 => CrowdKind::Heads,
+            _ => CrowdKind::Unread,
+        };
+        let fault = Fault::Crowd(rng.random_range(0..hosts), kind);
+        plan.push(PlannedFault {
+            fault,
+            from: at,
+            until: at + rng.random_range(500..MAX_FAULT_MS),
+        });
+        at += rng.random_range(CROWD_GAP_MS);
+    }
+    plan
+}
+
 /// Draws losses shortly after one another that begin within `ms` milliseconds: of a host of the
 /// first zone, and of the hosts of the second, which helps it, or of the path to that one's workers.
 pub(crate) fn plan_paired_losses(
--- a/endivestile_testkit/src/soak/mod.rs
+++ b/endivestile_testkit/src/soak/mod.rs
@@ -5,6 +5,7 @@
 //! not by what the hosts report.
 
 mod connection;
+mod crowds;
 mod fault;
 mod load;
 mod relay;
--- a/endivestile_testkit/src/soak/run.rs
+++ b/endivestile_testkit/src/soak/run.rs
@@ -10,11 +10,14 @@
 use rand::rngs::SmallRng;
 
 use super::connection::Attempt;
+use super::crowds::{Crowds, HOST_FILES, HOST_MEMORY_MB};
 use super::fault::{
-    Fault, PlannedFault, plan_evacuations, plan_faults, plan_paired_losses, plan_reset_series,
+    Fault, PlannedFault, plan_crowds, plan_evacuations, plan_faults, plan_paired_losses,
+    plan_reset_series,
 };
 use super::load::{ANSWER_GRACE, DEADLINE, LONG_JOBS, SHORT_JOBS, run_caller, send_once};
 use super::relay::{FaultRelay, Impairment};
+use crate::crowd::peak_mb;
 use crate::deploy::{DaemonCommand, wait_for};
 use crate::lock::lock;
 use crate::platform::{PlatformHost, PlatformSignal, PlatformStandIn, WorkerFault};
@@ -48,6 +51,8 @@
     pub evacuations: bool,
     /// Whether links are reset in series as well.
     pub reset_series: bool,
+    /// Whether hosts on small machines get crowds of clients as well.
+    pub crowds: bool,
     /// Whether the first zone is kept full, and the only faults are losses in pairs.
     pub paired_losses: bool,
 }
@@ -82,6 +87,7 @@
     workers: Vec<(String, FaultRelay)>,
     /// Hosts whose process is not running.
     down: Vec<bool>,
+    crowds: Crowds,
     /// Paused hosts with the start and end of each pause.
     pauses: Vec<(usize, Instant, Option<Instant>)>,
     report: SoakReport,
@@ -100,6 +106,7 @@
         run.wait_serving("after the faults");
         run.run_final_jobs();
         run.check_attempts(&attempts);
+        run.check_memory();
         run.stop_all();
         Ok(run.finish())
     }
@@ -120,7 +127,11 @@
             for index in 1..=soak.hosts {
                 let (peers, store) =
                     (FaultRelay::start(None)?, FaultRelay::start(Some(platform.store_address()))?);
-                let settings = [format!("host.advertise={}", peers.address)];
+                let mut settings = vec![format!("host.advertise={}", peers.address)];
+                if soak.crowds {
+                    settings.push(format!("host.memory-mb={HOST_MEMORY_MB}"));
+                    settings.push(format!("host.files={HOST_FILES}"));
+                }
                 let name = format!("{zone}{index}");
                 let host =
                     PlatformHost::start(&soak.daemon, store.address, &name, zone, &settings)?;
@@ -139,6 +150,7 @@
             store_relays,
             workers,
             down,
+            crowds: Crowds::default(),
             pauses: Vec::new(),
             report,
         };
@@ -213,6 +225,9 @@
         if self.soak.reset_series {
             faults.extend(plan_reset_series(&mut rng, ms, hosts));
         }
+        if self.soak.crowds {
+            faults.extend(plan_crowds(&mut rng, ms, hosts));
+        }
         let mut steps: Vec<(u64, bool, PlannedFault)> = Vec::new();
         for planned in faults {
             steps.push((planned.from, true, planned));
@@ -252,6 +267,11 @@
             Fault::Hangs(at) => self.platform.set_fault(&self.workers[at].0, WorkerFault::Hangs),
             Fault::Refuse => self.platform.set_refusing(true),
             Fault::Evacuate(zone) => self.platform.set_evacuated(ZONES[zone], true),
+            Fault::Crowd(at, kind) => {
+                if let Some(address) = lock(&self.hosts[at]).http_address() {
+                    self.crowds.begin(at, kind, address);
+                }
+            }
         }
     }
 
@@ -272,6 +292,7 @@
             }
             Fault::Refuse => self.platform.set_refusing(false),
             Fault::Evacuate(zone) => self.platform.set_evacuated(ZONES[zone], false),
+            Fault::Crowd(at, kind) => self.crowds.end(at, kind),
         }
     }
 
@@ -386,6 +407,16 @@
         })
     }
 
+    /// Checks that no host has held more memory than its machine has.
+    fn check_memory(&mut self) {
+        for at in 0..self.hosts.len() {
+            let peak = peak_mb(lock(&self.hosts[at]).pid());
+            if self.soak.crowds && peak.is_some_and(|peak| peak > HOST_MEMORY_MB) {
+                self.add_breach(format!("host {at} held {peak:?} of {HOST_MEMORY_MB} MB"));
+            }
+        }
+    }
+
     /// Stops every host gracefully and checks its exit status.
     fn stop_all(&mut self) {
         for at in 0..self.hosts.len() {
