Test crowds that connect again as soon as they are closed

Cause: the crowds of the tests stay; clients may also return, and closing connections frees places for whoever connects next.

Ruled out: more connections; 160 at a time are more than a host accepts.

Change: a crowd returns until five ordinary requests were answered, on both interfaces.

Conclusion: places that are freed go to ordinary callers, too.

--- a/endivestile/tests/crowds.rs
+++ b/endivestile/tests/crowds.rs
@@ -11,7 +11,10 @@
 
 use std::any::Any;
 use std::net::TcpListener;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::Command;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
 
 use endivestile_testkit::{
     Crowd, DaemonCommand, Payload, PlatformHost, PlatformStandIn, open_files, peak_mb,
@@ -213,6 +216,32 @@
     subject.assert_bears(address(&subject), 600, Payload::first_bytes(), false);
 }
 
+/// The clients of a crowd connect again as soon as they have sent all. Others that wait for a place
+/// must still get one.
+#[test_case(start_platform_host, &Payload::sized(platform_head, BODY_LIMIT, 1); "platform")]
+#[test_case(start_own_host, &Payload::sized(own_request, OWN_BODY_LIMIT, 1); "own")]
+fn crowd_returning(start: fn() -> Subject, payload: &Payload) {
+    let _alone = run_alone();
+    let subject = start();
+    let address = subject.callers.parse().unwrap();
+    let ended = AtomicBool::new(false);
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            while !ended.load(Ordering::Relaxed) {
+                drop(Crowd::send(address, 160, payload.clone(), false));
+            }
+        });
+        let served = catch_unwind(AssertUnwindSafe(|| {
+            for _ in 0..5 {
+                subject.assert_serves("beside the crowd");
+            }
+        }));
+        ended.store(true, Ordering::Relaxed);
+        served.unwrap();
+    });
+    subject.assert_serves("after the crowd");
+}
+
 /// A host is stopped beside a crowd that stays. It ends by itself, within the grace period of its
 /// platform or the limit of its settings.
 #[test_case(start_platform_host, &Payload::sized(platform_head, BODY_LIMIT, 1); "platform")]
