Keep connections that are owed an answer when their clients send on

Cause: found by reading. `Intake::touch` made a connection that is owed an answer one that waits for its client; only the order of calls in the daemon kept that from happening. The metrics page took bodies.

Ruled out: a check in the daemon, since the decision is the kernel's.

Change: `touch` changes nothing while an answer is owed. The page takes no body.

--- a/endivestile/src/fleet/callers.rs
+++ b/endivestile/src/fleet/callers.rs
@@ -55,7 +55,7 @@
 
 impl Handler for PageHandler {
     fn limits(&self) -> Limits {
-        Limits::default()
+        Limits { body_bytes: 0, ..Limits::default() }
     }
 
     async fn handle(&self, _head: Parts, _body: Bytes) -> Response<Bytes> {
--- a/endivestile_kernel/src/intake.rs
+++ b/endivestile_kernel/src/intake.rs
@@ -146,9 +146,12 @@
         Some(id)
     }
 
-    /// Records that the client of a connection has sent something.
+    /// Records that the client of a connection has sent something. This changes nothing while the
+    /// connection is owed an answer.
     pub fn touch(&mut self, id: ConnId, now: Time) {
-        if let Some(conn) = self.remove(id) {
+        if self.conns.get(&id).is_some_and(|conn| conn.stage != Stage::Answer)
+            && let Some(conn) = self.remove(id)
+        {
             self.insert(id, Conn { stage: Stage::Client(now), ..conn });
         }
     }
--- a/endivestile_kernel/tests/intake.rs
+++ b/endivestile_kernel/tests/intake.rs
@@ -44,6 +44,26 @@
     assert_eq!(intake.take_closed(), [third]);
 }
 
+/// Bytes of the next request arrive while an answer is owed.
+#[test]
+fn touch_owed_stays_owed() {
+    let mut intake = intake();
+    for id in open_all::<4>(&mut intake) {
+        intake.complete(id);
+        intake.touch(id, at(10));
+    }
+    assert_eq!((intake.open(at(11)), intake.take_closed()), (None, vec![]));
+}
+
+#[test]
+fn touch_waiting_closed_last() {
+    let mut intake = intake();
+    let [first, second, ..] = open_all::<4>(&mut intake);
+    intake.touch(first, at(10));
+    assert!(intake.open(at(11)).is_some());
+    assert_eq!(intake.take_closed(), [second]);
+}
+
 #[test]
 fn open_all_owed_refused() {
     let mut intake = intake();
