Log why a connection could not be accepted

Cause: found by reading. The bounded line of a failed accept had lost the error of the system.

Ruled out: a line for each failure, up to 50 a second.

Change: the line carries the latest error and the count since the last one.

Conclusion: on call sees whether descriptors or something else ran out.

--- a/endivestile/src/http_server/gate.rs
+++ b/endivestile/src/http_server/gate.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::fmt::Write;
+use std::io;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker};
@@ -100,9 +101,15 @@
     }
 
     /// Counts a connection that could not be accepted.
-    pub(crate) fn count_accept_failure(&self) {
-        let now = self.now();
-        self.count(&mut self.lock(), IoMetric::AcceptsFailed, now, "accept");
+    pub(crate) fn count_accept_failure(&self, error: &io::Error) {
+        self.shared.counters.count_io(IoMetric::AcceptsFailed, 1);
+        let due = self.lock().log.admit(IoMetric::AcceptsFailed, "accept", self.now());
+        if let Some(count) = due {
+            let (listener, error) = (self.shared.listener, error.to_string());
+            log::warn!(
+                "event=accept_failed listener={listener} step=accept count={count} error={error:?}"
+            );
+        }
     }
 
     /// Returns the number of connections whose answers have not been written yet.
@@ -163,7 +170,6 @@
         IoMetric::ConnectionsClosed => "connections_closed",
         IoMetric::ConnectionsRefused => "connections_refused",
         IoMetric::BodiesRefused => "bodies_refused",
-        IoMetric::AcceptsFailed => "accept_failed",
         _ => "requests_late",
     }
 }
--- a/endivestile/src/http_server/serve.rs
+++ b/endivestile/src/http_server/serve.rs
@@ -99,8 +99,8 @@
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => self.admit(stream),
-                Err(_) => {
-                    self.gate.count_accept_failure();
+                Err(e) => {
+                    self.gate.count_accept_failure(&e);
                     tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
                 }
             }
--- a/endivestile/src/peers/link_stream.rs
+++ b/endivestile/src/peers/link_stream.rs
@@ -85,8 +85,8 @@
                     return;
                 }
             }
-            Err(_) => {
-                gate.count_accept_failure();
+            Err(e) => {
+                gate.count_accept_failure(&e);
                 sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
             }
         }
