--- a/endivestile_testkit/src/crowd/mod.rs
+++ b/endivestile_testkit/src/crowd/mod.rs
@@ -18,6 +18,7 @@
 const PASS_BYTES: usize = 65_536;
 /// Timeout of a connection of a crowd.
 const CONNECT_LIMIT: Duration = Duration::from_secs(2);
+
 /// One connection of a crowd.
 #[derive(Debug)]
 struct Member {
