Accept fractions of memory and descriptors in settings

Cause: found by reading. A template that fills in `120.0` would have kept a host from starting; the other settings of the platform accept fractions.

Ruled out: sharing the parser of `[platform]`, which keeps the default of an empty value, where 0 is meant here.

Change: `[host] memory-mb` and `files` take whole numbers, fractions and empty values.

Figures: five tests more in `settings`.

Conclusion: a host starts whatever form the platform writes.

--- a/endivestile_config/src/settings/host.rs
+++ b/endivestile_config/src/settings/host.rs
@@ -12,9 +12,9 @@
 const SEED_ACCEPTED: &str = "name@IP:port of another entry host, for example e2@10.0.1.8:8081";
 
 /// Largest memory in the settings, in MiB: one tebibyte.
-const MAX_MEMORY_MB: u64 = 1 << 20;
+const MAX_MEMORY_MB: u32 = 1 << 20;
 /// Most descriptors in the settings.
-const MAX_FILES: u64 = 1 << 20;
+const MAX_FILES: u32 = 1 << 20;
 
 /// Identity, addresses and machine of the host.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -98,9 +98,15 @@
     }
 }
 
-/// Parses a number; the platform's templates leave unset values empty.
-fn number_or_zero(raw: &RawValue, most: u64) -> Result<u64, ConfigError> {
-    if raw.text.is_empty() { Ok(0) } else { raw.number(0..=most) }
+/// Parses a whole number; the platform's templates leave unset values empty and write fractions.
+fn number_or_zero(raw: &RawValue, most: u32) -> Result<u64, ConfigError> {
+    if raw.text.is_empty() {
+        return Ok(0);
+    }
+    match raw.text.parse::<f64>() {
+        Ok(number) if (0.0..=f64::from(most)).contains(&number) => Ok(number as u64),
+        _ => Err(raw.invalid(format!("numbers from 0 to {most}"))),
+    }
 }
 
 fn parse_seeds(raw: &RawValue) -> Result<Vec<(Name, SocketAddr)>, ConfigError> {
--- a/endivestile_config/tests/settings.rs
+++ b/endivestile_config/tests/settings.rs
@@ -53,6 +53,22 @@
     assert!(error.to_string().contains("link-mbps"), "{error}");
 }
 
+/// The platform fills in memory and descriptors as it has them.
+#[test_case("host.memory-mb=120.0", (120, 0); "fraction")]
+#[test_case("host.memory-mb=", (0, 0); "empty")]
+#[test_case("host.files=3075", (0, 3_075); "files")]
+fn machine_settings(assignment: &str, expected: (u64, u64)) {
+    let settings = Settings::load(MINIMAL, "a.ini", &[assignment.to_owned()]).unwrap();
+    assert_eq!((settings.host.memory_mb, settings.host.files), expected);
+    assert_eq!(Settings::parse(&settings.canonical(), "canonical").unwrap(), settings);
+}
+
+#[test_case("host.memory-mb=-1"; "negative")]
+#[test_case("host.files=many"; "not_a_number")]
+fn machine_settings_refused(assignment: &str) {
+    assert!(Settings::load(MINIMAL, "a.ini", &[assignment.to_owned()]).is_err());
+}
+
 /// An unknown mechanism keeps the host from starting: otherwise an experiment that disabled
 /// nothing would be taken for one that did.
 #[test]
