--- a/review/stand-ins-3/src/cases.rs
+++ b/review/stand-ins-3/src/cases.rs
@@ -1,6 +1,5 @@
 //! The cases. Each returns whether its rule held.
 
-mod cancel;
 mod replaced;
 mod resend;
 mod shrink;
@@ -16,7 +15,6 @@
     match name {
         "resend" => resend::run(record, trouble),
         "shrink" => shrink::run(record, trouble),
-        "cancel" => cancel::run(record, trouble),
         "replaced" => replaced::run(record, trouble),
         "suspect" => suspect::run(record, trouble),
         _ => Err(NotRun(format!("unknown case {name:?}"))),
