--- a/review/stand-ins-3/src/cases/replaced.rs
+++ b/review/stand-ins-3/src/cases/replaced.rs
@@ -106,5 +106,6 @@
         sleep_ms(3);
     }
     host.kill();
+    it.record.write(&format!("machine {name} had registered and was removed for good"));
     Ok(())
 }
--- a/review/stand-ins-3/src/cases/suspect.rs
+++ b/review/stand-ins-3/src/cases/suspect.rs
@@ -1,6 +1,7 @@
 //! LIMIT: a task whose minion crashed is started again alone on a minion, and another task is
 //! started beside it in the same pass over the queue (`[platform] with = crash-limit, backfill`).
 
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -26,8 +27,11 @@
     it.add_host("e1", "z1")?;
     it.wait_until_serving()?;
     let http = it.hosts[0].http;
+    let record = Arc::clone(&it.record);
     let post = |id: &str, work_ms| {
-        send(http, "POST", &format!("/jobs/{id}"), DEADLINE_MS, &job(&[(1, work_ms, NEED)]))
+        let body = job(&[(1, work_ms, NEED)]);
+        record.write(&format!("client: POST /jobs/{id} at e1: {body}"));
+        send(http, "POST", &format!("/jobs/{id}"), DEADLINE_MS, &body)
     };
     // More work than the minions can do at once, so that a queue forms.
     let mut load = Vec::new();
@@ -54,9 +58,11 @@
     let workers = it.workers.clone();
     let crash = trouble.then(|| thread::spawn(move || workers.restart(&minion, DOWN_MS, 32_000)));
     let answer = receive(&waiting, DEADLINE_MS);
-    it.record.write(&format!("the suspected job: {answer:?}"));
-    sleep_ms(1_000);
-    drop(load);
+    it.record.write(&format!("client: the response to {suspect}, the suspected job: {answer:?}"));
+    for (number, stream) in load.into_iter().enumerate() {
+        let answer = stream.ok().and_then(|stream| receive(&stream, DEADLINE_MS));
+        record.write(&format!("client: the response to ab{number:014x}: {answer:?}"));
+    }
     if let Some(crash) = crash {
         let _ = crash.join();
     }
--- a/review/stand-ins-3/src/deployment.rs
+++ b/review/stand-ins-3/src/deployment.rs
@@ -132,9 +132,10 @@
         body: &str,
     ) -> Option<(u16, Value)> {
         let host = &self.hosts[host];
+        self.record.write(&format!("client: POST {prefix}{id} at {}: {body}", host.name));
         let stream = send(host.http, "POST", &format!("{prefix}{id}"), deadline_ms, body);
         let answer = stream.ok().and_then(|stream| receive(&stream, deadline_ms));
-        self.record.write(&format!("POST {prefix}{id} at {}: {answer:?}", host.name));
+        self.record.write(&format!("client: the response to {id}: {answer:?}"));
         answer
     }
 
--- a/review/stand-ins-3/src/host.rs
+++ b/review/stand-ins-3/src/host.rs
@@ -127,9 +127,10 @@
     let base = std::process::id();
     for _ in 0..20_000 {
         let step = STEP.fetch_add(1, Ordering::Relaxed);
-        let number = base.wrapping_mul(97).wrapping_add(step);
-        let [_, _, high, low] = number.to_be_bytes();
-        let ip = Ipv4Addr::new(127, 83, high, low);
+        // Scripts that run side by side are 4,096 addresses apart.
+        let number = base.wrapping_mul(4_096).wrapping_add(step);
+        let [_, third, high, low] = number.to_be_bytes();
+        let ip = Ipv4Addr::new(127, 64 + third % 128, high, low);
         let usable = (1..255).contains(&low);
         if usable && TcpListener::bind((ip, PAGE_PORT)).is_ok() {
             return Ok(ip);
